--- /dev/null
+++ b/benchmarks/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the slopes behind docs/CAPACITY.md with real processes."""
--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,135 @@
+"""`make bench`: measures all slopes, prints them and writes JSON.
+
+Seeded, bounded in count and time (about three minutes), loopback only.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from typing import Any
+
+import processes
+
+from capacity import control
+from capacity import fit
+from capacity import gateway
+from capacity import pure
+
+
+def _plain(value: Any) -> Any:
+    """Turns results into JSON-ready data."""
+    if isinstance(value, fit.Line):
+        return {**value._asdict(), "kind": "line"}
+    if isinstance(value, dict):
+        return {name: _plain(item) for name, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+async def _control(folder: pathlib.Path) -> dict[str, Any]:
+    host = processes.Host(folder=folder, name="control-only")
+    host.wait_ready()
+    rules = folder / "control-rules.txt"
+    rules.write_text(pure.rules_text(380))
+    processes.operate("rules", "apply", str(rules), address=host.address)
+    driver = control.Driver(host=host)
+    driver.grow(8)
+    results: dict[str, Any] = {"idle_memory_mib": host.memory_mib()}
+    try:
+        results["charging"] = await control.charging(driver)
+        results["ticketing_16"] = await control.ticketing(driver, 16)
+        results["reporting"] = await control.reporting(driver)
+        results["committing"] = await control.committing(driver)
+        results["watching"] = await control.watching(driver)
+        results["changing"] = await control.changing(driver)
+        results["end_memory_mib"] = host.memory_mib()
+    finally:
+        await driver.close()
+        host.kill()
+    return results
+
+
+async def _gateway(folder: pathlib.Path) -> dict[str, Any]:
+    site = gateway.Site(folder=folder)
+    try:
+        before = site.gateway.cpu_seconds()
+        await asyncio.sleep(4.0)
+        idle = (site.gateway.cpu_seconds() - before) / 4.0
+        return {
+            "idle_cpu_with_4_targets": idle,
+            "idle_memory_mib": site.gateway.memory_mib(),
+            "overhead": await gateway.overhead(site),
+            "relaying": await gateway.relaying(site),
+            "requesting": await gateway.requesting(site),
+            "homing": await gateway.homing(site),
+        }
+    finally:
+        site.close()
+
+
+async def _measure(folder: pathlib.Path) -> dict[str, Any]:
+    return {
+        "sizes": control.sizes(),
+        "pure": {
+            "parsing_s_a_line": pure.parsing(),
+            "scheduling_s_a_target": pure.scheduling(),
+            "bucket_bytes_a_charge": pure.bucket_memory(),
+            "call_bytes_a_record": pure.call_memory(),
+            "view_bytes_a_model": pure.view_memory(),
+            "planning": pure.planning(),
+        },
+        "control": await _control(folder),
+        "restarting": await control.restarting(folder),
+        "gateway": await _gateway(folder),
+    }
+
+
+def _show(value: Any, name: str, earlier: Any) -> None:
+    """Prints results, a line each, beside an earlier run's."""
+    before = earlier if isinstance(earlier, dict) else {}
+    if isinstance(value, dict) and value.get("kind") == "line":
+        text = f"{value['slope']:.3g} +- {value['error']:.1g} a unit, "
+        text += f"{value['intercept']:.3g} at zero"
+        if "slope" in before:
+            text += f" (earlier {before['slope']:.3g})"
+        print(f"{name}: {text}")
+    elif isinstance(value, dict):
+        for key, item in value.items():
+            _show(item, f"{name}.{key}" if name else key, before.get(key))
+    elif isinstance(value, list):
+        for item in value:
+            pairs = (f"{k}={v:.4g}" for k, v in item.items())
+            print(f"{name}: {' '.join(pairs)}")
+    else:
+        more = f" (earlier {earlier:.4g})" if earlier is not None else ""
+        print(f"{name}: {value:.4g}{more}")
+
+
+def main() -> int:
+    """Runs all measurements."""
+    parser = argparse.ArgumentParser(prog="capacity")
+    parser.add_argument("--output", type=pathlib.Path, required=True)
+    parser.add_argument("--compare", type=pathlib.Path)
+    arguments = parser.parse_args()
+    begun = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        results = _plain(asyncio.run(_measure(pathlib.Path(folder))))
+    earlier = {}
+    if arguments.compare:
+        earlier = json.loads(arguments.compare.read_text())
+    _show(results, "", earlier)
+    arguments.output.parent.mkdir(parents=True, exist_ok=True)
+    arguments.output.write_text(json.dumps(results, indent=1) + "\n")
+    print(f"measured in {time.monotonic() - begun:.0f} s")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -55,6 +55,12 @@
         return 0, {}, b""
 
 
+def _python_path() -> str:
+    """Returns the search path with this folder first."""
+    here = str(pathlib.Path(__file__).parent)
+    return os.pathsep.join([here, os.environ.get("PYTHONPATH", "")])
+
+
 class Process:
     """One process that we started."""
 
--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -40,11 +40,13 @@
     Attributes:
         host: The asking host.
         have: The configuration version it has in force.
+        hosts_seen: The version of the host table it has; 0 for none.
         running: Requests of callers that run on it.
     """
 
     host: HostInfo
     have: int
+    hosts_seen: int = 0
     running: int
 
 
@@ -56,13 +58,16 @@
         version: The configuration's version.
         seconds: How long the gateway may serve, counted from the moment it
             sent its `Watch`; 0 in a push, which renews nothing.
-        hosts: All live hosts.
+        hosts: All live hosts, or None when the gateway has them already:
+            at 390 hosts the table is 39 KB, and renewals come twice a second.
+        hosts_version: The host table's version.
     """
 
     update: configuration.Update | None
     version: int
     seconds: float
-    hosts: list[HostInfo]
+    hosts: list[HostInfo] | None
+    hosts_version: int
 
 
 class Propose(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -132,6 +132,7 @@
         while True:
             await asyncio.sleep(self._settings.timing.watch_seconds)
             now = time.monotonic()
+            self._watchers.live(now)  # Renews the table's version.
             for host in self._watchers.forget(now):
                 # Its process may hang and come back; its places are free for
                 # others now, its calls stay "running" until a new incarnation
@@ -172,7 +173,8 @@
             update=None,
             version=self._committer.state.configuration.version,
             seconds=0.0,
-            hosts=self._watchers.live(now),
+            hosts=None,
+            hosts_version=self._watchers.hosts_version,
         )
         for peer in self._watchers.peers(now):
             await self._server.push(peer, push)
@@ -221,7 +223,7 @@
         self, peer: bytes, message: messages.Watch
     ) -> messages.Message | None:
         now = time.monotonic()
-        known = {h.name: h for h in self._watchers.live(now)}
+        previous = self._watchers.find(message.host.name)
         if not self._watchers.renew(message.host, peer, message.have, now):
             logs.warn(
                 "two_hosts_one_name",
@@ -229,7 +231,6 @@
                 incarnation=message.host.incarnation,
             )
             return None
-        previous = known.get(message.host.name)
         if previous is None or previous.incarnation < message.host.incarnation:
             logs.event("host_in", peer=message.host.name)
             # A newer incarnation proves that the old process is dead.
@@ -237,16 +238,20 @@
             await self._abandon_calls(message.host)
         elif previous.draining != message.host.draining:
             logs.event("host_draining", peer=message.host.name)
+            self._watchers.live(now)
             await self._push_change()
         configuration = self._committer.state.configuration
         update = None
         if message.have != configuration.version:
             update = configuration.update_since(message.have)
+        hosts_version = self._watchers.hosts_version
+        seen = message.hosts_seen == hosts_version
         return messages.Lease(
             update=update,
             version=configuration.version,
             seconds=self._settings.timing.lease_seconds,
-            hosts=self._watchers.live(now),
+            hosts=None if seen else self._watchers.live(now),
+            hosts_version=hosts_version,
         )
 
     async def _abandon_calls(self, host: messages.HostInfo) -> None:
--- a/packages/endivestream/src/endivestream/process/gateway.py
+++ b/packages/endivestream/src/endivestream/process/gateway.py
@@ -83,6 +83,7 @@
         self._draining = False
         self._lease_until = 0.0
         self._hosts: list[messages.HostInfo] = []
+        self._hosts_version = 0
         self._running: dict[str, Running] = {}
         self._sequence = itertools.count(1)
         self._news = asyncio.Event()
@@ -215,7 +216,10 @@
         sent = time.monotonic()
         answer = await self.ask(
             messages.Watch(
-                host=self.host, have=self._view.version, running=self.running
+                host=self.host,
+                have=self._view.version,
+                hosts_seen=self._hosts_version,
+                running=self.running,
             ),
             # Well under the silence limit of the link, so that a renewal that
             # was lost is tried again while the lease runs.
@@ -230,7 +234,9 @@
         # Counted from the sending, so that the control host, which counts
         # from the hearing, never calls a lease over before its holder does.
         self._lease_until = sent + answer.seconds
-        self._hosts = answer.hosts
+        if answer.hosts is not None:
+            self._hosts = answer.hosts
+            self._hosts_version = answer.hosts_version
         if answer.update is not None:
             # Acknowledge at once: somebody may wait for "in force".
             self._news.set()
@@ -250,10 +256,11 @@
                 running.end(_withdrawn(running.key))
 
     def _pushed(self, message: messages.Message) -> None:
-        if isinstance(message, messages.Lease):
-            self._hosts = message.hosts
-            if message.version > self._view.version:
-                self._news.set()
+        if isinstance(message, messages.Lease) and (
+            message.version > self._view.version
+            or message.hosts_version != self._hosts_version
+        ):
+            self._news.set()
 
     async def ask(
         self, message: messages.Message, *, seconds: float
--- a/packages/endivestream/src/endivestream/version/storage.py
+++ b/packages/endivestream/src/endivestream/version/storage.py
@@ -24,6 +24,8 @@
 
 import msgspec
 
+from endivestream.version import members as members_lib
+
 _HEADER = struct.Struct("<IIQQ")
 _CHECKSUM = struct.Struct("<I")
 # A length above this is damage, not an entry; rules texts are far smaller.
@@ -63,11 +65,13 @@
         index: Last entry it contains.
         term: That entry's term.
         data: The state.
+        members: Who takes part, as of that entry.
     """
 
     index: int
     term: int
     data: bytes
+    members: members_lib.Members = members_lib.Members()
 
 
 class CorruptError(Exception):
@@ -263,18 +267,21 @@
         self._replace("vote", msgspec.msgpack.encode(vote))
         self._vote = vote
 
-    def save_snapshot(self, snapshot: SnapshotFile) -> None:
+    def save_snapshot(
+        self, snapshot: SnapshotFile, *, keep_log: bool = True
+    ) -> None:
         """Stores a snapshot durably, then drops the entries it contains.
 
+        With `keep_log` false all entries go: they follow another history.
+
         A crash in between leaves entries that the snapshot contains; they are
         skipped when the log is read.
         """
         self._replace("snapshot", msgspec.msgpack.encode(snapshot))
         self._snapshot = snapshot
-        keep = [e for e in self._entries if e.index > snapshot.index]
-        if keep and keep[0].index != snapshot.index + 1:
-            keep = []
-        self._rewrite_log(keep)
+        self._rewrite_log(
+            [e for e in self._entries if keep_log and e.index > snapshot.index]
+        )
 
     def _rewrite_log(self, entries: list[Entry]) -> None:
         assert self._log is not None, "not started"
--- a/packages/endivestream/src/endivestream/version/watchers.py
+++ b/packages/endivestream/src/endivestream/version/watchers.py
@@ -43,6 +43,14 @@
         # leases that nobody here remembers; they run out by then.
         self._forgotten_until = now + lease_seconds
         self._watchers: dict[str, Watcher] = {}
+        self._live: list[messages.HostInfo] = []
+        # Versions of this process are above those of any earlier one.
+        self._hosts_version = int(now * 1000)
+
+    @property
+    def hosts_version(self) -> int:
+        """Rises whenever the list of live hosts changes."""
+        return self._hosts_version
 
     def __repr__(self) -> str:
         return f"<Watchers of {len(self._watchers)} hosts>"
@@ -63,13 +71,22 @@
         )
         return True
 
+    def find(self, name: str) -> messages.HostInfo | None:
+        """Returns a host as its last watch showed it, or None."""
+        watcher = self._watchers.get(name)
+        return watcher.host if watcher else None
+
     def live(self, now: float) -> list[messages.HostInfo]:
         """Returns hosts heard of lately, in order of their names."""
-        return sorted(
+        live = sorted(
             watcher.host
             for watcher in self._watchers.values()
             if now - watcher.heard <= self._silence
         )
+        if live != self._live:
+            self._live = live
+            self._hosts_version += 1
+        return live
 
     def peers(self, now: float) -> list[bytes]:
         """Returns connections of hosts heard of lately."""
