Control hosts killed, frozen and without their disk

Cause: replication was proved on the pure core only.

The command has 'voter list' and 'voter remove'.

--- a/benchmarks/capacity/gateway.py
+++ b/benchmarks/capacity/gateway.py
@@ -67,7 +67,7 @@
         host = processes.Host(
             folder=self._folder,
             name=name,
-            control=control,
+            control=[control.peers_address] if control else [],
             more="[requests]\nqueue_seconds = 30\n",
         )
         self._all.append(host)
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import json
 import os
 import pathlib
@@ -197,23 +198,123 @@
         folder: pathlib.Path,
         name: str = "local",
         domain: str = "local",
-        control: Host | None = None,
+        control: Sequence[str] = (),
+        disk: bool | None = None,
+        address: str = "tcp://127.0.0.1:*",
         more: str = "",
+        more_peers: str = "",
     ) -> None:
-        data = "" if control else f'data_folder = "{folder / name}"'
-        peers = f'control = ["{control.peers_address}"]' if control else ""
+        self.data_folder = folder / name
+        disk = not control if disk is None else disk
+        data = f'data_folder = "{self.data_folder}"' if disk else ""
+        peers = f"control = {json.dumps(list(control))}" if control else ""
         settings = folder / f"{name}.toml"
         settings.write_text(
             f'[host]\nname = "{name}"\ndomain = "{domain}"\n{data}\n'
             '[http]\naddress = "127.0.0.1:0"\n'
             'inner_address = "127.0.0.1:0"\n'
-            f'[peers]\naddress = "tcp://127.0.0.1:*"\n{peers}\n{more}\n'
+            f'[peers]\naddress = "{address}"\n{peers}\n{more_peers}\n{more}\n'
         )
         super().__init__(
             folder=folder, name=name, arguments=["--settings", str(settings)]
         )
 
 
+class ControlSite:
+    """Several control hosts, of which the first formed the system."""
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        count: int,
+        more: str = "",
+        more_peers: str = "",
+    ) -> None:
+        self._folder = folder
+        self._more = more
+        self._more_peers = f"voters = {count}\n{more_peers}"
+        self.hosts = {"c0": self._start("c0")}
+        self._addresses = [self.hosts["c0"].peers_address]
+        for number in range(1, count):
+            name = f"c{number}"
+            self.hosts[name] = self._start(name, self._addresses)
+            self._addresses.append(self.hosts[name].peers_address)
+        for host in self.hosts.values():
+            host.wait_ready()
+        wait_for(lambda: len(self.voters()) == count, f"{count} voters")
+
+    @property
+    def addresses(self) -> list[str]:
+        """Where the control roles listen."""
+        return list(self._addresses)
+
+    def _start(
+        self,
+        name: str,
+        control: Sequence[str] = (),
+        address: str = "tcp://127.0.0.1:*",
+    ) -> Host:
+        return Host(
+            folder=self._folder,
+            name=name,
+            domain=f"domain-{name}",
+            control=control,
+            disk=True,
+            address=address,
+            more=self._more,
+            more_peers=self._more_peers,
+        )
+
+    def restart(self, name: str) -> Host:
+        """Starts a killed host again, on its old address."""
+        address = self._addresses[int(name[1:])]
+        host = self._start(name, self._addresses, address)
+        self.hosts[name] = host
+        return host
+
+    def operate(self, *arguments: str, through: str = "") -> Any:
+        """Runs the operators' command through any live host."""
+        hosts = [self.hosts[through]] if through else self.hosts.values()
+        options = [f"--address={host.address}" for host in hosts]
+        return subprocess.run(
+            [
+                str(_BIN / "endivestream"),
+                "--output=json",
+                *options,
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def view(self, *arguments: str) -> Any:
+        """Returns a view, or an empty list if nobody leads."""
+        done = self.operate(*arguments)
+        return json.loads(done.stdout) if done.returncode == 0 else []
+
+    def voters(self) -> list[str]:
+        """Returns the names of the voters."""
+        rows = self.view("voter", "list")
+        return [row["name"] for row in rows if row["role"] != "learner"]
+
+    def leader(self) -> str:
+        """Returns the name of the leader, or an empty string."""
+        rows = self.view("voter", "list")
+        names = [row["name"] for row in rows if row["role"] == "leader"]
+        return names[0] if names else ""
+
+    def wait_leader(self) -> str:
+        """Waits for a leader and returns its name."""
+        return wait_for(self.leader, "a leader")
+
+    def close(self) -> None:
+        """Ends all hosts."""
+        for host in self.hosts.values():
+            host.kill()
+
+
 def stand_in(
     kind: str, *, folder: pathlib.Path, name: str, arguments: list[str]
 ) -> Process:
--- a/packages/endivestream-cli/src/endivestream_cli/main.py
+++ b/packages/endivestream-cli/src/endivestream_cli/main.py
@@ -34,6 +34,7 @@
   endivestream key create --label bench-3 --team workshops
   endivestream key revoke bench-3 --wait 10
   endivestream target drain engine-4
+  endivestream voter list
   endivestream --output json status
 
 exit statuses: 0 done, 1 rejected, 2 wrong usage, 3 another change came first,
@@ -67,6 +68,11 @@
     drain = actions.add_parser("drain", help="give a target no new work")
     drain.add_argument("name")
     drain.add_argument("--undo", action="store_true", help="give work again")
+    voter = commands.add_parser("voter", help="replicas of the log")
+    actions = voter.add_subparsers(dest="action", required=True)
+    actions.add_parser("list", help="voters and learners")
+    remove = actions.add_parser("remove", help="take a lost replica out now")
+    remove.add_argument("name", help="host name, or start of the identity")
     commands.add_parser("models", help="models and their live copies")
     commands.add_parser("status", help="the system in one view")
     return parser
@@ -160,6 +166,10 @@
                 return self._view("targets")
             case "target", "drain":
                 return self._target_drain()
+            case "voter", "list":
+                return self._view("voters")
+            case "voter", "remove":
+                return self._voter_remove()
             case "models", _:
                 return self._view("models")
             case "status", _:
@@ -341,6 +351,14 @@
         self._print(answer.body, f"{self._arguments.name} {state}")
         return EXIT_OK
 
+    def _voter_remove(self) -> int:
+        name = urllib.parse.quote(self._arguments.name, safe="")
+        answer = self._client.post(f"/operators/voters/{name}/remove", {})
+        if answer.status != 200:
+            return self._failed(answer)
+        self._print(answer.body, f"{self._arguments.name} is being removed")
+        return EXIT_OK
+
 
 def main() -> None:
     """Entry point of `endivestream`."""
--- a/packages/endivestream-cli/src/endivestream_cli/show.py
+++ b/packages/endivestream-cli/src/endivestream_cli/show.py
@@ -36,6 +36,15 @@
                 ("name", "kind", "domain", "state", "memory", "models"),
                 (_target(row) for row in body),
             )
+        case "voters":
+            columns = ("name", "identity", "role", "address", "behind")
+            return table(
+                (*columns, "silent"),
+                (
+                    (*(row[c] for c in columns), f"{row['silent_s']} s")
+                    for row in body
+                ),
+            )
         case "models":
             return table(("model", "copies"), body.items())
         case _:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 _ROOT = pathlib.Path(__file__).parent.parent
+sys.path.insert(0, str(_ROOT / "benchmarks"))  # The stand-ins live there.
 _MOST_KNOWN_RED = 3
 
 # The same verdict on every run: no random seed, no database of examples, no
