Links between hosts are authenticated

Cause: whoever reached a control host's link could lead, place and read key digests. Options: a key pair for each host known to each other host (a file to spread for every pair, and addresses bound to keys); one shared secret (a lost host means new secrets everywhere); one system key for control hosts and a key of its own for each host, allowed by a file in a folder. Kept the last.

Before: any connection was answered. Settings refuse an open peers.address without keys.

--- a/packages/endivestream-cli/src/endivestream_cli/main.py
+++ b/packages/endivestream-cli/src/endivestream_cli/main.py
@@ -15,6 +15,8 @@
 import urllib.parse
 import uuid
 
+from endivestream.connection import link_keys
+
 from endivestream_cli import client as client_lib
 from endivestream_cli import show
 
@@ -73,6 +75,11 @@
     actions.add_parser("list", help="voters and learners")
     remove = actions.add_parser("remove", help="take a lost replica out now")
     remove.add_argument("name", help="host name, or start of the identity")
+    link_key = commands.add_parser(
+        "link-key", help="make a key pair for links between hosts"
+    )
+    link_key.add_argument("name", help="'system', or a host's name")
+    link_key.add_argument("--folder", type=pathlib.Path, required=True)
     commands.add_parser("models", help="models and their live copies")
     commands.add_parser("status", help="the system in one view")
     return parser
@@ -170,6 +177,8 @@
                 return self._view("voters")
             case "voter", "remove":
                 return self._voter_remove()
+            case "link-key", _:
+                return self._link_key()
             case "models", _:
                 return self._view("models")
             case "status", _:
@@ -359,6 +368,20 @@
         self._print(answer.body, f"{self._arguments.name} is being removed")
         return EXIT_OK
 
+    def _link_key(self) -> int:
+        try:
+            public, secret = link_keys.create(
+                self._arguments.folder, self._arguments.name
+            )
+        except OSError as error:
+            print(error, file=sys.stderr)
+            return EXIT_USAGE
+        self._print(
+            {"public": public, "secret": secret},
+            f"public: {public}\nsecret: {secret}",
+        )
+        return EXIT_OK
+
 
 def main() -> None:
     """Entry point of `endivestream`."""
--- a/packages/endivestream/src/endivestream/connection/leader_link.py
+++ b/packages/endivestream/src/endivestream/connection/leader_link.py
@@ -10,6 +10,7 @@
 
 from endivestream import logs
 from endivestream import messages
+from endivestream.connection import link_keys
 from endivestream.connection import links
 
 # Pause before asking again when nobody leads; a tenth of an election.
@@ -32,7 +33,9 @@
         on_push: Callable[[messages.Message], None],
         silence: float,
         attempt_seconds: float,
+        keys: link_keys.LinkKeys | None = None,
     ) -> None:
+        self._keys = keys
         self._addresses = list(addresses)
         self._context = context
         self._on_push = on_push
@@ -72,6 +75,7 @@
             context=self._context,
             on_push=self._on_push,
             silence=self._silence,
+            keys=self._keys,
         )
         self._link.start()
 
--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -20,6 +20,7 @@
 
 from endivestream import logs
 from endivestream import messages
+from endivestream.connection import link_keys
 
 # A frame above this cannot be one of ours.
 _LONGEST_FRAME_BYTES = 64 * 1024 * 1024
@@ -56,8 +57,10 @@
             [bytes, messages.Message], Awaitable[messages.Message | None]
         ],
         context: zmq.asyncio.Context,
+        keys: link_keys.LinkKeys | None = None,
     ) -> None:
         self._address = address
+        self._keys = keys
         self._handle = handle
         self._context = context
         self._socket: zmq.asyncio.Socket | None = None
@@ -72,6 +75,8 @@
     def start(self) -> None:
         """Binds the socket; raises OSError naming the address."""
         self._socket = _socket(self._context, zmq.ROUTER)
+        if self._keys is not None:
+            self._keys.guard_server(self._socket)
         try:
             self._socket.bind(self._address)
         except zmq.ZMQError as error:
@@ -140,8 +145,10 @@
         context: zmq.asyncio.Context,
         on_push: Callable[[messages.Message], None],
         silence: float,
+        keys: link_keys.LinkKeys | None = None,
     ) -> None:
         self._address = address
+        self._keys = keys
         self._context = context
         self._on_push = on_push
         self._silence = silence
@@ -169,6 +176,8 @@
 
     def _connect(self) -> None:
         self._socket = _socket(self._context, zmq.DEALER)
+        if self._keys is not None:
+            self._keys.guard_client(self._socket)
         self._socket.connect(self._address)
         self._heard = time.monotonic()
         self._reader = asyncio.create_task(self._read(self._socket))
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -14,6 +14,7 @@
 from endivestream import logs
 from endivestream import messages
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import link_keys
 from endivestream.connection import links
 from endivestream.process import leading as leading_lib
 from endivestream.process import settings as settings_lib
@@ -37,8 +38,10 @@
         context: zmq.asyncio.Context,
         pool: exchange_lib.Pool,
         on_failed: Callable[[OSError], None],
+        keys: link_keys.LinkKeys | None = None,
     ) -> None:
         self._settings = settings
+        self._keys = keys
         self._context = context
         self._pool = pool
         self._on_failed = on_failed
@@ -46,7 +49,14 @@
             address=settings.peers.address,
             handle=self._handle,
             context=context,
+            keys=keys,
         )
+        self._doorkeeper: link_keys.Doorkeeper | None = None
+        if keys is not None:
+            self._doorkeeper = link_keys.Doorkeeper(
+                context=context,
+                allowed_folder=settings.link_keys.allowed_folder,
+            )
         self._replicator: replicate.Replicator | None = None
         self._leading: leading_lib.Leading | None = None
         self._links: dict[str, links.Link] = {}
@@ -92,6 +102,8 @@
             storage_lib.CorruptError: The stored data is damaged.
             OSError: It cannot be read, or the address cannot be used.
         """
+        if self._doorkeeper is not None:
+            self._doorkeeper.start()
         self._server.start()
         timing = self._settings.timing
         self._replicator = replicate.Replicator(
@@ -153,6 +165,8 @@
         for link in self._links.values():
             await link.close()
         await self._server.close()
+        if self._doorkeeper is not None:
+            self._doorkeeper.close()
 
     def _on_role(self, leads: bool) -> None:
         if self._leading is not None:
@@ -183,6 +197,7 @@
                 context=self._context,
                 on_push=lambda message: None,
                 silence=self._settings.peers.silence_seconds,
+                keys=self._keys,
             )
             link.start()
             self._links[address] = link
--- a/packages/endivestream/src/endivestream/process/daemon.py
+++ b/packages/endivestream/src/endivestream/process/daemon.py
@@ -32,6 +32,7 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import link_keys
 from endivestream.process import callers
 from endivestream.process import control as control_lib
 from endivestream.process import gateway as gateway_lib
@@ -107,12 +108,19 @@
         inner_sockets = self._bind("inner_address")
         settings = self._settings
         control = list(settings.peers.control)
+        keys = None
+        if settings.link_keys.host_file:
+            keys = link_keys.load(
+                system_file=settings.link_keys.system_file,
+                host_file=settings.link_keys.host_file,
+            )
         if settings.is_control:
             self._control = control_lib.Control(
                 settings=settings,
                 context=self._context,
                 pool=self._pool,
                 on_failed=lambda error: self.request_stop(EXIT_DISK),
+                keys=keys,
             )
             await self._control.start(form=self._form or settings.is_alone)
             # Its own control role first: it knows who leads.
@@ -125,6 +133,7 @@
             control=control,
             context=self._context,
             metrics=self._metrics,
+            keys=keys,
         )
         self._gateway.start()
         self._home = home_lib.Home(gateway=self._gateway)
--- a/packages/endivestream/src/endivestream/process/gateway.py
+++ b/packages/endivestream/src/endivestream/process/gateway.py
@@ -20,6 +20,7 @@
 from endivestream import logs
 from endivestream import messages
 from endivestream.connection import leader_link
+from endivestream.connection import link_keys
 from endivestream.connection import links
 from endivestream.process import metrics as metrics_lib
 from endivestream.process import settings as settings_lib
@@ -76,6 +77,7 @@
         control: list[str],
         context: zmq.asyncio.Context,
         metrics: metrics_lib.Metrics,
+        keys: link_keys.LinkKeys | None = None,
     ) -> None:
         self._settings = settings
         self._metrics = metrics
@@ -97,6 +99,7 @@
             on_push=self._pushed,
             silence=settings.peers.silence_seconds,
             attempt_seconds=settings.timing.election_seconds,
+            keys=keys,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/packages/endivestream/src/endivestream/process/settings.py
+++ b/packages/endivestream/src/endivestream/process/settings.py
@@ -100,6 +100,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LinkKeys:
+    """Keys of the links between hosts; made by `endivestream link-key`."""
+
+    system_file: str = _setting(
+        "", "file", "the system's key; its secret half on control hosts"
+    )
+    host_file: str = _setting("", "file", "this host's secret key")
+    allowed_folder: str = _setting(
+        "", "folder", "public keys of all hosts; on control hosts"
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Timing:
     """Times that must keep to each other; see `_RELATIONS`."""
@@ -168,6 +181,7 @@
     http: Http = dataclasses.field(default_factory=Http)
     tokens: Tokens = dataclasses.field(default_factory=Tokens)
     peers: Peers = dataclasses.field(default_factory=Peers)
+    link_keys: LinkKeys = dataclasses.field(default_factory=LinkKeys)
     timing: Timing = dataclasses.field(default_factory=Timing)
     requests: Requests = dataclasses.field(default_factory=Requests)
     weight_store: WeightStore = dataclasses.field(default_factory=WeightStore)
@@ -314,6 +328,7 @@
                     f"{settings.http.inner_address} is open to other hosts"
                 )
                 self._report("tokens", key, what)
+        self._check_link_keys(settings)
         # A lease must outlive a lost renewal, or every dropped frame makes a
         # healthy gateway refuse (symptom: 503 no_lease in bursts).
         self._at_least(
@@ -354,6 +369,26 @@
             3 * timing.watch_seconds,
         )
 
+    def _check_link_keys(self, settings: Settings) -> None:
+        keys = settings.link_keys
+        needed = ["system_file", "host_file"]
+        if settings.is_control:
+            needed.append("allowed_folder")
+        given = [name for name in needed if getattr(keys, name)]
+        for name in needed:
+            if given and name not in given:
+                what = f"link_keys.{name} is needed beside {given[0]}"
+                self._report("link_keys", name, what)
+        # Whoever reaches an open link can lead, place and read all keys'
+        # digests.
+        loopback = settings.peers.address.startswith("tcp://127.")
+        if settings.is_control and not loopback and not given:
+            what = (
+                f"link_keys are needed: peers.address {settings.peers.address} "
+                "is open to other hosts"
+            )
+            self._report("link_keys", "system_file", what)
+
     def _at_least(
         self, name: str, value: float, other: str, least: float
     ) -> None:
