Homes tell a new leader about their targets

Cause: after a leader is killed the next one knows no target. Each target had to report, be told to announce itself, and report again, a second apart; until then callers were refused with no_target.

Change: the home keeps what its targets announced and last reported, and tells it as soon as another leader is asked.

--- a/benchmarks/standins/service.py
+++ b/benchmarks/standins/service.py
@@ -19,6 +19,8 @@
         ran: Every call that it ran: method, uri, headers, body.
         delay_seconds: Time before an answer.
         cut_answers: Answers to cut off after running, counted down.
+        print_runs: Whether to print each call that ran, for a record that
+            outlives this process's memory.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.ran: list[dict[str, Any]] = []
         self.delay_seconds = 0.0
         self.cut_answers = 0
+        self.print_runs = False
 
     def serve(self, port: int = 0) -> int:
         """Starts; returns the port."""
@@ -67,6 +70,8 @@
             }
         )
         number = len(self.service.ran)
+        if self.service.print_runs:
+            print(f"ran {self.request.uri}", flush=True)
         await asyncio.sleep(self.service.delay_seconds)
         if self.service.cut_answers:
             self.service.cut_answers -= 1
@@ -85,6 +90,8 @@
         domain=arguments.domain,
         gateways=arguments.gateway,
     )
+    service.delay_seconds = arguments.delay_seconds
+    service.print_runs = arguments.print_runs
     print(f"port={service.serve(arguments.port)}", flush=True)
     await asyncio.Event().wait()
 
@@ -97,6 +104,8 @@
     parser.add_argument("--domain", default="local")
     parser.add_argument("--gateway", action="append", required=True)
     parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--delay-seconds", type=float, default=0.0)
+    parser.add_argument("--print-runs", action="store_true")
     asyncio.run(_main(parser.parse_args()))
 
 
--- a/packages/endivestream/src/endivestream/connection/leader_link.py
+++ b/packages/endivestream/src/endivestream/connection/leader_link.py
@@ -33,9 +33,11 @@
         on_push: Callable[[messages.Message], None],
         silence: float,
         attempt_seconds: float,
+        on_move: Callable[[], None],
         keys: link_keys.LinkKeys | None = None,
     ) -> None:
         self._keys = keys
+        self._on_move = on_move
         self._addresses = list(addresses)
         self._context = context
         self._on_push = on_push
@@ -90,6 +92,7 @@
         if to_address != from_address:
             logs.event("leader_link", peer=to_address)
             self._use(to_address)
+            self._on_move()
 
     async def request(
         self,
--- a/packages/endivestream/src/endivestream/process/gateway.py
+++ b/packages/endivestream/src/endivestream/process/gateway.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import itertools
@@ -90,6 +91,7 @@
         self._running: dict[str, Running] = {}
         self._sequence = itertools.count(1)
         self._news = asyncio.Event()
+        self._leader_listeners: list[Callable[[], None]] = []
         self._endings: list[messages.Ending] = []
         self._commands: list[state_lib.Command] = []
         self._ending = asyncio.Event()
@@ -99,6 +101,7 @@
             on_push=self._pushed,
             silence=settings.peers.silence_seconds,
             attempt_seconds=settings.timing.election_seconds,
+            on_move=self._leader_moved,
             keys=keys,
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -259,6 +262,15 @@
             if not self._view.is_live(running.key.digest):
                 running.end(_withdrawn(running.key))
 
+    def on_leader_change(self, tell: Callable[[], None]) -> None:
+        """Has `tell` called whenever another leader may be asked."""
+        self._leader_listeners.append(tell)
+
+    def _leader_moved(self) -> None:
+        self._news.set()
+        for tell in self._leader_listeners:
+            tell()
+
     def _pushed(self, message: messages.Message) -> None:
         if isinstance(message, messages.Lease) and (
             message.version > self._view.version
--- a/packages/endivestream/src/endivestream/process/inner.py
+++ b/packages/endivestream/src/endivestream/process/inner.py
@@ -280,11 +280,13 @@
             )
             self.fail(422, "rejected", [what])
             return
-        answer = await self.ask(messages.Announce(info=info))
-        if answer is None:
+        try:
+            refused = await self.home.announce(info)
+        except links.LinkDownError as error:
+            self.fail(503, "control_unreachable", [str(error)])
             return
-        if answer.reason:
-            self.fail(409, "rejected", [answer.reason])
+        if refused:
+            self.fail(409, "rejected", [refused])
             return
         self.finish(
             {
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -1,6 +1,7 @@
 """Several hosts: cut off, stopped, restarted."""
 
 import asyncio
+import unittest.mock
 
 from endivestream import messages
 from endivestream.connection import links
@@ -94,6 +95,30 @@
         self.assertEqual(len(service.ran), 1)
         self.assertLess(self.control.control.levels["shop"], 99_000)
 
+    async def test_homes_tell_a_new_leader_about_their_targets(self):
+        """Callers find targets at once after a new leader starts.
+
+        The leader's tables are gone. The target reported to another host,
+        which tells the new leader what the target announced; the target
+        itself announces once in its life.
+        """
+        engine = engine_lib.Engine(
+            name="e1",
+            domain="casa-hall",
+            gateways=[self.inner_url(self.other)],
+            loaded={"brass": 100},
+        )
+        engine._announce = unittest.mock.AsyncMock(wraps=engine._announce)
+        engine.serve()
+        self.targets.append(engine)
+        await self.until_live("e1")
+        address = self.control.control.address
+        await self.control.close()
+        self.forget_host(self.control)
+        self.control = await self.start_host("control", address=address)
+        await self.until_live("e1")
+        engine._announce.assert_awaited_once()
+
     async def test_calls_of_a_dead_host_are_unknown(self):
         """A resend elsewhere is told "unknown", not made to wait for ever.
 
