Frozen hosts begin nothing; the log stops on a failing disk; standing alone

Cause: three holes read out of the code. A leader that was frozen while a charge waited would grant it after another had taken over; a gateway frozen between its lease check and the send would begin work on old rules; a system whose majority of disks is lost for good had no way on.

Tests for each, for a failing sync and a full disk (the process stops, nothing is acknowledged), and for compaction.

A test failed once on the way (a caller who leaves early was not counted by the stand-in engine, since it loads adapters); the stand-in is mended.

--- a/benchmarks/standins/engine.py
+++ b/benchmarks/standins/engine.py
@@ -254,6 +254,8 @@
         model = self.request.headers.get("Endivestream-Model", body["model"])
         await asyncio.sleep(self.engine.adapter_seconds(model, body["model"]))
         await asyncio.sleep(self.engine.prefill_seconds(prompt))
+        if self.request.connection.stream.closed():
+            return
         self._sequence = self.engine.add(prompt, done, body["max_tokens"])
         self.set_header("Content-Type", "text/event-stream")
         self.request.connection.stream.set_nodelay(True)
@@ -324,8 +326,8 @@
         await self.flush()
 
     def on_connection_close(self) -> None:
+        self.engine.cancelled += 1
         if self._sequence is not None:
-            self.engine.cancelled += 1
             self.engine.remove(self._sequence)
 
 
--- a/packages/endivestream/src/endivestream/process/callers.py
+++ b/packages/endivestream/src/endivestream/process/callers.py
@@ -121,13 +121,9 @@
 
     def check_key(self) -> configuration_lib.KeyRecord | findings.Failure:
         """Returns the caller's key, if this host may act on it."""
-        if not self.gateway.leased:
-            return findings.not_run(
-                "no_lease",
-                "this host is cut off from the configuration; use another",
-                status=503,
-                retry_after=1.0,
-            )
+        failure = self.gateway.lost_lease()
+        if failure is not None:
+            return failure
         header = self.request.headers.get("Authorization", "")
         scheme, _, presented = header.partition(" ")
         presented = presented.strip()
@@ -524,13 +520,8 @@
     """`/v1/addresses`: which hosts a caller should use."""
 
     def get(self) -> None:
-        if not self.gateway.leased:
-            failure = findings.not_run(
-                "no_lease",
-                "this host is cut off; ask another",
-                status=503,
-                retry_after=1.0,
-            )
+        failure = self.gateway.lost_lease()
+        if failure is not None:
             self.send_failure(failure)
             return
         chosen = addresses.choose(
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -92,11 +92,12 @@
         """Each team's credit in tokens; empty if it leads not."""
         return self._leading.limiter.levels() if self._leading else {}
 
-    async def start(self, *, form: bool) -> None:
+    async def start(self, *, form: bool, alone: bool = False) -> None:
         """Reads the state back, then takes part.
 
         Args:
             form: Whether to form a new system in an empty folder.
+            alone: Whether to go on as the only voter.
 
         Raises:
             storage_lib.CorruptError: The stored data is damaged.
@@ -126,7 +127,7 @@
         )
         if form:
             form = not await self._finds_system()
-        self._replicator.start(form=form)
+        self._replicator.start(form=form, alone=alone)
         self._joining = asyncio.create_task(self._join())
 
     async def _finds_system(self) -> bool:
@@ -270,7 +271,12 @@
                     )
                     return messages.Status(body=msgspec.json.encode(shown))
                 case _:
-                    return await leading.handle(peer, message)
+                    answer = await leading.handle(peer, message)
+                    if not self.replicator.leads:
+                        # It waited, perhaps frozen, and another leads by now:
+                        # credit or a place given here would be given twice.
+                        return messages.NotLeader(address="")
+                    return answer
         except replicate.NotLeaderError as error:
             return messages.NotLeader(address=error.address)
         except (replicate.LostError, OSError):
--- a/packages/endivestream/src/endivestream/process/daemon.py
+++ b/packages/endivestream/src/endivestream/process/daemon.py
@@ -59,10 +59,15 @@
     """One process of the system."""
 
     def __init__(
-        self, *, settings: settings_lib.Settings, form: bool = False
+        self,
+        *,
+        settings: settings_lib.Settings,
+        form: bool = False,
+        alone: bool = False,
     ) -> None:
         self._settings = settings
         self._form = form
+        self._alone = alone
         self._context = zmq.asyncio.Context()
         self._metrics = metrics_lib.Metrics()
         self._pool = exchange_lib.Pool()
@@ -122,7 +127,9 @@
                 on_failed=lambda error: self.request_stop(EXIT_DISK),
                 keys=keys,
             )
-            await self._control.start(form=self._form or settings.is_alone)
+            await self._control.start(
+                form=self._form or settings.is_alone, alone=self._alone
+            )
             # Its own control role first: it knows who leads.
             control = [
                 self._control.address,
@@ -269,6 +276,12 @@
         action="store_true",
         help="form a new system: once, on the first of several control hosts",
     )
+    parser.add_argument(
+        "--stand-alone",
+        action="store_true",
+        help="go on as the only voter after a majority of disks is lost for "
+        "good; read docs/operators/control-hosts.md first",
+    )
     parser.add_argument("--data-folder", help="overrides host.data_folder")
     parser.add_argument("--address", help="overrides http.address")
     parser.add_argument("--inner-address", help="overrides http.inner_address")
@@ -310,8 +323,10 @@
     )
 
 
-async def _run(settings: settings_lib.Settings, *, form: bool) -> int:
-    daemon = Daemon(settings=settings, form=form)
+async def _run(
+    settings: settings_lib.Settings, *, form: bool, alone: bool
+) -> int:
+    daemon = Daemon(settings=settings, form=form, alone=alone)
     try:
         await daemon.start()
     except (storage_lib.CorruptError, OSError) as error:
@@ -336,4 +351,8 @@
         print("ok")
         sys.exit(EXIT_OK)
     logs.start(level=settings.host.log_level, host=settings.host.name)
-    sys.exit(asyncio.run(_run(settings, form=arguments.form)))
+    sys.exit(
+        asyncio.run(
+            _run(settings, form=arguments.form, alone=arguments.stand_alone)
+        )
+    )
--- a/packages/endivestream/src/endivestream/process/gateway.py
+++ b/packages/endivestream/src/endivestream/process/gateway.py
@@ -153,6 +153,17 @@
         """
         return time.monotonic() < self._lease_until
 
+    def lost_lease(self) -> findings.Failure | None:
+        """Returns why new work may not be taken, or None if it may."""
+        if self.leased:
+            return None
+        return findings.not_run(
+            "no_lease",
+            "this host is cut off from the configuration; use another",
+            status=503,
+            retry_after=1.0,
+        )
+
     @property
     def running(self) -> int:
         """How many requests of callers run."""
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -144,7 +144,12 @@
             if isinstance(ticket, messages.Refused):
                 return self._refused(ticket, why)
             used = self._tokens
+            # A host that was frozen or waited long must not begin work on
+            # what was in force then. Work that has begun may end.
+            failure = None if self._sent else self._gateway.lost_lease()
             try:
+                if failure is not None:
+                    return failure
                 result = await self._attempt(name, ticket)
             finally:
                 self._gateway.end(
--- a/packages/endivestream/src/endivestream/request/service_calls.py
+++ b/packages/endivestream/src/endivestream/request/service_calls.py
@@ -208,6 +208,9 @@
                 ticket = await self._ticket(name, avoid)
                 if isinstance(ticket, messages.Refused):
                     return self._refused(ticket, why)
+                failure = None if self._sent else self._gateway.lost_lease()
+                if failure is not None:
+                    return failure
                 result = await self._exchange(name, ticket)
             finally:
                 ending = messages.Ending(request=name, team="", used=0)
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -135,11 +135,13 @@
         known = member.address if member else ""
         return self._addresses.get(identity, known)
 
-    def start(self, *, form: bool) -> None:
+    def start(self, *, form: bool, alone: bool = False) -> None:
         """Reads the state back and takes part.
 
         Args:
             form: Whether to form a new system if there is none in the folder.
+            alone: Whether to go on as the only voter, after a majority of
+                disks was lost for good.
 
         Raises:
             storage_lib.CorruptError: The stored data is damaged.
@@ -150,6 +152,8 @@
         known = self._storage.snapshot.members.voters or self._storage.entries
         if form and not known:
             self._form()
+        if alone:
+            self._stand_alone()
         snapshot = self._storage.snapshot
         if snapshot.data:
             self.state.restore(snapshot.data)
@@ -185,6 +189,28 @@
         )
         logs.event("system_formed", identity=self.identity[:8])
 
+    def _stand_alone(self) -> None:
+        """Makes this replica the only voter of the system it was part of.
+
+        All its entries count as accepted: some may not have been, and some
+        that were may be on the lost disks only. An operator chose that.
+        """
+        state = state_lib.State()
+        snapshot = self._storage.snapshot
+        if snapshot.data:
+            state.restore(snapshot.data)
+        index, term = snapshot.index, snapshot.term
+        for entry in self._storage.entries:
+            if entry.payload[:1] not in (b"", members_lib.MARK):
+                state.apply(entry.index, state_lib.decode(entry.payload))
+            index, term = entry.index, entry.term
+        self._storage.save_snapshot(
+            storage_lib.SnapshotFile(
+                index, term, state.snapshot(), members_lib.Members((self.me,))
+            )
+        )
+        logs.warn("standing_alone", identity=self.identity[:8], index=index)
+
     async def close(self) -> None:
         """Hands leadership over if there is an heir, then stops."""
         if self._replica is not None and not self._closed:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import unittest.mock
 
 from endivestream import messages
 from standins import engine as engine_lib
@@ -182,6 +183,28 @@
         self.assertTrue(reply.whole)
         await site.until(lambda: self.control.control.levels["band"] > 99_000)
 
+    async def test_lease_that_ended_in_the_queue_begins_nothing(self):
+        """The caller is told "not run", use another host.
+
+        The host was frozen while the request waited: its key may have been
+        withdrawn meanwhile, and the host cannot know.
+        """
+        engine = await self.add_engine("e1")
+        service = await self.add_service()
+        gateway = type(self.control.gateway)
+        for ask in (self.chat, self.order):
+            with unittest.mock.patch.object(
+                gateway, "leased", unittest.mock.PropertyMock()
+            ) as leased:
+                leased.side_effect = [True] + [False] * 50
+                if ask == self.chat:
+                    reply = await (await ask()).reply()
+                else:
+                    reply = await ask(name="order-1")
+            self.assertEqual(reply.error["type"], "no_lease")
+            self.assertEqual(reply.error["outcome"], "not_run")
+        self.assertEqual(engine.seen + service.ran, [])
+
     async def test_draining_target_gets_nothing_new(self):
         engine = await self.add_engine("e1")
         await self.add_engine("e2")
--- /dev/null
+++ b/tests/test_replicate.py
@@ -0,0 +1,140 @@
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+from endivestream.version import calls
+from endivestream.version import consensus
+from endivestream.version import members as members_lib
+from endivestream.version import replicate
+from endivestream.version import storage as storage_lib
+
+TIMING = consensus.Timing(heartbeat=0.01, election=0.05, lease=0.04)
+
+
+def _begin(number):
+    return calls.BeginCall(
+        team="t",
+        service="s",
+        key=f"k{number}",
+        fingerprint="f",
+        holder="h/1/a",
+        at=0.0,
+    )
+
+
+class ReplicatorTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.roles = asyncio.Queue()
+        self.failed = []
+
+    def _replicator(self, storage=None):
+        async def send(to, address, message):
+            pass
+
+        return replicate.Replicator(
+            storage=storage or storage_lib.Storage(folder=self.folder),
+            name="a",
+            address="tcp://x",
+            timing=TIMING,
+            send=send,
+            on_applied=lambda command, result: None,
+            on_role=self.roles.put_nowait,
+            on_failed=self.failed.append,
+        )
+
+    async def _started(self, storage=None, **arguments):
+        replicator = self._replicator(storage)
+        replicator.start(form=True, **arguments)
+        self.addAsyncCleanup(replicator.close)
+        self.assertTrue(await self.roles.get())
+        return replicator
+
+    async def test_state_outlives_the_process(self):
+        first = await self._started()
+        await asyncio.gather(*(first.propose(_begin(n)) for n in range(50)))
+        await first.close()
+        self.roles = asyncio.Queue()
+        second = await self._started()
+        self.assertEqual(len(second.state.calls), 50)
+
+    async def test_failing_sync_stops_rather_than_goes_on(self):
+        """The caller gets an error, and the process is told to stop.
+
+        The disk fails once. The kernel may have dropped what was written and
+        reports it only this time: a second sync would succeed and acknowledge
+        what a crash then loses.
+        """
+        storage = storage_lib.Storage(folder=self.folder)
+        replicator = await self._started(storage)
+        await replicator.propose(_begin(1))
+
+        def fail():
+            raise OSError(28, "No space left on device")
+
+        storage.sync = fail
+        with self.assertRaisesRegex(OSError, "No space left"):
+            await replicator.propose(_begin(2))
+        del storage.sync
+        with self.assertRaises(replicate.NotLeaderError):
+            await replicator.propose(_begin(3))
+        self.assertEqual(len(self.failed), 1)
+        self.assertFalse(replicator.leads)
+
+    async def test_full_disk_stops_rather_than_goes_on(self):
+        storage = storage_lib.Storage(folder=self.folder)
+        replicator = await self._started(storage)
+
+        def fail(entries):
+            raise OSError(28, "No space left on device")
+
+        storage.append = fail
+        with self.assertRaises((OSError, replicate.NotLeaderError)):
+            await replicator.propose(_begin(2))
+        self.assertEqual(len(self.failed), 1)
+
+    async def test_log_is_compacted_and_read_back(self):
+        most = replicate.SNAPSHOT_AFTER_BYTES
+        replicate.SNAPSHOT_AFTER_BYTES = 2000
+        self.addCleanup(setattr, replicate, "SNAPSHOT_AFTER_BYTES", most)
+        first = await self._started()
+        for number in range(60):
+            await first.propose(_begin(number))
+        await first.close()
+        self.assertLess((self.folder / "log").stat().st_size, 2500)
+        self.roles = asyncio.Queue()
+        second = await self._started()
+        self.assertEqual(len(second.state.calls), 60)
+        self.assertEqual(second.replica.members.voters[0].name, "a")
+
+    async def test_stands_alone_when_a_majority_is_lost_for_good(self):
+        """Operators go on with what one surviving disk holds.
+
+        Of three voters two are gone; without the operator's word the one
+        that is left never leads.
+        """
+        first = await self._started()
+        await first.propose(_begin(1))
+        others = tuple(
+            members_lib.Member(name, name, "tcp://y") for name in "bc"
+        )
+        members = members_lib.Members((first.me, *others))
+        await first.close()
+        storage = storage_lib.Storage(folder=self.folder)
+        storage.start()
+        snapshot = storage_lib.SnapshotFile(
+            0, 0, b"", members_lib.Members(members.voters)
+        )
+        storage.save_snapshot(snapshot)
+        storage.close()
+        self.roles = asyncio.Queue()
+        cut_off = self._replicator()
+        cut_off.start(form=True)
+        self.assertEqual(len(cut_off.replica.members.voters), 3)
+        await cut_off.close()
+        alone = await self._started(alone=True)
+        self.assertEqual(len(alone.state.calls), 1)
+        await alone.propose(_begin(2))
