Team credit outlives the leader: portions set aside in the log

Cause: after each change of leader all teams started at zero.

Mended: remembered digests are asked of every key.

Waiting charges and places are handed to the next leader at once when leadership ends; they waited for their time limit before.

--- a/benchmarks/standins/engine.py
+++ b/benchmarks/standins/engine.py
@@ -50,7 +50,9 @@
         late_orders_seconds: Delay before an order is carried out.
         break_after: Cut the connection after so many tokens; 0 for never.
         stall_after: Say no more after so many tokens; 0 for never.
-        wrong_attempt: Echo another attempt's id.
+        end_after: End the answer in good order, but without its final
+            marker, after so many tokens; 0 for never.
+        wrong_attempt: Answer with another attempt's id and words.
     """
 
     step_seconds: float = 0.01
@@ -64,6 +66,7 @@
     late_orders_seconds: float = 0.0
     break_after: int = 0
     stall_after: int = 0
+    end_after: int = 0
     wrong_attempt: bool = False
 
 
@@ -279,7 +282,12 @@
                 return
             if options.stall_after and sent >= options.stall_after:
                 await asyncio.Event().wait()
+            if options.end_after and sent >= options.end_after:
+                await self.finish()
+                return
             text = token(prompt, done)
+            if options.wrong_attempt:
+                text = token("another caller's prompt", done)
             choice: dict[str, Any] = {"index": 0, "finish_reason": None}
             if chat:
                 choice["delta"] = {"content": text}
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -20,6 +20,7 @@
 from endivestream.process import settings as settings_lib
 from endivestream.process import views
 from endivestream.version import consensus
+from endivestream.version import credit as credit_lib
 from endivestream.version import replicate
 from endivestream.version import state as state_lib
 from endivestream.version import storage as storage_lib
@@ -62,6 +63,8 @@
         self._links: dict[str, links.Link] = {}
         self._joining: asyncio.Task[None] | None = None
         self._closing: set[asyncio.Task[None]] = set()
+        # When this replica heard of each team's level, by a steady clock.
+        self._credit_heard: dict[str, float] = {}
 
     @property
     def address(self) -> str:
@@ -122,12 +125,14 @@
             ),
             send=self._send,
             on_applied=self._applied,
+            on_restored=self._hear_credit_anew,
             on_role=self._on_role,
             on_failed=self._on_failed,
         )
         if form:
             form = not await self._finds_system()
         self._replicator.start(form=form, alone=alone)
+        self._hear_credit_anew()
         self._joining = asyncio.create_task(self._join())
 
     async def _finds_system(self) -> bool:
@@ -181,12 +186,25 @@
                 replicator=self.replicator,
                 pool=self._pool,
                 push=self._server.push,
+                credit_heard=self._credit_heard,
             )
             self._leading.start()
 
+    def _hear_credit_anew(self) -> None:
+        """Counts the refill of all teams from now.
+
+        What came in a snapshot or from the disk replaced levels heard of
+        earlier; refilled from then, a new low level would grow too much.
+        """
+        levels = self.replicator.state.credit.levels
+        self._credit_heard.update(dict.fromkeys(levels, time.monotonic()))
+
     def _applied(
         self, command: state_lib.Command, result: state_lib.Result
     ) -> None:
+        if isinstance(command, credit_lib.SetAside):
+            now = time.monotonic()
+            self._credit_heard.update(dict.fromkeys(command.levels, now))
         if self._leading is not None:
             self._leading.applied(command, result)
 
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -11,6 +11,7 @@
 from endivestream import messages
 from endivestream.connection import targets as targets_lib
 from endivestream.request import scheduler as scheduler_lib
+from endivestream.version import replicate
 from endivestream.version import rules as rules_lib
 
 # How often silence and deadlines are looked at.
@@ -42,11 +43,14 @@
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """Stops; whoever waits ends by its own time limit."""
+        """Stops; places that are waited for are the next leader's to give."""
         if self._task is not None:
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(replicate.NotLeaderError(""))
 
     def set_teams(self, teams: dict[str, rules_lib.Team]) -> None:
         """Follows the rules' weights."""
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -1,7 +1,7 @@
 """What a control host does while it leads: leases, limits, places, orders.
 
-All of it but the log is soft: a new leader starts with empty tables, which
-fill from renewals and reports within seconds, and with teams at zero credit.
+Its tables are soft: a new leader starts with empty ones, which fill from
+renewals and reports. Teams' credit goes on from the level in the log.
 """
 
 from __future__ import annotations
@@ -23,7 +23,9 @@
 from endivestream.process import steward as steward_lib
 from endivestream.version import calls as calls_lib
 from endivestream.version import configuration as configuration_lib
+from endivestream.version import credit as credit_lib
 from endivestream.version import replicate
+from endivestream.version import rules as rules_lib
 from endivestream.version import state as state_lib
 from endivestream.version import watchers as watchers_lib
 
@@ -48,12 +50,14 @@
         replicator: replicate.Replicator,
         pool: exchange_lib.Pool,
         push: Callable[[bytes, messages.Message], Awaitable[None]],
+        credit_heard: dict[str, float],
     ) -> None:
         timing = settings.timing
         self._settings = settings
         self._replicator = replicator
         self._push = push
-        self.limiter = limiter_lib.Limiter()
+        self._credit_heard = credit_heard
+        self.limiter = limiter_lib.Limiter(set_aside=self._set_aside)
         self.dispatcher = dispatcher_lib.Dispatcher(
             silence_seconds=timing.target_silence_seconds
         )
@@ -80,7 +84,7 @@
     def start(self) -> None:
         """Takes the lead over the state as it stands."""
         teams = dict(self._replicator.state.configuration.rules.teams)
-        self.limiter.set_teams(teams, fresh=False)
+        self.limiter.set_teams(teams, levels=self._levels(teams))
         self.dispatcher.set_teams(teams)
         self.dispatcher.start()
         self.placer.start()
@@ -96,7 +100,33 @@
         await self.steward.close()
         await self.placer.close()
         await self.dispatcher.close()
-        self.limiter.close()
+        await self.limiter.close()
+
+    def _levels(self, teams: dict[str, rules_lib.Team]) -> dict[str, int]:
+        """Returns what each team surely has, in millionths of a token.
+
+        The log's level, and the refill since this replica heard of it: it
+        heard after the old leader proposed, so this is never too much.
+        """
+        now = time.monotonic()
+        known = self._replicator.state.credit.levels
+        levels = {}
+        for name in known.keys() & teams.keys() & self._credit_heard.keys():
+            seconds = now - self._credit_heard[name]
+            refilled = known[name].rest + int(teams[name].rate * seconds * 1e6)
+            levels[name] = min(refilled, known[name].most)
+        return levels
+
+    async def _set_aside(self, levels: dict[str, credit_lib.Level]) -> bool:
+        try:
+            result = await self._replicator.propose(
+                credit_lib.SetAside(term=self._replicator.term, levels=levels)
+            )
+        except (replicate.NotLeaderError, replicate.LostError, OSError):
+            return False
+        return isinstance(result, credit_lib.DoneSettingAside) and (
+            result.accepted
+        )
 
     async def _sweep(self) -> None:
         expire_at = time.monotonic() + _EXPIRE_SECONDS
@@ -127,7 +157,7 @@
             return
         if isinstance(command, configuration_lib.ApplyRules):
             teams = dict(self._replicator.state.configuration.rules.teams)
-            self.limiter.set_teams(teams, fresh=True)
+            self.limiter.set_teams(teams)
             self.dispatcher.set_teams(teams)
         logs.event(
             "configuration",
--- a/packages/endivestream/src/endivestream/process/limiter.py
+++ b/packages/endivestream/src/endivestream/process/limiter.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
 import time
 
 from endivestream import messages
 from endivestream.request import buckets
+from endivestream.version import credit as credit_lib
+from endivestream.version import replicate
 from endivestream.version import rules as rules_lib
 
 
@@ -15,18 +20,32 @@
 
 
 class Limiter:
-    """Answers charges of all hosts, for the teams this process owns."""
+    """Answers charges of all hosts, while this process leads."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        set_aside: Callable[[dict[str, credit_lib.Level]], Awaitable[bool]],
+    ) -> None:
+        self._set_aside = set_aside
         self._buckets: dict[str, buckets.Bucket] = {}
         self._teams: dict[str, rules_lib.Team] = {}
         self._waiting: dict[str, asyncio.Future[None]] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._short: set[str] = set()
+        self._setting_aside: asyncio.Task[None] | None = None
 
-    def close(self) -> None:
-        """Stops the timers; waiting charges end by their own time limit."""
+    async def close(self) -> None:
+        """Stops; waiting charges are to be asked of the next leader."""
         for timer in self._timers.values():
             timer.cancel()
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_exception(replicate.NotLeaderError(""))
+        if self._setting_aside is not None:
+            self._setting_aside.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._setting_aside
 
     def levels(self) -> dict[str, float]:
         """Returns each team's credit in tokens."""
@@ -37,26 +56,27 @@
         }
 
     def set_teams(
-        self, teams: dict[str, rules_lib.Team], *, fresh: bool
+        self,
+        teams: dict[str, rules_lib.Team],
+        *,
+        levels: dict[str, int] | None = None,
     ) -> None:
         """Follows the rules; running and waiting charges stay.
 
         Args:
             teams: The teams of the rules.
-            fresh: Whether new names are new teams. After a restart they are
-                not: what they spent before is forgotten here, so they start
-                without credit, and never get more than their rate allows.
+            levels: At the start of a leadership, what each team surely has,
+                in millionths of a token; one without a level has nothing.
+                Later, None: a new name is a new team, with its whole burst.
         """
         now = _now()
         for name, team in teams.items():
             bucket = self._buckets.get(name)
             if bucket is None:
-                bucket = buckets.Bucket(
-                    rate=team.rate, burst=team.burst, now=now
+                level = None if levels is None else levels.get(name, 0)
+                self._buckets[name] = buckets.Bucket(
+                    rate=team.rate, burst=team.burst, now=now, level=level
                 )
-                if not fresh:
-                    bucket.empty()
-                self._buckets[name] = bucket
             elif team != self._teams.get(name):
                 bucket.change(rate=team.rate, burst=team.burst, now=now)
                 self._wake(name)
@@ -80,6 +100,7 @@
         deadline = begun + int(message.patience * 1e6)
         match bucket.charge(charge, now=begun, deadline=deadline):
             case buckets.Admitted():
+                self._look_at_portion(message.team)
                 return messages.Charged(waited=0.0)
             case buckets.TooLarge(burst=burst):
                 return messages.Refused(
@@ -139,17 +160,53 @@
             else:
                 # The one who waited is gone: nothing of it was used.
                 bucket.settle(charge.request, used=0, now=now)
+        self._look_at_portion(team)
         timer = self._timers.pop(team, None)
         if timer is not None:
             timer.cancel()
         at = bucket.next_ready(now)
-        if at is not None:
-            delay = max(0.0, (at - now) / 1e6)
+        if at is not None and at > now:
             loop = asyncio.get_running_loop()
             self._timers[team] = loop.call_later(
-                delay, self._wake_if_there, team
+                (at - now) / 1e6, self._wake_if_there, team
             )
 
+    def _look_at_portion(self, team: str) -> None:
+        """Has a portion set aside for a team that runs short of it."""
+        if team in self._short:
+            return
+        self._short.add(team)
+        if self._setting_aside is None or self._setting_aside.done():
+            self._setting_aside = asyncio.create_task(self._set_all_aside())
+
+    async def _set_all_aside(self) -> None:
+        """Commits portions of all teams that run short, many in one entry."""
+        while self._short:
+            names, self._short = self._short, set()
+            now = _now()
+            proposed = {}
+            for name in names & self._buckets.keys():
+                portion = self._buckets[name].propose_portion(now)
+                if portion is not None:
+                    proposed[name] = portion
+            if not proposed:
+                continue
+            accepted = await self._set_aside(
+                {
+                    name: credit_lib.Level(portion.rest, portion.most)
+                    for name, portion in proposed.items()
+                }
+            )
+            for name in proposed.keys() & self._buckets.keys():
+                bucket = self._buckets[name]
+                if accepted:
+                    bucket.confirm_portion(proposed[name])
+                else:
+                    bucket.drop_portion(proposed[name])
+                self._wake(name)
+            if not accepted:
+                return
+
     def _wake_if_there(self, team: str) -> None:
         if team in self._buckets:
             self._wake(team)
--- a/packages/endivestream/src/endivestream/request/buckets.py
+++ b/packages/endivestream/src/endivestream/request/buckets.py
@@ -3,6 +3,12 @@
 One owner keeps one bucket per team for the whole fleet. A charge either fits
 now, or waits for the refill in the order of arrival, or is refused at once
 when the refill would come after the caller's deadline.
+
+The owner may die at any moment, and the next one must not give credit that
+was given already. So the owner spends only from a *portion* that the log has
+set aside: the log holds the level without the portion, and the next owner goes
+on from there. Charges inside a portion commute and need no order among each
+other; only portions are ordered against the change of owner.
 """
 
 from __future__ import annotations
@@ -57,16 +63,40 @@
 Answer = Admitted | Wait | TooLarge | TooLate
 
 
+class Portion(NamedTuple):
+    """Credit to be set aside for the present owner, in millionths of a token.
+
+    Attributes:
+        size: What the owner may spend.
+        rest: The level without it, which the next owner may go on from.
+        most: What the next owner may have at most. Without this bound a full
+            bucket would be counted twice: the owner spends its portion at the
+            last moment, and the next one refills the rest to the whole burst.
+    """
+
+    size: int
+    rest: int
+    most: int
+
+
 class Bucket:
     """One team's credit over all hosts together.
 
     Times are microseconds of any clock that does not go back.
     """
 
-    def __init__(self, *, rate: int, burst: int, now: int) -> None:
+    def __init__(
+        self, *, rate: int, burst: int, now: int, level: int | None = None
+    ) -> None:
         self._rate = rate
         self._burst = burst
-        self._level = burst * _MICRO
+        most = burst * _MICRO
+        self._level = most if level is None else max(0, min(level, most))
+        self._portion = 0
+        self._size = 0
+        self._proposed: Portion | None = None
+        # Spent less given back, since the last portion was proposed.
+        self._spent = 0
         self._at = now
         self._queue: collections.deque[Charge] = collections.deque()
         self._queued = 0
@@ -100,9 +130,53 @@
         self._level = min(self._burst * _MICRO, self._level + gained)
         self._at = now
 
-    def empty(self) -> None:
-        """Takes all credit away, for an owner that cannot know the level."""
-        self._level = 0
+    @property
+    def portion(self) -> float:
+        """Credit in tokens that may be spent without the log."""
+        return self._portion / _MICRO
+
+    def propose_portion(self, now: int) -> Portion | None:
+        """Returns a portion to be committed, or None if none is needed.
+
+        It covers what waits, and what the rate gives in a second, but no
+        more than half of the burst unless more waits: all that is set aside
+        is lost to the team when the owner dies. It is renewed when half of it
+        is spent, so that charges seldom wait for the log.
+        """
+        if self._proposed is not None:
+            return None
+        self._refill(now)
+        usual = min(self._rate, max(1, self._burst // 2)) * _MICRO
+        wanted = max(usual, self._queued * _MICRO)
+        size = min(self._level, wanted)
+        first = self._queue[0].tokens * _MICRO if self._queue else 0
+        starved = self._portion < first <= self._level
+        if not starved and (
+            2 * self._portion >= usual or size <= self._portion
+        ):
+            return None
+        self._proposed = Portion(
+            size, self._level - size, self._burst * _MICRO - size
+        )
+        self._spent = 0
+        return self._proposed
+
+    def confirm_portion(self, portion: Portion) -> None:
+        """Notes that a proposed portion was committed."""
+        if self._proposed is portion:
+            # What was given back since does not add to it: the next owner
+            # may have everything but its size.
+            self._portion = portion.size - max(0, self._spent)
+            self._size = portion.size
+            self._proposed = None
+
+    def drop_portion(self, portion: Portion) -> None:
+        """Notes that a proposed portion was not committed."""
+        if self._proposed is portion:
+            self._proposed = None
+
+    def _fits(self, tokens: int) -> bool:
+        return tokens * _MICRO <= min(self._level, self._portion)
 
     def change(self, *, rate: int, burst: int, now: int) -> list[Charge]:
         """Sets a new rate and burst while charges run and wait.
@@ -117,6 +191,10 @@
         self._rate = rate
         self._burst = burst
         self._level = min(self._level, burst * _MICRO)
+        # A portion of the old burst and one of the new could add up to more
+        # than either; a new one has to be committed first.
+        self._portion = 0
+        self._proposed = None
         dropped = [c for c in self._queue if c.tokens > burst]
         for charge in dropped:
             self.cancel(charge.request)
@@ -135,7 +213,7 @@
             return Admitted()
         if charge.tokens > self._burst:
             return TooLarge(burst=self._burst)
-        if not self._queue and charge.tokens * _MICRO <= self._level:
+        if not self._queue and self._fits(charge.tokens):
             self._take(charge)
             return Admitted()
         micros = self._micros_until(self._queued + charge.tokens)
@@ -151,14 +229,20 @@
         return max(0, -(-missing // self._rate))
 
     def _take(self, charge: Charge) -> None:
-        self._level -= charge.tokens * _MICRO
+        self._spend(charge.tokens * _MICRO)
         self._open[charge.request] = charge.tokens
 
+    def _spend(self, amount: int) -> None:
+        """Takes credit, or gives it back if negative."""
+        self._level -= amount
+        self._portion = min(self._size, self._portion - amount)
+        self._spent += amount
+
     def ready(self, now: int) -> list[Charge]:
         """Admits the waiting charges whose credit is there, in order."""
         self._refill(now)
         admitted = []
-        while self._queue and self._queue[0].tokens * _MICRO <= self._level:
+        while self._queue and self._fits(self._queue[0].tokens):
             charge = self._queue.popleft()
             self._queued -= charge.tokens
             self._take(charge)
@@ -166,7 +250,7 @@
         return admitted
 
     def next_ready(self, now: int) -> int | None:
-        """Returns the time at which the first waiting charge fits, or None."""
+        """Returns when the first waiting charge has its credit, or None."""
         if not self._queue:
             return None
         self._refill(now)
@@ -197,5 +281,6 @@
         self._refill(now)
         # A refund is credit that was taken and not used; it may not lift the
         # level above the burst, or a later window would exceed its bound.
-        self._level = min(self._burst * _MICRO, self._level + refund * _MICRO)
+        room = self._burst * _MICRO - self._level
+        self._spend(-min(refund * _MICRO, room))
         return refund
--- a/packages/endivestream/src/endivestream/version/calls.py
+++ b/packages/endivestream/src/endivestream/version/calls.py
@@ -265,10 +265,12 @@
                 return Begun()
             same = record.fingerprint == command.fingerprint
             return Known(record=record, same=same)
+        # Asked of every key: one whose time lay ahead at its first use was
+        # remembered by its digest, and looks like a timed key a day later.
+        if _opaque_digest(name) in self._opaque:
+            return Forgotten(reason="expired")
         made = _bound_time(command.key, command.at)
         if made is None:
-            if _opaque_digest(name) in self._opaque:
-                return Forgotten(reason="expired")
             if len(self._opaque) >= OPAQUE_KEYS_KEPT:
                 return Forgotten(reason="too_many_opaque_keys")
         elif made < command.at - LIFETIME_SECONDS + CLOCK_SKEW_SECONDS:
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -64,6 +64,7 @@
         timing: consensus.Timing,
         send: Callable[[str, str, consensus.Message], Awaitable[None]],
         on_applied: Callable[[state_lib.Command, state_lib.Result], None],
+        on_restored: Callable[[], None],
         on_role: Callable[[bool], None],
         on_failed: Callable[[OSError], None],
     ) -> None:
@@ -74,6 +75,7 @@
         self._timing = timing
         self._send = send
         self._on_applied = on_applied
+        self._on_restored = on_restored
         self._on_role = on_role
         self._on_failed = on_failed
         self._random = random.Random()
@@ -323,6 +325,7 @@
                 self._storage.save_snapshot(snapshot, keep_log=keep_log)
                 self.state.restore(snapshot.data)
                 self._applied = snapshot.index
+                self._on_restored()
                 logs.event("snapshot_taken_over", index=snapshot.index)
             case consensus.Send(to=to, message=message):
                 self._post(to, message)
@@ -349,8 +352,7 @@
             if entry.payload[:1] not in (b"", members_lib.MARK):
                 command = state_lib.decode(entry.payload)
                 result = self.state.apply(entry.index, command)
-                if self._led:
-                    self._on_applied(command, result)
+                self._on_applied(command, result)
             pending = self._pending.pop(entry.index, None)
             if pending is None or pending.done.done():
                 continue
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -1,4 +1,4 @@
-"""The replicated state machine: configuration, calls and memory ledger.
+"""The replicated state machine: configuration, calls, memory, credit.
 
 Commands come from the log in its order, and applying them needs nothing else:
 no clock, no random number, no file. Each part checks its own invariants when
@@ -11,6 +11,7 @@
 
 from endivestream.version import calls as calls_lib
 from endivestream.version import configuration as configuration_lib
+from endivestream.version import credit as credit_lib
 from endivestream.version import ledger as ledger_lib
 
 Command = (
@@ -24,6 +25,7 @@
     | ledger_lib.RegisterTarget
     | ledger_lib.IntendLoad
     | ledger_lib.ConfirmLoad
+    | credit_lib.SetAside
 )
 Result = (
     configuration_lib.Applied
@@ -36,6 +38,7 @@
     | ledger_lib.Reserved
     | ledger_lib.Refused
     | ledger_lib.Noted
+    | credit_lib.DoneSettingAside
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -46,6 +49,7 @@
     configuration: configuration_lib.Snapshot
     calls: calls_lib.Snapshot
     ledger: dict[str, ledger_lib.Target]
+    credit: tuple[int, dict[str, credit_lib.Level]]
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -68,12 +72,14 @@
         configuration: Rules and keys.
         calls: Records of non-idempotent calls.
         ledger: Memory of targets.
+        credit: Teams' credit without what the leader may spend.
     """
 
     def __init__(self) -> None:
         self.configuration = configuration_lib.Configuration()
         self.calls = calls_lib.Calls()
         self.ledger = ledger_lib.Ledger()
+        self.credit = credit_lib.Credit()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -100,6 +106,8 @@
                 | ledger_lib.ConfirmLoad()
             ):
                 return self.ledger.apply(index, command)
+            case credit_lib.SetAside():
+                return self.credit.apply(command)
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
@@ -108,6 +116,7 @@
                 configuration=self.configuration.snapshot(),
                 calls=self.calls.snapshot(),
                 ledger=self.ledger.snapshot(),
+                credit=self.credit.snapshot(),
             )
         )
 
@@ -117,3 +126,4 @@
         self.configuration.restore(snapshot.configuration)
         self.calls.restore(snapshot.calls)
         self.ledger.restore(snapshot.ledger)
+        self.credit.restore(snapshot.credit)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -9,6 +9,10 @@
 T0 = 1_790_000_000.0
 
 
+def _hours(count):
+    return count * 3600.0
+
+
 def _begin(key, *, holder="h/1/a", fingerprint="f", at=T0):
     return calls.BeginCall(
         team="t",
@@ -82,11 +86,12 @@
         self.assertIsNone(calls.time_of(str(uuid.uuid4())))
 
     @hypothesis.given(
-        made=st.floats(-2 * DAY, 2 * DAY),
+        made=st.integers(-48, 48).map(_hours),
         timed=st.booleans(),
-        expiries=st.lists(st.floats(0, 4 * DAY), max_size=4),
-        resend=st.floats(0, 4 * DAY),
+        expiries=st.lists(st.integers(0, 96).map(_hours), max_size=4),
+        resend=st.integers(0, 96).map(_hours),
     )
+    @hypothesis.settings(max_examples=400)
     def test_no_key_runs_again_after_its_record_is_forgotten(
         self, made, timed, expiries, resend
     ):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -49,6 +49,23 @@
         self.assertTrue(reply.whole)
         self.assertEqual(reply.text, site.expected_text(40))
 
+    async def test_answer_that_ends_early_in_good_order_is_not_whole(self):
+        """The caller sees a typed end, or with another copy the whole answer.
+
+        The engine ends the body properly after five tokens, without the final
+        marker: only that tells it from a whole answer.
+        """
+        await self.add_engine("e1", options=_options(end_after=5))
+        reply = await (await self.chat(count=40)).reply()
+        self.assertFalse(reply.whole)
+        self.assertEqual(reply.error["outcome"], "failed")
+        reply = await (await self.chat(count=40, stream=False)).reply()
+        self.assertEqual(reply.status, 502)
+        await self.add_engine("e2")
+        reply = await (await self.chat(count=40)).reply()
+        self.assertTrue(reply.whole)
+        self.assertEqual(reply.text, site.expected_text(40))
+
     async def test_silent_engine_is_continued_elsewhere(self):
         """The caller sees a pause, then the rest.
 
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -42,6 +42,7 @@
             timing=TIMING,
             send=send,
             on_applied=lambda command, result: None,
+            on_restored=lambda: None,
             on_role=self.roles.put_nowait,
             on_failed=self.failed.append,
         )
