Targets are chosen by what they have read; breaking ones are ejected

Cause: the choice was by load alone. A session's next turn landed on another engine two times in three, which read the prompt again; an engine that broke every request while reporting well cost every third caller an attempt.

--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -170,11 +170,16 @@
         request: The attempt that charged or asked for a ticket.
         team: The charged team; empty when nothing was charged.
         used: Tokens really used.
+        failed: Whether the target broke the attempt.
+        answered: Whether the target answered it; neither, if it never ran or
+            its caller left.
     """
 
     request: str
     team: str
     used: int
+    failed: bool = False
+    answered: bool = False
 
 
 class Endings(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -198,6 +203,7 @@
         patience: Seconds for which the place is of use.
         avoid: Targets not to give.
         host: The asking host, so that its tickets go when it is gone.
+        blocks: Names of the prompt's blocks; see `request.prefixes`.
     """
 
     request: str
@@ -207,6 +213,7 @@
     patience: float
     avoid: list[str]
     host: str
+    blocks: tuple[int, ...] = ()
 
 
 class Ticket(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -103,8 +103,11 @@
     def announce(self, info: messages.TargetInfo) -> str:
         """Takes an announcement in; returns why it is refused, or empty."""
         now = time.monotonic()
+        known = self.targets.sessions.get(info.name)
         refused = self.targets.announce(info, now)
         if not refused:
+            if known and known.info.incarnation != info.incarnation:
+                self._scheduler.forget(info.name)
             self._look_at([info.name], now)
             self._wake(now)
         return refused
@@ -143,6 +146,7 @@
             message.tokens,
             now + message.patience,
             frozenset(message.avoid),
+            message.blocks,
         )
         answer = self._scheduler.ask(ask, now=now)
         if isinstance(answer, scheduler_lib.NoTarget):
@@ -198,11 +202,18 @@
 
     def release(self, ending: messages.Ending) -> None:
         """Takes a place back. Idempotent."""
+        now = time.monotonic()
         host = self._host_of.pop(ending.request, None)
         if host is not None:
             self._by_host[host].discard(ending.request)
+        if ending.failed or ending.answered:
+            ejected = self._scheduler.ended(
+                ending.request, failed=ending.failed, now=now
+            )
+            if ejected:
+                logs.warn("target_ejected", target=ejected)
         self._scheduler.release(ending.request, tokens=ending.used)
-        self._wake(time.monotonic())
+        self._wake(now)
 
     def release_host(self, host: str) -> int:
         """Takes back every place of a host that is gone; returns how many."""
--- a/packages/endivestream/src/endivestream/request/generation.py
+++ b/packages/endivestream/src/endivestream/request/generation.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from endivestream import findings
+from endivestream.request import prefixes
 from endivestream.version import rules as rules_lib
 
 # A larger number cannot be meant, and would be charged in full.
@@ -25,6 +26,7 @@
         cost: Tokens charged: prompt plus largest generated count.
         max_tokens: Largest generated count.
         prompt_tokens: The charged prompt.
+        blocks: Names of the prompt's blocks; see `prefixes`.
         body: The request as it goes to a target.
     """
 
@@ -35,6 +37,7 @@
     cost: int
     max_tokens: int
     prompt_tokens: int
+    blocks: tuple[int, ...]
     body: dict[str, Any]
 
 
@@ -83,7 +86,10 @@
     max_tokens = _max_tokens(body, rules.models[needs].max_tokens)
     if max_tokens is None:
         return _bad(f"'max_tokens' must be from 1 to {_MOST_TOKENS}")
-    prompt = _prompt_bytes(body["messages"] if chat else body["prompt"])
+    content = body["messages"] if chat else body["prompt"]
+    prompt = _prompt_bytes(content)
+    # An adapter's readings are its own: the name begins the text.
+    text = model.encode() + b"\0" + msgspec.json.encode(content)
     prompt_tokens = -(-prompt // bytes_per_token)
     forwarded = dict(body)
     # The engine must stop where the charge does.
@@ -100,6 +106,7 @@
         prompt_tokens + max_tokens,
         max_tokens,
         prompt_tokens,
+        tuple(prefixes.block_names(text)),
         forwarded,
     )
 
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -147,6 +147,7 @@
             # A host that was frozen or waited long must not begin work on
             # what was in force then. Work that has begun may end.
             failure = None if self._sent else self._gateway.lost_lease()
+            result: Finished | _Broken | _Rejected | None = None
             try:
                 if failure is not None:
                     return failure
@@ -154,7 +155,11 @@
             finally:
                 self._gateway.end(
                     messages.Ending(
-                        request=name, team="", used=self._tokens - used
+                        request=name,
+                        team="",
+                        used=self._tokens - used,
+                        failed=isinstance(result, _Broken),
+                        answered=isinstance(result, Finished | _Rejected),
                     )
                 )
             if isinstance(result, Finished):
@@ -200,6 +205,7 @@
                     patience=max(0.05, patience),
                     avoid=avoid,
                     host=self._gateway.settings.host.name,
+                    blocks=generation.blocks,
                 )
             )
         except asyncio.CancelledError:
--- a/packages/endivestream/src/endivestream/request/scheduler.py
+++ b/packages/endivestream/src/endivestream/request/scheduler.py
@@ -15,6 +15,13 @@
 import dataclasses
 from typing import NamedTuple
 
+from endivestream.request import outliers
+from endivestream.request import prefixes
+
+# A target may hold this much more than the mean before affinity ends.
+_BOUNDED_LOAD = 1.25
+_BLOCK_TOKENS = prefixes.BLOCK_BYTES // 4
+
 
 class Ask(NamedTuple):
     """A request for a place on a target.
@@ -27,6 +34,7 @@
         tokens: Expected work, in tokens.
         deadline: Latest time of use, in seconds.
         avoid: Targets tried before.
+        blocks: Names of the prompt's blocks; see `prefixes`.
     """
 
     request: str
@@ -36,6 +44,7 @@
     tokens: int
     deadline: float
     avoid: frozenset[str]
+    blocks: tuple[int, ...] = ()
 
 
 class Grant(NamedTuple):
@@ -105,6 +114,8 @@
         self._held: dict[str, dict[str, Ask]] = {}
         self._teams: dict[str, _Team] = {}
         self._where: dict[str, str] = {}
+        self._prefixes = prefixes.Prefixes()
+        self._outliers = outliers.Outliers()
         self._floor = 0.0
 
     @property
@@ -156,9 +167,9 @@
             return NoTarget()
         team = self._team(ask.team)
         if not team.queues.get(ask.needs):
-            target = self._best(ask)
+            target = self._best(ask, now)
             if target is not None:
-                return self._grant(ask, target, waited=0.0)
+                return self._grant(ask, target, now, waited=0.0)
         queue = team.queues.setdefault(ask.needs, collections.deque())
         queue.append(_Waiting(ask, now))
         return Queued()
@@ -173,7 +184,8 @@
             team.virtual = max(team.virtual, self._floor)
         return team
 
-    def _best(self, ask: Ask) -> Target | None:
+    def _best(self, ask: Ask, now: float) -> Target | None:
+        """Returns the target with the least expected time to a first token."""
         fitting = [
             target
             for target in self._targets.values()
@@ -181,9 +193,35 @@
             and target.name not in ask.avoid
             and self.held(target.name) < target.slots
         ]
+        # With every target ejected a bad one is better than none.
+        sound = [t for t in fitting if self._outliers.may_get(t.name, now)]
+        fitting = sound or fitting
         if not fitting:
             return None
-        return min(fitting, key=lambda t: (self._load(t), t.name))
+        bound = self._bound(ask.needs)
+        return min(
+            fitting,
+            key=lambda t: (
+                # Affinity may not overload a target: above the bound it goes
+                # after all others, however much it has read.
+                self.held(t.name) >= bound,
+                self._load(t) + self._unread(t, ask),
+                t.name,
+            ),
+        )
+
+    def _bound(self, needs: str) -> float:
+        """Returns the grants a target may hold while others hold less."""
+        serving = [t for t in self._targets.values() if needs in t.serves]
+        held = sum(self.held(target.name) for target in serving)
+        return 1 + _BOUNDED_LOAD * held / len(serving)
+
+    def _unread(self, target: Target, ask: Ask) -> float:
+        """Prompt tokens that a target probably has to read first."""
+        if not ask.blocks:
+            return 0.0
+        read = self._prefixes.covered(target.name, ask.blocks)
+        return (len(ask.blocks) - read) * _BLOCK_TOKENS
 
     def _load(self, target: Target) -> float:
         """Expected work before a newcomer's first token, in tokens a slot."""
@@ -192,11 +230,17 @@
         )
         return max(granted, target.queued_tokens) / target.slots
 
-    def _grant(self, ask: Ask, target: Target, *, waited: float) -> Grant:
+    def _grant(
+        self, ask: Ask, target: Target, now: float, *, waited: float
+    ) -> Grant:
         self._held.setdefault(target.name, {})[ask.request] = ask
         self._where[ask.request] = target.name
         self._teams[ask.team].virtual += ask.tokens / ask.weight
         reason = "queue" if waited else "least_loaded"
+        if self._prefixes.covered(target.name, ask.blocks):
+            reason = "prefix_hit"
+        self._prefixes.note(target.name, ask.blocks)
+        self._outliers.granted(target.name, now)
         return Grant(ask.request, target.name, reason, waited)
 
     def ready(self, now: float) -> list[Grant]:
@@ -225,10 +269,10 @@
             )
             for since, needs in heads:
                 ask = queues[needs][0].ask
-                target = self._best(ask)
+                target = self._best(ask, now)
                 if target is not None:
                     queues[needs].popleft()
-                    return self._grant(ask, target, waited=now - since)
+                    return self._grant(ask, target, now, waited=now - since)
         return None
 
     def expire(self, now: float) -> list[Ask]:
@@ -247,6 +291,24 @@
                 team.queues[needs] = kept
         return gone
 
+    def forget(self, target: str) -> None:
+        """Drops what is known of a target that started anew."""
+        self._prefixes.forget(target)
+        self._outliers.forget(target)
+
+    def ended(self, request: str, *, failed: bool, now: float) -> str:
+        """Notes how a granted request ended, before its release.
+
+        Returns:
+            The target if it is ejected by this, else an empty string.
+        """
+        target = self._where.get(request, "")
+        if target and self._outliers.ended(
+            target, failed=failed, now=now, of=len(self._targets)
+        ):
+            return target
+        return ""
+
     def release(self, request: str, *, tokens: int | None = None) -> None:
         """Frees a place, or takes the ask out of the queue. Idempotent.
 
--- a/packages/endivestream/src/endivestream/request/service_calls.py
+++ b/packages/endivestream/src/endivestream/request/service_calls.py
@@ -204,6 +204,7 @@
         while True:
             attempt += 1
             name = f"{self._request}.{attempt}"
+            result = None
             try:
                 ticket = await self._ticket(name, avoid)
                 if isinstance(ticket, messages.Refused):
@@ -213,8 +214,15 @@
                     return failure
                 result = await self._exchange(name, ticket)
             finally:
-                ending = messages.Ending(request=name, team="", used=0)
-                self._gateway.end(ending)
+                self._gateway.end(
+                    messages.Ending(
+                        request=name,
+                        team="",
+                        used=0,
+                        failed=isinstance(result, exchange_lib.ExchangeError),
+                        answered=isinstance(result, Answer),
+                    )
+                )
             if isinstance(result, Answer):
                 return result
             why = str(result)
--- /dev/null
+++ b/tests/test_outliers.py
@@ -0,0 +1,109 @@
+import unittest
+
+from endivestream.request import outliers as outliers_lib
+from endivestream.request import prefixes as prefixes_lib
+from endivestream.request import scheduler as scheduler_lib
+import hypothesis
+from hypothesis import strategies as st
+
+
+class OutliersTest(unittest.TestCase):
+    def setUp(self):
+        self.outliers = outliers_lib.Outliers()
+
+    def _fail(self, target, times=3, now=0.0, of=6):
+        for _ in range(times):
+            ejected = self.outliers.ended(target, failed=True, now=now, of=of)
+        return ejected
+
+    def test_three_failures_in_a_row_eject_and_one_probe_follows(self):
+        """Callers stop paying a retry for a target that breaks everything."""
+        self.assertFalse(self._fail("t", 2))
+        self.assertTrue(self.outliers.may_get("t", 0.0))
+        self.assertTrue(self._fail("t", 1))
+        self.assertFalse(self.outliers.may_get("t", 0.9))
+        self.assertTrue(self.outliers.may_get("t", 1.0))
+        self.outliers.granted("t", 1.0)
+        self.assertFalse(self.outliers.may_get("t", 1.1))
+        self.assertTrue(self._fail("t", 1, now=1.2))
+        self.assertFalse(self.outliers.may_get("t", 3.1))
+        self.outliers.ended("t", failed=False, now=3.3, of=6)
+        self.assertTrue(self.outliers.may_get("t", 3.3))
+
+    def test_success_between_failures_ejects_nobody(self):
+        for _ in range(5):
+            self._fail("t", 2)
+            self.outliers.ended("t", failed=False, now=0.0, of=6)
+        self.assertTrue(self.outliers.may_get("t", 0.0))
+
+    def test_no_more_than_a_third_is_ejected(self):
+        """A fault that all targets share must not leave one for all work."""
+        for name in "abcdef":
+            self._fail(name)
+        out = [n for n in "abcdef" if not self.outliers.may_get(n, 0.0)]
+        self.assertEqual(out, ["a", "b"])
+
+
+class PrefixesTest(unittest.TestCase):
+    @hypothesis.given(st.binary(max_size=2000), st.binary(max_size=2000))
+    def test_equal_names_mean_equal_beginnings(self, one, other):
+        size = prefixes_lib.BLOCK_BYTES
+        shared = 0
+        for start in range(0, min(len(one), len(other)) - size + 1, size):
+            if one[: start + size] != other[: start + size]:
+                break
+            shared += 1
+        prefixes = prefixes_lib.Prefixes()
+        prefixes.note("t", prefixes_lib.block_names(one))
+        covered = prefixes.covered("t", prefixes_lib.block_names(other))
+        self.assertEqual(covered, shared)
+
+    def test_hints_are_bounded(self):
+        prefixes = prefixes_lib.Prefixes()
+        prefixes.note("t", range(10_000))
+        self.assertEqual(len(prefixes._read["t"]), prefixes_lib._KEPT_BLOCKS)
+
+
+class RoutingTest(unittest.TestCase):
+    def setUp(self):
+        self.scheduler = scheduler_lib.Scheduler()
+        for name in ("t1", "t2", "t3"):
+            self.scheduler.put_target(
+                scheduler_lib.Target(name, frozenset("m"), 8, 0)
+            )
+        self.count = 0
+
+    def _ask(self, blocks=()):
+        self.count += 1
+        name = str(self.count)
+        ask = scheduler_lib.Ask(
+            name, "team", 1, "m", 80, 100.0, frozenset(), blocks
+        )
+        return self.scheduler.ask(ask, now=0.0)
+
+    def test_same_beginning_goes_where_it_was_read(self):
+        first = self._ask((1, 2, 3, 4))
+        self.scheduler.release(first.request)
+        self._ask((9,))
+        again = self._ask((1, 2, 3, 5))
+        self.assertEqual(again.target, first.target)
+        self.assertEqual(again.reason, "prefix_hit")
+
+    def test_affinity_never_overloads_a_target(self):
+        """One popular beginning does not queue on one target."""
+        held = [self._ask((1, 2, 3, 4)).target for _ in range(12)]
+        self.assertLessEqual(max(map(held.count, held)), 6)
+
+    def test_restarted_target_has_read_nothing(self):
+        first = self._ask((1, 2, 3, 4))
+        self.scheduler.release(first.request)
+        self.scheduler.forget(first.target)
+        self.assertEqual(self._ask((1, 2, 3, 4)).reason, "least_loaded")
+
+    def test_target_that_breaks_everything_gets_no_more(self):
+        for _ in range(3):
+            grant = self._ask()
+            self.assertEqual(grant.target, "t1")
+            self.scheduler.ended(grant.request, failed=True, now=0.0)
+            self.scheduler.release(grant.request)
+        self.assertEqual(self._ask().target, "t2")
