A new leader's short host table is not given out; homes are spread

A new leader knows only the hosts that renewed first; its table of one or two went to gateways, to callers' address answers and to targets. When those hosts went next, a target had no address left. Also every target reported to the first host by name, so one kill in five took all reports with it.

Ruled out: homes not telling new leaders (target_in follows leadership by 60 to 180 ms in the logs).

Change: a leader gives its table out once every host has had time to renew; homes are chosen by rendezvous hash of the target.

--- a/benchmarks/standins/target.py
+++ b/benchmarks/standins/target.py
@@ -12,6 +12,8 @@
 from tornado import netutil
 from tornado import web
 
+_GATEWAYS_KEPT = 16
+
 
 class Target:
     """Announces to any of its gateways, then reports on a timer."""
@@ -71,12 +73,17 @@
                         **self.report(),
                     },
                 )
-                if answer and answer.get("gateways"):
-                    self._gateways = answer["gateways"]
+                if answer:
+                    self._prefer(answer["gateways"])
                 if answer and answer["announce_again"]:
                     await self._announce()
             await asyncio.sleep(seconds)
 
+    def _prefer(self, gateways: list[str]) -> None:
+        """Puts gateways first; those known before stay as a last resort."""
+        others = [g for g in self._gateways if g not in gateways]
+        self._gateways = (gateways + others)[:_GATEWAYS_KEPT]
+
     async def report_soon(self) -> None:
         """Sends a report out of turn."""
         if self._task is not None:
@@ -91,19 +98,21 @@
             await asyncio.sleep(0.2)
 
     async def _post(self, path: str, body: Any) -> dict[str, Any] | None:
+        """Sends to the first gateway that answers, each tried once."""
         headers = {"Content-Type": "application/json"}
         if self._token:
             headers["Authorization"] = f"Bearer {self._token}"
-        try:
-            answer = await self._client.fetch(
-                self._gateways[0] + path,
-                method="POST",
-                headers=headers,
-                body=json.dumps(body),
-                request_timeout=2.0,
-            )
-            return json.loads(answer.body)
-        except (OSError, httpclient.HTTPError):
-            # Another gateway of the list gets the next one.
-            self._gateways.append(self._gateways.pop(0))
-            return None
+        for gateway in list(self._gateways):
+            try:
+                answer = await self._client.fetch(
+                    gateway + path,
+                    method="POST",
+                    headers=headers,
+                    body=json.dumps(body),
+                    connect_timeout=0.5,
+                    request_timeout=2.0,
+                )
+                return json.loads(answer.body)
+            except (OSError, httpclient.HTTPError):
+                continue
+        return None
--- a/packages/endivestream/src/endivestream/connection/addresses.py
+++ b/packages/endivestream/src/endivestream/connection/addresses.py
@@ -21,6 +21,18 @@
     return hashlib.blake2b(f"{caller}\0{host}".encode(), digest_size=8).digest()
 
 
+def homes(
+    hosts: Iterable[messages.HostInfo], *, target: str
+) -> list[messages.HostInfo]:
+    """Returns hosts in the order in which a target should report to them.
+
+    Each target has its own order, so that homes are spread over all hosts and
+    losing one moves only the targets that reported there.
+    """
+    ready = [host for host in hosts if not host.draining]
+    return sorted(ready, key=lambda host: rank(target, host.name))
+
+
 def choose(
     hosts: Iterable[messages.HostInfo],
     *,
--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from endivestream.version import configuration
-from endivestream.version import consensus
 from endivestream.version import members
+from endivestream.version import protocol
 from endivestream.version import state
 
 
@@ -118,7 +118,7 @@
     to: str
     sender: str
     address: str
-    body: consensus.Message
+    body: protocol.Message
 
 
 class Join(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -19,8 +19,8 @@
 from endivestream.process import leading as leading_lib
 from endivestream.process import settings as settings_lib
 from endivestream.process import views
-from endivestream.version import consensus
 from endivestream.version import credit as credit_lib
+from endivestream.version import protocol
 from endivestream.version import replicate
 from endivestream.version import state as state_lib
 from endivestream.version import storage as storage_lib
@@ -116,7 +116,7 @@
             ),
             name=self._settings.host.name,
             address=self.address,
-            timing=consensus.Timing(
+            timing=protocol.Timing(
                 heartbeat=timing.election_seconds / 5,
                 election=timing.election_seconds,
                 # Clocks that differ by less than a tenth in one election
@@ -223,7 +223,7 @@
         return link
 
     async def _send(
-        self, to: str, address: str, message: consensus.Message
+        self, to: str, address: str, message: protocol.Message
     ) -> None:
         await self._link(address).send(
             messages.Agreement(
--- a/packages/endivestream/src/endivestream/process/inner.py
+++ b/packages/endivestream/src/endivestream/process/inner.py
@@ -13,6 +13,7 @@
 
 from endivestream import findings
 from endivestream import messages
+from endivestream.connection import addresses
 from endivestream.connection import links
 from endivestream.process import gateway as gateway_lib
 from endivestream.process import home as home_lib
@@ -72,6 +73,11 @@
                 401, "token_wrong", ["send 'Authorization: Bearer TOKEN'"]
             )
 
+    def homes(self, target: str) -> list[str]:
+        """Returns where a target should report, the best first."""
+        hosts = addresses.homes(self.gateway.hosts, target=target)
+        return [host.inner_url for host in hosts]
+
     def fail(self, status: int, reason: str, found: list[str]) -> None:
         """Answers with findings."""
         self.set_status(status)
@@ -291,7 +297,7 @@
         self.finish(
             {
                 "report_seconds": self.gateway.settings.timing.report_seconds,
-                "gateways": [host.inner_url for host in self.gateway.hosts],
+                "gateways": self.homes(info.name),
             }
         )
 
@@ -307,7 +313,7 @@
         self.finish(
             {
                 "announce_again": not known,
-                "gateways": [host.inner_url for host in self.gateway.hosts],
+                "gateways": self.homes(report.name),
             }
         )
 
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -257,13 +257,17 @@
         if message.have != configuration.version:
             update = configuration.update_since(message.have)
         hosts_version = self.watchers.hosts_version
-        seen = message.hosts_seen == hosts_version
+        # A host without any table is better off with a short one.
+        seen = message.hosts_seen == hosts_version or (
+            message.hosts_seen > 0
+            and not self.watchers.is_complete(time.monotonic())
+        )
         return messages.Lease(
             update=update,
             version=configuration.version,
             seconds=self._settings.timing.lease_seconds,
             hosts=None if seen else self.watchers.live,
-            hosts_version=hosts_version,
+            hosts_version=message.hosts_seen if seen else hosts_version,
         )
 
     async def _abandon_calls(self, host: messages.HostInfo) -> None:
--- a/packages/endivestream/src/endivestream/version/consensus.py
+++ b/packages/endivestream/src/endivestream/version/consensus.py
@@ -13,236 +13,12 @@
 import collections
 from collections.abc import Sequence
 import enum
-from typing import NamedTuple
-
-import msgspec
 
+from endivestream.version import entry_log
 from endivestream.version import members as members_lib
+from endivestream.version import protocol
 from endivestream.version import storage as storage_lib
 
-# Bytes of entries in one message; a follower that is far behind gets several.
-_BATCH_BYTES = 1024 * 1024
-
-
-class Timing(NamedTuple):
-    """Times in seconds.
-
-    Attributes:
-        heartbeat: How often a leader speaks to each follower.
-        election: The least time without a leader before an election; the
-            greatest is twice that.
-        lease: How long after a majority heard it a leader may assume that no
-            other is elected. Less than `election` by more than clocks drift
-            in that time.
-    """
-
-    heartbeat: float
-    election: float
-    lease: float
-
-
-# Messages between replicas. `sent` is the leader's clock when it sent; the
-# reply gives it back, so that the leader's lease counts from the sending.
-
-
-class PreVote(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks whether an election in `term` could be won. Binds nobody."""
-
-    term: int
-    last_index: int
-    last_term: int
-
-
-class PreVoteReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers `PreVote`; `term` is the asked one if granted."""
-
-    term: int
-    granted: bool
-
-
-class RequestVote(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks for the vote in `term`.
-
-    Attributes:
-        term: The candidate's term.
-        last_index: Its last entry.
-        last_term: That entry's term.
-        transfer: The old leader asked for this election.
-    """
-
-    term: int
-    last_index: int
-    last_term: int
-    transfer: bool
-
-
-class VoteReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers `RequestVote`."""
-
-    term: int
-    granted: bool
-
-
-class Append(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Entries after `prev_index`, or a heartbeat without any."""
-
-    term: int
-    prev_index: int
-    prev_term: int
-    entries: list[storage_lib.Entry]
-    commit: int
-    sent: float
-
-
-class AppendReply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answers `Append` and `Install`.
-
-    Attributes:
-        term: The follower's term.
-        matched: Entries up to here are the leader's and synced.
-        rejected: The follower lacks `prev_index`; `matched` is where to try.
-        sent: As in the message answered.
-    """
-
-    term: int
-    matched: int
-    rejected: bool
-    sent: float
-
-
-class Install(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """A whole snapshot, for a follower whose next entry is gone."""
-
-    term: int
-    snapshot: storage_lib.SnapshotFile
-    sent: float
-
-
-class TimeoutNow(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Asks a follower to stand for election at once."""
-
-    term: int
-
-
-Message = (
-    PreVote
-    | PreVoteReply
-    | RequestVote
-    | VoteReply
-    | Append
-    | AppendReply
-    | Install
-    | TimeoutNow
-)
-
-
-# Events.
-
-
-class Tick(NamedTuple):
-    """Time has passed. `jitter` is from 0 to 1, anew each time."""
-
-    jitter: float
-
-
-class Received(NamedTuple):
-    """A message came."""
-
-    sender: str
-    message: Message
-
-
-class Proposed(NamedTuple):
-    """Payloads to commit; only a leader takes them."""
-
-    payloads: list[bytes]
-
-
-class Synced(NamedTuple):
-    """The write of that number, and all before it, are durable."""
-
-    write: int
-
-
-class Compacted(NamedTuple):
-    """A snapshot up to `index` is durable; entries up to it may go."""
-
-    index: int
-
-
-class ChangeMembers(NamedTuple):
-    """Set other members; one voter's difference at a time."""
-
-    members: members_lib.Members
-
-
-class Transfer(NamedTuple):
-    """Hand leadership over before a planned stop."""
-
-
-Event = (
-    Tick | Received | Proposed | Synced | Compacted | ChangeMembers | Transfer
-)
-
-
-# Effects.
-
-
-class SaveVote(NamedTuple):
-    """Make term and vote durable before the next effect."""
-
-    vote: storage_lib.Vote
-
-
-class Truncate(NamedTuple):
-    """Drop entries from `index` on."""
-
-    index: int
-
-
-class Write(NamedTuple):
-    """Append entries; `Synced(number)` once they are durable."""
-
-    number: int
-    entries: list[storage_lib.Entry]
-
-
-class Restore(NamedTuple):
-    """Make a snapshot durable and take its state, before the next effect.
-
-    Attributes:
-        snapshot: The snapshot.
-        keep_log: Whether entries after it stay; if not, all go, but only once
-            the snapshot is durable: some were acknowledged.
-    """
-
-    snapshot: storage_lib.SnapshotFile
-    keep_log: bool
-
-
-class Send(NamedTuple):
-    """Send a message; it may be lost."""
-
-    to: str
-    message: Message
-
-
-class SendSnapshot(NamedTuple):
-    """Send the stored snapshot in an `Install`."""
-
-    to: str
-    term: int
-    sent: float
-
-
-class Commit(NamedTuple):
-    """Apply these entries, in order."""
-
-    entries: list[storage_lib.Entry]
-
-
-Effect = SaveVote | Truncate | Write | Restore | Send | SendSnapshot | Commit
-
 
 class Role(enum.StrEnum):
     """What a replica does."""
@@ -253,62 +29,6 @@
     LEADER = "leader"
 
 
-class _Log:
-    """Entries in memory after a snapshot."""
-
-    def __init__(
-        self, *, snapshot: tuple[int, int], entries: Sequence[storage_lib.Entry]
-    ) -> None:
-        self.start, self._start_term = snapshot
-        self._entries = list(entries)
-
-    @property
-    def last(self) -> int:
-        return self.start + len(self._entries)
-
-    @property
-    def last_term(self) -> int:
-        return self.term_at(self.last)
-
-    def term_at(self, index: int) -> int:
-        """Returns an entry's term; -1 for one that is not here."""
-        if index == self.start:
-            return self._start_term
-        if self.start < index <= self.last:
-            return self._entries[index - self.start - 1].term
-        return -1
-
-    def after(self, index: int) -> list[storage_lib.Entry]:
-        return self._entries[index - self.start :]
-
-    def between(self, after: int, last: int) -> list[storage_lib.Entry]:
-        return self._entries[after - self.start : last - self.start]
-
-    def batch(self, after: int) -> list[storage_lib.Entry]:
-        taken, size = [], 0
-        for entry in self._entries[after - self.start :]:
-            taken.append(entry)
-            size += len(entry.payload)
-            if size > _BATCH_BYTES:
-                break
-        return taken
-
-    def append(self, entries: Sequence[storage_lib.Entry]) -> None:
-        self._entries += entries
-
-    def truncate(self, index: int) -> None:
-        del self._entries[index - self.start - 1 :]
-
-    def compact(self, index: int) -> None:
-        term = self.term_at(index)
-        self._entries = self.after(index)
-        self.start, self._start_term = index, term
-
-    def reset(self, index: int, term: int) -> None:
-        self.start, self._start_term = index, term
-        self._entries = []
-
-
 class _Peer:
     """What a leader knows of one follower."""
 
@@ -337,7 +57,7 @@
         self,
         *,
         identity: str,
-        timing: Timing,
+        timing: protocol.Timing,
         vote: storage_lib.Vote,
         snapshot: tuple[int, int],
         snapshot_members: members_lib.Members,
@@ -352,7 +72,7 @@
         self.commit = snapshot[0]
         self._voted_for = vote.voted_for
         self._timing = timing
-        self._log = _Log(snapshot=snapshot, entries=entries)
+        self._log = entry_log.EntryLog(snapshot=snapshot, entries=entries)
         self._now = now
         self._base_members = snapshot_members
         self._member_changes: list[tuple[int, members_lib.Members]] = []
@@ -379,7 +99,7 @@
         alone = [m.identity for m in self.members.voters] == [identity]
         if not alone:
             self._set_deadline()
-        self._effects: list[Effect] = []
+        self._effects: list[protocol.Effect] = []
 
     @property
     def members(self) -> members_lib.Members:
@@ -438,24 +158,24 @@
             f"commit {self.commit}/{self._log.last}>"
         )
 
-    def step(self, event: Event, now: float) -> list[Effect]:
+    def step(self, event: protocol.Event, now: float) -> list[protocol.Effect]:
         """Takes one event; returns effects to carry out in order."""
         self._now = max(self._now, now)
         self._effects = []
         match event:
-            case Tick(jitter=jitter):
+            case protocol.Tick(jitter=jitter):
                 self._tick(jitter)
-            case Received(sender=sender, message=message):
+            case protocol.Received(sender=sender, message=message):
                 self._receive(sender, message)
-            case Proposed(payloads=payloads):
+            case protocol.Proposed(payloads=payloads):
                 self._propose(payloads)
-            case Synced(write=write):
+            case protocol.Synced(write=write):
                 self._synced(write)
-            case Compacted(index=index):
+            case protocol.Compacted(index=index):
                 self._compact(index)
-            case ChangeMembers(members=members):
+            case protocol.ChangeMembers(members=members):
                 self._change_members(members)
-            case Transfer():
+            case protocol.Transfer():
                 self._transfer()
         return self._effects
 
@@ -466,8 +186,8 @@
         peer = self._peers.get(member.identity)
         return peer.answered if peer else float("-inf")
 
-    def _send(self, to: str, message: Message) -> None:
-        self._effects.append(Send(to, message))
+    def _send(self, to: str, message: protocol.Message) -> None:
+        self._effects.append(protocol.Send(to, message))
 
     def _others(self) -> list[str]:
         return [
@@ -529,7 +249,7 @@
         for other in self._others():
             self._send(
                 other,
-                PreVote(
+                protocol.PreVote(
                     term=self.term + 1,
                     last_index=self._log.last,
                     last_term=self._log.last_term,
@@ -547,7 +267,7 @@
         for other in self._others():
             self._send(
                 other,
-                RequestVote(
+                protocol.RequestVote(
                     term=self.term,
                     last_index=self._log.last,
                     last_term=self._log.last_term,
@@ -563,7 +283,7 @@
         self.term = term
         self._voted_for = voted_for
         vote = storage_lib.Vote(term, voted_for)
-        self._effects.append(SaveVote(vote))
+        self._effects.append(protocol.SaveVote(vote))
 
     def _follow(self, term: int, leader: str) -> None:
         if term > self.term:
@@ -597,36 +317,38 @@
 
     # Messages.
 
-    def _receive(self, sender: str, message: Message) -> None:
+    def _receive(self, sender: str, message: protocol.Message) -> None:
         match message:
-            case PreVote():
+            case protocol.PreVote():
                 self._on_pre_vote(sender, message)
-            case PreVoteReply():
+            case protocol.PreVoteReply():
                 self._on_pre_vote_reply(sender, message)
-            case RequestVote():
+            case protocol.RequestVote():
                 self._on_request_vote(sender, message)
-            case VoteReply():
+            case protocol.VoteReply():
                 self._on_vote_reply(sender, message)
-            case Append():
+            case protocol.Append():
                 self._on_append(sender, message)
-            case AppendReply():
+            case protocol.AppendReply():
                 self._on_append_reply(sender, message)
-            case Install():
+            case protocol.Install():
                 self._on_install(sender, message)
-            case TimeoutNow(term=term):
+            case protocol.TimeoutNow(term=term):
                 if term == self.term and self.members.is_voter(self.identity):
                     self._start_election(transfer=True)
 
-    def _on_pre_vote(self, sender: str, message: PreVote) -> None:
+    def _on_pre_vote(self, sender: str, message: protocol.PreVote) -> None:
         granted = (
             message.term > self.term
             and not self._bound_to_leader()
             and self._up_to_date(message.last_term, message.last_index)
         )
         term = message.term if granted else self.term
-        self._send(sender, PreVoteReply(term=term, granted=granted))
+        self._send(sender, protocol.PreVoteReply(term=term, granted=granted))
 
-    def _on_pre_vote_reply(self, sender: str, message: PreVoteReply) -> None:
+    def _on_pre_vote_reply(
+        self, sender: str, message: protocol.PreVoteReply
+    ) -> None:
         if not message.granted:
             if message.term > self.term:
                 self._follow(message.term, "")
@@ -637,10 +359,14 @@
         if self._won():
             self._start_election(transfer=False)
 
-    def _on_request_vote(self, sender: str, message: RequestVote) -> None:
+    def _on_request_vote(
+        self, sender: str, message: protocol.RequestVote
+    ) -> None:
         if not message.transfer and self._bound_to_leader():
             # Not even the term is taken over: a leader's lease rests on this.
-            self._send(sender, VoteReply(term=self.term, granted=False))
+            self._send(
+                sender, protocol.VoteReply(term=self.term, granted=False)
+            )
             return
         if message.term > self.term:
             self._follow(message.term, "")
@@ -653,9 +379,9 @@
             if not self._voted_for:
                 self._save_vote(self.term, sender)
             self._set_deadline()
-        self._send(sender, VoteReply(term=self.term, granted=granted))
+        self._send(sender, protocol.VoteReply(term=self.term, granted=granted))
 
-    def _on_vote_reply(self, sender: str, message: VoteReply) -> None:
+    def _on_vote_reply(self, sender: str, message: protocol.VoteReply) -> None:
         if message.term > self.term:
             self._follow(message.term, "")
             return
@@ -691,12 +417,12 @@
             matched = min(self._verified, self._durable)
         self._send(
             sender,
-            AppendReply(
+            protocol.AppendReply(
                 term=self.term, matched=matched, rejected=rejected, sent=sent
             ),
         )
 
-    def _on_append(self, sender: str, message: Append) -> None:
+    def _on_append(self, sender: str, message: protocol.Append) -> None:
         if not self._hear_leader(sender, message.term):
             self._reply(sender, message.sent, rejected=True, matched=0)
             return
@@ -748,7 +474,7 @@
         self._writes = collections.deque(
             (number, min(last, index - 1)) for number, last in self._writes
         )
-        self._effects.append(Truncate(index))
+        self._effects.append(protocol.Truncate(index))
 
     def _write(self, entries: list[storage_lib.Entry]) -> None:
         self._log.append(entries)
@@ -756,7 +482,7 @@
             self._note_members(entry)
         self._write_number += 1
         self._writes.append((self._write_number, entries[-1].index))
-        self._effects.append(Write(self._write_number, entries))
+        self._effects.append(protocol.Write(self._write_number, entries))
 
     def _note_members(self, entry: storage_lib.Entry) -> None:
         members = members_lib.decode(entry.payload)
@@ -772,7 +498,7 @@
         elif self.leader:
             self._reply(self.leader, self._leader_sent)
 
-    def _on_install(self, sender: str, message: Install) -> None:
+    def _on_install(self, sender: str, message: protocol.Install) -> None:
         if not self._hear_leader(sender, message.term):
             self._reply(sender, message.sent, rejected=True, matched=0)
             return
@@ -780,7 +506,7 @@
         snapshot = message.snapshot
         if snapshot.index > self.commit:
             keep = self._log.term_at(snapshot.index) == snapshot.term
-            self._effects.append(Restore(snapshot, keep))
+            self._effects.append(protocol.Restore(snapshot, keep))
             if keep:
                 self._log.compact(snapshot.index)
             else:
@@ -834,12 +560,14 @@
             # Not with each heartbeat: a snapshot takes a while to arrive.
             if self._now - peer.snapshot_at >= 2 * self._timing.election:
                 peer.snapshot_at = self._now
-                self._effects.append(SendSnapshot(to, self.term, self._now))
+                self._effects.append(
+                    protocol.SendSnapshot(to, self.term, self._now)
+                )
             return
         entries = self._log.batch(prev)
         self._send(
             to,
-            Append(
+            protocol.Append(
                 term=self.term,
                 prev_index=prev,
                 prev_term=self._log.term_at(prev),
@@ -851,7 +579,9 @@
         # Assumed to arrive; if not, the next is rejected with a hint.
         peer.next = prev + len(entries) + 1
 
-    def _on_append_reply(self, sender: str, message: AppendReply) -> None:
+    def _on_append_reply(
+        self, sender: str, message: protocol.AppendReply
+    ) -> None:
         if message.term > self.term:
             self._follow(message.term, "")
             return
@@ -898,7 +628,7 @@
             return
         entries = self._log.between(self.commit, index)
         self.commit = index
-        self._effects.append(Commit(entries))
+        self._effects.append(protocol.Commit(entries))
 
     # Members, snapshots, hand-over.
 
@@ -936,4 +666,4 @@
         # The lease ends before the heir may win: it is given up here.
         self._transferring = True
         self._transfer_ends = self._now + self._timing.election
-        self._send(heir, TimeoutNow(term=self.term))
+        self._send(heir, protocol.TimeoutNow(term=self.term))
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -19,6 +19,7 @@
 from endivestream import logs
 from endivestream.version import consensus
 from endivestream.version import members as members_lib
+from endivestream.version import protocol
 from endivestream.version import state as state_lib
 from endivestream.version import storage as storage_lib
 
@@ -61,8 +62,8 @@
         storage: storage_lib.Storage,
         name: str,
         address: str,
-        timing: consensus.Timing,
-        send: Callable[[str, str, consensus.Message], Awaitable[None]],
+        timing: protocol.Timing,
+        send: Callable[[str, str, protocol.Message], Awaitable[None]],
         on_applied: Callable[[state_lib.Command, state_lib.Result], None],
         on_restored: Callable[[], None],
         on_role: Callable[[bool], None],
@@ -233,7 +234,7 @@
             and len(self.replica.members.voters) > 1
             and time.monotonic() < until
         ):
-            self._step(consensus.Transfer())
+            self._step(protocol.Transfer())
             await asyncio.sleep(self._timing.heartbeat / 2)
 
     async def propose(self, command: state_lib.Command) -> state_lib.Result:
@@ -257,7 +258,7 @@
         batch, self._queue = self._queue, []
         first = self.replica.last_index + 1
         payloads = [state_lib.encode(command) for command, _ in batch]
-        self._step(consensus.Proposed(payloads))
+        self._step(protocol.Proposed(payloads))
         taken = not self._closed and self.replica.last_index >= first
         for offset, (_, done) in enumerate(batch):
             if taken:
@@ -266,21 +267,21 @@
                 done.set_exception(NotLeaderError(self.leader_address))
 
     async def receive(
-        self, sender: str, address: str, message: consensus.Message
+        self, sender: str, address: str, message: protocol.Message
     ) -> None:
         """Takes a message of another replica in."""
         self._addresses[sender] = address
-        self._step(consensus.Received(sender, message))
+        self._step(protocol.Received(sender, message))
 
     def change_members(self, members: members_lib.Members) -> bool:
         """Sets other members; False if that cannot be done now."""
-        self._step(consensus.ChangeMembers(members))
+        self._step(protocol.ChangeMembers(members))
         return self.replica.members == members
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(self._timing.heartbeat / 2)
-            self._step(consensus.Tick(self._random.random()))
+            self._step(protocol.Tick(self._random.random()))
 
     async def _sync(self) -> None:
         while True:
@@ -293,9 +294,9 @@
             except OSError as error:
                 self._fail(error)
                 return
-            self._step(consensus.Synced(number))
+            self._step(protocol.Synced(number))
 
-    def _step(self, event: consensus.Event) -> None:
+    def _step(self, event: protocol.Event) -> None:
         if self._closed:
             return
         try:
@@ -311,33 +312,33 @@
             return
         self._note_role()
 
-    def _carry_out(self, effect: consensus.Effect) -> None:
+    def _carry_out(self, effect: protocol.Effect) -> None:
         match effect:
-            case consensus.SaveVote(vote=vote):
+            case protocol.SaveVote(vote=vote):
                 self._storage.save_vote(vote)
-            case consensus.Truncate(index=index):
+            case protocol.Truncate(index=index):
                 self._storage.truncate_from(index)
-            case consensus.Write(number=number, entries=entries):
+            case protocol.Write(number=number, entries=entries):
                 self._storage.append(entries)
                 self._to_sync = number
                 self._sync_wanted.set()
-            case consensus.Restore(snapshot=snapshot, keep_log=keep_log):
+            case protocol.Restore(snapshot=snapshot, keep_log=keep_log):
                 self._storage.save_snapshot(snapshot, keep_log=keep_log)
                 self.state.restore(snapshot.data)
                 self._applied = snapshot.index
                 self._on_restored()
                 logs.event("snapshot_taken_over", index=snapshot.index)
-            case consensus.Send(to=to, message=message):
+            case protocol.Send(to=to, message=message):
                 self._post(to, message)
-            case consensus.SendSnapshot(to=to, term=term, sent=sent):
-                message = consensus.Install(
+            case protocol.SendSnapshot(to=to, term=term, sent=sent):
+                message = protocol.Install(
                     term=term, snapshot=self._storage.snapshot, sent=sent
                 )
                 self._post(to, message)
-            case consensus.Commit(entries=entries):
+            case protocol.Commit(entries=entries):
                 self._apply(entries)
 
-    def _post(self, to: str, message: consensus.Message) -> None:
+    def _post(self, to: str, message: protocol.Message) -> None:
         address = self._address_of(to)
         if not address:
             return
@@ -372,7 +373,7 @@
             self.replica.members_at(index),
         )
         self._storage.save_snapshot(snapshot)
-        self.replica.step(consensus.Compacted(index), time.monotonic())
+        self.replica.step(protocol.Compacted(index), time.monotonic())
         logs.event("snapshot", index=index, bytes=len(snapshot.data))
 
     def _note_role(self) -> None:
--- a/packages/endivestream/src/endivestream/version/watchers.py
+++ b/packages/endivestream/src/endivestream/version/watchers.py
@@ -42,6 +42,7 @@
         # An earlier leader, or this process before a restart, may have given
         # leases that nobody here remembers; they run out by then.
         self._forgotten_until = now + lease_seconds
+        self._complete_from = now + silence_seconds
         self._watchers: dict[str, Watcher] = {}
         self._live: list[messages.HostInfo] = []
         # Versions of this process are above those of any earlier one.
@@ -81,6 +82,15 @@
         """Hosts heard of lately, by name, as of the last `refresh`."""
         return self._live
 
+    def is_complete(self, now: float) -> bool:
+        """Tells whether all live hosts have had time to be heard.
+
+        A new leader has heard of few hosts. Given out, its short table would
+        send all callers and targets to those few, and leave them with no
+        address at all when these go next.
+        """
+        return now >= self._complete_from
+
     def refresh(self, now: float) -> None:
         """Renews the list of live hosts, and its version if it changed.
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -11,11 +11,12 @@
 
 from endivestream.version import consensus
 from endivestream.version import members as members_lib
+from endivestream.version import protocol
 from endivestream.version import storage
 import hypothesis
 from hypothesis import strategies as st
 
-TIMING = consensus.Timing(heartbeat=0.1, election=0.5, lease=0.42)
+TIMING = protocol.Timing(heartbeat=0.1, election=0.5, lease=0.42)
 # Clocks of replicas run up to this much fast or slow.
 DRIFT = 0.05
 
@@ -60,9 +61,9 @@
         """Makes the first `count` pending writes durable."""
         for operation in self.pending[:count]:
             match operation:
-                case consensus.Truncate(index=index):
+                case protocol.Truncate(index=index):
                     self._cut(index)
-                case consensus.Write(entries=entries):
+                case protocol.Write(entries=entries):
                     self.entries += entries
         del self.pending[:count]
 
@@ -135,21 +136,21 @@
         disk = self.disks[name]
         for effect in replica.step(event, self.clock(name)):
             match effect:
-                case consensus.SaveVote(vote=vote):
+                case protocol.SaveVote(vote=vote):
                     disk.vote = vote
-                case consensus.Truncate() | consensus.Write():
+                case protocol.Truncate() | protocol.Write():
                     disk.pending.append(effect)
-                case consensus.Restore(snapshot=snapshot):
+                case protocol.Restore(snapshot=snapshot):
                     disk.restore(effect)
                     self.applied[name] = snapshot.index
-                case consensus.Send(to=to, message=message):
+                case protocol.Send(to=to, message=message):
                     self.bag.append((name, to, message))
-                case consensus.SendSnapshot(to=to, term=term, sent=sent):
-                    message = consensus.Install(
+                case protocol.SendSnapshot(to=to, term=term, sent=sent):
+                    message = protocol.Install(
                         term=term, snapshot=disk.snapshot, sent=sent
                     )
                     self.bag.append((name, to, message))
-                case consensus.Commit(entries=entries):
+                case protocol.Commit(entries=entries):
                     self._apply(name, entries)
         self._check(name, replica)
 
@@ -159,11 +160,11 @@
         writes = [
             operation.number
             for operation in self.disks[name].pending
-            if isinstance(operation, consensus.Write)
+            if isinstance(operation, protocol.Write)
         ]
         self.disks[name].sync(len(self.disks[name].pending))
         if writes:
-            self.step(name, consensus.Synced(writes[-1]))
+            self.step(name, protocol.Synced(writes[-1]))
 
     def _apply(self, name, entries):
         for entry in entries:
@@ -193,12 +194,12 @@
     def deliver(self, position):
         sender, to, message = self.bag.pop(position)
         if (sender, to) not in self.cut:
-            self.step(to, consensus.Received(sender, message))
+            self.step(to, protocol.Received(sender, message))
 
     def tick(self, seconds):
         self.now += seconds
         for name in list(self.replicas):
-            self.step(name, consensus.Tick(self.rng.random()))
+            self.step(name, protocol.Tick(self.rng.random()))
 
     def leader(self):
         for name, replica in self.replicas.items():
@@ -266,13 +267,13 @@
             case "propose":
                 for other in sorted(self.disks):
                     payload = b"c%d" % rng.randrange(10**6)
-                    self.step(other, consensus.Proposed([payload]))
+                    self.step(other, protocol.Proposed([payload]))
             case "compact":
                 self.compact(name)
             case "members":
                 self.change_members(name)
             case "transfer":
-                self.step(name, consensus.Transfer())
+                self.step(name, protocol.Transfer())
             case "round":
                 self.round()
 
@@ -300,8 +301,8 @@
         term = replica.term_at(index)
         members = replica.members_at(index)
         snapshot = storage.SnapshotFile(index, term, b"", members)
-        disk.restore(consensus.Restore(snapshot, True))
-        self.step(name, consensus.Compacted(index))
+        disk.restore(protocol.Restore(snapshot, True))
+        self.step(name, protocol.Compacted(index))
 
     def change_members(self, name):
         leader = self.leader()
@@ -315,7 +316,7 @@
         else:
             changed = members.with_learner(_member(name))
         if len(changed.voters) >= 2:
-            self.step(leader, consensus.ChangeMembers(changed))
+            self.step(leader, protocol.ChangeMembers(changed))
 
     def settle(self, rounds):
         """Lets the network and the disks work for a while."""
@@ -337,7 +338,7 @@
             self.settle(5)
             leader = self.leader()
             if leader:
-                self.step(leader, consensus.Proposed([b"last"]))
+                self.step(leader, protocol.Proposed([b"last"]))
         assert len(self.committed) > before, self.replicas
 
 
@@ -407,14 +408,14 @@
         ):
             before = replica.members
             cluster.step(
-                leader, consensus.ChangeMembers(change(replica.members))
+                leader, protocol.ChangeMembers(change(replica.members))
             )
             self.assertNotEqual(replica.members, before)
             cluster.settle(10)
         cluster.crash(second)
         before = len(cluster.committed)
         cluster.settle(40)
-        cluster.step(cluster.leader(), consensus.Proposed([b"x"]))
+        cluster.step(cluster.leader(), protocol.Proposed([b"x"]))
         cluster.settle(10)
         self.assertGreater(len(cluster.committed), before)
 
@@ -426,7 +427,7 @@
         other = next(n for n in ("r0", "r1", "r2") if n != leader)
         cluster.crash(other)
         for number in range(500):
-            cluster.step(leader, consensus.Proposed([b"%d" % number]))
+            cluster.step(leader, protocol.Proposed([b"%d" % number]))
             if number % 50 == 0:
                 cluster.settle(1)
         cluster.settle(20)
@@ -449,11 +450,11 @@
             members_lib.Members((_member(leader),)),
             members_lib.Members(()),
         ):
-            cluster.step(leader, consensus.ChangeMembers(changed))
+            cluster.step(leader, protocol.ChangeMembers(changed))
             self.assertEqual(replica.members, before)
-        cluster.step(leader, consensus.ChangeMembers(before.without(others[0])))
+        cluster.step(leader, protocol.ChangeMembers(before.without(others[0])))
         once = replica.members
-        cluster.step(leader, consensus.ChangeMembers(once.without(others[1])))
+        cluster.step(leader, protocol.ChangeMembers(once.without(others[1])))
         self.assertEqual(replica.members, once)
 
 
@@ -483,12 +484,12 @@
 def _leader(terms=()):
     """A replica that has just been elected, at time 101; nothing synced."""
     replica = _replica(terms)
-    replica.step(consensus.Tick(0.0), 101.0)
+    replica.step(protocol.Tick(0.0), 101.0)
     term = replica.term + 1
-    reply = consensus.PreVoteReply(term=term, granted=True)
-    replica.step(consensus.Received("b", reply), 101.0)
-    reply = consensus.VoteReply(term=term, granted=True)
-    replica.step(consensus.Received("b", reply), 101.0)
+    reply = protocol.PreVoteReply(term=term, granted=True)
+    replica.step(protocol.Received("b", reply), 101.0)
+    reply = protocol.VoteReply(term=term, granted=True)
+    replica.step(protocol.Received("b", reply), 101.0)
     assert replica.role == consensus.Role.LEADER
     return replica
 
@@ -498,7 +499,7 @@
         storage.Entry(t, prev + n, b"%d-%d" % (t, prev + n))
         for n, t in enumerate(terms, start=1)
     ]
-    return consensus.Append(
+    return protocol.Append(
         term=term,
         prev_index=prev,
         prev_term=prev_term,
@@ -509,7 +510,7 @@
 
 
 def _reply(replica, matched, *, sent=101.0):
-    return consensus.AppendReply(
+    return protocol.AppendReply(
         term=replica.term, matched=matched, rejected=False, sent=sent
     )
 
@@ -518,8 +519,8 @@
     return [
         effect.message.matched
         for effect in effects
-        if isinstance(effect, consensus.Send)
-        and isinstance(effect.message, consensus.AppendReply)
+        if isinstance(effect, protocol.Send)
+        and isinstance(effect.message, protocol.AppendReply)
     ]
 
 
@@ -536,29 +537,27 @@
         with an entry of term 3 can still be elected and overwrite it.
         """
         replica = _leader((1, 2))
-        replica.step(consensus.Synced(1), 101.0)
-        replica.step(consensus.Received("b", _reply(replica, 2)), 101.1)
+        replica.step(protocol.Synced(1), 101.0)
+        replica.step(protocol.Received("b", _reply(replica, 2)), 101.1)
         self.assertEqual(replica.commit, 0)
-        replica.step(consensus.Received("b", _reply(replica, 3)), 101.2)
+        replica.step(protocol.Received("b", _reply(replica, 3)), 101.2)
         self.assertEqual(replica.commit, 3)
 
     def test_follower_acknowledges_only_what_is_synced(self):
         """A crash of the follower would lose an entry that it counted for."""
         replica = _replica()
         effects = replica.step(
-            consensus.Received("b", _append(1, 0, 0, [1, 1])), 100.1
+            protocol.Received("b", _append(1, 0, 0, [1, 1])), 100.1
         )
         self.assertEqual(_matched(effects), [0])
-        self.assertEqual(
-            _matched(replica.step(consensus.Synced(1), 100.2)), [2]
-        )
+        self.assertEqual(_matched(replica.step(protocol.Synced(1), 100.2)), [2])
 
     def test_leader_counts_itself_only_when_synced(self):
         """A crash of the leader would lose an entry that one other has."""
         replica = _leader()
-        replica.step(consensus.Received("b", _reply(replica, 1)), 101.1)
+        replica.step(protocol.Received("b", _reply(replica, 1)), 101.1)
         self.assertEqual(replica.commit, 0)
-        replica.step(consensus.Synced(1), 101.2)
+        replica.step(protocol.Synced(1), 101.2)
         self.assertEqual(replica.commit, 1)
 
     def test_late_sync_of_overwritten_entries_counts_for_nothing(self):
@@ -568,11 +567,9 @@
         the answer of the first sync comes after that.
         """
         replica = _replica()
-        replica.step(consensus.Received("b", _append(1, 0, 0, [1, 1])), 100.1)
-        replica.step(consensus.Received("c", _append(2, 0, 0, [2, 2])), 100.2)
-        self.assertEqual(
-            _matched(replica.step(consensus.Synced(1), 100.3)), [0]
-        )
+        replica.step(protocol.Received("b", _append(1, 0, 0, [1, 1])), 100.1)
+        replica.step(protocol.Received("c", _append(2, 0, 0, [2, 2])), 100.2)
+        self.assertEqual(_matched(replica.step(protocol.Synced(1), 100.3)), [0])
 
     def test_entries_of_an_older_leader_are_not_acknowledged(self):
         """The leader would count entries that it does not have itself.
@@ -582,7 +579,7 @@
         """
         replica = _replica((1, 1, 1))
         effects = replica.step(
-            consensus.Received("b", _append(2, 0, 0, [])), 100.1
+            protocol.Received("b", _append(2, 0, 0, [])), 100.1
         )
         self.assertEqual(_matched(effects), [0])
 
@@ -593,13 +590,13 @@
         asks for its vote. Not even its term is taken over.
         """
         replica = _replica()
-        replica.step(consensus.Received("b", _append(1, 0, 0, [])), 105.0)
-        vote = consensus.RequestVote(
+        replica.step(protocol.Received("b", _append(1, 0, 0, [])), 105.0)
+        vote = protocol.RequestVote(
             term=9, last_index=5, last_term=5, transfer=False
         )
-        replica.step(consensus.Received("c", vote), 105.1)
+        replica.step(protocol.Received("c", vote), 105.1)
         self.assertEqual(replica.term, 1)
-        replica.step(consensus.Received("c", vote), 106.0)
+        replica.step(protocol.Received("c", vote), 106.0)
         self.assertEqual(replica.term, 9)
 
     def test_restarted_replica_keeps_the_promise_it_forgot(self):
@@ -609,18 +606,18 @@
         for its vote.
         """
         replica = _replica(now=100.0)
-        vote = consensus.RequestVote(
+        vote = protocol.RequestVote(
             term=9, last_index=5, last_term=5, transfer=False
         )
-        replica.step(consensus.Received("c", vote), 100.1)
+        replica.step(protocol.Received("c", vote), 100.1)
         self.assertEqual(replica.term, 0)
 
     def test_lease_counts_from_the_sending(self):
         """A slow answer would stretch the lease past a new election."""
         replica = _leader()
-        replica.step(consensus.Synced(1), 101.0)
+        replica.step(protocol.Synced(1), 101.0)
         reply = _reply(replica, 1, sent=101.0)
-        replica.step(consensus.Received("b", reply), 101.3)
+        replica.step(protocol.Received("b", reply), 101.3)
         self.assertAlmostEqual(replica.lease_until, 101.0 + TIMING.lease)
 
     def test_hand_over_ends_the_lease_for_good(self):
@@ -630,36 +627,36 @@
         its way, and the heir's election asks for votes past all promises.
         """
         replica = _leader()
-        replica.step(consensus.Synced(1), 101.0)
-        replica.step(consensus.Received("b", _reply(replica, 1)), 101.0)
+        replica.step(protocol.Synced(1), 101.0)
+        replica.step(protocol.Received("b", _reply(replica, 1)), 101.0)
         self.assertGreater(replica.lease_until, 101.0)
-        replica.step(consensus.Transfer(), 101.0)
+        replica.step(protocol.Transfer(), 101.0)
         self.assertLess(replica.lease_until, 101.0)
         for tenth in range(1, 8):
             now = 101.0 + tenth / 10
             reply = _reply(replica, 1, sent=now)
-            replica.step(consensus.Received("b", reply), now)
-            replica.step(consensus.Tick(0.0), now)
+            replica.step(protocol.Received("b", reply), now)
+            replica.step(protocol.Tick(0.0), now)
             self.assertLess(replica.lease_until, now)
         self.assertEqual(replica.role, consensus.Role.FOLLOWER)
 
     def test_snapshot_keeps_matching_entries_after_it(self):
         """Acknowledged entries after the snapshot would be lost."""
         replica = _replica((1, 1, 1))
-        install = consensus.Install(
+        install = protocol.Install(
             term=1, snapshot=storage.SnapshotFile(2, 1, b""), sent=1.0
         )
-        effects = replica.step(consensus.Received("b", install), 100.1)
-        (restore,) = (e for e in effects if isinstance(e, consensus.Restore))
+        effects = replica.step(protocol.Received("b", install), 100.1)
+        (restore,) = (e for e in effects if isinstance(e, protocol.Restore))
         self.assertTrue(restore.keep_log)
         self.assertEqual(replica.last_index, 3)
 
     def test_snapshot_drops_entries_of_another_history(self):
         replica = _replica((1, 1, 1))
-        install = consensus.Install(
+        install = protocol.Install(
             term=2, snapshot=storage.SnapshotFile(2, 2, b""), sent=1.0
         )
-        effects = replica.step(consensus.Received("b", install), 100.1)
-        (restore,) = (e for e in effects if isinstance(e, consensus.Restore))
+        effects = replica.step(protocol.Received("b", install), 100.1)
+        (restore,) = (e for e in effects if isinstance(e, protocol.Restore))
         self.assertFalse(restore.keep_log)
         self.assertEqual(replica.last_index, 2)
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -4,12 +4,12 @@
 import unittest
 
 from endivestream.version import calls
-from endivestream.version import consensus
 from endivestream.version import members as members_lib
+from endivestream.version import protocol
 from endivestream.version import replicate
 from endivestream.version import storage as storage_lib
 
-TIMING = consensus.Timing(heartbeat=0.01, election=0.05, lease=0.04)
+TIMING = protocol.Timing(heartbeat=0.01, election=0.05, lease=0.04)
 
 
 def _begin(number):
--- a/tests/test_soft_state.py
+++ b/tests/test_soft_state.py
@@ -82,6 +82,18 @@
         self.assertFalse(older)
         self.assertEqual(self.watchers.lagging(6, 9.2), ["a"])
 
+    def test_new_leaders_short_table_is_not_given_out(self):
+        """Callers keep many addresses when the leader changes.
+
+        The new leader has heard of one host of eight; the others renew within
+        the next moment.
+        """
+        self.watchers.renew(_host("a"), b"a", 1, 0.1)
+        self.watchers.refresh(0.1)
+        self.assertEqual(len(self.watchers.live), 1)
+        self.assertFalse(self.watchers.is_complete(1.9))
+        self.assertTrue(self.watchers.is_complete(2.0))
+
 
 class AddressesTest(unittest.TestCase):
     @hypothesis.given(
@@ -117,6 +129,19 @@
         self.assertTrue(10 < moved < 45, moved)
 
 
+class HomesTest(unittest.TestCase):
+    def test_homes_are_spread_and_only_a_lost_ones_targets_move(self):
+        hosts = [_host(f"h{n}") for n in range(8)]
+        count = dict.fromkeys((host.name for host in hosts), 0)
+        for number in range(400):
+            target = f"engine-{number}"
+            first, second, *_ = addresses.homes(hosts, target=target)
+            count[first.name] += 1
+            left = [host for host in hosts if host != first]
+            self.assertEqual(addresses.homes(left, target=target)[0], second)
+        self.assertTrue(all(25 < n < 80 for n in count.values()), count)
+
+
 class SplitterTest(unittest.TestCase):
     @hypothesis.given(
         st.lists(st.binary(max_size=8).filter(lambda b: b.isalnum())),
