--- a/packages/endivestream/src/endivestream/process/callers.py
+++ b/packages/endivestream/src/endivestream/process/callers.py
@@ -1,276 +1,35 @@
-"""HTTP routes for callers: the inference interface and plain services.
-
-Each request runs in a task of its own beside the handler, so that it can be
-ended from outside: by a withdrawn key, or because the caller has left.
-"""
+"""HTTP routes for callers: the inference interface and plain services."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import time
 from typing import Any
-from typing import NamedTuple
 
 import msgspec
 from tornado import iostream
 from tornado import web
 
 from endivestream import findings
-from endivestream import logs
-from endivestream import messages
 from endivestream.connection import addresses
-from endivestream.connection import exchange as exchange_lib
-from endivestream.process import gateway as gateway_lib
+from endivestream.process import handlers
+from endivestream.request import attempts as attempts_lib
 from endivestream.request import generation as generation_lib
 from endivestream.request import relay as relay_lib
-from endivestream.request import retries
 from endivestream.request import service_calls
 from endivestream.request import sse
 from endivestream.version import configuration as configuration_lib
 
-# Headers that belong to one connection, or that would show a target the
-# caller's key.
-_NOT_PASSED_ON = frozenset(
-    [
-        "accept-encoding",
-        "authorization",
-        "connection",
-        "content-length",
-        "cookie",
-        "expect",
-        "host",
-        "idempotency-key",
-        "keep-alive",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-api-key",
-    ]
-)
 # Query parameters under which clients are known to send keys.
 _KEY_PARAMETERS = ("api_key", "api-key", "key", "access_token")
 
 
-class Parts(NamedTuple):
-    """What all handlers share.
-
-    Attributes:
-        gateway: The process's gateway.
-        pool: Connections to targets.
-        budget: The retry budget.
-        rng: Source of jitter.
-    """
-
-    gateway: gateway_lib.Gateway
-    pool: exchange_lib.Pool
-    budget: retries.Budget
-    rng: random.Random
-
-
-class _Handler(web.RequestHandler):
-    """What all routes for callers have in common."""
-
-    def initialize(self, parts: Parts) -> None:
-        self.parts = parts
-        self.gateway = parts.gateway
-
-    def set_default_headers(self) -> None:
-        self.set_header("Server", "endivestream")
-
-    def prepare(self) -> None:
-        if self.gateway.draining:
-            # A caller that keeps this connection would be cut by the stop.
-            self.set_header("Connection", "close")
-
-    def send_failure(self, failure: findings.Failure) -> None:
-        """Answers with a failure, or ends a begun stream with it."""
-        if not self._headers_written:
-            self.set_status(failure.status)
-            if failure.retry_after is not None and failure.retry_after >= 0:
-                seconds = max(1, round(failure.retry_after + 0.5))
-                self.set_header("Retry-After", str(seconds))
-            self.set_header("Content-Type", "application/json")
-            self.finish(msgspec.json.encode(failure.as_json()))
-            return
-        # A typed end, and no final marker: it cannot be taken for whole.
-        self.write(sse.encode(msgspec.json.encode(failure.as_json())))
-        self.finish()
-
-    def write_error(self, status_code: int, **kwargs: Any) -> None:
-        outcome = findings.Outcome.UNKNOWN
-        if status_code in (404, 405):
-            outcome = findings.Outcome.NOT_RUN
-        failure = findings.Failure(
-            outcome=outcome,
-            reason="not_found" if status_code == 404 else "internal_error",
-            detail=self._reason,
-            status=status_code,
-        )
-        self.send_failure(failure)
-
-
-class _KeyHandler(_Handler):
-    """A route that needs a key."""
-
-    _work: asyncio.Task[findings.Failure | None] | None = None
-    _running: gateway_lib.Running | None = None
-
-    def check_key(self) -> configuration_lib.KeyRecord | findings.Failure:
-        """Returns the caller's key, if this host may act on it."""
-        failure = self.gateway.lost_lease()
-        if failure is not None:
-            return failure
-        header = self.request.headers.get("Authorization", "")
-        scheme, _, presented = header.partition(" ")
-        presented = presented.strip()
-        if scheme.lower() != "bearer" or not presented:
-            return findings.not_run(
-                "key_missing",
-                "send your key as 'Authorization: Bearer KEY'",
-                status=401,
-            )
-        key = self.gateway.view.key(presented)
-        if key is None:
-            return findings.not_run(
-                "key_unknown", "this key is not valid", status=401
-            )
-        if self._leaks(presented):
-            return findings.not_run(
-                "key_in_request",
-                "the key stands in the address or body, where a target would "
-                "see it; send it in the Authorization header only",
-                status=400,
-            )
-        return key
-
-    def _leaks(self, presented: str) -> bool:
-        request = self.request
-        if presented in request.uri or presented.encode() in request.body:
-            return True
-        return any(
-            presented in value
-            for name, value in request.headers.get_all()
-            if name.lower() not in _NOT_PASSED_ON
-        )
-
-    async def serve(self, kind: str) -> None:
-        """Runs `work` under the caller's key, and answers what it gives."""
-        begun = time.monotonic()
-        request = self.gateway.new_id()
-        self.set_header("Endivestream-Request", request)
-        key = self.check_key()
-        if isinstance(key, findings.Failure):
-            self._log_end(kind, request, None, key, begun)
-            self.send_failure(key)
-            return
-        self._work = asyncio.create_task(self.work(request, key))
-        running = gateway_lib.Running(key=key, request=request, task=self._work)
-        self._running = running
-        with self.gateway.track(running):
-            try:
-                failure = await self._work
-            except asyncio.CancelledError:
-                if running.ended is None:
-                    raise
-                failure = self._ended(running.ended)
-            except iostream.StreamClosedError:
-                failure = _caller_left()
-        self._log_end(kind, request, key, failure, begun)
-        if failure is not None and not self.request.connection.stream.closed():
-            self.send_failure(failure)
-
-    def _ended(self, failure: findings.Failure) -> findings.Failure:
-        if self.sent:
-            return failure
-        return findings.not_run(
-            failure.reason, failure.detail, status=failure.status
-        )
-
-    @property
-    def sent(self) -> bool:
-        """Whether any byte of the request may have reached a target."""
-        return False
-
-    async def work(
-        self, request: str, key: configuration_lib.KeyRecord
-    ) -> findings.Failure | None:
-        """Does the request; returns a failure to send, or None."""
-        raise NotImplementedError
-
-    def on_connection_close(self) -> None:
-        if self._running is not None:
-            self._running.end(_caller_left())
-
-    def patience(self) -> float:
-        """Seconds the caller is ready to wait for its turn."""
-        most = self.gateway.settings.requests.queue_seconds
-        text = self.request.headers.get("Endivestream-Patience", "")
-        try:
-            return min(most, max(0.0, float(text)))
-        except ValueError:
-            return most
-
-    async def charge(
-        self, request: str, team: str, tokens: int, patience: float
-    ) -> findings.Failure | None:
-        """Takes the team's credit; returns why not."""
-        answer = await self.gateway.charge(
-            messages.Charge(
-                team=team, request=request, tokens=tokens, patience=patience
-            )
-        )
-        if isinstance(answer, messages.Charged):
-            return None
-        statuses = {"over_rate": 429, "above_burst": 400}
-        return findings.not_run(
-            answer.reason,
-            answer.detail,
-            status=statuses.get(answer.reason, 503),
-            retry_after=answer.retry_after if answer.retry_after >= 0 else None,
-        )
-
-    def _log_end(
-        self,
-        kind: str,
-        request: str,
-        key: configuration_lib.KeyRecord | None,
-        failure: findings.Failure | None,
-        begun: float,
-    ) -> None:
-        outcome = str(failure.outcome) if failure else "ok"
-        reason = failure.reason if failure else ""
-        self.gateway.metrics.requests.labels(kind, outcome, reason).inc()
-        logs.event(
-            "request",
-            kind=kind,
-            request=request,
-            team=key.team if key else "",
-            key=key.label if key else "",
-            outcome=outcome,
-            reason=reason,
-            ms=(time.monotonic() - begun) * 1000,
-        )
-
-
-def _caller_left() -> findings.Failure:
-    return findings.Failure(
-        outcome=findings.Outcome.FAILED,
-        reason="caller_left",
-        detail="the caller closed the connection",
-        status=499,
-    )
-
-
-class _GenerationHandler(_KeyHandler):
+class _GenerationHandler(handlers.KeyHandler):
     """`/v1/chat/completions` and `/v1/completions`."""
 
     _relay: relay_lib.Relay | None = None
 
-    def initialize(self, parts: Parts, chat: bool) -> None:
+    def initialize(self, parts: handlers.Parts, chat: bool) -> None:
         super().initialize(parts)
         self._chat = chat
 
@@ -294,35 +53,33 @@
         )
         if isinstance(generation, findings.Failure):
             return generation
-        deadline = time.monotonic() + self.patience()
-        used = 0
-        try:
-            failure = await self.charge(
-                request, key.team, generation.cost, self.patience()
-            )
-            if failure is not None:
-                return failure
-            relay = relay_lib.Relay(
-                gateway=self.gateway,
-                pool=self.parts.pool,
-                budget=self.parts.budget,
-                rng=self.parts.rng,
-                request=request,
-                team=key.team,
-                generation=generation,
-                deadline=deadline,
-                emit=self._emit if generation.stream else _drop,
-            )
-            self._relay = relay
-            try:
-                result = await relay.run()
-            finally:
-                if relay.sent:
-                    used = generation.prompt_tokens + relay.tokens
-        finally:
-            self.gateway.end(
-                messages.Ending(request=request, team=key.team, used=used)
-            )
+        work = attempts_lib.Work(
+            request,
+            key.team,
+            generation.needs,
+            generation.cost,
+            generation.blocks,
+            time.monotonic() + self.patience(),
+        )
+        relay = relay_lib.Relay(
+            gateway=self.gateway,
+            pool=self.parts.pool,
+            attempts=self.attempts(work),
+            request=request,
+            team=key.team,
+            generation=generation,
+            emit=self._emit if generation.stream else _drop,
+        )
+        self._relay = relay
+        result = await self.pay(
+            request,
+            key.team,
+            generation.cost,
+            relay.run,
+            lambda: (
+                generation.prompt_tokens + relay.tokens if relay.sent else 0
+            ),
+        )
         if isinstance(result, findings.Failure):
             return result
         await self._answer(request, generation, result)
@@ -395,7 +152,7 @@
     }
 
 
-class _ServiceHandler(_KeyHandler):
+class _ServiceHandler(handlers.KeyHandler):
     """`/v1/services/NAME/...`."""
 
     _call: service_calls.ServiceCall | None = None
@@ -432,34 +189,31 @@
                     "key in the Authorization header only",
                     status=400,
                 )
-        deadline = time.monotonic() + self.patience()
-        used = 0
-        try:
-            failure = await self.charge(
-                request, key.team, service.cost, self.patience()
-            )
-            if failure is not None:
-                return failure
-            call = service_calls.ServiceCall(
-                gateway=self.gateway,
-                pool=self.parts.pool,
-                budget=self.parts.budget,
-                rng=self.parts.rng,
-                request=request,
-                team=key.team,
-                service=service,
-                call=self._read_call(),
-                deadline=deadline,
-            )
-            self._call = call
-            try:
-                result = await call.run()
-            finally:
-                used = service.cost if call.sent else 0
-        finally:
-            self.gateway.end(
-                messages.Ending(request=request, team=key.team, used=used)
-            )
+        work = attempts_lib.Work(
+            request,
+            key.team,
+            f"service:{service.name}",
+            service.cost,
+            (),
+            time.monotonic() + self.patience(),
+        )
+        call = service_calls.ServiceCall(
+            gateway=self.gateway,
+            pool=self.parts.pool,
+            attempts=self.attempts(work),
+            request=request,
+            team=key.team,
+            service=service,
+            call=self._read_call(),
+        )
+        self._call = call
+        result = await self.pay(
+            request,
+            key.team,
+            service.cost,
+            call.run,
+            lambda: service.cost if call.sent else 0,
+        )
         if isinstance(result, findings.Failure):
             return result
         await self._answer(result)
@@ -469,7 +223,7 @@
         headers = {
             name: value
             for name, value in self.request.headers.get_all()
-            if name.lower() not in _NOT_PASSED_ON
+            if name.lower() not in handlers.NOT_PASSED_ON
         }
         return service_calls.Call(
             self.request.method or "GET",
@@ -494,7 +248,7 @@
         await self.finish()
 
 
-class _ModelsHandler(_KeyHandler):
+class _ModelsHandler(handlers.KeyHandler):
     """`/v1/models`: what the caller's team may use."""
 
     async def get(self) -> None:
@@ -516,7 +270,7 @@
         self.write({"object": "list", "data": rows})
 
 
-class _AddressesHandler(_Handler):
+class _AddressesHandler(handlers.Handler):
     """`/v1/addresses`: which hosts a caller should use."""
 
     def get(self) -> None:
@@ -535,10 +289,10 @@
         self.write({"addresses": rows, "lifetime_seconds": lifetime})
 
 
-class _HealthHandler(_Handler):
+class _HealthHandler(handlers.Handler):
     """`/healthz` and `/readyz`."""
 
-    def initialize(self, parts: Parts, ready: bool) -> None:
+    def initialize(self, parts: handlers.Parts, ready: bool) -> None:
         super().initialize(parts)
         self._ready = ready
 
@@ -557,7 +311,7 @@
         )
 
 
-class _MetricsHandler(_Handler):
+class _MetricsHandler(handlers.Handler):
     """`/metrics`."""
 
     def get(self) -> None:
@@ -565,7 +319,7 @@
         self.write(self.gateway.metrics.exposition())
 
 
-def application(parts: Parts) -> web.Application:
+def application(parts: handlers.Parts) -> web.Application:
     """Returns the routes for callers."""
     shared = {"parts": parts}
     return web.Application(
@@ -589,7 +343,7 @@
     )
 
 
-class _NotFoundHandler(_Handler):
+class _NotFoundHandler(handlers.Handler):
     """Everything else."""
 
     def prepare(self) -> None:
--- a/packages/endivestream/src/endivestream/process/daemon.py
+++ b/packages/endivestream/src/endivestream/process/daemon.py
@@ -36,6 +36,7 @@
 from endivestream.process import callers
 from endivestream.process import control as control_lib
 from endivestream.process import gateway as gateway_lib
+from endivestream.process import handlers
 from endivestream.process import home as home_lib
 from endivestream.process import inner
 from endivestream.process import metrics as metrics_lib
@@ -145,7 +146,7 @@
         self._gateway.start()
         self._home = home_lib.Home(gateway=self._gateway)
         self._home.start()
-        parts = callers.Parts(
+        parts = handlers.Parts(
             self._gateway,
             self._pool,
             retries.Budget(share=settings.requests.retry_share),
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -8,11 +8,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import random
 import time
 from typing import Any
 from typing import NamedTuple
@@ -20,12 +18,11 @@
 import msgspec
 
 from endivestream import findings
-from endivestream import logs
 from endivestream import messages
 from endivestream.connection import exchange as exchange_lib
 from endivestream.process import gateway as gateway_lib
+from endivestream.request import attempts as attempts_lib
 from endivestream.request import generation as generation_lib
-from endivestream.request import retries
 from endivestream.request import sse
 
 # A target answers these before it has taken the request up.
@@ -96,23 +93,19 @@
         *,
         gateway: gateway_lib.Gateway,
         pool: exchange_lib.Pool,
-        budget: retries.Budget,
-        rng: random.Random,
+        attempts: attempts_lib.Attempts,
         request: str,
         team: str,
         generation: generation_lib.Generation,
-        deadline: float,
         emit: Callable[[bytes], Awaitable[None]],
     ) -> None:
         self._gateway = gateway
         self._requests = gateway.settings.requests
         self._pool = pool
-        self._budget = budget
-        self._rng = rng
+        self._attempts = attempts
         self._request = request
         self._team = team
         self._generation = generation
-        self._deadline = deadline
         self._emit = emit
         self._begun = time.monotonic()
         self._last = self._begun
@@ -133,99 +126,52 @@
 
     async def run(self) -> Finished | findings.Failure:
         """Generates, on as many targets as it takes and the budget allows."""
-        self._budget.request()
-        avoid: list[str] = []
-        attempt = 0
-        why = ""
         while True:
-            attempt += 1
-            name = f"{self._request}.{attempt}"
-            ticket = await self._ticket(name, avoid)
-            if isinstance(ticket, messages.Refused):
-                return self._refused(ticket, why)
-            used = self._tokens
-            # A host that was frozen or waited long must not begin work on
-            # what was in force then. Work that has begun may end.
-            failure = None if self._sent else self._gateway.lost_lease()
-            result: Finished | _Broken | _Rejected | None = None
-            try:
-                if failure is not None:
-                    return failure
-                result = await self._attempt(name, ticket)
-            finally:
-                self._gateway.end(
-                    messages.Ending(
-                        request=name,
-                        team="",
-                        used=self._tokens - used,
-                        failed=isinstance(result, _Broken),
-                        answered=isinstance(result, Finished | _Rejected),
+            place = await self._attempts.place(begun=self._sent)
+            if isinstance(place, findings.Failure):
+                return self._without_place(place)
+            result = await self._run_on(place)
+            match result:
+                case Finished():
+                    return result
+                case _Rejected(status=status, detail=detail):
+                    return findings.Failure(
+                        outcome=findings.Outcome.FAILED,
+                        reason="target_rejected",
+                        detail=detail,
+                        status=status,
                     )
-                )
-            if isinstance(result, Finished):
-                return result
-            if isinstance(result, _Rejected):
-                return findings.Failure(
-                    outcome=findings.Outcome.FAILED,
-                    reason="target_rejected",
-                    detail=result.detail,
-                    status=result.status,
-                )
-            why = result.why
-            logs.warn(
-                "attempt_broken",
-                request=self._request,
-                attempt=attempt,
-                target=ticket.target,
-                tokens=self._tokens,
-                sent=result.sent,
-                why=why,
-            )
-            avoid.append(ticket.target)
-            if attempt >= self._requests.attempts or not self._budget.retry():
-                return self._failure(
-                    "target_failed", f"the target broke: {why}"
-                )
-            if self._tokens:
-                self._gateway.metrics.resumed.inc()
-            await asyncio.sleep(retries.backoff(attempt, rng=self._rng))
-
-    async def _ticket(
-        self, name: str, avoid: list[str]
-    ) -> messages.Ticket | messages.Refused:
-        patience = self._deadline - time.monotonic()
-        generation = self._generation
+                case _Broken(why=why, sent=sent):
+                    if not await self._attempts.may_go_on(why, sent=sent):
+                        return self._failure(
+                            "target_failed", f"the target broke: {why}"
+                        )
+                    if self._tokens:
+                        self._gateway.metrics.resumed.inc()
+
+    async def _run_on(
+        self, place: messages.Ticket
+    ) -> Finished | _Broken | _Rejected:
+        """Runs one attempt, and gives its place back whatever happens."""
+        before = self._tokens
+        result: Finished | _Broken | _Rejected | None = None
         try:
-            return await self._gateway.ticket(
-                messages.AskTicket(
-                    request=name,
-                    team=self._team,
-                    needs=generation.needs,
-                    tokens=generation.cost,
-                    patience=max(0.05, patience),
-                    avoid=avoid,
-                    host=self._gateway.settings.host.name,
-                    blocks=generation.blocks,
-                )
-            )
-        except asyncio.CancelledError:
-            # The ticket may be granted after this; it must come back.
-            ending = messages.Ending(request=name, team="", used=0)
-            self._gateway.end(ending)
-            raise
-
-    def _refused(self, refused: messages.Refused, why: str) -> findings.Failure:
-        if why:
-            return self._failure(
-                "target_failed",
-                f"the target broke ({why}) and there is no other: "
-                f"{refused.detail}",
+            result = await self._attempt(self._attempts.name, place)
+            return result
+        finally:
+            self._attempts.give_back(
+                used=self._tokens - before,
+                failed=isinstance(result, _Broken),
+                answered=isinstance(result, Finished | _Rejected),
             )
-        return findings.not_run(
-            refused.reason,
-            refused.detail,
-            status=503,
-            retry_after=refused.retry_after,
+
+    def _without_place(self, failure: findings.Failure) -> findings.Failure:
+        if not self._attempts.why:
+            return failure
+        return self._failure(
+            "target_failed",
+            f"the target broke ({self._attempts.why}) and there is no other: "
+            f"{failure.detail}",
         )
 
     def _failure(self, reason: str, detail: str) -> findings.Failure:
--- a/packages/endivestream/src/endivestream/request/service_calls.py
+++ b/packages/endivestream/src/endivestream/request/service_calls.py
@@ -10,17 +10,15 @@
 import asyncio
 from collections.abc import Mapping
 import hashlib
-import random
 import time
 from typing import NamedTuple
 
 from endivestream import findings
-from endivestream import logs
 from endivestream import messages
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import links
 from endivestream.process import gateway as gateway_lib
-from endivestream.request import retries
+from endivestream.request import attempts as attempts_lib
 from endivestream.version import calls as calls_lib
 from endivestream.version import rules as rules_lib
 
@@ -74,24 +72,20 @@
         *,
         gateway: gateway_lib.Gateway,
         pool: exchange_lib.Pool,
-        budget: retries.Budget,
-        rng: random.Random,
+        attempts: attempts_lib.Attempts,
         request: str,
         team: str,
         service: rules_lib.Service,
         call: Call,
-        deadline: float,
     ) -> None:
         self._gateway = gateway
         self._requests = gateway.settings.requests
         self._pool = pool
-        self._budget = budget
-        self._rng = rng
+        self._attempts = attempts
         self._request = request
         self._team = team
         self._service = service
         self._call = call
-        self._deadline = deadline
         self._sent = False
         self._holder = f"{gateway.holder}/{request}"
 
@@ -197,75 +191,34 @@
         )
 
     async def _send(self, *, repeatable: bool) -> Answer | findings.Failure:
-        self._budget.request()
-        avoid: list[str] = []
-        attempt = 0
-        why = ""
         while True:
-            attempt += 1
-            name = f"{self._request}.{attempt}"
-            result = None
-            try:
-                ticket = await self._ticket(name, avoid)
-                if isinstance(ticket, messages.Refused):
-                    return self._refused(ticket, why)
-                failure = None if self._sent else self._gateway.lost_lease()
-                if failure is not None:
-                    return failure
-                result = await self._exchange(name, ticket)
-            finally:
-                self._gateway.end(
-                    messages.Ending(
-                        request=name,
-                        team="",
-                        used=0,
-                        failed=isinstance(result, exchange_lib.ExchangeError),
-                        answered=isinstance(result, Answer),
-                    )
-                )
+            place = await self._attempts.place(begun=self._sent)
+            if isinstance(place, findings.Failure):
+                return self._broken(self._attempts.why) if self._sent else place
+            result = await self._run_on(place)
             if isinstance(result, Answer):
                 return result
-            why = str(result)
-            logs.warn(
-                "attempt_broken",
-                request=self._request,
-                attempt=attempt,
-                target=ticket.target,
-                sent=result.sent,
-                why=why,
-            )
-            avoid.append(ticket.target)
-            may_repeat = repeatable or not self._sent
-            tired = attempt >= self._requests.attempts
-            if not may_repeat or tired or not self._budget.retry():
-                return self._broken(why)
-            await asyncio.sleep(retries.backoff(attempt, rng=self._rng))
+            if self._sent and not repeatable:
+                return self._broken(str(result))
+            if not await self._attempts.may_go_on(
+                str(result), sent=result.sent
+            ):
+                return self._broken(str(result))
 
-    async def _ticket(
-        self, name: str, avoid: list[str]
-    ) -> messages.Ticket | messages.Refused:
-        patience = self._deadline - time.monotonic()
-        return await self._gateway.ticket(
-            messages.AskTicket(
-                request=name,
-                team=self._team,
-                needs=f"service:{self._service.name}",
-                tokens=self._service.cost,
-                patience=max(0.05, patience),
-                avoid=avoid,
-                host=self._gateway.settings.host.name,
+    async def _run_on(
+        self, place: messages.Ticket
+    ) -> Answer | exchange_lib.ExchangeError:
+        """Runs one attempt, and gives its place back whatever happens."""
+        result: Answer | exchange_lib.ExchangeError | None = None
+        try:
+            result = await self._exchange(self._attempts.name, place)
+            return result
+        finally:
+            self._attempts.give_back(
+                used=0,
+                failed=isinstance(result, exchange_lib.ExchangeError),
+                answered=isinstance(result, Answer),
             )
-        )
-
-    def _refused(self, refused: messages.Refused, why: str) -> findings.Failure:
-        if self._sent:
-            return self._broken(why)
-        return findings.not_run(
-            refused.reason,
-            refused.detail,
-            status=503,
-            retry_after=refused.retry_after,
-        )
 
     def _broken(self, why: str) -> findings.Failure:
         if not self._sent:
