Nobody inside its rate is refused when the leader is killed

A team over its rate kept a ten-second credit queue full, so that everything served to it came 8 s late.

Change: in a new leader a request waits for targets to be told, 1.5 report times at most, and for credit 2 s; otherwise credit is waited for 1 s. The caller's own patience goes before both.

--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -145,12 +145,15 @@
         request: Unique per attempt.
         tokens: Prompt plus largest generated count.
         patience: Seconds for which the credit is of use.
+        firm: The caller said so itself; a leader that has just taken over
+            does not wait longer.
     """
 
     team: str
     request: str
     tokens: int
     patience: float
+    firm: bool = False
 
 
 class Charged(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -27,7 +27,9 @@
         targets: The target table.
     """
 
-    def __init__(self, *, silence_seconds: float) -> None:
+    def __init__(
+        self, *, silence_seconds: float, settle_seconds: float
+    ) -> None:
         self.targets = targets_lib.Targets(silence_seconds=silence_seconds)
         self._scheduler = scheduler_lib.Scheduler()
         self._teams: dict[str, rules_lib.Team] = {}
@@ -36,6 +38,8 @@
         ] = {}
         self._by_host: dict[str, set[str]] = {}
         self._host_of: dict[str, str] = {}
+        self._settled_at = time.monotonic() + settle_seconds
+        self._arrived = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -80,6 +84,7 @@
                 self._scheduler.put_target(_as_target(session))
                 if not known:
                     logs.event("target_in", target=name)
+                    self._arrived.set()
             elif known:
                 self._scheduler.drop_target(name)
                 logs.warn("target_out", target=name)
@@ -136,6 +141,7 @@
         self, message: messages.AskTicket
     ) -> messages.Ticket | messages.Refused:
         """Answers with a place, after a wait if one comes in time."""
+        await self._await_target(message)
         now = time.monotonic()
         team = self._teams.get(message.team)
         ask = scheduler_lib.Ask(
@@ -161,6 +167,23 @@
             grant = answer
         return self._ticket(message, grant)
 
+    async def _await_target(self, message: messages.AskTicket) -> None:
+        """Waits, in a new leader, for what homes are about to tell.
+
+        Refusing at once would turn away callers for targets that live; the
+        homes tell of them within a tenth of a second.
+        """
+        until = min(self._settled_at, time.monotonic() + message.patience)
+        avoid = frozenset(message.avoid)
+        while not self._scheduler.serves(message.needs, avoid):
+            left = until - time.monotonic()
+            if left <= 0:
+                return
+            self._arrived.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self._arrived.wait()
+
     async def _wait(
         self, message: messages.AskTicket
     ) -> scheduler_lib.Grant | None:
--- a/packages/endivestream/src/endivestream/process/handlers.py
+++ b/packages/endivestream/src/endivestream/process/handlers.py
@@ -211,13 +211,18 @@
             self._running.end(_caller_left())
 
     def patience(self) -> float:
-        """Seconds the caller is ready to wait for its turn."""
+        """Seconds the caller is ready to wait for a place."""
+        said = self._said_patience()
         most = self.gateway.settings.requests.queue_seconds
+        return most if said is None else min(most, said)
+
+    def _said_patience(self) -> float | None:
+        """Seconds the caller says it is ready to wait, if it does."""
         text = self.request.headers.get("Endivestream-Patience", "")
         try:
-            return min(most, max(0.0, float(text)))
+            return max(0.0, float(text))
         except ValueError:
-            return most
+            return None
 
     async def pay(
         self,
@@ -238,7 +243,7 @@
         """
         cost = 0
         try:
-            failure = await self._charge(request, team, tokens, self.patience())
+            failure = await self._charge(request, team, tokens)
             if failure is not None:
                 return failure
             try:
@@ -260,12 +265,23 @@
         )
 
     async def _charge(
-        self, request: str, team: str, tokens: int, patience: float
+        self, request: str, team: str, tokens: int
     ) -> findings.Failure | None:
-        """Takes the team's credit; returns why not."""
+        """Takes the team's credit; returns why not.
+
+        A team without credit is over its rate. Its requests could wait as
+        long as for a place, but then each would wait so long: the queue is
+        always as long as it may be, and no first token comes in time.
+        """
+        firm = self._said_patience() is not None
+        usual = self.gateway.settings.requests.credit_seconds
         answer = await self.gateway.charge(
             messages.Charge(
-                team=team, request=request, tokens=tokens, patience=patience
+                team=team,
+                request=request,
+                tokens=tokens,
+                patience=self.patience() if firm else usual,
+                firm=firm,
             )
         )
         if isinstance(answer, messages.Charged):
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -59,7 +59,8 @@
         self._credit_heard = credit_heard
         self.limiter = limiter_lib.Limiter(set_aside=self._set_aside)
         self.dispatcher = dispatcher_lib.Dispatcher(
-            silence_seconds=timing.target_silence_seconds
+            silence_seconds=timing.target_silence_seconds,
+            settle_seconds=1.5 * timing.report_seconds,
         )
         self.placer = placer_lib.Placer(
             replicator=replicator,
--- a/packages/endivestream/src/endivestream/process/limiter.py
+++ b/packages/endivestream/src/endivestream/process/limiter.py
@@ -14,6 +14,9 @@
 from endivestream.version import replicate
 from endivestream.version import rules as rules_lib
 
+# A leader is new for so long; a portion is a second's worth of the rate.
+_YOUNG_SECONDS = 2.0
+
 
 def _now() -> int:
     return time.monotonic_ns() // 1000
@@ -28,6 +31,7 @@
         set_aside: Callable[[dict[str, credit_lib.Level]], Awaitable[bool]],
     ) -> None:
         self._set_aside = set_aside
+        self._young_until = _now() + int(_YOUNG_SECONDS * 1e6)
         self._buckets: dict[str, buckets.Bucket] = {}
         self._teams: dict[str, rules_lib.Team] = {}
         self._waiting: dict[str, asyncio.Future[None]] = {}
@@ -96,8 +100,13 @@
                 retry_after=-1,
             )
         begun = _now()
+        patience = message.patience
+        if not message.firm:
+            # The last leader's portions are gone. Teams inside their rate
+            # wait for that; they are not refused for it.
+            patience = max(patience, (self._young_until - begun) / 1e6)
         charge = buckets.Charge(message.request, message.tokens)
-        deadline = begun + int(message.patience * 1e6)
+        deadline = begun + int(patience * 1e6)
         match bucket.charge(charge, now=begun, deadline=deadline):
             case buckets.Admitted():
                 self._look_at_portion(message.team)
@@ -117,16 +126,20 @@
                     retry_after=seconds,
                 )
             case buckets.Wait():
-                return await self._wait(bucket, message, begun)
+                return await self._wait(bucket, message, begun, patience)
 
     async def _wait(
-        self, bucket: buckets.Bucket, message: messages.Charge, begun: int
+        self,
+        bucket: buckets.Bucket,
+        message: messages.Charge,
+        begun: int,
+        patience: float,
     ) -> messages.Charged | messages.Refused:
         future = asyncio.get_running_loop().create_future()
         self._waiting[message.request] = future
         self._wake(message.team)
         try:
-            async with asyncio.timeout(message.patience):
+            async with asyncio.timeout(patience):
                 await future
         except TimeoutError:
             # A rate that was lowered while this waited moved its refill.
--- a/packages/endivestream/src/endivestream/process/settings.py
+++ b/packages/endivestream/src/endivestream/process/settings.py
@@ -147,7 +147,10 @@
     """Limits of one request."""
 
     queue_seconds: float = _setting(
-        10.0, "s", "longest wait for credit and a place, unless the caller says"
+        10.0, "s", "longest wait for a place, unless the caller says"
+    )
+    credit_seconds: float = _setting(
+        1.0, "s", "longest wait for the team's credit, unless the caller says"
     )
     connect_seconds: float = _setting(1.0, "s", "to reach a target")
     first_byte_seconds: float = _setting(
