Calls of a host that never comes back end as unknown

Cause: only a newer incarnation of a host ended its running calls. A host that is gone for good left its orders 'running', and resends were told to come back for ever.

Change: a host not heard of for two leases leaves its calls unknown; a late answer still replaces that.

--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -137,19 +137,33 @@
             self.watchers.refresh(now)
             for host in self.watchers.forget(now):
                 # Its process may hang and come back; its places are free for
-                # others now, its calls stay "running" until a new incarnation
-                # of it shows that the old one is dead.
+                # others now.
                 freed = self.dispatcher.release_host(host.name)
                 logs.warn("host_gone", peer=host.name, places_freed=freed)
-            if now > expire_at and len(self._replicator.state.calls):
-                expire_at = now + _EXPIRE_SECONDS
-                with contextlib.suppress(
-                    replicate.NotLeaderError, replicate.LostError
-                ):
+            with contextlib.suppress(
+                replicate.NotLeaderError, replicate.LostError, OSError
+            ):
+                await self._abandon_calls_of_gone(now)
+                if now > expire_at and len(self._replicator.state.calls):
+                    expire_at = now + _EXPIRE_SECONDS
                     await self._replicator.propose(
                         calls_lib.ExpireCalls(now=time.time())
                     )
 
+    async def _abandon_calls_of_gone(self, now: float) -> None:
+        """Has calls of hosts that went for good end as unknown.
+
+        The host may be cut off and its call may still run: "unknown" is true
+        either way, and its answer, should it come, still replaces it.
+        """
+        running = list(self._replicator.state.calls.running_hosts)
+        for name, incarnation in running:
+            if self.watchers.is_gone(name, now):
+                logs.warn("calls_abandoned", peer=name)
+                await self._replicator.propose(
+                    calls_lib.AbandonCalls(host=name, before=incarnation + 1)
+                )
+
     def applied(
         self, command: state_lib.Command, result: state_lib.Result
     ) -> None:
--- a/packages/endivestream/src/endivestream/version/watchers.py
+++ b/packages/endivestream/src/endivestream/version/watchers.py
@@ -105,6 +105,11 @@
             self._live = live
             self._hosts_version += 1
 
+    def is_gone(self, name: str, now: float) -> bool:
+        """Tells whether a host was not heard of for two leases or more."""
+        unheard = name not in self._watchers
+        return unheard and now >= self._forgotten_until + self._lease
+
     def peers(self, now: float) -> list[bytes]:
         """Returns connections of hosts heard of lately."""
         return [
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -147,6 +147,31 @@
         self.assertLess(stale.incarnation, gateway.host.incarnation)
         first.close()
 
+    async def test_calls_of_a_host_that_never_comes_back_are_unknown(self):
+        """A resend elsewhere is told "unknown" after two leases.
+
+        The host is cut off for good after it sent the order. Its call may
+        still run there, so it is not sent again.
+        """
+        service = await self.add_service()
+        service.delay_seconds = 60.0
+        first = await site.Caller(self.other.settings.http.address).send(
+            "POST",
+            "/v1/services/desk/orders",
+            headers={"Idempotency-Key": "order-7"},
+            body=b"{}",
+        )
+        await site.until(lambda: service.ran)
+        link = self.other.gateway._link
+        link._addresses = ["tcp://127.0.0.1:1"]
+        link._use(link._addresses[0])
+        calls = self.control.control.replicator.state.calls
+        await site.until(lambda: not calls.running_hosts)
+        reply = await self.order(name="order-7")
+        self.assertEqual(reply.error["type"], "call_fate_unknown")
+        self.assertEqual(len(service.ran), 1)
+        first.close()
+
     async def test_missed_changes_are_caught_up_in_one_exchange(self):
         """A host that slept through hundreds of changes has them all."""
         control = self.control.gateway
