Tests for a new leader's first and last moments; unused code removed

Typed steps in the steward; usage fields, an exit status and a stand-in's method that nothing used are gone.

--- a/benchmarks/standins/target.py
+++ b/benchmarks/standins/target.py
@@ -84,12 +84,6 @@
         others = [g for g in self._gateways if g not in gateways]
         self._gateways = (gateways + others)[:_GATEWAYS_KEPT]
 
-    async def report_soon(self) -> None:
-        """Sends a report out of turn."""
-        if self._task is not None:
-            self._task.cancel()
-        self._task = asyncio.create_task(self._run())
-
     async def _announce(self) -> float:
         while True:
             answer = await self._post("/targets/announce", self.info)
--- a/packages/endivestream/src/endivestream/process/daemon.py
+++ b/packages/endivestream/src/endivestream/process/daemon.py
@@ -49,7 +49,6 @@
 EXIT_SETTINGS = 2
 EXIT_START = 3
 EXIT_DISK = 4
-EXIT_CUT = 5
 
 # How often a stopping host looks whether its requests have ended.
 _DRAIN_POLL_SECONDS = 0.05
--- a/packages/endivestream/src/endivestream/process/steward.py
+++ b/packages/endivestream/src/endivestream/process/steward.py
@@ -11,6 +11,7 @@
 import asyncio
 import contextlib
 import time
+from typing import NamedTuple
 
 from endivestream import findings
 from endivestream import logs
@@ -24,6 +25,20 @@
 _CLOSE_ENTRIES = 64
 
 
+class _Change(NamedTuple):
+    """One step in the members.
+
+    Attributes:
+        what: `learning`, `promoted` or `removed`, for the log line.
+        member: Whom it concerns.
+        members: What they become.
+    """
+
+    what: str
+    member: members_lib.Member
+    members: members_lib.Members
+
+
 class Steward:
     """Changes the members, one step at a time."""
 
@@ -93,19 +108,20 @@
         )
         if change is None:
             return
-        what, member, changed = change
-        if self._replicator.change_members(changed):
-            self._to_remove.discard(member.identity)
+        if self._replicator.change_members(change.members):
+            self._to_remove.discard(change.member.identity)
             logs.event(
                 "members",
-                change=what,
-                member=member.name,
-                identity=member.identity[:8],
-                voters=len(changed.voters),
-                learners=len(changed.learners),
+                change=change.what,
+                member=change.member.name,
+                identity=change.member.identity[:8],
+                voters=len(change.members.voters),
+                learners=len(change.members.learners),
             )
 
-    def _superseded(self, members: members_lib.Members) -> list:
+    def _superseded(
+        self, members: members_lib.Members
+    ) -> list[members_lib.Member]:
         """Returns voters that are silent while their host asks anew.
 
         The silence tells a lost disk from a second host that was given the
@@ -137,7 +153,7 @@
             or replica.silent_for(m.identity) > self._replace_seconds
         ]
 
-    def _removal(self, members: members_lib.Members):
+    def _removal(self, members: members_lib.Members) -> _Change | None:
         lost = self._lost(members)
         spare = self._caught_up(members)
         for member in lost:
@@ -147,12 +163,16 @@
             enough = len(members.voters) > self._wanted
             ordered = member.identity in self._to_remove and not spare
             if (enough or ordered) and len(members.voters) > 1:
-                return "removed", member, members.without(member.identity)
+                return _Change(
+                    "removed", member, members.without(member.identity)
+                )
         for member in members.learners:
             gone = member.identity not in self._asking
             silent = self._replicator.replica.silent_for(member.identity)
             if gone and silent > _JOIN_SECONDS:
-                return "removed", member, members.without(member.identity)
+                return _Change(
+                    "removed", member, members.without(member.identity)
+                )
         return None
 
     def _caught_up(
@@ -167,16 +187,16 @@
             and replica.silent_for(m.identity) < 1.0
         ]
 
-    def _promotion(self, members: members_lib.Members):
+    def _promotion(self, members: members_lib.Members) -> _Change | None:
         sound = len(members.voters) - len(self._lost(members))
         for member in self._caught_up(members):
             if sound < self._wanted:
                 changed = members.promoted(member.identity)
-                return "promoted", member, changed
+                return _Change("promoted", member, changed)
         return None
 
-    def _newcomer(self, members: members_lib.Members):
+    def _newcomer(self, members: members_lib.Members) -> _Change | None:
         for member, _ in self._asking.values():
             if members.find(member.identity) is None:
-                return "learning", member, members.with_learner(member)
+                return _Change("learning", member, members.with_learner(member))
         return None
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -39,15 +39,8 @@
     finish_reason: str | None = None
 
 
-class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    total_tokens: int = 0
-
-
 class _Chunk(msgspec.Struct):
     choices: list[_Choice] = []
-    usage: _Usage | None = None
 
 
 _chunk_decoder = msgspec.json.Decoder(_Chunk)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -280,3 +280,42 @@
                     writer.write(data)
         except ConnectionError:
             pass
+
+
+class NewLeaderTest(site.SiteTest):
+    """What a leader does in its first and in its last moments."""
+
+    more_settings = (
+        "[timing]\nreport_seconds = 10.0\ntarget_silence_seconds = 20.0\n"
+    )
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.set_up_rules()
+
+    async def test_request_waits_for_targets_to_be_told(self):
+        """The caller gets its answer, not "no target".
+
+        The leader is new; the target lives, and its home is about to tell.
+        """
+        caller = await self.chat(count=5)
+        await site.until(lambda: self.control.gateway.running)
+        await self.add_engine("e1")
+        self.assertTrue((await caller.reply()).whole)
+
+    async def test_answer_that_waited_past_the_lease_is_not_given(self):
+        """No credit is given by a leader that was frozen and replaced.
+
+        The charge was taken while it led; when the answer is ready its lease
+        in the log is over. The next leader is asked.
+        """
+        control = self.control.control
+        charge = messages.Charge(
+            team="band", request="r", tokens=1, patience=1.0
+        )
+        with unittest.mock.patch.object(
+            type(control.replicator), "leads", unittest.mock.PropertyMock()
+        ) as leads:
+            leads.side_effect = [True, False]
+            answer = await control._handle(b"peer", charge)
+        self.assertIsInstance(answer, messages.NotLeader)
