--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -10,7 +10,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import itertools
 import time
 
@@ -20,6 +19,7 @@
 
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import link_keys
 
 # A frame above this cannot be one of ours.
@@ -88,11 +88,7 @@
 
     async def close(self) -> None:
         """Stops answering and closes the socket."""
-        for task in (self._task, *self._running):
-            if task is not None:
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
+        await tasks.cancel((self._task, *self._running))
         if self._socket is not None:
             self._socket.close()
 
@@ -184,10 +180,7 @@
 
     async def close(self) -> None:
         """Closes the socket; requests under way end with `LinkDownError`."""
-        for task in (*self._tasks, self._reader):
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.cancel((*self._tasks, self._reader))
         if self._socket is not None:
             self._socket.close()
         self._fail_waiting("closed")
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import pathlib
 import time
 
@@ -13,6 +12,7 @@
 
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import link_keys
 from endivestream.connection import links
@@ -159,10 +159,7 @@
 
     async def close(self) -> None:
         """Stops in the reverse order."""
-        if self._joining is not None:
-            self._joining.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._joining
+        await tasks.cancel([self._joining])
         if self._replicator is not None:
             await self._replicator.close()
         self._on_role(False)
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -9,6 +9,7 @@
 
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import targets as targets_lib
 from endivestream.request import scheduler as scheduler_lib
 from endivestream.version import replicate
@@ -48,10 +49,7 @@
 
     async def close(self) -> None:
         """Stops; places that are waited for are the next leader's to give."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await tasks.cancel([self._task])
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(replicate.NotLeaderError(""))
--- a/packages/endivestream/src/endivestream/process/gateway.py
+++ b/packages/endivestream/src/endivestream/process/gateway.py
@@ -20,6 +20,7 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import leader_link
 from endivestream.connection import link_keys
 from endivestream.connection import links
@@ -179,10 +180,7 @@
 
     async def close(self) -> None:
         """Hands the last endings over, then disconnects."""
-        for task in self._tasks:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.cancel(self._tasks)
         with contextlib.suppress(links.LinkDownError):
             await self._flush_endings()
         await self._link.close()
--- a/packages/endivestream/src/endivestream/process/home.py
+++ b/packages/endivestream/src/endivestream/process/home.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from typing import NamedTuple
 
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import links
 from endivestream.process import gateway as gateway_lib
 
@@ -49,10 +49,7 @@
 
     async def close(self) -> None:
         """Stops; what was not passed on comes with the next report."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await tasks.cancel([self._task])
 
     async def announce(self, info: messages.TargetInfo) -> str:
         """Passes an announcement on; returns why it is refused, or empty.
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -15,6 +15,7 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream import messages
+from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.process import dispatcher as dispatcher_lib
 from endivestream.process import limiter as limiter_lib
@@ -94,10 +95,7 @@
 
     async def close(self) -> None:
         """Stops; what waits here ends by its own time limit."""
-        for task in (*self._tasks, *self._pushing):
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.cancel((*self._tasks, *self._pushing))
         await self.steward.close()
         await self.placer.close()
         await self.dispatcher.close()
--- a/packages/endivestream/src/endivestream/process/limiter.py
+++ b/packages/endivestream/src/endivestream/process/limiter.py
@@ -5,10 +5,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import time
 
 from endivestream import messages
+from endivestream import tasks
 from endivestream.request import buckets
 from endivestream.version import credit as credit_lib
 from endivestream.version import replicate
@@ -46,10 +46,7 @@
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(replicate.NotLeaderError(""))
-        if self._setting_aside is not None:
-            self._setting_aside.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._setting_aside
+        await tasks.cancel([self._setting_aside])
 
     def levels(self) -> dict[str, float]:
         """Returns each team's credit in tokens."""
--- a/packages/endivestream/src/endivestream/process/placer.py
+++ b/packages/endivestream/src/endivestream/process/placer.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 
 import msgspec
 
 from endivestream import logs
+from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import targets as targets_lib
 from endivestream.version import ledger as ledger_lib
@@ -55,11 +55,7 @@
 
     async def close(self) -> None:
         """Stops to plan; orders under way may still reach their engines."""
-        for task in (self._task, *self._sending):
-            if task is not None:
-                task.cancel()
-                with contextlib.suppress(asyncio.CancelledError):
-                    await task
+        await tasks.cancel((self._task, *self._sending))
 
     async def _run(self) -> None:
         while True:
--- a/packages/endivestream/src/endivestream/process/steward.py
+++ b/packages/endivestream/src/endivestream/process/steward.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from typing import NamedTuple
 
 from endivestream import findings
 from endivestream import logs
+from endivestream import tasks
 from endivestream.version import members as members_lib
 from endivestream.version import replicate
 
@@ -62,10 +62,7 @@
 
     async def close(self) -> None:
         """Stops."""
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await tasks.cancel([self._task])
 
     def join(self, member: members_lib.Member) -> None:
         """Notes that a replica asks to learn."""
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -11,12 +11,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import random
 import time
 from typing import NamedTuple
 
 from endivestream import logs
+from endivestream import tasks
 from endivestream.version import consensus
 from endivestream.version import members as members_lib
 from endivestream.version import protocol
@@ -219,10 +219,7 @@
         if self._replica is not None and not self._closed:
             await self._hand_over()
         self._closed = True
-        for task in (*self._tasks, *self._sending):
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+        await tasks.cancel((*self._tasks, *self._sending))
         self._fail_pending(LostError("the host is stopping"))
         self._storage.close()
 
