Crash runs restart hosts on their own addresses

Restarted hosts came up on new ports; once the stand-in target had missed five restarts in a row it had no address left.

--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -87,8 +87,11 @@
         done = self.control.operate("rules", "apply", str(rules), "--wait=10")
         assert done.returncode == 0, done.stderr
 
-    def _gateway(self, name: str) -> processes.Host:
+    def _gateway(
+        self, name: str, again: processes.Host | None = None
+    ) -> processes.Host:
         return processes.Host(
+            again=again,
             folder=self._folder,
             name=name,
             domain="d",
@@ -107,7 +110,8 @@
         time.sleep(self._rng.uniform(0.0, 0.1))
         self.hosts()[name].kill()
         if name in self.gateways:
-            self.gateways[name] = self._gateway(name)
+            again = self.gateways[name]
+            self.gateways[name] = self._gateway(name, again)
         else:
             self.control.restart(name)
         self.hosts()[name].wait_ready()
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -201,9 +201,27 @@
         control: Sequence[str] = (),
         disk: bool | None = None,
         address: str = "tcp://127.0.0.1:*",
+        again: Host | None = None,
         more: str = "",
         more_peers: str = "",
     ) -> None:
+        """Starts a host.
+
+        Args:
+            folder: Where its files go.
+            name: Its name.
+            domain: Its failure domain.
+            control: Control hosts' addresses; empty to form a system.
+            disk: Whether it holds a replica.
+            address: Where its control role listens.
+            again: The host that it is a restart of, whose addresses it takes:
+                targets and callers know those.
+            more: Further sections of the settings.
+            more_peers: Further lines of the section `peers`.
+        """
+        ports = ["127.0.0.1:0"] * 2
+        if again is not None:
+            ports = [again.url.removeprefix("http://"), again.address]
         self.data_folder = folder / name
         disk = not control if disk is None else disk
         data = f'data_folder = "{self.data_folder}"' if disk else ""
@@ -211,8 +229,8 @@
         settings = folder / f"{name}.toml"
         settings.write_text(
             f'[host]\nname = "{name}"\ndomain = "{domain}"\n{data}\n'
-            '[http]\naddress = "127.0.0.1:0"\n'
-            'inner_address = "127.0.0.1:0"\n'
+            f'[http]\naddress = "{ports[0]}"\n'
+            f'inner_address = "{ports[1]}"\n'
             f'[peers]\naddress = "{address}"\n{peers}\n{more_peers}\n{more}\n'
         )
         super().__init__(
@@ -254,6 +272,7 @@
         name: str,
         control: Sequence[str] = (),
         address: str = "tcp://127.0.0.1:*",
+        again: Host | None = None,
     ) -> Host:
         return Host(
             folder=self._folder,
@@ -262,6 +281,7 @@
             control=control,
             disk=True,
             address=address,
+            again=again,
             more=self._more,
             more_peers=self._more_peers,
         )
@@ -269,7 +289,7 @@
     def restart(self, name: str) -> Host:
         """Starts a killed host again, on its old address."""
         address = self._addresses[int(name[1:])]
-        host = self._start(name, self._addresses, address)
+        host = self._start(name, self._addresses, address, self.hosts[name])
         self.hosts[name] = host
         return host
 
