--- a/tests/site.py
+++ b/tests/site.py
@@ -146,6 +146,7 @@
     """Starts a control host and whatever a test adds to it."""
 
     more_settings = ""
+    more_http = ""
     more_peers = ""
 
     async def asyncSetUp(self):
@@ -175,6 +176,7 @@
         text = (
             f'[host]\nname = "{name}"\ndomain = "{domain}"\n{folder}'
             '[http]\naddress = "127.0.0.1:0"\ninner_address = "127.0.0.1:0"\n'
+            f"{self.more_http}"
             f'[peers]\naddress = "{address or "tcp://127.0.0.1:*"}"\n'
         )
         if control:
@@ -247,7 +249,7 @@
             name=name,
             domain="fes-hall",
             gateways=[self.inner_url()],
-            loaded={"brass": 100},
+            loaded=arguments.pop("loaded", {"brass": 100}),
             options=options,
             **arguments,
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -287,10 +287,93 @@
         self.assertNotIn("Retry-After", reply.headers)
 
 
+class InterfaceTest(site.SiteTest):
+    """The other routes, each once."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.set_up_rules()
+        self.engine = await self.add_engine("e1")
+
+    async def _get(self, path, key=site.KEY):
+        address = self.control.settings.http.address
+        caller = await site.Caller(address).send("GET", path, key=key)
+        return await caller.reply()
+
+    async def test_plain_completions(self):
+        body = {"model": "brass", "prompt": "Valve oil?", "max_tokens": 4}
+        for stream in (True, False):
+            caller = await site.Caller(self.control.settings.http.address).send(
+                "POST",
+                "/v1/completions",
+                body=json.dumps({**body, "stream": stream}).encode(),
+            )
+            reply = await caller.reply()
+            words = [
+                engine_lib.token(json.dumps("Valve oil?"), n)
+                for n in range(1, 5)
+            ]
+            if stream:
+                texts = [json.loads(e)["choices"] for e in reply.events[:4]]
+                self.assertEqual([c[0]["text"] for c in texts], words)
+                self.assertTrue(reply.whole)
+            else:
+                answer = json.loads(reply.body)
+                self.assertEqual(answer["object"], "text_completion")
+                self.assertEqual(answer["choices"][0]["text"], "".join(words))
+
+    async def test_models_are_the_teams_own(self):
+        reply = await self._get("/v1/models")
+        rows = {row["id"]: row for row in json.loads(reply.body)["data"]}
+        self.assertEqual(sorted(rows), ["brass", "horns"])
+        self.assertEqual(rows["horns"]["parent"], "brass")
+
+    async def test_health_addresses_and_metrics_need_no_key(self):
+        await (await self.chat(count=2)).reply()
+        for path in ("/healthz", "/readyz"):
+            self.assertEqual((await self._get(path, key="")).status, 200)
+        answer = json.loads((await self._get("/v1/addresses", "")).body)
+        self.assertEqual(
+            [row["url"] for row in answer["addresses"]],
+            [self.control.settings.url],
+        )
+        text = (await self._get("/metrics", key="")).body.decode()
+        self.assertIn("endivestream_tokens_total 2.0", text)
+        self.assertIn('outcome="ok"', text)
+
+    async def test_unknown_path_is_a_typed_not_run(self):
+        reply = await self._get("/v2/nothing")
+        self.assertEqual(reply.status, 404)
+        self.assertEqual(reply.error["outcome"], "not_run")
+
+
 class InputTest(site.SiteTest):
     """Slow and oversized input harms nobody else."""
 
-    more_settings = "[requests]\nqueue_seconds = 5.0\n"
+    more_http = "body_seconds = 0.3\nidle_seconds = 0.3\n"
+
+    async def test_slow_input_is_cut_off(self):
+        """Others are served; the slow caller's connection ends.
+
+        One caller never ends its head, another never ends its body.
+        """
+        address = self.control.settings.http.address
+        host, port = address.split(":")
+        slow = []
+        for start in (
+            b"POST /v1/models HTT",
+            b"POST /v1/models HTTP/1.1\r\nContent-Length: 9\r\n\r\nx",
+        ):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(start)
+            slow.append((reader, writer))
+        caller = await site.Caller(address).send("GET", "/healthz")
+        self.assertEqual((await caller.reply()).status, 200)
+        for reader, writer in slow:
+            async with asyncio.timeout(20):
+                answer = await reader.read()
+            self.assertNotIn(b" 200 ", answer)
+            writer.close()
 
     async def test_oversized_input_is_refused(self):
         address = self.control.settings.http.address
