Asks and charges that come twice, or too late, cost no place and no credit

Cause: read out of the code. The way to the leader sends again when a link is lost. A charge that waited and came again replaced its first waiter, was admitted to nobody and given back; the caller waited out its time. An ask that came again was queued or granted twice, and the first place was never given back: a target had one place less until the host went. An ask that came after its own ending held a place for nobody. A portion refused once was not asked for again.

Change: asks are idempotent, resent charges share their wait, ended requests are remembered (10,000).

--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Collection
 import contextlib
 import time
@@ -19,6 +20,9 @@
 _TICK_SECONDS = 0.25
 # A silent target is forgotten, and its name free for display, after this.
 _FORGET_SECONDS = 600.0
+# Ended requests remembered, against asks that come after their ending; at
+# 1,000 requests a second those of the last 10 s.
+_ENDED_KEPT = 10_000
 
 
 class Dispatcher:
@@ -37,6 +41,9 @@
         self._waiting: dict[
             str, asyncio.Future[scheduler_lib.Grant | None]
         ] = {}
+        self._ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._by_host: dict[str, set[str]] = {}
         self._host_of: dict[str, str] = {}
         self._settled_at = time.monotonic() + settle_seconds
@@ -140,6 +147,10 @@
     ) -> messages.Ticket | messages.Refused:
         """Answers with a place, after a wait if one comes in time."""
         await self._await_target(message)
+        if message.request in self._ended:
+            # A late send of an ask that is over: its place would be given
+            # back by nobody, and the target would have one less for good.
+            return _too_late(message)
         now = time.monotonic()
         team = self._teams.get(message.team)
         ask = scheduler_lib.Ask(
@@ -185,16 +196,19 @@
     async def _wait(
         self, message: messages.AskTicket
     ) -> scheduler_lib.Grant | None:
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[message.request] = future
+        # Asked again, it waits for the same place as its first send.
+        future = self._waiting.get(message.request)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._waiting[message.request] = future
         try:
             async with asyncio.timeout(message.patience):
-                return await future
+                return await asyncio.shield(future)
         except TimeoutError:
             return None
         finally:
-            del self._waiting[message.request]
-            if not future.done() or future.cancelled():
+            self._waiting.pop(message.request, None)
+            if not future.done():
                 self._scheduler.release(message.request, tokens=0)
 
     def _ticket(
@@ -224,6 +238,9 @@
     def release(self, ending: messages.Ending) -> None:
         """Takes a place back. Idempotent."""
         now = time.monotonic()
+        self._ended[ending.request] = None
+        while len(self._ended) > _ENDED_KEPT:
+            self._ended.popitem(last=False)
         host = self._host_of.pop(ending.request, None)
         if host is not None:
             self._by_host[host].discard(ending.request)
--- a/packages/endivestream/src/endivestream/process/limiter.py
+++ b/packages/endivestream/src/endivestream/process/limiter.py
@@ -132,12 +132,16 @@
         begun: int,
         patience: float,
     ) -> messages.Charged | messages.Refused:
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[message.request] = future
+        # A charge that was sent again, after its link was lost, waits for the
+        # same credit as its first send.
+        future = self._waiting.get(message.request)
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._waiting[message.request] = future
         self._wake(message.team)
         try:
             async with asyncio.timeout(patience):
-                await future
+                await asyncio.shield(future)
         except TimeoutError:
             # A rate that was lowered while this waited moved its refill.
             bucket.cancel(message.request)
@@ -183,8 +187,6 @@
 
     def _look_at_portion(self, team: str) -> None:
         """Has a portion set aside for a team that runs short of it."""
-        if team in self._short:
-            return
         self._short.add(team)
         if self._setting_aside is None or self._setting_aside.done():
             self._setting_aside = asyncio.create_task(self._set_all_aside())
--- a/packages/endivestream/src/endivestream/request/scheduler.py
+++ b/packages/endivestream/src/endivestream/request/scheduler.py
@@ -114,6 +114,7 @@
         self._held: dict[str, dict[str, Ask]] = {}
         self._teams: dict[str, _Team] = {}
         self._where: dict[str, str] = {}
+        self._queued: set[str] = set()
         self._prefixes = prefixes.Prefixes()
         self._outliers = outliers.Outliers()
         self._floor = 0.0
@@ -162,7 +163,15 @@
         )
 
     def ask(self, ask: Ask, *, now: float) -> Grant | Queued | NoTarget:
-        """Asks for a place; a queued ask is granted by `ready` later."""
+        """Asks for a place; a queued ask is granted by `ready` later.
+
+        Idempotent: asked again, as after a lost link, it is the same ask.
+        """
+        held = self._where.get(ask.request)
+        if held is not None:
+            return Grant(ask.request, held, "asked_again", 0.0)
+        if ask.request in self._queued:
+            return Queued()
         if not self.serves(ask.needs, ask.avoid):
             return NoTarget()
         team = self._team(ask.team)
@@ -172,6 +181,7 @@
                 return self._grant(ask, target, now, waited=0.0)
         queue = team.queues.setdefault(ask.needs, collections.deque())
         queue.append(_Waiting(ask, now))
+        self._queued.add(ask.request)
         return Queued()
 
     def _team(self, name: str) -> _Team:
@@ -233,6 +243,7 @@
     def _grant(
         self, ask: Ask, target: Target, now: float, *, waited: float
     ) -> Grant:
+        self._queued.discard(ask.request)
         self._held.setdefault(target.name, {})[ask.request] = ask
         self._where[ask.request] = target.name
         self._teams[ask.team].virtual += ask.tokens / ask.weight
@@ -286,6 +297,7 @@
                     late = ask.deadline <= now
                     if late or not self.serves(needs, ask.avoid):
                         gone.append(ask)
+                        self._queued.discard(ask.request)
                     else:
                         kept.append(waiting)
                 team.queues[needs] = kept
@@ -323,6 +335,9 @@
                 team = self._teams[ask.team]
                 team.virtual += (tokens - ask.tokens) / ask.weight
             return
+        if request not in self._queued:
+            return
+        self._queued.discard(request)
         for team in self._teams.values():
             for queue in team.queues.values():
                 for waiting in queue:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -303,6 +303,48 @@
         await self.add_engine("e1")
         self.assertTrue((await caller.reply()).whole)
 
+    async def test_charge_sent_again_waits_for_the_same_credit(self):
+        """The caller is admitted once, also when its charge came twice.
+
+        The link was lost while the charge waited, and it was sent again.
+        """
+        limiter = self.control.control.leading.limiter
+        first = messages.Charge(
+            team="band", request="all", tokens=100_000, patience=5.0
+        )
+        await limiter.charge(first)
+        waiting = messages.Charge(
+            team="band", request="r", tokens=20_000, patience=10.0
+        )
+        answers = await asyncio.gather(
+            limiter.charge(waiting), limiter.charge(waiting)
+        )
+        for answer in answers:
+            self.assertIsInstance(answer, messages.Charged)
+        self.assertEqual(limiter._buckets["band"].open, 2)
+
+    async def test_ask_that_comes_after_its_ending_gets_no_place(self):
+        """No place is lost to a late send.
+
+        The caller left and its ending came first, over a newer link; then
+        the older send of its ask arrives.
+        """
+        await self.add_engine("e1")
+        dispatcher = self.control.control.leading.dispatcher
+        dispatcher.release(messages.Ending(request="r.1", team="", used=0))
+        answer = await dispatcher.ask(
+            messages.AskTicket(
+                request="r.1",
+                team="band",
+                needs="brass",
+                tokens=1,
+                patience=1.0,
+                avoid=[],
+                host="gone",
+            )
+        )
+        self.assertIsInstance(answer, messages.Refused)
+
     async def test_answer_that_waited_past_the_lease_is_not_given(self):
         """No credit is given by a leader that was frozen and replaced.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -75,6 +75,26 @@
         self.assertEqual(self.scheduler.ready(0), [])
         self.assertEqual(self.scheduler.held("t1"), 0)
 
+    def test_asked_again_is_the_same_ask(self):
+        """No place is lost to a resend.
+
+        The answer to the first send was lost with its link; the gateway asks
+        the same again, while it holds a place and while it waits.
+        """
+        first = self.scheduler.ask(_ask("1"), now=0)
+        self.scheduler.put_target(_target("t0"))
+        again = self.scheduler.ask(_ask("1"), now=0)
+        self.assertEqual(again.target, first.target)
+        self.scheduler.drop_target("t0")
+        for _ in range(2):
+            answer = self.scheduler.ask(_ask("2"), now=0)
+            self.assertIsInstance(answer, scheduler_lib.Queued)
+        self.assertEqual(self.scheduler.waiting, 1)
+        self.scheduler.release("1")
+        self.assertEqual(len(self.scheduler.ready(0)), 1)
+        self.scheduler.release("2")
+        self.assertEqual(self.scheduler.held("t1"), 0)
+
     def test_late_and_targetless_asks_expire(self):
         self.scheduler.ask(_ask("1"), now=0)
         self.scheduler.ask(_ask("2"), now=0)
