--- a/packages/endivestream/src/endivestream/connection/leader_link.py
+++ b/packages/endivestream/src/endivestream/connection/leader_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 
 import zmq.asyncio
@@ -13,8 +14,11 @@
 from endivestream.connection import link_keys
 from endivestream.connection import links
 
-# Pause before asking again when nobody leads; a tenth of an election.
-_RETRY_SECONDS = 0.05
+# Pause before asking again when nobody leads: a tenth of an election at first,
+# doubled once, with jitter; up to a half an election cost 0.3 s more without a
+# leader (medians of 4 kills).
+_FIRST_PAUSE_SECONDS = 0.05
+_MOST_PAUSE_SECONDS = 0.1
 
 
 class LeaderLink:
@@ -45,6 +49,8 @@
         self._attempt_seconds = attempt_seconds
         self._link: links.Link | None = None
         self._closing: set[asyncio.Task[None]] = set()
+        self._searching = False
+        self._random = random.Random()
 
     @property
     def address(self) -> str:
@@ -90,7 +96,9 @@
             place = known.index(from_address) if from_address in known else -1
             to_address = known[(place + 1) % len(known)]
         if to_address != from_address:
-            logs.event("leader_link", peer=to_address)
+            if not self._searching:
+                logs.event("leader_link", peer=to_address)
+            self._searching = True
             self._use(to_address)
             self._on_move()
 
@@ -114,6 +122,7 @@
         """
         until = time.monotonic() + seconds
         attempt = max(self._attempt_seconds, answer_seconds)
+        pause = _FIRST_PAUSE_SECONDS
         while True:
             link = self._link
             assert link is not None, "not started"
@@ -127,6 +136,7 @@
                     if not isinstance(
                         answer, messages.NotLeader | messages.Lost
                     ):
+                        self._searching = False
                         return answer
                     why = "no leader is known"
                     if isinstance(answer, messages.NotLeader):
@@ -134,6 +144,7 @@
                 except links.LinkDownError as error:
                     why = str(error)
                     self._move_on(link.address, "")
-            if time.monotonic() + _RETRY_SECONDS >= until:
+            if time.monotonic() + pause >= until:
                 raise links.LinkDownError(why)
-            await asyncio.sleep(_RETRY_SECONDS)
+            await asyncio.sleep(pause * self._random.uniform(0.5, 1.0))
+            pause = min(_MOST_PAUSE_SECONDS, 2 * pause)
