Loads keep to the weight store's rate

Cause: the planner kept to loads at once only; after a lost domain it would ask for all models in one turn and slow all of them down.

--- a/benchmarks/capacity/pure.py
+++ b/benchmarks/capacity/pure.py
@@ -199,7 +199,11 @@
             rules: Any = rules, ledger: Any = ledger, live: Any = live
         ) -> placement.Plan:
             return placement.plan(
-                rules, ledger.targets, live=live, most_loads=10**6
+                rules,
+                ledger.targets,
+                live=live,
+                most_loads=10**6,
+                most_new=10**6,
             )
 
         empty = _seconds(plan)
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -69,6 +69,7 @@
             pool=pool,
             plan_seconds=timing.plan_seconds,
             loads_at_once=settings.weight_store.loads_at_once,
+            loads_per_second=settings.weight_store.loads_per_second,
         )
         self.steward = steward_lib.Steward(
             replicator=replicator,
--- a/packages/endivestream/src/endivestream/process/placer.py
+++ b/packages/endivestream/src/endivestream/process/placer.py
@@ -32,12 +32,16 @@
         pool: exchange_lib.Pool,
         plan_seconds: float,
         loads_at_once: int,
+        loads_per_second: float,
     ) -> None:
         self._replicator = replicator
         self._targets = targets
         self._pool = pool
         self._plan_seconds = plan_seconds
         self._loads_at_once = loads_at_once
+        # A new leader starts with one load: what the last one started within
+        # the last second is not known here.
+        self._pace = placement.Pace(rate=loads_per_second, now=time.monotonic())
         self._sent: dict[tuple[str, int, str], float] = {}
         self._unplaced: set[str] = set()
         self._refused: set[tuple[str, int]] = set()
@@ -84,7 +88,9 @@
             state.ledger.targets,
             live=engines,
             most_loads=self._loads_at_once,
+            most_new=self._pace.allowed(now),
         )
+        self._pace.started(len(plan.loads))
         for load in plan.loads:
             await self._intend(load)
         self._report_unplaced(plan.unplaced)
--- a/packages/endivestream/src/endivestream/process/settings.py
+++ b/packages/endivestream/src/endivestream/process/settings.py
@@ -174,6 +174,7 @@
     """The budget of the weight store, for the whole fleet."""
 
     loads_at_once: int = _setting(11, "", "model loads under way together")
+    loads_per_second: float = _setting(3.0, "1/s", "model loads started")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/packages/endivestream/src/endivestream/version/placement.py
+++ b/packages/endivestream/src/endivestream/version/placement.py
@@ -54,12 +54,37 @@
     unplaced: list[Unplaced]
 
 
+class Pace:
+    """How many loads the weight store's rate allows now.
+
+    The store slows all loads down when asked too fast (symptom: after a lost
+    domain every model comes late, in place of the first ones soon).
+    """
+
+    def __init__(self, *, rate: float, now: float) -> None:
+        self._rate = rate
+        self._credit = 1.0
+        self._at = now
+
+    def allowed(self, now: float) -> int:
+        """Returns how many loads may start now; at most a second's worth."""
+        gained = max(0.0, now - self._at) * self._rate
+        self._credit = min(max(1.0, self._rate), self._credit + gained)
+        self._at = max(self._at, now)
+        return int(self._credit)
+
+    def started(self, loads: int) -> None:
+        """Notes loads that start."""
+        self._credit -= loads
+
+
 def plan(
     models: Mapping[str, rules_lib.Model],
     targets: Mapping[str, ledger.Target],
     *,
     live: Collection[str],
     most_loads: int,
+    most_new: int,
 ) -> Plan:
     """Plans loads for models that lack copies.
 
@@ -69,6 +94,7 @@
         live: Names of targets that report and are not draining.
         most_loads: How many orders may be under way at once, those of the
             ledger that are not confirmed yet included.
+        most_new: How many orders may be added now; see `Pace`.
 
     Returns:
         New loads, at most as many as the budget leaves, and copies without
@@ -85,7 +111,7 @@
         for model, entry in targets[name].entries.items():
             held.setdefault(model, set()).add(name)
             under_way += not entry.loaded
-    budget = max(0, most_loads - under_way)
+    budget = min(most_new, max(0, most_loads - under_way))
     loads: list[Load] = []
     unplaced: list[Unplaced] = []
     # Models without a copy come first, and among those the large ones, which
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -86,12 +86,13 @@
 
 
 class PlanTest(unittest.TestCase):
-    def _plan(self, models, ledger, live=("t1", "t2"), most=100):
+    def _plan(self, models, ledger, live=("t1", "t2"), most=100, new=100):
         return placement.plan(
             {model.name: model for model in models},
             ledger.targets,
             live=live,
             most_loads=most,
+            most_new=new,
         )
 
     def setUp(self):
@@ -116,6 +117,32 @@
         plan = self._plan([_model("b", 1), _model("c", 1)], self.ledger, most=2)
         self.assertEqual(len(plan.loads), 1)
 
+    def test_rate_of_the_store_bounds_new_orders(self):
+        models = [_model(name, 1) for name in "abcd"]
+        plan = self._plan(models, self.ledger, new=3)
+        self.assertEqual(len(plan.loads), 3)
+
+    @hypothesis.given(
+        st.lists(st.integers(0, 3000), max_size=60),
+        st.sampled_from([0.5, 2.5, 3.0]),
+    )
+    def test_pace_keeps_to_the_rate_in_every_window(self, steps, rate):
+        """The store is never asked for more than its rate and one second."""
+        pace = placement.Pace(rate=rate, now=0.0)
+        now, starts = 0.0, []
+        for milliseconds in steps:
+            now += milliseconds / 1000
+            loads = pace.allowed(now)
+            pace.started(loads)
+            starts += [now] * loads
+        for first, since in enumerate(starts):
+            for last in range(first, len(starts)):
+                count = last - first + 1
+                window = starts[last] - since
+                self.assertLessEqual(
+                    count, max(1.0, rate) + rate * window + 1e-6
+                )
+
     def test_copy_without_room_is_named_with_the_arithmetic(self):
         plan = self._plan([_model("big", 500)], self.ledger)
         self.assertEqual(plan.unplaced, [placement.Unplaced("big", 500, 100)])
