--- a/benchmarks/standins/engine.py
+++ b/benchmarks/standins/engine.py
@@ -237,6 +237,7 @@
     def initialize(self, engine: Engine) -> None:
         self.engine = engine
         self._sequence: _Sequence | None = None
+        self._cancelled = False
 
     async def post(self, chat: str | None) -> None:
         body = json.loads(self.request.body)
@@ -258,6 +259,8 @@
         await asyncio.sleep(self.engine.adapter_seconds(model, body["model"]))
         await asyncio.sleep(self.engine.prefill_seconds(prompt))
         if self.request.connection.stream.closed():
+            # Finishing now would keep the library from telling us.
+            self._count_cancelled()
             return
         self._sequence = self.engine.add(prompt, done, body["max_tokens"])
         self.set_header("Content-Type", "text/event-stream")
@@ -334,10 +337,15 @@
         await self.flush()
 
     def on_connection_close(self) -> None:
-        self.engine.cancelled += 1
+        self._count_cancelled()
         if self._sequence is not None:
             self.engine.remove(self._sequence)
 
+    def _count_cancelled(self) -> None:
+        if not self._cancelled:
+            self._cancelled = True
+            self.engine.cancelled += 1
+
 
 async def _main(arguments: argparse.Namespace) -> None:
     loaded = {}
--- a/packages/endivestream/src/endivestream/request/buckets.py
+++ b/packages/endivestream/src/endivestream/request/buckets.py
@@ -151,9 +151,10 @@
         size = min(self._level, wanted)
         first = self._queue[0].tokens * _MICRO if self._queue else 0
         starved = self._portion < first <= self._level
-        if not starved and (
-            2 * self._portion >= usual or size <= self._portion
-        ):
+        # A team at the end of its credit would otherwise have each few tokens
+        # that it regains set aside, in a commit of their own, for ever.
+        worth = size - self._portion >= usual // 4
+        if not starved and (2 * self._portion >= usual or not worth):
             return None
         self._proposed = Portion(
             size, self._level - size, self._burst * _MICRO - size
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -287,7 +287,7 @@
             number = self._to_sync
             try:
                 # Milliseconds on a disk; requests go on meanwhile.
-                await asyncio.to_thread(self._storage.sync)
+                await asyncio.to_thread(self._storage.prepare_sync())
             except OSError as error:
                 self._fail(error)
                 return
--- a/packages/endivestream/src/endivestream/version/storage.py
+++ b/packages/endivestream/src/endivestream/version/storage.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import os
 import pathlib
@@ -245,19 +246,30 @@
         while written < len(data):
             written += os.pwrite(self._log, data[written:], start + written)
 
-    def sync(self) -> None:
-        """Makes written entries durable; raises OSError.
+    def prepare_sync(self) -> Callable[[], None]:
+        """Returns what makes the entries written so far durable.
 
-        May run in another thread while entries are written, and while the
-        log is rewritten: a descriptor of its own stays open meanwhile, and a
-        rewritten log is durable before it takes the old one's place.
+        It may be called in another thread while the log is written to or
+        rewritten. Its descriptor is taken here: taken in the thread, it could
+        fall between the closing of the old log and the opening of the new one
+        (symptom: a bad descriptor stops the process during a snapshot). A
+        rewritten log is durable before it takes the old one's place, so to
+        sync the old one then is harmless.
         """
         assert self._log is not None, "not started"
         descriptor = os.dup(self._log)
-        try:
-            os.fdatasync(descriptor)
-        finally:
-            os.close(descriptor)
+
+        def sync() -> None:
+            try:
+                os.fdatasync(descriptor)
+            finally:
+                os.close(descriptor)
+
+        return sync
+
+    def sync(self) -> None:
+        """Makes the entries written so far durable; raises OSError."""
+        self.prepare_sync()()
 
     def truncate_from(self, index: int) -> None:
         """Drops the entries from `index` on."""
--- a/tests/test_buckets.py
+++ b/tests/test_buckets.py
@@ -91,6 +91,20 @@
         self.bucket.settle("a", used=0, now=0)
         self.assertEqual(self.bucket.portion, size.size / SECOND)
 
+    def test_empty_bucket_does_not_commit_every_token(self):
+        """A team over its rate costs few commits, not one after another."""
+        self._charge("a", BURST)
+        self.bucket.charge(
+            buckets.Charge("b", 900), now=0, deadline=100 * SECOND
+        )
+        commits = 0
+        for millis in range(0, 2000, 5):
+            portion = self.bucket.propose_portion(millis * 1000)
+            if portion is not None:
+                self.bucket.confirm_portion(portion)
+                commits += 1
+        self.assertLessEqual(commits, 8)
+
     def test_changed_burst_needs_a_new_portion(self):
         """A portion of the old burst beside a new one would exceed both."""
         self._charge("a", 10)
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -76,10 +76,10 @@
         def fail():
             raise OSError(28, "No space left on device")
 
-        storage.sync = fail
+        storage.prepare_sync = lambda: fail
         with self.assertRaisesRegex(OSError, "No space left"):
             await replicator.propose(_begin(2))
-        del storage.sync
+        del storage.prepare_sync
         with self.assertRaises(replicate.NotLeaderError):
             await replicator.propose(_begin(3))
         self.assertEqual(len(self.failed), 1)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -106,6 +106,21 @@
         self.assertEqual([e.index for e in opened.entries], [4, 5])
         self.assertEqual(opened.snapshot.index, 3)
 
+    def test_sync_goes_on_while_the_log_is_rewritten(self):
+        """A snapshot during a sync does not stop the process.
+
+        The sync was prepared, the log is rewritten and its old descriptor
+        closed, then the sync runs.
+        """
+        opened = self._open()
+        opened.append([storage.Entry(1, 1, b"x")])
+        sync = opened.prepare_sync()
+        opened.save_snapshot(storage.SnapshotFile(1, 1, b"state"))
+        sync()
+        opened.append([storage.Entry(1, 2, b"y")])
+        opened.sync()
+        self.assertEqual([e.index for e in opened.entries], [2])
+
     def test_lost_identity_beside_a_log_is_refused(self):
         self._write(1)
         (self.folder / "identity").unlink()
