A withdrawn key on an idle open connection, with a test

The next request on the open connection is refused with 401; no code changed. 27 tests of relay and routes pass.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -260,6 +260,30 @@
         self.assertEqual(reply.error["type"], "key_in_request")
         self.assertEqual(self.engine.seen + self.service.ran, [])
 
+    async def test_withdrawn_key_ends_an_idle_connection_too(self):
+        """The next request on an open connection is refused.
+
+        The caller's connection was accepted while its key was good, and it
+        stays open and idle while the key is withdrawn.
+        """
+        address = self.control.settings.http.address
+        reader, writer = await asyncio.open_connection(*address.split(":"))
+        self.addCleanup(writer.close)
+
+        async def ask():
+            writer.write(
+                f"GET /v1/models HTTP/1.1\r\nHost: x\r\n"
+                f"Authorization: Bearer {site.KEY}\r\n\r\n".encode()
+            )
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            size = head.lower().split("content-length: ")[1].split()[0]
+            await reader.readexactly(int(size))
+            return int(head.split()[1])
+
+        self.assertEqual(await ask(), 200)
+        await self.revoke("band-1")
+        self.assertEqual(await ask(), 401)
+
     async def test_a_team_gets_only_what_its_rules_allow(self):
         reply = await (await self.chat(key=site.OTHER_KEY)).reply()
         self.assertEqual(reply.status, 404)
