--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import time
+import socket
 from typing import NamedTuple
 import urllib.parse
 
@@ -18,10 +18,17 @@
 from tornado import iostream
 from tornado import tcpclient
 
-# Idle connections kept to one target, and for how long. Targets close idle
-# connections after a minute or more; we let go well before.
-_IDLE_KEPT = 16
-_IDLE_SECONDS = 20.0
+from endivestream import clock
+
+# Idle connections kept to one target: as many as one host ever has running
+# there, or each rush opens them anew.
+_IDLE_KEPT = 64
+# How long one is kept where the target does not say. Most servers close idle
+# connections after five seconds or more; we let go before.
+_IDLE_SECONDS = 4.0
+# We let go so much before the time that a target states: a request that
+# crosses its close may have run, and can then not be sent again.
+_IDLE_MARGIN_SECONDS = 0.7
 # Chunks that may wait here for a slow caller before the target is held back.
 _CHUNKS_AHEAD = 64
 
@@ -53,7 +60,8 @@
             _CHUNKS_AHEAD
         )
         self.whole = False
-        self._framed = False
+        self.framed = False
+        self.kept_seconds: float | None = None
 
     async def headers_received(
         self,
@@ -63,9 +71,10 @@
         assert isinstance(start_line, httputil.ResponseStartLine)
         # Without a length the body ends where the connection does, and a
         # dead target's half answer would look like a whole one.
-        self._framed = (
+        self.framed = (
             "Content-Length" in headers or "Transfer-Encoding" in headers
         )
+        self.kept_seconds = _kept_seconds(headers)
         if start_line.code >= 200:
             await self.parts.put(Head(start_line.code, headers))
 
@@ -73,12 +82,38 @@
         await self.parts.put(chunk)
 
     def finish(self) -> None:
-        self.whole = self._framed
+        self.whole = True
+
+
+def _kept_seconds(headers: httputil.HTTPHeaders) -> float | None:
+    """Returns how long the connection may lie idle; None if it closes."""
+    if headers.get("Connection", "").lower() == "close":
+        return None
+    for part in headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return max(0.0, int(value) - _IDLE_MARGIN_SECONDS)
+    return _IDLE_SECONDS
+
+
+def _is_quiet(stream: iostream.IOStream) -> bool:
+    """Whether nothing has come on an idle connection, neither bytes nor end.
+
+    What a target sent after a whole answer belongs to no request; read as the
+    next answer it would reach the wrong caller.
+    """
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
 
 
 class _Idle(NamedTuple):
     stream: iostream.IOStream
-    since: float
+    until: float
 
 
 class Pool:
@@ -103,8 +138,8 @@
         streams = self._idle.get((host, port), [])
         while streams:
             idle = streams.pop()
-            fresh = time.monotonic() - idle.since < _IDLE_SECONDS
-            if fresh and not idle.stream.closed():
+            fresh = clock.now() < idle.until
+            if fresh and not idle.stream.closed() and _is_quiet(idle.stream):
                 return idle.stream
             idle.stream.close()
         try:
@@ -115,14 +150,32 @@
             ) from error
 
     def give_back(
-        self, host: str, port: int, stream: iostream.IOStream
+        self,
+        host: str,
+        port: int,
+        stream: iostream.IOStream,
+        *,
+        seconds: float = _IDLE_SECONDS,
     ) -> None:
-        """Keeps a connection whose last answer was read to its end."""
+        """Keeps a connection whose last answer was read to its end.
+
+        Args:
+            host: The target's IP address.
+            port: Its port.
+            stream: The connection.
+            seconds: How long it may lie idle.
+        """
         streams = self._idle.setdefault((host, port), [])
-        if stream.closed() or len(streams) >= _IDLE_KEPT:
+        if stream.closed() or len(streams) >= _IDLE_KEPT or seconds <= 0:
             stream.close()
             return
-        streams.append(_Idle(stream, time.monotonic()))
+        streams.append(_Idle(stream, clock.now() + seconds))
+
+
+def _note_write_error(writing: asyncio.Future[None]) -> None:
+    """Takes the error of a write; the reader sees the same closed stream."""
+    if not writing.cancelled():
+        writing.exception()
 
 
 class Exchange:
@@ -136,6 +189,7 @@
         self._reader = _Reader()
         self._stream: iostream.IOStream | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._writing: asyncio.Future[None] | None = None
         self._sent = False
 
     @property
@@ -170,21 +224,28 @@
             ),
         )
         fields = httputil.HTTPHeaders(headers)
-        fields["Host"] = f"{self._host}:{self._port}"
-        fields["Content-Length"] = str(len(body))
+        if "Host" not in fields:
+            fields["Host"] = f"{self._host}:{self._port}"
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            fields["Content-Length"] = str(len(body))
         # From here on a byte may be under way, whatever happens: a write that
         # fails says nothing about what arrived.
         self._sent = True
         try:
-            await connection.write_headers(
-                httputil.RequestStartLine(method, path, "HTTP/1.1"),
-                fields,
-                body or None,
+            self._writing = asyncio.ensure_future(
+                connection.write_headers(
+                    httputil.RequestStartLine(method, path, "HTTP/1.1"),
+                    fields,
+                    body or None,
+                )
             )
             connection.finish()
         except (OSError, iostream.StreamClosedError) as error:
             self.close()
             raise ExchangeError(f"send failed: {error!r}", sent=True) from error
+        # Read while the body is still on its way: a target may answer before
+        # it has read all, and would wait for us as we for it.
+        self._writing.add_done_callback(_note_write_error)
         self._reading = asyncio.create_task(self._read(connection))
 
     async def _read(self, connection: http1connection.HTTP1Connection) -> None:
@@ -218,10 +279,21 @@
                 break
             assert isinstance(part, bytes)
             yield part
-        if not self._reader.whole:
+        if not self._whole():
+            self.close()
             raise ExchangeError("closed before the end", sent=True)
         self._finish()
 
+    def _whole(self) -> bool:
+        """Whether the answer has come to its end.
+
+        One without a length ends where its connection does, but only if that
+        was closed and not reset.
+        """
+        if not self._reader.whole or self._reader.framed:
+            return self._reader.whole
+        return self._stream is not None and self._stream.error is None
+
     async def _next(self, seconds: float) -> Head | bytes | None:
         parts = self._reader.parts
         if not parts.empty():
@@ -236,9 +308,19 @@
             ) from None
 
     def _finish(self) -> None:
-        if self._stream is not None:
-            self._pool.give_back(self._host, self._port, self._stream)
-            self._stream = None
+        if self._stream is None:
+            return
+        seconds = self._reader.kept_seconds
+        written = self._writing is not None and self._writing.done()
+        # With the rest of the body still due, a next request would be read
+        # as a part of it.
+        if seconds is None or not written or not self._reader.framed:
+            self.close()
+            return
+        self._pool.give_back(
+            self._host, self._port, self._stream, seconds=seconds
+        )
+        self._stream = None
 
     def close(self) -> None:
         """Closes the connection unless it was read to its end."""
--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from endivestream import site_messages
 from endivestream.version import configuration
 from endivestream.version import members
 from endivestream.version import protocol
@@ -388,6 +389,7 @@
     | DrainTarget
     | Ping
     | Pong
+    | site_messages.Message
 )
 
 
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -0,0 +1,130 @@
+"""The leader's buckets of the teams' credit, given out in portions. Pure.
+
+Each team has one bucket, so no window gives more than rate and burst. What
+was given out is gone from it; hosts return what they do not need. A new
+leader starts empty: what its predecessor gave out may still be spent.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivestream import site_messages
+from endivestream.version import document as document_lib
+
+# One host gets at most this part of what is there at once, so that one report
+# does not empty the bucket for all others.
+_MOST_SHARE = 0.5
+# Hosts that hear no leader count on this part of the rate between them; the
+# rest is margin for hosts of which this leader has not heard.
+_ALONE_SHARE = 0.8
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Bucket:
+    """One team's credit.
+
+    Attributes:
+        team: The team's rule.
+        level: Credit that may be given out.
+        filled: When it was last refilled.
+        wanted: What each host wants to hold.
+    """
+
+    team: document_lib.Team
+    level: float
+    filled: float
+    wanted: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def refill(self, now: float) -> None:
+        """Adds what the rate has brought since the last time."""
+        grown = self.level + self.team.rate * max(0.0, now - self.filled)
+        self.level = min(self.team.burst, grown)
+        self.filled = now
+
+
+class Bank:
+    """Credit of all teams. Times are seconds."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+
+    def __repr__(self) -> str:
+        return f"<Bank of {len(self._buckets)} teams>"
+
+    @property
+    def levels(self) -> dict[str, float]:
+        """Each team's credit that is not given out."""
+        return {name: b.level for name, b in self._buckets.items()}
+
+    def set_teams(
+        self,
+        teams: tuple[document_lib.Team, ...],
+        now: float,
+        *,
+        full: bool,
+    ) -> None:
+        """Takes over the teams of a configuration.
+
+        Args:
+            teams: All teams.
+            now: The time.
+            full: Whether teams that are new start with their burst. False for
+                a new leader: they may be new only to it.
+        """
+        buckets = {}
+        for team in teams:
+            if team.rate <= 0:
+                continue
+            bucket = self._buckets.get(team.name)
+            if bucket is None:
+                level = team.burst if full else 0.0
+                bucket = _Bucket(team=team, level=level, filled=now)
+            else:
+                bucket.refill(now)
+                bucket.team = team
+                bucket.level = min(bucket.level, team.burst)
+            buckets[team.name] = bucket
+        self._buckets = buckets
+
+    def report(
+        self, host: str, need: site_messages.Need, now: float
+    ) -> site_messages.Grant | None:
+        """Takes a host's report in and gives it credit; None without limit."""
+        bucket = self._buckets.get(need.team)
+        if bucket is None:
+            return None
+        bucket.refill(now)
+        bucket.level = min(bucket.team.burst, bucket.level + need.returned)
+        bucket.wanted[host] = need.wanted
+        lacking = max(0.0, need.wanted - need.balance)
+        given = min(lacking, bucket.level * _MOST_SHARE)
+        return self._give(host, bucket, given, 0.0)
+
+    def ask(
+        self, host: str, need: site_messages.Need, now: float
+    ) -> site_messages.Grant | None:
+        """Gives credit for one request that waits; None without limit."""
+        bucket = self._buckets.get(need.team)
+        if bucket is None:
+            return None
+        bucket.refill(now)
+        lacking = max(0.0, need.wanted - need.balance)
+        if lacking > bucket.level:
+            short = (lacking - bucket.level) / bucket.team.rate
+            return self._give(host, bucket, 0.0, short)
+        return self._give(host, bucket, lacking, 0.0)
+
+    def forget(self, host: str) -> None:
+        """A host is gone; what it held is lost."""
+        for bucket in self._buckets.values():
+            bucket.wanted.pop(host, None)
+
+    def _give(
+        self, host: str, bucket: _Bucket, credit: float, short: float
+    ) -> site_messages.Grant:
+        bucket.level -= credit
+        total = sum(bucket.wanted.values())
+        share = bucket.wanted.get(host, 0.0) / total if total else 0.0
+        rate = bucket.team.rate * _ALONE_SHARE * share
+        return site_messages.Grant(bucket.team.name, credit, rate, short)
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import pathlib
 import time
+from typing import NamedTuple
+from typing import Protocol
 
 import msgspec
 import zmq.asyncio
 
+from endivestream import clock
 from endivestream import logs
 from endivestream import messages
 from endivestream import tasks
@@ -20,6 +25,7 @@
 from endivestream.process import settings as settings_lib
 from endivestream.process import views
 from endivestream.version import credit as credit_lib
+from endivestream.version import members as members_lib
 from endivestream.version import protocol
 from endivestream.version import replicate
 from endivestream.version import state as state_lib
@@ -27,6 +33,42 @@
 
 # How often a replica that is no member asks to become one.
 _JOIN_SECONDS = 0.5
+# A leader answers within milliseconds, or a few disk syncs under load.
+_CALL_SECONDS = 0.6
+# Between two looks for a leader.
+_CALL_AGAIN_SECONDS = 0.03
+
+
+class Leading(Protocol):
+    """What a control host does while it leads."""
+
+    def start(self) -> None:
+        """Takes the lead over the state as it stands."""
+
+    async def close(self) -> None:
+        """Stops."""
+
+    def applied(
+        self, command: state_lib.Command, result: state_lib.Result
+    ) -> None:
+        """Follows a commit."""
+
+    async def handle(
+        self, peer: bytes, message: messages.Message
+    ) -> messages.Message | None:
+        """Answers a message that only the leader may answer."""
+
+
+class Lead(NamedTuple):
+    """What a term of leadership is made of.
+
+    Attributes:
+        replicator: The replica that leads.
+        push: Sends a message that was not asked for to a peer.
+    """
+
+    replicator: replicate.Replicator
+    push: Callable[[bytes, messages.Message], Awaitable[None]]
 
 
 class Control:
@@ -40,7 +82,23 @@
         pool: exchange_lib.Pool,
         on_failed: Callable[[OSError], None],
         keys: link_keys.LinkKeys | None = None,
+        lead: Callable[[Lead], Leading] | None = None,
+        new_identity: str = "",
     ) -> None:
+        """Does not open anything yet.
+
+        Args:
+            settings: The process's settings.
+            context: The process's zmq context.
+            pool: Connections to targets.
+            on_failed: Called once the log cannot go on.
+            keys: Keys of the links, if they are authenticated.
+            lead: Makes what this host does while it leads; by default the
+                parts of a host that schedules each request.
+            new_identity: Who this replica is in a new folder; random if empty.
+        """
+        self._lead = lead
+        self._new_identity = new_identity
         self._settings = settings
         self._keys = keys
         self._context = context
@@ -59,7 +117,7 @@
                 allowed_folder=settings.link_keys.allowed_folder,
             )
         self._replicator: replicate.Replicator | None = None
-        self._leading: leading_lib.Leading | None = None
+        self._leading: Leading | None = None
         self._links: dict[str, links.Link] = {}
         self._joining: asyncio.Task[None] | None = None
         self._closing: set[asyncio.Task[None]] = set()
@@ -80,26 +138,34 @@
     @property
     def leading(self) -> leading_lib.Leading | None:
         """What it leads, or None while it does not lead."""
-        return self._leading
+        leading = self._leading
+        return leading if isinstance(leading, leading_lib.Leading) else None
 
     @property
     def live_targets(self) -> set[str]:
         """Names of targets that may get new work; empty if it leads not."""
-        if self._leading is None:
+        if self.leading is None:
             return set()
-        live = self._leading.dispatcher.targets.live(time.monotonic())
+        live = self.leading.dispatcher.targets.live(time.monotonic())
         return {session.info.name for session in live}
 
     @property
     def levels(self) -> dict[str, float]:
         """Each team's credit in tokens; empty if it leads not."""
-        return self._leading.limiter.levels() if self._leading else {}
+        return self.leading.limiter.levels() if self.leading else {}
 
-    async def start(self, *, form: bool, alone: bool = False) -> None:
+    async def start(
+        self,
+        *,
+        form: bool,
+        alone: bool = False,
+        founders: Sequence[members_lib.Member] = (),
+    ) -> None:
         """Reads the state back, then takes part.
 
         Args:
             form: Whether to form a new system in an empty folder.
+            founders: With `form`: its voters, the same on all of them.
             alone: Whether to go on as the only voter.
 
         Raises:
@@ -112,7 +178,8 @@
         timing = self._settings.timing
         self._replicator = replicate.Replicator(
             storage=storage_lib.Storage(
-                folder=pathlib.Path(self._settings.host.data_folder)
+                folder=pathlib.Path(self._settings.host.data_folder),
+                new_identity=self._new_identity,
             ),
             name=self._settings.host.name,
             address=self.address,
@@ -129,9 +196,9 @@
             on_role=self._on_role,
             on_failed=self._on_failed,
         )
-        if form:
+        if form and not founders:
             form = not await self._finds_system()
-        self._replicator.start(form=form, alone=alone)
+        self._replicator.start(form=form, alone=alone, founders=founders)
         self._hear_credit_anew()
         self._joining = asyncio.create_task(self._join())
 
@@ -178,15 +245,20 @@
             task.add_done_callback(self._closing.discard)
             self._leading = None
         if leads:
-            self._leading = leading_lib.Leading(
-                settings=self._settings,
-                replicator=self.replicator,
-                pool=self._pool,
-                push=self._server.push,
-                credit_heard=self._credit_heard,
-            )
+            self._leading = self._make_leading()
             self._leading.start()
 
+    def _make_leading(self) -> Leading:
+        if self._lead is not None:
+            return self._lead(Lead(self.replicator, self._server.push))
+        return leading_lib.Leading(
+            settings=self._settings,
+            replicator=self.replicator,
+            pool=self._pool,
+            push=self._server.push,
+            credit_heard=self._credit_heard,
+        )
+
     def _hear_credit_anew(self) -> None:
         """Counts the refill of all teams from now.
 
@@ -205,6 +277,47 @@
         if self._leading is not None:
             self._leading.applied(command, result)
 
+    async def call(
+        self, message: messages.Message, *, seconds: float
+    ) -> messages.Message | None:
+        """Has the leader answer a message, whichever host leads.
+
+        The message must be one that may be handled twice: its answer can be
+        lost together with the leader.
+
+        Args:
+            message: What to ask.
+            seconds: How long to look for a leader that answers.
+
+        Returns:
+            The answer, or None if there was none in time.
+        """
+        until = clock.now() + seconds
+        while (left := until - clock.now()) > 0:
+            answer = await self._call_once(message, left)
+            if not isinstance(
+                answer, messages.NotLeader | messages.Lost | None
+            ):
+                return answer
+            await asyncio.sleep(min(left, _CALL_AGAIN_SECONDS))
+        return None
+
+    async def _call_once(
+        self, message: messages.Message, left: float
+    ) -> messages.Message | None:
+        if self.replicator.leads:
+            return await self._handle(b"", message)
+        address = self.replicator.leader_address
+        if not address:
+            return None
+        try:
+            return await self._link(address).request(
+                message, seconds=min(left, _CALL_SECONDS)
+            )
+        except links.LinkDownError as error:
+            logs.warn("leader_unanswered", peer=address, why=error)
+            return None
+
     def _link(self, address: str) -> links.Link:
         link = self._links.get(address)
         if link is None:
@@ -273,6 +386,8 @@
             return messages.NotLeader(address=address, members=members)
         try:
             match message:
+                case messages.AskStatus() if self.leading is None:
+                    return messages.Status(body=b"{}")
                 case messages.Propose(command=command):
                     result = await self.replicator.propose(command)
                     return messages.Committed(result=result)
@@ -282,7 +397,7 @@
                         version=version,
                         host=self._settings.host.name,
                         replicator=self.replicator,
-                        leading=leading,
+                        leading=self.leading,
                     )
                     return messages.Status(body=msgspec.json.encode(shown))
                 case _:
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -0,0 +1,376 @@
+"""An entry host of a site: serves callers from what the leader has told.
+
+It decides alone. Configuration, targets and credit come by `connection.watch`;
+a request then takes `request.forward` without asking anyone. Without word of a
+leader it goes on until its lease ends, and then refuses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import time
+
+from tornado import httpserver
+from tornado import netutil
+import zmq.asyncio
+
+from endivestream import clock
+from endivestream import logs
+from endivestream import site_messages
+from endivestream import tasks
+from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import watch as watch_lib
+from endivestream.process import site_settings
+from endivestream.request import allowance as allowance_lib
+from endivestream.request import call as call_lib
+from endivestream.request import choice as choice_lib
+from endivestream.request import forward as forward_lib
+from endivestream.request import names as names_lib
+from endivestream.request import repeats as repeats_lib
+from endivestream.request import routes as routes_lib
+from endivestream.version import document as document_lib
+
+# A leader answers about credit within a few milliseconds.
+_CREDIT_SECONDS = 0.25
+# What callers are told of entry hosts: at least so many, from other failure
+# domains if need be, so that one loss leaves them another.
+_LEAST_ADDRESSES = 2
+# Target that a complete table no longer names: kept for so long, in case the
+# way from it to the control hosts is cut and the way to us is not.
+_UNNAMED_SECONDS = 20.0
+# Before the kill that follows a stop: what still runs then is broken off by
+# us, with an end that callers understand.
+_STOP_MARGIN_SECONDS = 0.35
+_DRAIN_POLL_SECONDS = 0.05
+
+
+class _Credit(forward_lib.Credit):
+    """Credit from this host's portions, and from the leader if they lack."""
+
+    def __init__(
+        self,
+        *,
+        allowance: allowance_lib.Allowance,
+        watch: watch_lib.Watch,
+        host: str,
+    ) -> None:
+        self._allowance = allowance
+        self._watch = watch
+        self._host = host
+
+    async def take(
+        self, team: document_lib.Team, cost: float, patience: float
+    ) -> float | None:
+        allowance = self._allowance
+        allowance.ask(team.name, cost)
+        if cost > team.burst:
+            # It would never fit, however long it waits.
+            return max(1.0, cost / team.rate)
+        until = clock.now() + patience
+        while not allowance.spend(team.name, cost, clock.now()):
+            short = allowance.short_for(team.name, clock.now())
+            if not short:
+                short = await self._ask(team.name, cost)
+            if not short:
+                continue
+            if clock.now() + short > until:
+                return short
+            await asyncio.sleep(short)
+        return None
+
+    async def _ask(self, team: str, cost: float) -> float:
+        """Asks the leader; returns seconds until it is worth asking again."""
+        balance = self._allowance.balance(team)
+        need = site_messages.Need(team, 0.0, balance, cost)
+        answer = await self._watch.ask(
+            site_messages.AskCredit(host=self._host, need=need),
+            seconds=_CREDIT_SECONDS,
+        )
+        if not isinstance(answer, site_messages.GiveCredit):
+            return _CREDIT_SECONDS
+        self._allowance.take(answer.grant, clock.now())
+        return answer.grant.short
+
+    def refund(self, team: document_lib.Team, cost: float) -> None:
+        self._allowance.refund(team.name, cost)
+
+
+class Entry:
+    """One entry host. Lives as long as the process."""
+
+    def __init__(
+        self,
+        *,
+        settings: site_settings.SiteSettings,
+        names: names_lib.HeaderNames,
+        observe: Callable[[forward_lib.Ended], None] = lambda ended: None,
+    ) -> None:
+        self._settings = settings
+        self._context = zmq.asyncio.Context()
+        self._pool = exchange_lib.Pool()
+        self._view = choice_lib.View(domain=settings.domain)
+        self._allowance = allowance_lib.Allowance()
+        self._table: routes_lib.Table | None = None
+        self._position = site_messages.Position()
+        self._entries: tuple[site_messages.EntryHost, ...] = ()
+        self._unnamed: dict[str, float] = {}
+        self._repeats: dict[str, repeats_lib.RepeatBudget] = {}
+        self._demand: dict[tuple[str, str, str], int] = {}
+        self._waiting: dict[tuple[str, str, str], list[float]] = {}
+        self._changed = asyncio.Event()
+        self._draining = False
+        self._incarnation = time.time_ns() // 1_000_000
+        self._watch = watch_lib.Watch(
+            controls=settings.controls,
+            context=self._context,
+            every=settings.renew_seconds,
+            renewal=self._renewal,
+            on_renewed=self._renewed,
+            on_news=self._take_news,
+        )
+        parts = forward_lib.Parts(
+            names=names,
+            view=self._view,
+            pool=self._pool,
+            credit=_Credit(
+                allowance=self._allowance,
+                watch=self._watch,
+                host=settings.name,
+            ),
+            table=lambda: self._table,
+            lease_until=lambda: self._watch.lease_until,
+            repeats=self._budget,
+            share=lambda: 1 / max(1, len(self._entries)),
+            missing=self._missing,
+            changed=self._wait_for_change,
+            asked=self._count,
+            observe=observe,
+        )
+        self._forwarder = forward_lib.Forwarder(parts=parts)
+        self._front = call_lib.Front(serve=self._forwarder.serve, now=clock.now)
+        self._server: httpserver.HTTPServer | None = None
+        self._telling: set[asyncio.Task[None]] = set()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should connect here."""
+        return (
+            not self._draining
+            and self._table is not None
+            and self._watch.lease_until > clock.now()
+        )
+
+    @property
+    def running(self) -> int:
+        """Requests under way."""
+        return self._front.running
+
+    @property
+    def version(self) -> int:
+        """The configuration version in force here; 0 before the first."""
+        return self._table.document.version if self._table else 0
+
+    def addresses(self, domain: str) -> list[str]:
+        """Returns where callers of a failure domain should connect.
+
+        Hosts of their own domain; with too few of these, all others too.
+        """
+        live = [host for host in self._entries if not host.draining]
+        near = [host.address for host in live if host.domain == domain]
+        if len(near) >= _LEAST_ADDRESSES:
+            return near
+        return [host.address for host in live]
+
+    def start(self) -> None:
+        """Listens for callers and looks for the leader.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        host, port = self._settings.callers.rsplit(":", 1)
+        sockets = netutil.bind_sockets(int(port), host, backlog=1024)
+        limits = document_lib.Limits()
+        self._server = httpserver.HTTPServer(
+            self._front,
+            max_header_size=limits.header_bytes,
+            max_body_size=limits.body_bytes,
+            max_buffer_size=limits.body_bytes + limits.header_bytes,
+            idle_connection_timeout=limits.idle_seconds,
+        )
+        self._server.add_sockets(sockets)
+        self._watch.start()
+
+    async def drain(self) -> None:
+        """Stops without cutting a request.
+
+        The host leaves the answer that callers get, serves those that still
+        come, and ends when their answers are surely stale.
+        """
+        begun = clock.now()
+        until = begun + self._settings.bounds.grace - _STOP_MARGIN_SECONDS
+        self._draining = True
+        self._watch.poke()
+        if self._server is not None:
+            # Callers on open connections learn with their next answer.
+            self._server.conn_params.no_keep_alive = True
+        stale = min(until, begun + 3 * self._settings.address_seconds)
+        while clock.now() < until:
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+            if clock.now() >= stale and not self._front.running:
+                break
+        logs.event(
+            "drained",
+            seconds=clock.now() - begun,
+            running=self._front.running,
+        )
+
+    async def close(self) -> None:
+        """Closes everything; requests under way are broken off."""
+        if self._server is not None:
+            self._server.stop()
+        await self._watch.close()
+        await tasks.cancel(list(self._telling))
+        self._pool.close()
+        self._context.destroy(linger=0)
+
+    # What the leader says.
+
+    def _renewal(self) -> site_messages.Renew:
+        demand = tuple(
+            site_messages.Demand(
+                *key,
+                self._demand.get(key, 0),
+                len(self._waiting.get(key, ())),
+                min(self._waiting.get(key) or [0.0]),
+            )
+            for key in {*self._demand, *self._waiting}
+        )
+        self._demand.clear()
+        return site_messages.Renew(
+            host=site_messages.EntryHost(
+                self._settings.name,
+                self._incarnation,
+                self._settings.domain,
+                self._settings.callers,
+                self._draining,
+            ),
+            version=self.version,
+            position=self._position,
+            demand=demand,
+            uses=self._view.uses(),
+            needs=self._allowance.needs(clock.now()),
+        )
+
+    def _renewed(self, renewed: site_messages.Renewed) -> None:
+        now = clock.now()
+        self._allowance.heard_leader(now)
+        for grant in renewed.grants:
+            self._allowance.take(grant, now)
+        if renewed.news is not None:
+            self._take_news(renewed.news)
+        self._drop_unnamed(now)
+
+    def _take_news(self, news: site_messages.News) -> None:
+        if news.document is not None:
+            self._take_document(news.document)
+        if news.after is not None and news.after != self._position:
+            # Something between was lost; the next renewal brings it all.
+            self._watch.poke()
+            return
+        if news.position.term < self._position.term:
+            return
+        self._position = news.position
+        gone = list(news.gone)
+        if news.after is None and news.complete:
+            named = {target.said.name for target in news.targets}
+            now = clock.now()
+            for name in self._view.targets.keys() - named:
+                self._unnamed.setdefault(name, now)
+            for name in named:
+                self._unnamed.pop(name, None)
+        for target in news.targets:
+            self._unnamed.pop(target.said.name, None)
+        self._view.set_targets(news.targets, gone)
+        if news.entries is not None:
+            self._entries = news.entries
+            for budget in self._repeats.values():
+                budget.set_hosts(len(self._entries))
+        self._signal_change()
+
+    def _take_document(self, document: document_lib.Document) -> None:
+        if document.version <= self.version:
+            return
+        self._table = routes_lib.Table(document=document)
+        logs.event("configuration", version=document.version)
+        if self._server is not None:
+            limits = document.limits
+            params = self._server.conn_params
+            params.header_timeout = limits.idle_seconds
+        self._signal_change()
+
+    def _drop_unnamed(self, now: float) -> None:
+        old = [
+            n for n, t in self._unnamed.items() if now - t > _UNNAMED_SECONDS
+        ]
+        for name in old:
+            del self._unnamed[name]
+        if old:
+            self._view.set_targets((), old)
+
+    def _signal_change(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _wait_for_change(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+
+    # What requests ask for.
+
+    def _budget(self, service: str) -> repeats_lib.RepeatBudget:
+        budget = self._repeats.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            budget = repeats_lib.RepeatBudget(
+                ratio=bounds.repeat_ratio,
+                window=bounds.repeat_window,
+                slack=bounds.repeat_slack,
+                now=clock.now(),
+            )
+            budget.set_hosts(len(self._entries))
+            self._repeats[service] = budget
+        return budget
+
+    def _count(self, work: forward_lib.Work) -> None:
+        if work.model and work.service.engine is not None:
+            key = (work.service.name, work.model, work.adapter)
+            self._demand[key] = self._demand.get(key, 0) + 1
+
+    def _missing(self, work: forward_lib.Work) -> Callable[[], None]:
+        """Tells the leader that a request waits; returns what ends that."""
+        key = (work.service.name, work.model, work.adapter)
+        waiting = self._waiting.setdefault(key, [])
+        waiting.append(work.route.objective)
+        if len(waiting) == 1:
+            # At once: the next renewal would cost a third of a second.
+            demand = site_messages.Demand(*key, 0, 1, work.route.objective)
+            self._tell(
+                site_messages.Missing(
+                    host=self._settings.name, demand=(demand,)
+                )
+            )
+
+        def stop() -> None:
+            waiting.remove(work.route.objective)
+            if not waiting:
+                self._waiting.pop(key, None)
+
+        return stop
+
+    def _tell(self, message: site_messages.Message) -> None:
+        task = asyncio.create_task(self._watch.tell(message))
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -0,0 +1,148 @@
+"""A control host of a site: a replica of the log, and what it may answer.
+
+Any control host takes calls of operators and targets and has the leader
+answer them, so that callers need not know who leads.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+
+import zmq.asyncio
+
+from endivestream import site_messages
+from endivestream.connection import engines as engines_lib
+from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import registry as registry_lib
+from endivestream.process import control as control_lib
+from endivestream.process import settings as settings_lib
+from endivestream.process import site_leading
+from endivestream.process import site_settings
+from endivestream.version import document as document_lib
+from endivestream.version import members as members_lib
+
+# Callers give a control host one second, more for a large body; an answer
+# that comes later is asked for again elsewhere.
+_ANSWER_SECONDS = 0.9
+_APPLY_SECONDS = 1.5
+
+
+class SiteControl:
+    """One control host. Lives as long as the process."""
+
+    def __init__(
+        self,
+        *,
+        settings: site_settings.SiteSettings,
+        codec: engines_lib.Codec,
+        on_failed: Callable[[OSError], None],
+    ) -> None:
+        self._settings = settings
+        self._context = zmq.asyncio.Context()
+        self._pool = exchange_lib.Pool()
+        self._engines = engines_lib.Engines(pool=self._pool, codec=codec)
+        self._control = control_lib.Control(
+            settings=_product_settings(settings),
+            context=self._context,
+            pool=self._pool,
+            on_failed=on_failed,
+            lead=self._lead,
+            new_identity=_founder(settings.peers)
+            if settings.first_start
+            else "",
+        )
+
+    def _lead(self, lead: control_lib.Lead) -> control_lib.Leading:
+        return site_leading.SiteLeading(
+            settings=self._settings, lead=lead, engines=self._engines
+        )
+
+    async def start(self) -> None:
+        """Reads the state back, then takes part.
+
+        Raises:
+            storage.CorruptError: The stored data is damaged.
+            OSError: It cannot be read, or the address cannot be used.
+        """
+        founders = [
+            members_lib.Member(_founder(address), address, address)
+            for address in self._settings.controls
+        ]
+        await self._control.start(
+            form=self._settings.first_start
+            and self._settings.peers in self._settings.controls,
+            founders=founders,
+        )
+
+    async def close(self) -> None:
+        """Hands leadership over and stops."""
+        await self._control.close()
+        self._pool.close()
+        self._context.destroy(linger=0)
+
+    async def apply(self, document: document_lib.Document) -> bool:
+        """Has a document committed; False if that is not sure."""
+        answer = await self._control.call(
+            site_messages.Apply(document=document), seconds=_APPLY_SECONDS
+        )
+        return isinstance(answer, site_messages.Applied)
+
+    async def read(self) -> bytes | None:
+        """Returns the newest document as it was sent; None if not sure."""
+        answer = await self._control.call(
+            site_messages.ReadDocument(), seconds=_ANSWER_SECONDS
+        )
+        if isinstance(answer, site_messages.DocumentRead):
+            return answer.source
+        return None
+
+    async def register(self, said: registry_lib.Registration) -> bool:
+        """Passes a target's report on; whether the leader has it."""
+        answer = await self._control.call(
+            site_messages.Register(said=said), seconds=_ANSWER_SECONDS
+        )
+        return isinstance(answer, site_messages.Registered)
+
+    async def leave(self, name: str) -> bool:
+        """Passes a target's good-bye on; whether the leader has it."""
+        answer = await self._control.call(
+            site_messages.Deregister(name=name), seconds=_ANSWER_SECONDS
+        )
+        return isinstance(answer, site_messages.Registered)
+
+
+def _founder(address: str) -> str:
+    """Returns the identity of a voter of the very first start.
+
+    All founders must know each other's identities before they have spoken. A
+    host whose disk is lost is never started as a founder again, so it gets a
+    random identity and cannot vote under this one.
+    """
+    return f"founder-{address}"
+
+
+def _product_settings(
+    settings: site_settings.SiteSettings,
+) -> settings_lib.Settings:
+    """Returns the settings that the log and the links are made from."""
+    base = settings_lib.Settings()
+    return dataclasses.replace(
+        base,
+        host=dataclasses.replace(
+            base.host,
+            name=settings.peers,
+            domain=settings.domain,
+            data_folder=settings.data_folder,
+        ),
+        peers=dataclasses.replace(
+            base.peers,
+            address=settings.peers,
+            control=list(settings.controls),
+            voters=settings.voters,
+            silence_seconds=max(0.5, settings.election_seconds),
+        ),
+        timing=dataclasses.replace(
+            base.timing, election_seconds=settings.election_seconds
+        ),
+    )
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -0,0 +1,393 @@
+"""What the leading control host of a site does: it tells all others.
+
+It holds the tables of entry hosts and targets, the teams' buckets and the
+planner. All of that is soft: a new leader's tables fill from the heartbeats of
+hosts and targets, and until they are complete nobody takes them as such.
+Configuration is in the log.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+import dataclasses
+
+import msgspec
+
+from endivestream import clock
+from endivestream import logs
+from endivestream import messages
+from endivestream import site_messages
+from endivestream import tasks
+from endivestream.connection import engines as engines_lib
+from endivestream.connection import registry as registry_lib
+from endivestream.process import bank as bank_lib
+from endivestream.process import control as control_lib
+from endivestream.process import planner as planner_lib
+from endivestream.process import site_settings
+from endivestream.process import steward as steward_lib
+from endivestream.version import document as document_lib
+from endivestream.version import state as state_lib
+
+_SWEEP_SECONDS = 0.1
+# Reports that a target may miss before it counts as silent: one may be lost
+# and the next late.
+_SILENT_REPORTS = 2.5
+# A target that is silent for so long is forgotten. Long, because it may still
+# serve hosts that reach it while its reports do not reach us.
+_FORGET_SECONDS = 20.0
+# Renewals that an entry host may miss before callers are sent elsewhere.
+_SILENT_RENEWALS = 4
+# A voter that is silent for so long gives its place to a caught-up spare.
+_REPLACE_SECONDS = 1.5
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Session:
+    """An entry host, as the leader has it.
+
+    Attributes:
+        host: What it says of itself.
+        peer: Its socket's identity.
+        heard: When it renewed last.
+    """
+
+    host: site_messages.EntryHost
+    peer: bytes
+    heard: float
+
+
+class SiteLeading:
+    """One term of leadership."""
+
+    def __init__(
+        self,
+        *,
+        settings: site_settings.SiteSettings,
+        lead: control_lib.Lead,
+        engines: engines_lib.Engines,
+    ) -> None:
+        self._settings = settings
+        self._replicator = lead.replicator
+        self._push = lead.push
+        self._term = lead.replicator.term
+        self._number = 0
+        self._began = clock.now()
+        self._complete = False
+        self._registry = registry_lib.Registry()
+        self._silent: set[str] = set()
+        self._sessions: dict[str, _Session] = {}
+        self._entries: tuple[site_messages.EntryHost, ...] = ()
+        self._bank = bank_lib.Bank()
+        self._steward = steward_lib.Steward(
+            replicator=lead.replicator,
+            wanted=settings.voters,
+            replace_seconds=_REPLACE_SECONDS,
+            superseded_seconds=_REPLACE_SECONDS,
+        )
+        self._planner = planner_lib.Planner(
+            settings=settings,
+            engines=engines,
+            fence=self._term,
+            may_order=lambda: lead.replicator.leads,
+            changed=self._targets_changed,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._pushing: set[asyncio.Task[None]] = set()
+
+    @property
+    def _document(self) -> document_lib.Document | None:
+        return self._replicator.state.document.current
+
+    @property
+    def _position(self) -> site_messages.Position:
+        return site_messages.Position(self._term, self._number)
+
+    def start(self) -> None:
+        """Takes the lead over the state as it stands."""
+        if self._document is not None:
+            self._take_document(self._document, full=False)
+        self._steward.start()
+        self._planner.start()
+        self._tasks = [asyncio.create_task(self._sweep())]
+
+    async def close(self) -> None:
+        """Stops; what waits here ends by its own time limit."""
+        await tasks.cancel((*self._tasks, *self._pushing))
+        await self._planner.close()
+        await self._steward.close()
+
+    def applied(
+        self, command: state_lib.Command, result: state_lib.Result
+    ) -> None:
+        """Follows a commit: credit, placement, pushes to all entry hosts."""
+        match command, result:
+            case (
+                document_lib.ApplyDocument(document=document),
+                document_lib.DocumentApplied(changed=True),
+            ):
+                logs.event(
+                    "configuration",
+                    version=document.version,
+                    routes=len(document.routes),
+                    teams=len(document.teams),
+                )
+                self._take_document(document, full=True)
+                self._tell_all(
+                    site_messages.News(
+                        position=self._position,
+                        after=self._position,
+                        document=document,
+                    )
+                )
+
+    def _take_document(
+        self, document: document_lib.Document, *, full: bool
+    ) -> None:
+        self._bank.set_teams(document.teams, clock.now(), full=full)
+        self._planner.set_document(document)
+
+    async def handle(
+        self, peer: bytes, message: messages.Message
+    ) -> messages.Message | None:
+        """Answers a message that only the leader may answer."""
+        match message:
+            case site_messages.Renew():
+                return self._renew(peer, message)
+            case site_messages.AskCredit(host=host, need=need):
+                grant = self._bank.ask(host, need, clock.now())
+                if grant is None:
+                    # This leader has no such limit (yet): nothing is short.
+                    grant = site_messages.Grant(
+                        need.team, need.wanted, 0.0, 0.0
+                    )
+                return site_messages.GiveCredit(grant=grant)
+            case site_messages.Missing(host=host, demand=demand):
+                self._planner.missing(host, demand)
+                return None
+            case site_messages.Apply(document=document):
+                return await self._apply(document)
+            case site_messages.ReadDocument():
+                held = self._document
+                source = held.source if held else b""
+                return site_messages.DocumentRead(source=source)
+            case site_messages.Register(said=said):
+                self._register(said)
+                return site_messages.Registered()
+            case site_messages.Deregister(name=name):
+                if self._registry.leave(name, clock.now()):
+                    logs.event("target_left", target=name)
+                    self._targets_changed([name])
+                return site_messages.Registered()
+            case messages.Join(member=member):
+                self._steward.join(member)
+                return messages.Noted()
+            case _:
+                logs.warn("unexpected", message=type(message).__name__)
+        return None
+
+    async def _apply(
+        self, document: document_lib.Document
+    ) -> site_messages.Applied:
+        held = self._replicator.state.document
+        if document.version <= held.version:
+            # Committed already, or overtaken: nothing to write.
+            return site_messages.Applied(version=held.version)
+        result = await self._replicator.propose(
+            document_lib.ApplyDocument(document=document)
+        )
+        assert isinstance(result, document_lib.DocumentApplied), result
+        return site_messages.Applied(version=result.version)
+
+    # Targets.
+
+    def _register(self, said: registry_lib.Registration) -> None:
+        now = clock.now()
+        known = self._registry.find(said.name)
+        changed = self._registry.note(said, now)
+        if not changed:
+            return
+        self._planner.reported(said)
+        if said.name in self._silent:
+            self._silent.discard(said.name)
+        elif known is not None and _same(known.said, said):
+            changed.remove(said.name)
+        if known is None or known.said.draining != said.draining:
+            logs.event(
+                "target",
+                target=said.name,
+                service=said.service,
+                address=said.address,
+                draining=said.draining,
+                models=",".join(loaded.model for loaded in said.loaded),
+            )
+        if changed:
+            self._targets_changed(changed)
+
+    def _target(self, session: registry_lib.Session) -> site_messages.Target:
+        said = session.said
+        return site_messages.Target(
+            said=said,
+            closing=self._planner.closing(said.name),
+            adapters=self._planner.adapters(said.name),
+            silent=said.name in self._silent,
+        )
+
+    def _targets_changed(self, names: Iterable[str]) -> None:
+        """Numbers a change of some targets and tells everyone."""
+        before = self._position
+        self._number += 1
+        targets, gone = [], []
+        for name in names:
+            session = self._registry.find(name)
+            if session is None:
+                gone.append(name)
+                self._silent.discard(name)
+            else:
+                targets.append(self._target(session))
+        self._planner.set_sessions(self._registry.sessions, self._silent)
+        self._tell_all(
+            site_messages.News(
+                position=self._position,
+                after=before,
+                targets=tuple(targets),
+                gone=tuple(gone),
+            )
+        )
+
+    def _whole_table(self) -> site_messages.News:
+        sessions = self._registry.sessions.values()
+        return site_messages.News(
+            position=self._position,
+            after=None,
+            complete=self._complete,
+            targets=tuple(self._target(session) for session in sessions),
+            entries=self._entries if self._complete else None,
+        )
+
+    # Entry hosts.
+
+    def _renew(
+        self, peer: bytes, message: site_messages.Renew
+    ) -> site_messages.Renewed | messages.NotLeader:
+        now = clock.now()
+        host = message.host
+        session = self._sessions.get(host.name)
+        if session is None or session.host != host:
+            logs.event(
+                "entry_host",
+                peer=host.name,
+                address=host.address,
+                draining=host.draining,
+                new=session is None,
+            )
+        self._sessions[host.name] = _Session(host=host, peer=peer, heard=now)
+        self._refresh_entries(now)
+        self._planner.demanded(host.name, message.demand)
+        self._planner.used(host.name, message.uses)
+        grants = [
+            self._bank.report(host.name, need, now) for need in message.needs
+        ]
+        return self._renewed(message, grants)
+
+    def _renewed(
+        self,
+        message: site_messages.Renew,
+        grants: list[site_messages.Grant | None],
+    ) -> site_messages.Renewed | messages.NotLeader:
+        if not self._replicator.leads:
+            # Another may lead and have accepted a newer configuration.
+            return messages.NotLeader(address="")
+        document = self._document
+        version = document.version if document else 0
+        news = None
+        if message.position != self._position or message.version < version:
+            news = self._whole_table()
+            if message.version < version:
+                news = msgspec.structs.replace(news, document=document)
+        members = self._replicator.replica.members.all
+        return site_messages.Renewed(
+            seconds=self._settings.lease_seconds,
+            version=version,
+            news=news,
+            grants=tuple(grant for grant in grants if grant is not None),
+            controls=tuple(member.address for member in members),
+        )
+
+    def _refresh_entries(self, now: float) -> None:
+        """Tells everyone when the entry hosts are others than before."""
+        silence = _SILENT_RENEWALS * self._settings.renew_seconds
+        live = tuple(
+            session.host
+            for _, session in sorted(self._sessions.items())
+            if now - session.heard <= silence
+        )
+        if live == self._entries:
+            return
+        self._entries = live
+        if self._complete:
+            before = self._position
+            self._number += 1
+            self._tell_all(
+                site_messages.News(
+                    position=self._position, after=before, entries=live
+                )
+            )
+
+    def _tell_all(self, news: site_messages.News) -> None:
+        for session in self._sessions.values():
+            task = asyncio.create_task(self._push(session.peer, news))
+            self._pushing.add(task)
+            task.add_done_callback(self._pushing.discard)
+
+    # Time.
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            now = clock.now()
+            self._refresh_entries(now)
+            self._forget_hosts(now)
+            self._note_silence(now)
+            if not self._complete and now - self._began > self._settle_seconds:
+                self._complete = True
+                self._number += 1
+                self._tell_all(self._whole_table())
+                self._planner.set_sessions(
+                    self._registry.sessions, self._silent
+                )
+
+    @property
+    def _settle_seconds(self) -> float:
+        """After so long every sound host and target has been heard of."""
+        return 1.5 * self._settings.report + self._settings.renew_seconds
+
+    def _forget_hosts(self, now: float) -> None:
+        for name, session in list(self._sessions.items()):
+            if now - session.heard > self._settings.lease_seconds:
+                del self._sessions[name]
+                self._bank.forget(name)
+                self._planner.forget_host(name)
+                logs.warn("entry_host_gone", peer=name)
+
+    def _note_silence(self, now: float) -> None:
+        silence = _SILENT_REPORTS * self._settings.report
+        changed = self._registry.expire(now, silence=_FORGET_SECONDS)
+        for name, session in self._registry.sessions.items():
+            if now - session.heard > silence and name not in self._silent:
+                logs.warn("target_silent", target=name)
+                self._silent.add(name)
+                changed.append(name)
+        if changed:
+            self._targets_changed(changed)
+
+
+def _same(
+    before: registry_lib.Registration, after: registry_lib.Registration
+) -> bool:
+    """Whether a report says nothing that entry hosts act on."""
+    return msgspec.structs.replace(
+        before, number=after.number, warm_in=0.0
+    ) == (msgspec.structs.replace(after, warm_in=0.0)) and (
+        before.warm_in > 0
+    ) == (after.warm_in > 0)
--- a/packages/endivestream/src/endivestream/process/steward.py
+++ b/packages/endivestream/src/endivestream/process/steward.py
@@ -48,7 +48,19 @@
         replicator: replicate.Replicator,
         wanted: int,
         replace_seconds: float,
+        superseded_seconds: float = _JOIN_SECONDS,
     ) -> None:
+        """Starts nothing yet.
+
+        Args:
+            replicator: The leading replica.
+            wanted: Voters that there should be.
+            replace_seconds: A voter silent for so long gives its place to a
+                caught-up learner.
+            superseded_seconds: The same for a voter whose host asks to join
+                under another identity.
+        """
+        self._superseded_seconds = superseded_seconds
         self._replicator = replicator
         self._wanted = wanted
         self._replace_seconds = replace_seconds
@@ -136,7 +148,7 @@
             m
             for m in members.voters
             if newcomers.get(m.name, m.identity) != m.identity
-            and replica.silent_for(m.identity) > _JOIN_SECONDS
+            and replica.silent_for(m.identity) > self._superseded_seconds
         ]
 
     def _lost(self, members: members_lib.Members) -> list[members_lib.Member]:
--- /dev/null
+++ b/packages/endivestream/src/endivestream/request/allowance.py
@@ -0,0 +1,132 @@
+"""A team's credit on one entry host. Pure, with time as an argument.
+
+The leader holds each team's bucket and hands credit out in portions. What a
+host holds is spent without asking. While it hears from no leader it counts on
+the rate that it was last told, for as long as the leader reckons with that.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from endivestream import site_messages
+
+# A host likes to hold credit for so many seconds of its recent demand: longer
+# than an election, so that none is missed while there is no leader.
+_AHEAD_SECONDS = 1.5
+# Demand is averaged over about so many seconds.
+_AVERAGE_SECONDS = 2.0
+# A host that hears no leader for so long counts on its rate alone: longer than
+# the pause between two renewals, whose refill the leader hands out itself.
+_SILENT_SECONDS = 0.8
+# So long after it last heard a leader it stops. What it spends alone may come
+# on top of what a new leader gives to others, so this bounds the excess: its
+# part of the rate for this time.
+_ALONE_SECONDS = 4.0
+# Credit above this multiple of what is wanted goes back to the leader.
+_SURPLUS = 2.0
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Purse:
+    """Credit of one team.
+
+    Attributes:
+        balance: Credit that may be spent.
+        demand: Credit a second that was asked for lately.
+        asked: Credit asked for since the last report.
+        largest: Largest cost seen lately.
+        rate: Credit a second to count on without a leader.
+        refilled: When `rate` was last added.
+        short_until: Until when the leader has none to give.
+    """
+
+    balance: float = 0.0
+    demand: float = 0.0
+    asked: float = 0.0
+    largest: float = 0.0
+    rate: float = 0.0
+    refilled: float = 0.0
+    short_until: float = float("-inf")
+
+
+class Allowance:
+    """Credit of all teams on this host."""
+
+    def __init__(self) -> None:
+        self._purses: dict[str, _Purse] = {}
+        self._heard = float("-inf")
+        self._averaged = float("-inf")
+
+    def __repr__(self) -> str:
+        return f"<Allowance of {len(self._purses)} teams>"
+
+    def balance(self, team: str) -> float:
+        """Returns the credit held for a team."""
+        purse = self._purses.get(team)
+        return purse.balance if purse else 0.0
+
+    def short_for(self, team: str, now: float) -> float:
+        """Returns seconds until the leader has credit again; 0 if it has."""
+        purse = self._purses.get(team)
+        return max(0.0, purse.short_until - now) if purse else 0.0
+
+    def ask(self, team: str, cost: float) -> None:
+        """Counts a request's cost as demand, whether it is spent or not."""
+        purse = self._purses.setdefault(team, _Purse())
+        purse.asked += cost
+        purse.largest = max(purse.largest, cost)
+
+    def spend(self, team: str, cost: float, now: float) -> bool:
+        """Takes credit for a request; False if there is too little."""
+        purse = self._purses.setdefault(team, _Purse())
+        self._refill_alone(purse, now)
+        if purse.balance < cost:
+            return False
+        purse.balance -= cost
+        return True
+
+    def _refill_alone(self, purse: _Purse, now: float) -> None:
+        since = max(purse.refilled, self._heard + _SILENT_SECONDS)
+        until = min(now, self._heard + _ALONE_SECONDS)
+        if until > since:
+            purse.balance += purse.rate * (until - since)
+            purse.refilled = until
+
+    def refund(self, team: str, cost: float) -> None:
+        """Gives back the credit of a request that has not run."""
+        purse = self._purses.setdefault(team, _Purse())
+        purse.balance += cost
+
+    def needs(self, now: float) -> tuple[site_messages.Need, ...]:
+        """Returns what to report and ask for; starts a new report."""
+        seconds = min(_AVERAGE_SECONDS, max(0.0, now - self._averaged))
+        self._averaged = now
+        needs = []
+        for team, purse in self._purses.items():
+            if seconds > 0:
+                share = seconds / _AVERAGE_SECONDS
+                now_asked = purse.asked / seconds
+                purse.demand += share * (now_asked - purse.demand)
+                purse.largest *= 1 - share / 8
+            wanted = purse.demand * _AHEAD_SECONDS + purse.largest
+            # Taken out before the report leaves: if that is lost, so is the
+            # credit, but it is never both here and at the leader.
+            returned = max(0.0, purse.balance - _SURPLUS * wanted)
+            purse.balance -= returned
+            needs.append(
+                site_messages.Need(team, returned, purse.balance, wanted)
+            )
+            purse.asked = 0.0
+        return tuple(needs)
+
+    def take(self, grant: site_messages.Grant, now: float) -> None:
+        """Adds what the leader gives."""
+        purse = self._purses.setdefault(grant.team, _Purse())
+        purse.balance += grant.credit
+        purse.rate = grant.rate
+        purse.short_until = now + grant.short if grant.short else now
+
+    def heard_leader(self, now: float) -> None:
+        """Notes that the leader answered: it counts the refill from here."""
+        self._heard = now
--- /dev/null
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -0,0 +1,315 @@
+"""Which target a request goes to, from what this host knows. Pure.
+
+The leader says which targets there are and what they hold; this host adds
+what it sees itself: how many of its requests run where, which targets break
+them or fall silent, and what a target has just denied to hold. Time comes in
+as an argument.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+import dataclasses
+import hashlib
+from typing import NamedTuple
+
+from endivestream import site_messages
+
+# A target of another failure domain counts as if it had so much more of its
+# slots taken: the way there costs bytes between domains and a few
+# milliseconds, which a lightly loaded target nearby does not.
+_AWAY = 0.25
+# A target that this session's last request ran on counts as so much emptier:
+# it still holds the prompt's shared parts, which saves reading them again.
+_KNOWN_SESSION = 0.2
+# Failures in a row after which a target gets one trial request at a time.
+_FAILURES = 2
+# How long a failing target is left alone; doubled with each further failure.
+_EJECT_SECONDS = 0.5
+_EJECT_MOST_SECONDS = 4.0
+# A target that runs requests of ours sends something many times a second. So
+# long without a byte from any of them means that it hangs or is cut off.
+_MUTE_SECONDS = 1.2
+
+
+class Ask(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        service: The service.
+        model: The model, or empty.
+        adapter: The adapter, or empty.
+        session: What its requests share a prompt by, or empty.
+        tried: Targets that it was already sent to.
+    """
+
+    service: str
+    model: str = ""
+    adapter: str = ""
+    session: str = ""
+    tried: Collection[str] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Picked:
+    """The request goes to `target`, for `reason`."""
+
+    target: site_messages.Target
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotThere:
+    """No target can take it now.
+
+    Attributes:
+        reason: `no_target`, `no_model`, `no_adapter`, `all_failing`, `full`.
+    """
+
+    reason: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Seen:
+    """What this host saw of one target.
+
+    Attributes:
+        running: Requests of this host on it.
+        models: The same by model and adapter.
+        heard: When the last byte came from it.
+        waiting_since: When the oldest request was sent that has had no byte
+            since; None if there is none.
+        failures: Failures in a row.
+        until: When it may get a trial request.
+        trial: Whether one is under way.
+        denied: Models and adapters that it said it does not hold, with the
+            state of its registration then.
+    """
+
+    running: int = 0
+    models: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+    heard: float = float("-inf")
+    waiting_since: float | None = None
+    failures: int = 0
+    until: float = float("-inf")
+    trial: bool = False
+    denied: set[str] = dataclasses.field(default_factory=set)
+
+
+class View:
+    """All targets, as one entry host sees them."""
+
+    def __init__(self, *, domain: str) -> None:
+        self._domain = domain
+        self._targets: dict[str, site_messages.Target] = {}
+        self._by_service: dict[str, list[str]] = {}
+        self._seen: dict[str, _Seen] = {}
+        self._sessions: dict[tuple[str, str], str] = {}
+
+    def __repr__(self) -> str:
+        return f"<View of {len(self._targets)} targets>"
+
+    @property
+    def targets(self) -> dict[str, site_messages.Target]:
+        """All targets by name."""
+        return dict(self._targets)
+
+    def running(self, target: str) -> int:
+        """Returns how many requests of this host run on a target."""
+        return self._seen[target].running if target in self._seen else 0
+
+    def set_targets(
+        self,
+        changed: Collection[site_messages.Target],
+        gone: Collection[str],
+    ) -> None:
+        """Takes over what the leader says."""
+        for target in changed:
+            name = target.said.name
+            known = self._targets.get(name)
+            if known is not None and known.said.order > target.said.order:
+                continue
+            restarted = known is not None and (
+                known.said.born != target.said.born
+            )
+            if restarted or name not in self._seen:
+                before = self._seen.get(name, _Seen())
+                self._seen[name] = _Seen(
+                    running=before.running, models=before.models
+                )
+            if known != target:
+                self._seen[name].denied.clear()
+            self._targets[name] = target
+        for name in gone:
+            self._targets.pop(name, None)
+            if name in self._seen and not self._seen[name].running:
+                del self._seen[name]
+        self._by_service = {}
+        for name, target in self._targets.items():
+            self._by_service.setdefault(target.said.service, []).append(name)
+
+    def pick(self, ask: Ask, now: float, *, limit: int) -> Picked | NotThere:
+        """Chooses a target.
+
+        Args:
+            ask: What the request needs.
+            now: The time.
+            limit: Most requests of this host on one target.
+        """
+        names = [
+            name
+            for name in self._by_service.get(ask.service, ())
+            if not self._targets[name].said.draining and name not in ask.tried
+        ]
+        if not names:
+            return NotThere(reason="no_target")
+        if ask.model:
+            names = [n for n in names if self._holds(n, ask.model)]
+            if not names:
+                return NotThere(reason="no_model")
+        if ask.adapter:
+            wanted = f"{ask.model}/{ask.adapter}"
+            names = [n for n in names if self._holds_adapter(n, wanted)]
+            if not names:
+                return NotThere(reason="no_adapter")
+        sound = [n for n in names if self._is_sound(n, now)]
+        if not sound:
+            return NotThere(reason="all_failing")
+        names = [n for n in sound if self._seen[n].running < limit]
+        if not names:
+            return NotThere(reason="full")
+        return self._least_loaded(ask, names, now)
+
+    def _holds(self, name: str, model: str) -> bool:
+        target = self._targets[name]
+        return (
+            any(loaded.model == model for loaded in target.said.loaded)
+            and model not in target.closing
+            and model not in self._seen[name].denied
+        )
+
+    def _holds_adapter(self, name: str, adapter: str) -> bool:
+        return (
+            adapter in self._targets[name].adapters
+            and adapter not in self._seen[name].denied
+        )
+
+    def _is_sound(self, name: str, now: float) -> bool:
+        """Whether a target may get a request now."""
+        seen = self._seen[name]
+        if seen.failures >= _FAILURES:
+            return now >= seen.until and not seen.trial
+        if seen.waiting_since is not None and seen.running:
+            # Requests sent long ago and not a byte since: it hangs, or the
+            # way to it is cut. More requests would hang with them.
+            quiet = now - max(seen.heard, seen.waiting_since)
+            if quiet > _MUTE_SECONDS:
+                return False
+        return now >= seen.until
+
+    def _least_loaded(self, ask: Ask, names: list[str], now: float) -> Picked:
+        last = self._sessions.get((ask.model, ask.session), "")
+        best, least, reason = "", float("inf"), ""
+        for name in names:
+            target, seen = self._targets[name], self._seen[name]
+            load = (seen.running + 1) / max(1, target.said.slots)
+            why = "load"
+            if target.said.domain != self._domain:
+                load += _AWAY
+            else:
+                why = "near"
+            if ask.session and name == last:
+                load -= _KNOWN_SESSION
+                why = "session"
+            if target.said.warm_in > 0:
+                load *= 2
+            if target.silent:
+                load += 1
+            # Between equals the session decides, so that its requests meet
+            # again at the target which has read their shared parts.
+            load += _spread(ask.session or ask.model, name) / 100
+            if load < least:
+                best, least, reason = name, load, why
+        if ask.session:
+            self._note_session(ask, best)
+        return Picked(target=self._targets[best], reason=reason)
+
+    def _note_session(self, ask: Ask, name: str) -> None:
+        key = (ask.model, ask.session)
+        self._sessions.pop(key, None)
+        self._sessions[key] = name
+        if len(self._sessions) > 4096:
+            self._sessions.pop(next(iter(self._sessions)))
+
+    def sent(self, target: str, ask: Ask, now: float) -> None:
+        """Notes that a request is sent to a target."""
+        seen = self._seen.setdefault(target, _Seen())
+        seen.running += 1
+        key = (ask.model, ask.adapter)
+        seen.models[key] = seen.models.get(key, 0) + 1
+        if seen.waiting_since is None:
+            seen.waiting_since = now
+        if seen.failures >= _FAILURES:
+            seen.trial = True
+
+    def heard(self, target: str, now: float) -> None:
+        """Notes that bytes of an answer came from a target."""
+        seen = self._seen.get(target)
+        if seen is not None:
+            seen.heard = now
+            seen.waiting_since = now
+
+    def ended(self, target: str, ask: Ask, now: float, *, failed: bool) -> None:
+        """Notes how a request on a target ended.
+
+        Args:
+            target: The target's name.
+            ask: What the request needed.
+            now: The time.
+            failed: Whether the target broke it.
+        """
+        seen = self._seen.get(target)
+        if seen is None:
+            return
+        seen.running = max(0, seen.running - 1)
+        key = (ask.model, ask.adapter)
+        seen.models[key] = seen.models.get(key, 1) - 1
+        if seen.models[key] <= 0:
+            del seen.models[key]
+        seen.trial = False
+        if not seen.running:
+            seen.waiting_since = None
+            if target not in self._targets:
+                del self._seen[target]
+                return
+        if not failed:
+            seen.failures = 0
+            seen.until = float("-inf")
+            return
+        seen.failures += 1
+        if seen.failures >= _FAILURES:
+            doubled = _EJECT_SECONDS * 2 ** (seen.failures - _FAILURES)
+            seen.until = now + min(_EJECT_MOST_SECONDS, doubled)
+
+    def denied(self, target: str, what: str) -> None:
+        """Notes that a target does not hold a model or adapter.
+
+        It counts until the leader says something new of the target.
+        """
+        if target in self._seen:
+            self._seen[target].denied.add(what)
+
+    def uses(self) -> tuple[site_messages.Use, ...]:
+        """Returns how many requests of this host run where for what."""
+        return tuple(
+            site_messages.Use(name, model, adapter, count)
+            for name, seen in self._seen.items()
+            for (model, adapter), count in seen.models.items()
+            if model
+        )
+
+
+def _spread(session: str, name: str) -> float:
+    """Returns a number from 0 to 1 that differs by session and target."""
+    digest = hashlib.blake2b(f"{session}\0{name}".encode(), digest_size=4)
+    return int.from_bytes(digest.digest(), "big") / 2**32
--- a/packages/endivestream/src/endivestream/request/sse.py
+++ b/packages/endivestream/src/endivestream/request/sse.py
@@ -61,3 +61,42 @@
 def encode(data: bytes) -> bytes:
     """Returns one event of `data`, which must hold no line feed."""
     return b"data: " + data + b"\n\n"
+
+
+class RawEvent(NamedTuple):
+    """One event as it came.
+
+    Attributes:
+        id: Its `id:` field, or empty.
+        raw: All its bytes with the empty line at its end.
+    """
+
+    id: bytes
+    raw: bytes
+
+
+class Cutter:
+    """Cuts a byte stream after whole events, keeping every byte as it is.
+
+    A target that breaks off in the middle of an event must not have its half
+    passed on: the stream could not be taken up elsewhere.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """What has come of an event that is not whole yet."""
+        return self._rest
+
+    def feed(self, chunk: bytes) -> list[RawEvent]:
+        """Takes a chunk in and returns the events that it completes.
+
+        Raises:
+            TooLongError: The stream holds no event end for too long.
+        """
+        *blocks, self._rest = (self._rest + chunk).split(b"\n\n")
+        if len(self._rest) > LONGEST_EVENT_BYTES:
+            raise TooLongError(f"{len(self._rest)} bytes without an event end")
+        return [RawEvent(_event(b).id, b + b"\n\n") for b in blocks]
--- /dev/null
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -0,0 +1,277 @@
+"""Messages between entry hosts and the control hosts of a site.
+
+An entry host carries callers' requests and decides alone; the leader among the
+control hosts tells it what holds: configuration, targets, other entry hosts,
+credit. `Renew` and `Renewed` are the heartbeat of that; `News` is pushed.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from endivestream.connection import registry as registry_lib
+from endivestream.version import document as document_lib
+
+
+class EntryHost(NamedTuple):
+    """An entry host, as others see it.
+
+    Attributes:
+        name: Unique among hosts.
+        incarnation: Rises with each start of the process.
+        domain: Its failure domain.
+        address: `IP:PORT` where callers connect.
+        draining: Whether it takes no new callers.
+    """
+
+    name: str
+    incarnation: int
+    domain: str
+    address: str
+    draining: bool
+
+
+class Demand(NamedTuple):
+    """How often a model was asked for on one entry host since the last report.
+
+    Attributes:
+        service: The service.
+        model: The model.
+        adapter: The adapter, or empty.
+        arrivals: Requests that came.
+        waiting: Requests that wait because no target holds it.
+        urgency: Least objective among the waiting, in seconds; 0 if none.
+    """
+
+    service: str
+    model: str
+    adapter: str
+    arrivals: int
+    waiting: int
+    urgency: float
+
+
+class Use(NamedTuple):
+    """Requests of one entry host that run on a target for a model.
+
+    Attributes:
+        target: The target's id.
+        model: The model.
+        adapter: The adapter, or empty.
+        running: How many run now.
+    """
+
+    target: str
+    model: str
+    adapter: str
+    running: int
+
+
+class Need(NamedTuple):
+    """Credit that an entry host asks for.
+
+    Attributes:
+        team: The team.
+        returned: Credit given back, because demand has fallen.
+        balance: Credit still held.
+        wanted: Credit it would like to hold.
+    """
+
+    team: str
+    returned: float
+    balance: float
+    wanted: float
+
+
+class Grant(NamedTuple):
+    """Credit given to an entry host, and when more can be had.
+
+    Attributes:
+        team: The team.
+        credit: Credit to add to what is held.
+        rate: Credit a second that the host may count on by itself while it
+            hears from no leader.
+        short: Seconds until as much as was wanted can be given; 0 if it was.
+    """
+
+    team: str
+    credit: float
+    rate: float
+    short: float
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """A target, as entry hosts are told of it.
+
+    Attributes:
+        said: Its newest registration.
+        closing: Models that it is about to unload: no new requests for them.
+        adapters: `MODEL/ADAPTER` that it holds, by the planner's own orders.
+        silent: Whether it has not reported for longer than it should.
+    """
+
+    said: registry_lib.Registration
+    closing: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    silent: bool = False
+
+
+class Position(NamedTuple):
+    """Which state of a leader's table a host has.
+
+    Attributes:
+        term: The leader's term.
+        number: Rises with each change in that term.
+    """
+
+    term: int = 0
+    number: int = 0
+
+
+class News(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What is different at the leader; pushed, or part of `Renewed`.
+
+    Attributes:
+        position: The table's state after this.
+        after: The state that this builds on; None if it is the whole table.
+        complete: Whether targets that are not named in a whole table are
+            gone. A new leader has not heard of all yet.
+        targets: Targets that are new or different.
+        gone: Targets that are gone.
+        entries: All entry hosts, or None if they are the same.
+        document: The configuration, or None if it is the same.
+    """
+
+    position: Position
+    after: Position | None
+    complete: bool = True
+    targets: tuple[Target, ...] = ()
+    gone: tuple[str, ...] = ()
+    entries: tuple[EntryHost, ...] | None = None
+    document: document_lib.Document | None = None
+
+
+class Renew(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An entry host's heartbeat.
+
+    Attributes:
+        host: Who asks.
+        version: The configuration that it has; 0 for none.
+        position: The table that it has.
+        demand: What was asked for since the last report.
+        uses: What runs where.
+        needs: Credit of teams.
+    """
+
+    host: EntryHost
+    version: int
+    position: Position
+    demand: tuple[Demand, ...] = ()
+    uses: tuple[Use, ...] = ()
+    needs: tuple[Need, ...] = ()
+
+
+class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `Renew`.
+
+    Attributes:
+        seconds: How long the configuration may be acted on, from the sending
+            of the question.
+        version: The version in force.
+        news: What the host lacks, or None.
+        grants: Credit.
+        controls: Where control hosts listen.
+    """
+
+    seconds: float
+    version: int
+    news: News | None = None
+    grants: tuple[Grant, ...] = ()
+    controls: tuple[str, ...] = ()
+
+
+class AskCredit(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks for credit at once, for a request that waits for it.
+
+    Attributes:
+        host: The asking host's name.
+        need: What is needed.
+    """
+
+    host: str
+    need: Need
+
+
+class GiveCredit(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `AskCredit`."""
+
+    grant: Grant
+
+
+class Missing(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Requests wait for models or adapters that no target holds.
+
+    Attributes:
+        host: The host that has them.
+        demand: What is missing.
+    """
+
+    host: str
+    demand: tuple[Demand, ...]
+
+
+class Apply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A control host passes an operator's document on to the leader."""
+
+    document: document_lib.Document
+
+
+class Applied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `Apply`: the version in force."""
+
+    version: int
+
+
+class Register(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A control host passes a target's report on to the leader."""
+
+    said: registry_lib.Registration
+
+
+class Deregister(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A control host passes a target's good-bye on to the leader."""
+
+    name: str
+
+
+class Registered(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `Register` and `Deregister`: entry hosts have heard of it."""
+
+
+class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks the leader for the configuration as the operator sent it."""
+
+
+class DocumentRead(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `ReadDocument`; `source` is empty if there is none yet."""
+
+    source: bytes
+
+
+Message = (
+    Renew
+    | Renewed
+    | News
+    | AskCredit
+    | GiveCredit
+    | Missing
+    | Apply
+    | Applied
+    | Register
+    | Deregister
+    | Registered
+    | ReadDocument
+    | DocumentRead
+)
--- /dev/null
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -0,0 +1,261 @@
+"""Which models and adapters should be on which engine. Pure.
+
+There are more models than places. A few are asked for all the time and have
+several copies; many are asked for now and then, and come back from an engine's
+own memory or disk in under a second. A plan is a list of steps, one for an
+engine at a time; the next is made when its effect has been reported.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from endivestream.version import document as document_lib
+
+# What the loss of one copy of a model costs, as a share of the model's
+# requests, by how many copies it has. The last copy costs all of them; with
+# two, the other one carries on, farther away for some and without a spare.
+_LOSS = {1: 1.0, 2: 0.06, 3: 0.004}
+_LOSS_MORE = 0.001
+# What a request loses that waits for a swap, by whether its objective leaves
+# time for one.
+_LATE = 1.0
+_IN_TIME = 0.3
+# A swap takes this long on top of the load: the push to entry hosts, two
+# orders and a report.
+_SWAP_SECONDS = 0.25
+# Requests that still run for a victim hold its unload up by about so long.
+_RUNNING_SECONDS = 1.5
+# Seconds of loading weigh as much as this loss of requests a second.
+_SECOND_COSTS = 0.3
+# A further copy must gain this multiple of what it displaces.
+_HYSTERESIS = 3.0
+# Copies beyond which a model never gets more by demand alone.
+_MOST_COPIES = 3
+# A copy takes about so many requests a second without falling behind.
+_COPY_RATE = 25.0
+
+
+class Want(NamedTuple):
+    """How much a model is asked for.
+
+    Attributes:
+        rate: Requests a second lately.
+        waiting: Requests that wait for it.
+        objective: Least objective of its requests, in seconds.
+    """
+
+    rate: float
+    waiting: int
+    objective: float
+
+
+class Place(NamedTuple):
+    """One engine, as far as planning goes.
+
+    Attributes:
+        target: Its name.
+        domain: Its failure domain.
+        loaded: Models that it holds, without those being unloaded.
+        coming: A model that is being loaded, or empty.
+        busy: Whether an order is under way or in doubt.
+        usable: Whether it may be given orders.
+        in_memory: Models in its host memory.
+        on_disk: Models on its disk.
+        running: Requests that run there, by model.
+    """
+
+    target: str
+    domain: str
+    loaded: tuple[str, ...]
+    coming: str
+    busy: bool
+    usable: bool
+    in_memory: frozenset[str]
+    on_disk: frozenset[str]
+    running: Mapping[str, int]
+
+
+class Step(NamedTuple):
+    """Put a model on an engine, after taking others off.
+
+    Attributes:
+        target: The engine.
+        model: The model to load.
+        victims: Models to unload first.
+        from_store: Whether the weights come from the store.
+        reason: `missing`, `copy` or `spare`, for the log.
+        gain: Requests a second that gain by it.
+        loss: Requests a second that the victims lose.
+    """
+
+    target: str
+    model: str
+    victims: tuple[str, ...]
+    from_store: bool
+    reason: str
+    gain: float
+    loss: float
+
+
+def steps(
+    *,
+    engine: document_lib.Engine,
+    places: Sequence[Place],
+    wants: Mapping[str, Want],
+    store_loads: int,
+) -> list[Step]:
+    """Returns what to begin now, at most one step for an engine.
+
+    Args:
+        engine: What engines of the service can hold.
+        places: All its engines.
+        wants: How much each model is asked for.
+        store_loads: Loads from the store that may begin now.
+    """
+    planner = _Planning(engine, places, wants, store_loads)
+    planner.load_missing()
+    planner.add_copies()
+    return planner.made
+
+
+class _Planning:
+    """One round of planning."""
+
+    def __init__(
+        self,
+        engine: document_lib.Engine,
+        places: Sequence[Place],
+        wants: Mapping[str, Want],
+        store_loads: int,
+    ) -> None:
+        self._models = {model.name: model for model in engine.models}
+        self._room = engine.weights_mb - engine.adapter_places * max(
+            (model.adapter_mb for model in engine.models), default=0.0
+        )
+        self._places = {place.target: place for place in places}
+        self._wants = wants
+        self._store_loads = store_loads
+        self._taken: set[str] = set()
+        self._copies: dict[str, int] = {}
+        for place in places:
+            if not place.usable:
+                continue
+            for model in {*place.loaded, place.coming} - {""}:
+                self._copies[model] = self._copies.get(model, 0) + 1
+        self.made: list[Step] = []
+
+    def load_missing(self) -> None:
+        """Loads models that requests wait for, the most waited for first."""
+        missing = [
+            (name, want)
+            for name, want in self._wants.items()
+            if want.waiting
+            and name in self._models
+            and not self._copies.get(name)
+        ]
+        missing.sort(key=lambda item: -item[1].waiting / item[1].objective)
+        for name, want in missing:
+            gain = max(want.rate, want.waiting / max(0.5, want.objective))
+            step = self._best(name, "missing", gain)
+            if step is not None:
+                self._make(step)
+
+    def add_copies(self) -> None:
+        """Gives busy models a further copy where that gains enough."""
+        busy = sorted(self._wants.items(), key=lambda item: -item[1].rate)
+        for name, want in busy:
+            copies = self._copies.get(name, 0)
+            if name not in self._models or not 0 < copies < _MOST_COPIES:
+                continue
+            if any(p.coming == name for p in self._places.values()):
+                continue
+            gain = want.rate * _LOSS.get(copies + 1, _LOSS_MORE)
+            if want.rate > copies * _COPY_RATE:
+                gain = want.rate - copies * _COPY_RATE
+            step = self._best(name, "copy", gain)
+            if step is not None and gain > _HYSTERESIS * step.loss:
+                self._make(step)
+
+    def _make(self, step: Step) -> None:
+        self.made.append(step)
+        self._taken.add(step.target)
+        self._store_loads -= step.from_store
+        self._copies[step.model] = self._copies.get(step.model, 0) + 1
+        for victim in step.victims:
+            self._copies[victim] -= 1
+
+    def _best(self, model: str, reason: str, gain: float) -> Step | None:
+        """Returns the cheapest way to load a model, or None."""
+        found, least = None, float("inf")
+        domains = {
+            place.domain
+            for place in self._places.values()
+            if model in (*place.loaded, place.coming)
+        }
+        for place in self._places.values():
+            if not place.usable or place.busy or place.target in self._taken:
+                continue
+            if model in place.loaded or model == place.coming:
+                continue
+            step = self._step(place, model, reason, gain)
+            if step is None:
+                continue
+            cost = step.loss + _SECOND_COSTS * self._seconds(place, step)
+            if place.domain in domains:
+                cost += gain / 2
+            if cost < least:
+                found, least = step, cost
+        return found
+
+    def _step(
+        self, place: Place, model: str, reason: str, gain: float
+    ) -> Step | None:
+        from_store = model not in place.in_memory | place.on_disk
+        if from_store and self._store_loads <= 0:
+            return None
+        room = self._room - sum(
+            self._models[name].weights_mb
+            for name in place.loaded
+            if name in self._models
+        )
+        victims: list[str] = []
+        loss = 0.0
+        by_loss = sorted(place.loaded, key=lambda name: self._loss(place, name))
+        for name in by_loss:
+            if room >= self._models[model].weights_mb:
+                break
+            room += self._models[name].weights_mb if name in self._models else 0
+            victims.append(name)
+            loss += self._loss(place, name)
+        if room < self._models[model].weights_mb:
+            return None
+        return Step(
+            place.target, model, tuple(victims), from_store, reason, gain, loss
+        )
+
+    def _loss(self, place: Place, model: str) -> float:
+        """Returns what a model's requests lose with its copy at a place."""
+        want = self._wants.get(model)
+        copies = max(1, self._copies.get(model, 1))
+        if want is None:
+            return 0.0
+        share = _LOSS.get(copies, _LOSS_MORE)
+        if copies == 1:
+            again = _SWAP_SECONDS + self._models[model].disk_seconds
+            in_time = want.objective > 2 * again
+            share = _IN_TIME if in_time else _LATE
+        loss = want.rate * share
+        if place.running.get(model):
+            loss += _SECOND_COSTS * _RUNNING_SECONDS
+        return loss
+
+    def _seconds(self, place: Place, step: Step) -> float:
+        model = self._models[step.model]
+        if step.model in place.in_memory:
+            return model.memory_seconds
+        if step.model in place.on_disk:
+            return model.disk_seconds
+        return model.load_seconds
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -11,10 +11,11 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import random
-import time
 from typing import NamedTuple
 
+from endivestream import clock
 from endivestream import logs
 from endivestream import tasks
 from endivestream.version import consensus
@@ -122,9 +123,7 @@
     @property
     def leads(self) -> bool:
         """Whether this leads and surely nobody else does."""
-        return not self._closed and (
-            self.replica.lease_until > time.monotonic()
-        )
+        return not self._closed and (self.replica.lease_until > clock.now())
 
     @property
     def leader_address(self) -> str:
@@ -138,11 +137,19 @@
         known = member.address if member else ""
         return self._addresses.get(identity, known)
 
-    def start(self, *, form: bool, alone: bool = False) -> None:
+    def start(
+        self,
+        *,
+        form: bool,
+        alone: bool = False,
+        founders: Sequence[members_lib.Member] = (),
+    ) -> None:
         """Reads the state back and takes part.
 
         Args:
             form: Whether to form a new system if there is none in the folder.
+            founders: With `form`: the voters of the new system, the same on
+                all of them; only this one if empty.
             alone: Whether to go on as the only voter, after a majority of
                 disks was lost for good.
 
@@ -150,11 +157,11 @@
             storage_lib.CorruptError: The stored data is damaged.
             OSError: It cannot be read or written.
         """
-        begun = time.monotonic()
+        begun = clock.now()
         self._storage.start()
         known = self._storage.snapshot.members.voters or self._storage.entries
         if form and not known:
-            self._form()
+            self._form(founders)
         if alone:
             self._stand_alone()
         snapshot = self._storage.snapshot
@@ -168,7 +175,7 @@
             snapshot=(snapshot.index, snapshot.term),
             snapshot_members=snapshot.members,
             entries=self._storage.entries,
-            now=time.monotonic(),
+            now=clock.now(),
             jitter=self._random.random(),
         )
         logs.event(
@@ -177,16 +184,20 @@
             term=self.term,
             index=self.replica.last_index,
             voters=len(self.replica.members.voters),
-            seconds=time.monotonic() - begun,
+            seconds=clock.now() - begun,
         )
         self._tasks = [
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._sync()),
         ]
 
-    def _form(self) -> None:
-        """Makes this replica the only voter of a new system."""
-        members = members_lib.Members((self.me,))
+    def _form(self, founders: Sequence[members_lib.Member]) -> None:
+        """Makes this replica a voter of a new system.
+
+        All founders write the same first members, so that any majority of
+        them is one: nothing is accepted by fewer, not even at the start.
+        """
+        members = members_lib.Members(tuple(founders) or (self.me,))
         self._storage.save_snapshot(
             storage_lib.SnapshotFile(0, 0, b"", members)
         )
@@ -225,11 +236,11 @@
 
     async def _hand_over(self) -> None:
         """Makes a planned stop cost no election timeout."""
-        until = time.monotonic() + self._timing.election
+        until = clock.now() + self._timing.election
         while (
             self.replica.role == consensus.Role.LEADER
             and len(self.replica.members.voters) > 1
-            and time.monotonic() < until
+            and clock.now() < until
         ):
             self._step(protocol.Transfer())
             await asyncio.sleep(self._timing.heartbeat / 2)
@@ -297,7 +308,7 @@
         if self._closed:
             return
         try:
-            for effect in self.replica.step(event, time.monotonic()):
+            for effect in self.replica.step(event, clock.now()):
                 self._carry_out(effect)
             if self._storage.size > SNAPSHOT_AFTER_BYTES:
                 self._compact()
@@ -370,7 +381,7 @@
             self.replica.members_at(index),
         )
         self._storage.save_snapshot(snapshot)
-        self.replica.step(protocol.Compacted(index), time.monotonic())
+        self.replica.step(protocol.Compacted(index), clock.now())
         logs.event("snapshot", index=index, bytes=len(snapshot.data))
 
     def _note_role(self) -> None:
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -12,6 +12,7 @@
 from endivestream.version import calls as calls_lib
 from endivestream.version import configuration as configuration_lib
 from endivestream.version import credit as credit_lib
+from endivestream.version import document as document_lib
 from endivestream.version import ledger as ledger_lib
 
 Command = (
@@ -26,6 +27,7 @@
     | ledger_lib.IntendLoad
     | ledger_lib.ConfirmLoad
     | credit_lib.SetAside
+    | document_lib.ApplyDocument
 )
 Result = (
     configuration_lib.Applied
@@ -39,6 +41,7 @@
     | ledger_lib.Refused
     | ledger_lib.Noted
     | credit_lib.DoneSettingAside
+    | document_lib.DocumentApplied
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -50,6 +53,7 @@
     calls: calls_lib.Snapshot
     ledger: dict[str, ledger_lib.Target]
     credit: tuple[int, dict[str, credit_lib.Level]]
+    document: document_lib.Document | None = None
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -73,6 +77,7 @@
         calls: Records of non-idempotent calls.
         ledger: Memory of targets.
         credit: Teams' credit without what the leader may spend.
+        document: The configuration that is applied as a whole.
     """
 
     def __init__(self) -> None:
@@ -80,6 +85,7 @@
         self.calls = calls_lib.Calls()
         self.ledger = ledger_lib.Ledger()
         self.credit = credit_lib.Credit()
+        self.document = document_lib.Holder()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -108,6 +114,8 @@
                 return self.ledger.apply(index, command)
             case credit_lib.SetAside():
                 return self.credit.apply(command)
+            case document_lib.ApplyDocument():
+                return self.document.apply(command)
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
@@ -117,6 +125,7 @@
                 calls=self.calls.snapshot(),
                 ledger=self.ledger.snapshot(),
                 credit=self.credit.snapshot(),
+                document=self.document.current,
             )
         )
 
@@ -127,3 +136,4 @@
         self.calls.restore(snapshot.calls)
         self.ledger.restore(snapshot.ledger)
         self.credit.restore(snapshot.credit)
+        self.document.current = snapshot.document
--- a/packages/endivestream/src/endivestream/version/storage.py
+++ b/packages/endivestream/src/endivestream/version/storage.py
@@ -82,8 +82,15 @@
 class Storage:
     """The files of one replica. Not shared between threads."""
 
-    def __init__(self, *, folder: pathlib.Path) -> None:
+    def __init__(self, *, folder: pathlib.Path, new_identity: str = "") -> None:
+        """Does not touch the folder yet.
+
+        Args:
+            folder: Where the files live.
+            new_identity: Who this is if the folder is new; random if empty.
+        """
         self._folder = folder
+        self._new_identity = new_identity
         self._log: int | None = None
         self._entries: list[Entry] = []
         self._offsets: list[int] = []
@@ -152,7 +159,7 @@
                 raise CorruptError(
                     f"{self._folder / 'identity'}: missing beside a log"
                 )
-            stored = uuid.uuid4().hex.encode()
+            stored = (self._new_identity or uuid.uuid4().hex).encode()
             self._replace("identity", stored)
         self._identity = stored.decode()
 
