Placement on demand: homes on disks, adapters counted until their unload is confirmed

Change: no store load of a model that some disk has; homes given before traffic; victims run out before their unload is ordered; adapters leave the count only when the engine confirmed it.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -146,6 +146,7 @@
             missing=self._missing,
             changed=self._wait_for_change,
             asked=self._count,
+            idle=self._watch.poke,
             observe=observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -43,8 +43,17 @@
 _ADAPTERS_AT_ONCE = 4
 # An adapter that was asked for within this time is not taken off.
 _ADAPTER_KEEP_SECONDS = 0.6
-# A report is compared with orders only if they are older than it can be.
-_REPORT_LAG_SECONDS = 0.6
+# A report may be so much older than an order that took an adapter off.
+_REPORT_LAG_SECONDS = 3.0
+# After a step that failed, before an engine is tried again.
+_AGAIN_SECONDS = 0.3
+# A victim's runs are waited for so long before its unload is ordered: until
+# then the engine can still take adapters.
+_RUNS_SECONDS = 5.0
+# How often it is looked whether they have ended.
+_RUNS_POLL_SECONDS = 0.02
+# An engine is asked what it holds at most so often.
+_ASK_SECONDS = 1.0
 # Demand is averaged over about so many seconds: long enough to smooth a
 # second without requests, short enough to follow a shift of a few seconds.
 _AVERAGE_SECONDS = 4.0
@@ -87,10 +96,14 @@
         closing: Models that entry hosts were told to leave alone.
         adapters: `MODEL/ADAPTER` that it holds, with the time of the order.
         dropped: The same for those taken off.
+        leaving: Those that are about to be taken off.
         pending: `MODEL/ADAPTER` that are ordered and not there yet.
         task: The step or adapter order under way.
         step: The step under way, or None.
         accepted: Orders that it has accepted; None if that is not known.
+        is_busy: Whether it carries out an order for a model, and takes none.
+        blocked_until: When it may be tried again after a step that failed.
+        asked_at: When it was last asked what it holds.
     """
 
     def __init__(self, *, said: registry_lib.Registration) -> None:
@@ -98,7 +111,11 @@
         self.closing: set[str] = set()
         self.adapters: dict[str, float] = {}
         self.dropped: dict[str, float] = {}
+        self.leaving: dict[str, float] = {}
         self.pending: set[str] = set()
+        self.is_busy = False
+        self.blocked_until = float("-inf")
+        self.asked_at = float("-inf")
         self.step: plan_lib.Step | None = None
         self.loading = ""
         self.accepted: int | None = None
@@ -121,6 +138,7 @@
         settings: site_settings.SiteSettings,
         engines: engines_lib.Engines,
         fence: int,
+        first: bool,
         may_order: Callable[[], bool],
         changed: Callable[[Iterable[str]], None],
     ) -> None:
@@ -130,17 +148,20 @@
             settings: The host's settings.
             engines: Calls to engines.
             fence: The fencing token of all its orders.
+            first: Whether nobody can have ordered before it.
             may_order: Whether this host surely leads, asked before each order.
             changed: Told of targets whose closing models or adapters changed.
         """
         self._settings = settings
         self._engines = engines
         self._fence = fence
+        self._first = first
         self._may_order = may_order
         self._changed = changed
         self._services: dict[str, document_lib.Engine] = {}
         self._workers: dict[str, _Worker] = {}
         self._silent: set[str] = set()
+        self._complete = False
         self._asked: dict[tuple[str, str, str], _Asked] = {}
         self._waiting: dict[tuple[str, str, str], dict[str, int]] = {}
         self._running: dict[str, dict[tuple[str, str], int]] = {}
@@ -173,8 +194,17 @@
         self,
         sessions: Mapping[str, registry_lib.Session],
         silent: set[str],
+        *,
+        complete: bool,
     ) -> None:
-        """Takes over which targets there are."""
+        """Takes over which targets there are.
+
+        Args:
+            sessions: All targets by name.
+            silent: Those that miss reports.
+            complete: Whether every sound one has been heard of.
+        """
+        self._complete = complete
         self._silent = set(silent)
         for name in self._workers.keys() - sessions.keys():
             worker = self._workers.pop(name)
@@ -190,7 +220,7 @@
             worker = _Worker(said=said)
             self._workers[said.name] = worker
         worker.said = said
-        self._compare_adapters(worker)
+        self._add_adapters(worker, said.loaded)
         worker.reported.set()
         self._poked.set()
 
@@ -253,16 +283,18 @@
     def adapters(self, target: str) -> tuple[str, ...]:
         """Returns the adapters that a target holds, as `MODEL/ADAPTER`."""
         worker = self._workers.get(target)
-        return tuple(sorted(worker.adapters)) if worker else ()
+        if worker is None:
+            return ()
+        return tuple(sorted(worker.adapters.keys() - worker.leaving.keys()))
 
     # Planning.
 
     async def _run(self) -> None:
         # An older holder may have ordered until just before it was replaced;
         # engines see only one holder within this time.
-        await asyncio.sleep(
-            self._settings.bounds.lease + _HOLDER_MARGIN_SECONDS
-        )
+        if not self._first:
+            lease = self._settings.bounds.lease
+            await asyncio.sleep(lease + _HOLDER_MARGIN_SECONDS)
         logs.event("planner_started", fence=self._fence)
         while True:
             self._poked.clear()
@@ -287,6 +319,7 @@
                 places=[self._place(w) for w in workers.values()],
                 wants=self._wants(service, now),
                 store_loads=self._store_room(engine, now),
+                complete=self._complete,
             )
             for step in planned:
                 self._begin(workers[step.target], step, engine)
@@ -304,10 +337,10 @@
             domain=worker.said.domain,
             loaded=tuple(sorted(worker.models - worker.closing)),
             coming=worker.loading,
-            busy=worker.step is not None,
+            busy=worker.step is not None or clock.now() < worker.blocked_until,
             usable=not worker.said.draining and name not in self._silent,
-            in_memory=frozenset(worker.said.in_memory),
-            on_disk=frozenset(worker.said.on_disk),
+            in_memory=worker.said.in_memory,
+            on_disk=worker.said.on_disk,
             running=running,
         )
 
@@ -368,6 +401,9 @@
             worker.step = None
             worker.loading = ""
             worker.closing.clear()
+            worker.is_busy = False
+            if not done:
+                worker.blocked_until = clock.now() + _AGAIN_SECONDS
             logs.event(
                 "placed" if done else "placement_failed",
                 target=step.target,
@@ -383,6 +419,8 @@
     ) -> bool:
         if step.victims:
             await asyncio.sleep(_CLOSE_SECONDS)
+            await self._until_idle(worker, step.victims)
+        worker.is_busy = True
         for victim in step.victims:
             if not await self._order(worker, load=False, model=victim):
                 return False
@@ -406,11 +444,27 @@
             2 * seconds + _OVERDUE_SECONDS,
         )
 
+    async def _until_idle(
+        self, worker: _Worker, victims: tuple[str, ...]
+    ) -> None:
+        """Waits for the runs of models that are about to go.
+
+        An engine that has been ordered to unload takes no other order until
+        those runs have ended, and requests for its adapters would wait.
+        """
+        until = clock.now() + _RUNS_SECONDS
+        while clock.now() < until:
+            running = self._place(worker).running
+            if not any(running.get(victim) for victim in victims):
+                return
+            await asyncio.sleep(_RUNS_POLL_SECONDS)
+
     def _fits(
         self, worker: _Worker, model: str, engine: document_lib.Engine
     ) -> bool:
         """Whether a report shows the room: an engine that is ordered to hold
-        more than it can crashes, with all that runs on it."""
+        more than it can crashes, with all that runs on it.
+        """
         sizes = {m.name: m for m in engine.models}
         held = {*worker.models, model}
         weights = sum(sizes[m].weights_mb for m in held if m in sizes)
@@ -493,25 +547,37 @@
         if report is None:
             return False
         worker.accepted = report.accepted
+        worker.is_busy = report.busy
+        # Asked for under the lock: no order of ours is under way that this
+        # does not show yet.
+        held = {
+            f"{loaded.model}/{adapter}"
+            for loaded in report.loaded
+            for adapter in loaded.adapters
+        }
+        for name in worker.adapters.keys() - held - set(report.coming):
+            if clock.now() - worker.adapters[name] > _REPORT_LAG_SECONDS:
+                del worker.adapters[name]
+        self._add_adapters(worker, report.loaded)
         return True
 
     # Adapters.
 
-    def _compare_adapters(self, worker: _Worker) -> None:
-        """Brings what is known of adapters in line with a report."""
-        before = set(worker.adapters)
+    def _add_adapters(
+        self, worker: _Worker, loaded: Iterable[registry_lib.Loaded]
+    ) -> None:
+        """Adds adapters that an engine says it holds.
+
+        None is ever taken off by a report: it may be older than the order
+        that loaded one, and an engine that is ordered to hold one too many
+        crashes. Engines lose adapters only by orders and restarts.
+        """
         now = clock.now()
-        said = {
-            f"{loaded.model}/{adapter}"
-            for loaded in worker.said.loaded
-            for adapter in loaded.adapters
-        }
-        for name in said - before:
-            if now - worker.dropped.get(name, 0.0) > _REPORT_LAG_SECONDS:
-                worker.adapters[name] = now
-        for name in before - said:
-            if now - worker.adapters[name] > _REPORT_LAG_SECONDS:
-                del worker.adapters[name]
+        for held in loaded:
+            for adapter in held.adapters:
+                name = f"{held.model}/{adapter}"
+                if now - worker.dropped.get(name, 0.0) > _REPORT_LAG_SECONDS:
+                    worker.adapters.setdefault(name, now)
 
     def _forget_adapters(self, worker: _Worker, model: str) -> None:
         for name in list(worker.adapters):
@@ -538,12 +604,14 @@
             ]
             if any(name in w.pending for w in holders):
                 continue
-            if any(name in w.adapters for w in holders):
+            known = [w for w in holders if name in w.adapters]
+            if known:
+                self._check_adapters(known, now)
                 continue
             free = [
                 w
                 for w in holders
-                if w.step is None and len(w.pending) < _ADAPTERS_AT_ONCE
+                if not w.is_busy and len(w.pending) < _ADAPTERS_AT_ONCE
             ]
             if not free:
                 continue
@@ -556,8 +624,9 @@
                 continue
             worker.pending.add(name)
             if victim:
-                del worker.adapters[victim]
-                worker.dropped[victim] = now
+                # Entry hosts stop sending at once; it still counts until the
+                # engine has confirmed that it is gone.
+                worker.leaving[victim] = worker.adapters[victim]
                 self._changed([worker.said.name])
             task = asyncio.create_task(
                 self._place_adapter(worker, name, victim)
@@ -565,17 +634,34 @@
             self._adapter_tasks.add(task)
             task.add_done_callback(self._adapter_tasks.discard)
 
+    def _check_adapters(self, workers: list[_Worker], now: float) -> None:
+        """Asks engines that should hold what requests still wait for."""
+        for worker in workers:
+            if now - worker.asked_at > _ASK_SECONDS and not worker.leaving:
+                worker.asked_at = now
+                worker.accepted = None
+                task = asyncio.create_task(self._ask_adapters(worker))
+                self._adapter_tasks.add(task)
+                task.add_done_callback(self._adapter_tasks.discard)
+
+    async def _ask_adapters(self, worker: _Worker) -> None:
+        async with worker.lock:
+            if worker.accepted is None:
+                await self._learn(worker)
+        self._changed([worker.said.name])
+
     def _adapter_victim(
         self, worker: _Worker, engine: document_lib.Engine, now: float
     ) -> str | None:
         """Returns an adapter to take off, empty if none needs to, or None."""
         held = len(worker.adapters) + len(worker.pending)
+        held -= len(worker.leaving)
         if held < engine.adapter_places:
             return ""
         old = [
             (used, name)
             for name, used in worker.adapters.items()
-            if now - used > _ADAPTER_KEEP_SECONDS
+            if now - used > _ADAPTER_KEEP_SECONDS and name not in worker.leaving
         ]
         return min(old)[1] if old else None
 
@@ -591,13 +677,16 @@
                 )
                 if not taken:
                     return
+                worker.adapters.pop(victim, None)
+                worker.dropped[victim] = clock.now()
             model, _, adapter = name.partition("/")
             if await self._order(
                 worker, load=True, model=model, adapter=adapter
             ):
                 await asyncio.sleep(_ADAPTER_SECONDS)
                 worker.adapters[name] = clock.now()
-                if worker.said.name in self._workers:
-                    self._changed([worker.said.name])
         finally:
             worker.pending.discard(name)
+            worker.leaving.pop(victim, None)
+            if worker.said.name in self._workers:
+                self._changed([worker.said.name])
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -89,6 +89,7 @@
             settings=settings,
             engines=engines,
             fence=self._term,
+            first=lead.replicator.replica.first_own == 1,
             may_order=lambda: lead.replicator.leads,
             changed=self._targets_changed,
         )
@@ -220,6 +221,8 @@
                 address=said.address,
                 draining=said.draining,
                 models=",".join(loaded.model for loaded in said.loaded),
+                in_memory=",".join(said.in_memory),
+                on_disk=",".join(said.on_disk),
             )
         if changed:
             self._targets_changed(changed)
@@ -245,7 +248,9 @@
                 self._silent.discard(name)
             else:
                 targets.append(self._target(session))
-        self._planner.set_sessions(self._registry.sessions, self._silent)
+        self._planner.set_sessions(
+            self._registry.sessions, self._silent, complete=self._complete
+        )
         self._tell_all(
             site_messages.News(
                 position=self._position,
@@ -354,7 +359,7 @@
                 self._number += 1
                 self._tell_all(self._whole_table())
                 self._planner.set_sessions(
-                    self._registry.sessions, self._silent
+                    self._registry.sessions, self._silent, complete=True
                 )
 
     @property
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -267,10 +267,13 @@
             ask: What the request needed.
             now: The time.
             failed: Whether the target broke it.
+
+        Returns:
+            Whether this was the last run here of a model that is to go.
         """
         seen = self._seen.get(target)
         if seen is None:
-            return
+            return False
         seen.running = max(0, seen.running - 1)
         key = (ask.model, ask.adapter)
         seen.models[key] = seen.models.get(key, 1) - 1
@@ -281,15 +284,22 @@
             seen.waiting_since = None
             if target not in self._targets:
                 del self._seen[target]
-                return
+                return False
+        closing = (
+            self._targets[target].closing if target in self._targets else ()
+        )
+        last = ask.model in closing and not any(
+            model == ask.model for model, _ in seen.models
+        )
         if not failed:
             seen.failures = 0
             seen.until = float("-inf")
-            return
+            return last
         seen.failures += 1
         if seen.failures >= _FAILURES:
             doubled = _EJECT_SECONDS * 2 ** (seen.failures - _FAILURES)
             seen.until = now + min(_EJECT_MOST_SECONDS, doubled)
+        return last
 
     def denied(self, target: str, what: str) -> None:
         """Notes that a target does not hold a model or adapter.
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -81,6 +81,7 @@
         missing: Tells the planner what is missing; while it waits.
         changed: Waits until targets change, for so many seconds at most.
         asked: Counts a request for a model.
+        idle: Told when the last run of a model that is to go has ended.
         observe: Takes a finished request's figures.
     """
 
@@ -95,6 +96,7 @@
     missing: Callable[[Work], Callable[[], None]]
     changed: Callable[[float], object]
     asked: Callable[[Work], None]
+    idle: Callable[[], None]
     observe: Callable[[Ended], None]
 
 
@@ -520,7 +522,8 @@
             return result
         finally:
             exchange.close()
-            view.ended(said.name, ask, clock.now(), failed=failed)
+            if view.ended(said.name, ask, clock.now(), failed=failed):
+                self._parts.idle()
 
     async def _exchange(
         self,
--- a/packages/endivestream/src/endivestream/version/consensus.py
+++ b/packages/endivestream/src/endivestream/version/consensus.py
@@ -113,6 +113,15 @@
         """The last entry's index."""
         return self._log.last
 
+    @property
+    def first_own(self) -> int:
+        """The first entry of its own term, for a leader; 1 if none led before.
+
+        Every leader's first act is an entry, and one elected later has all
+        that were committed.
+        """
+        return self._first_own
+
     @property
     def ready(self) -> bool:
         """Whether this leads and has committed an entry of its own term.
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -32,6 +32,18 @@
 _SECOND_COSTS = 0.3
 # A further copy must gain this multiple of what it displaces.
 _HYSTERESIS = 3.0
+# Demand is taken to last so long when a gain is weighed against its cost.
+_HORIZON_SECONDS = 10.0
+# What an order, a push and a busy engine cost, in requests; and what a load
+# from the store costs, whose rate all models share.
+_STEP_COSTS = 0.3
+_STORE_COSTS = 2.0
+# What is expected of a model that nobody has asked for lately.
+_UNKNOWN_RATE = 0.02
+_UNKNOWN_OBJECTIVE = 4.0
+# What it costs, in requests a second, that no engine's disk has a model any
+# more: its next request waits for the store.
+_HOMELESS = 0.05
 # Copies beyond which a model never gets more by demand alone.
 _MOST_COPIES = 3
 # A copy takes about so many requests a second without falling behind.
@@ -62,8 +74,8 @@
         coming: A model that is being loaded, or empty.
         busy: Whether an order is under way or in doubt.
         usable: Whether it may be given orders.
-        in_memory: Models in its host memory.
-        on_disk: Models on its disk.
+        in_memory: Models in its host memory, least recently used first.
+        on_disk: Models on its disk, least recently used first.
         running: Requests that run there, by model.
     """
 
@@ -73,8 +85,8 @@
     coming: str
     busy: bool
     usable: bool
-    in_memory: frozenset[str]
-    on_disk: frozenset[str]
+    in_memory: tuple[str, ...]
+    on_disk: tuple[str, ...]
     running: Mapping[str, int]
 
 
@@ -86,7 +98,7 @@
         model: The model to load.
         victims: Models to unload first.
         from_store: Whether the weights come from the store.
-        reason: `missing`, `copy` or `spare`, for the log.
+        reason: `missing`, `copy` or `home`, for the log.
         gain: Requests a second that gain by it.
         loss: Requests a second that the victims lose.
     """
@@ -106,6 +118,7 @@
     places: Sequence[Place],
     wants: Mapping[str, Want],
     store_loads: int,
+    complete: bool = True,
 ) -> list[Step]:
     """Returns what to begin now, at most one step for an engine.
 
@@ -114,10 +127,14 @@
         places: All its engines.
         wants: How much each model is asked for.
         store_loads: Loads from the store that may begin now.
+        complete: Whether all engines have been heard of: what none of them
+            has on its disk is then on no disk.
     """
     planner = _Planning(engine, places, wants, store_loads)
     planner.load_missing()
     planner.add_copies()
+    if complete:
+        planner.give_homes()
     return planner.made
 
 
@@ -140,9 +157,12 @@
         self._store_loads = store_loads
         self._taken: set[str] = set()
         self._copies: dict[str, int] = {}
+        self._homes: dict[str, int] = {}
         for place in places:
             if not place.usable:
                 continue
+            for model in place.on_disk:
+                self._homes[model] = self._homes.get(model, 0) + 1
             for model in {*place.loaded, place.coming} - {""}:
                 self._copies[model] = self._copies.get(model, 0) + 1
         self.made: list[Step] = []
@@ -176,7 +196,26 @@
             if want.rate > copies * _COPY_RATE:
                 gain = want.rate - copies * _COPY_RATE
             step = self._best(name, "copy", gain)
-            if step is not None and gain > _HYSTERESIS * step.loss:
+            if step is None or gain <= _HYSTERESIS * step.loss:
+                continue
+            costs = _STEP_COSTS + step.from_store * _STORE_COSTS
+            if (gain - step.loss) * _HORIZON_SECONDS > costs:
+                self._make(step)
+
+    def give_homes(self) -> None:
+        """Loads models that no engine has on its disk, while it is quiet.
+
+        Their first request would wait for the store, which takes longer than
+        any objective; afterwards they come back from the disk.
+        """
+        if any(want.waiting for want in self._wants.values()):
+            return
+        for name in self._models:
+            known = self._copies.get(name) or self._homes.get(name)
+            if known or self._store_loads <= 0:
+                continue
+            step = self._best(name, "home", _HOMELESS)
+            if step is not None and step.loss < _HOMELESS:
                 self._make(step)
 
     def _make(self, step: Step) -> None:
@@ -204,6 +243,7 @@
             if step is None:
                 continue
             cost = step.loss + _SECOND_COSTS * self._seconds(place, step)
+            cost += self._eviction(place, step)
             if place.domain in domains:
                 cost += gain / 2
             if cost < least:
@@ -213,8 +253,13 @@
     def _step(
         self, place: Place, model: str, reason: str, gain: float
     ) -> Step | None:
-        from_store = model not in place.in_memory | place.on_disk
-        if from_store and self._store_loads <= 0:
+        from_store = model not in place.in_memory + place.on_disk
+        # Where an engine has it on its disk, the store is not asked, even if
+        # that engine is busy for a second: the copy would push another
+        # model's last one off a disk, whose next request goes to the store in
+        # turn (seen: two of three loads came from the store, at four seconds
+        # each, and all engines were busy with them).
+        if from_store and (self._store_loads <= 0 or self._homes.get(model)):
             return None
         room = self._room - sum(
             self._models[name].weights_mb
@@ -238,10 +283,10 @@
 
     def _loss(self, place: Place, model: str) -> float:
         """Returns what a model's requests lose with its copy at a place."""
-        want = self._wants.get(model)
         copies = max(1, self._copies.get(model, 1))
-        if want is None:
-            return 0.0
+        want = self._wants.get(model)
+        if want is None or want.rate < _UNKNOWN_RATE:
+            want = Want(_UNKNOWN_RATE, 0, _UNKNOWN_OBJECTIVE)
         share = _LOSS.get(copies, _LOSS_MORE)
         if copies == 1:
             again = _SWAP_SECONDS + self._models[model].disk_seconds
@@ -252,6 +297,14 @@
             loss += _SECOND_COSTS * _RUNNING_SECONDS
         return loss
 
+    def _eviction(self, place: Place, step: Step) -> float:
+        """Returns what it costs that a load pushes a copy off the disk."""
+        if not step.from_store or not place.on_disk:
+            return 0.0
+        oldest = place.on_disk[0]
+        last = self._homes.get(oldest, 0) <= 1 and oldest not in place.loaded
+        return _HOMELESS if last else 0.0
+
     def _seconds(self, place: Place, step: Step) -> float:
         model = self._models[step.model]
         if step.model in place.in_memory:
