Copies by what an engine can read, load of all entry hosts in the choice

Cause: prompts are read between the tokens of running requests (1,460 tokens take 66 ms); a model with 20 requests a second on two engines made pauses above 300 ms, and a quarter of the longest kind's answers were late. A leaving adapter was counted out twice (LIMIT). A task that failed said nothing. Ruled out: queueing (p50 to the first event 100 ms), relay (0.04 of a core). Change: further copies above 6 requests a second a copy, also from the store; places chosen by the load there; renewals tell what others have running; tasks that fail are logged with their place.

--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -84,7 +84,7 @@
                 f"cannot listen on {self._address}: {error}"
             ) from error
         self._address = self._socket.getsockopt_string(zmq.LAST_ENDPOINT)
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start(self._run(), "link_server")
 
     async def close(self) -> None:
         """Stops answering and closes the socket."""
@@ -111,7 +111,7 @@
             except (msgspec.DecodeError, IndexError) as error:
                 logs.warn("bad_frame", peer=peer.hex(), error=error)
                 continue
-            task = asyncio.create_task(self._answer(peer, envelope))
+            task = tasks.start(self._answer(peer, envelope), "answer")
             self._running.add(task)
             task.add_done_callback(self._running.discard)
 
@@ -168,7 +168,7 @@
     def start(self) -> None:
         """Opens the socket; the connection comes about in the background."""
         self._connect()
-        self._tasks = [asyncio.create_task(self._beat())]
+        self._tasks = [tasks.start(self._beat(), "link_beat")]
 
     def _connect(self) -> None:
         self._socket = _socket(self._context, zmq.DEALER)
@@ -176,7 +176,7 @@
             self._keys.guard_client(self._socket)
         self._socket.connect(self._address)
         self._heard = time.monotonic()
-        self._reader = asyncio.create_task(self._read(self._socket))
+        self._reader = tasks.start(self._read(self._socket), "link_reader")
 
     async def close(self) -> None:
         """Closes the socket; requests under way end with `LinkDownError`."""
--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -79,7 +79,7 @@
 
     def start(self) -> None:
         """Starts to look for the leader."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start(self._run(), type(self).__name__)
 
     async def close(self) -> None:
         """Ends the session."""
--- a/packages/endivestream/src/endivestream/logs.py
+++ b/packages/endivestream/src/endivestream/logs.py
@@ -4,11 +4,15 @@
 
 import json
 import logging
+import pathlib
 import sys
+import traceback
 from typing import Any
 
 from loguru import logger
 
+# Innermost places of an error that go into its line.
+_PLACES = 6
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
     "._:/@+-,[]{}()*"
@@ -56,6 +60,17 @@
     logger.opt(depth=1).warning(line(name, fields))
 
 
+def failed(name: str, error: BaseException, **fields: Any) -> None:
+    """Logs an error that nothing was prepared for, with where it arose."""
+    places = traceback.extract_tb(error.__traceback__)[-_PLACES:]
+    where = " < ".join(
+        f"{pathlib.PurePath(place.filename).name}:{place.lineno}"
+        for place in reversed(places)
+    )
+    fields |= {"error": repr(error), "where": where}
+    logger.opt(depth=1).error(line(name, fields))
+
+
 def line(name: str, fields: dict[str, Any]) -> str:
     """Returns `event=NAME` and the fields as key=value pairs.
 
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -200,7 +200,7 @@
             form = not await self._finds_system()
         self._replicator.start(form=form, alone=alone, founders=founders)
         self._hear_credit_anew()
-        self._joining = asyncio.create_task(self._join())
+        self._joining = tasks.start(self._join(), "join")
 
     async def _finds_system(self) -> bool:
         """Tells whether another control host belongs to a system.
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -271,6 +271,7 @@
             self._allowance.take(grant, now)
         if renewed.news is not None:
             self._take_news(renewed.news)
+        self._view.set_loads(renewed.loads)
         self._drop_unnamed(now)
 
     def _take_news(self, news: site_messages.News) -> None:
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -28,6 +28,11 @@
 _PLAN_SECONDS = 0.05
 # An engine answers an order within a few milliseconds.
 _ORDER_SECONDS = 0.5
+_ORDER_TRIES = 6
+# An engine that was busy is tried again after so long.
+_BUSY_SECONDS = 0.06
+# What an engine reports may be so much older than its answer.
+_REPORT_OLD_SECONDS = 0.4
 # After a victim is announced to entry hosts, until its unload is ordered: the
 # push takes a few milliseconds, and requests on their way arrive first.
 _CLOSE_SECONDS = 0.03
@@ -104,6 +109,7 @@
         is_busy: Whether it carries out an order for a model, and takes none.
         blocked_until: When it may be tried again after a step that failed.
         asked_at: When it was last asked what it holds.
+        taken_at: When it last accepted an order.
     """
 
     def __init__(self, *, said: registry_lib.Registration) -> None:
@@ -116,6 +122,7 @@
         self.is_busy = False
         self.blocked_until = float("-inf")
         self.asked_at = float("-inf")
+        self.taken_at = float("-inf")
         self.step: plan_lib.Step | None = None
         self.loading = ""
         self.accepted: int | None = None
@@ -173,7 +180,7 @@
 
     def start(self) -> None:
         """Starts to plan."""
-        self._tasks = [asyncio.create_task(self._run())]
+        self._tasks = [tasks.start(self._run(), type(self).__name__)]
 
     async def close(self) -> None:
         """Stops; orders under way are not followed further."""
@@ -267,6 +274,16 @@
             if worker is not None and use.adapter and name in worker.adapters:
                 worker.adapters[name] = now
 
+    def loads(self, host: str) -> dict[str, int]:
+        """Returns what runs on targets for all entry hosts but one."""
+        loads: dict[str, int] = {}
+        for other, uses in self._running.items():
+            if other == host:
+                continue
+            for (target, _), count in uses.items():
+                loads[target] = loads.get(target, 0) + count
+        return loads
+
     def forget_host(self, host: str) -> None:
         """An entry host is gone, and with it what waited there."""
         self._running.pop(host, None)
@@ -388,7 +405,9 @@
         worker.closing.update(step.victims)
         if step.victims:
             self._changed([step.target])
-        worker.task = asyncio.create_task(self._carry_out(worker, step, engine))
+        worker.task = tasks.start(
+            self._carry_out(worker, step, engine), "placement"
+        )
 
     async def _carry_out(
         self, worker: _Worker, step: plan_lib.Step, engine: document_lib.Engine
@@ -422,14 +441,8 @@
             await self._until_idle(worker, step.victims)
         worker.is_busy = True
         for victim in step.victims:
-            if not await self._order(worker, load=False, model=victim):
-                return False
-            gone = await self._until(
-                worker, lambda: victim not in worker.models, _UNLOAD_SECONDS
-            )
-            if not gone:
+            if not await self._unload(worker, victim):
                 return False
-            self._forget_adapters(worker, victim)
         if not self._fits(worker, step.model, engine):
             logs.warn("no_room", target=step.target, model=step.model)
             return False
@@ -444,6 +457,16 @@
             2 * seconds + _OVERDUE_SECONDS,
         )
 
+    async def _unload(self, worker: _Worker, victim: str) -> bool:
+        if not await self._order(worker, load=False, model=victim):
+            return False
+        gone = await self._until(
+            worker, lambda: victim not in worker.models, _UNLOAD_SECONDS
+        )
+        if gone:
+            self._forget_adapters(worker, victim)
+        return gone
+
     async def _until_idle(
         self, worker: _Worker, victims: tuple[str, ...]
     ) -> None:
@@ -462,8 +485,10 @@
     def _fits(
         self, worker: _Worker, model: str, engine: document_lib.Engine
     ) -> bool:
-        """Whether a report shows the room: an engine that is ordered to hold
-        more than it can crashes, with all that runs on it.
+        """Whether a report shows the room.
+
+        An engine that is ordered to hold more than it can crashes, with all
+        that runs on it.
         """
         sizes = {m.name: m for m in engine.models}
         held = {*worker.models, model}
@@ -495,22 +520,23 @@
     ) -> bool:
         """Sends one order; whether it was taken or holds already."""
         async with worker.lock:
-            for _ in range(4):
+            for attempt in range(_ORDER_TRIES):
                 if worker.accepted is None and not await self._learn(worker):
                     return False
                 if not self._may_order():
                     return False
+                order = engines_lib.Order(
+                    load=load,
+                    model=model,
+                    adapter=adapter,
+                    expected=worker.accepted or 0,
+                    holder=self._settings.name,
+                    fence=self._fence,
+                )
                 outcome = await self._engines.order(
                     worker.said.address,
                     worker.said.name,
-                    engines_lib.Order(
-                        load=load,
-                        model=model,
-                        adapter=adapter,
-                        expected=worker.accepted or 0,
-                        holder=self._settings.name,
-                        fence=self._fence,
-                    ),
+                    order,
                     seconds=_ORDER_SECONDS,
                 )
                 logs.event(
@@ -519,28 +545,37 @@
                     load=load,
                     model=model,
                     adapter=adapter,
-                    expected=worker.accepted,
+                    expected=order.expected,
                     fence=self._fence,
+                    attempt=attempt,
                     outcome=outcome,
                 )
                 match outcome:
-                    case engines_lib.Outcome.ACCEPTED:
-                        worker.accepted = (worker.accepted or 0) + 1
-                        return True
-                    case engines_lib.Outcome.DONE:
-                        # It may or may not have counted; ask before the next.
-                        if adapter:
-                            worker.accepted = (worker.accepted or 0) + 1
-                        else:
-                            worker.accepted = None
+                    case (
+                        engines_lib.Outcome.ACCEPTED | engines_lib.Outcome.DONE
+                    ):
+                        # What holds already is counted like any other.
+                        worker.accepted = order.expected + 1
+                        worker.taken_at = clock.now()
                         return True
                     case engines_lib.Outcome.REFUSED:
                         return False
-                worker.accepted = None
+                    case engines_lib.Outcome.BUSY if attempt % 2 == 0:
+                        # Another order is still under way, or ours is not
+                        # the number that the engine expects. The first is
+                        # likelier and passes by itself.
+                        await asyncio.sleep(_BUSY_SECONDS)
+                    case _:
+                        worker.accepted = None
         return False
 
     async def _learn(self, worker: _Worker) -> bool:
         """Asks how many orders an engine has accepted."""
+        # A report is a little older than its answer. Asked right after an
+        # order, it would give the number before that (symptom: every further
+        # order is refused).
+        wait = worker.taken_at + _REPORT_OLD_SECONDS - clock.now()
+        await asyncio.sleep(max(0.0, wait))
         report = await self._engines.report(
             worker.said.address, seconds=_ORDER_SECONDS
         )
@@ -628,8 +663,8 @@
                 # engine has confirmed that it is gone.
                 worker.leaving[victim] = worker.adapters[victim]
                 self._changed([worker.said.name])
-            task = asyncio.create_task(
-                self._place_adapter(worker, name, victim)
+            task = tasks.start(
+                self._place_adapter(worker, name, victim), "adapter"
             )
             self._adapter_tasks.add(task)
             task.add_done_callback(self._adapter_tasks.discard)
@@ -640,7 +675,7 @@
             if now - worker.asked_at > _ASK_SECONDS and not worker.leaving:
                 worker.asked_at = now
                 worker.accepted = None
-                task = asyncio.create_task(self._ask_adapters(worker))
+                task = tasks.start(self._ask_adapters(worker), "ask_adapters")
                 self._adapter_tasks.add(task)
                 task.add_done_callback(self._adapter_tasks.discard)
 
@@ -678,6 +713,7 @@
                 if not taken:
                     return
                 worker.adapters.pop(victim, None)
+                worker.leaving.pop(victim, None)
                 worker.dropped[victim] = clock.now()
             model, _, adapter = name.partition("/")
             if await self._order(
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -110,7 +110,7 @@
             self._take_document(self._document, full=False)
         self._steward.start()
         self._planner.start()
-        self._tasks = [asyncio.create_task(self._sweep())]
+        self._tasks = [tasks.start(self._sweep(), "sweep")]
 
     async def close(self) -> None:
         """Stops; what waits here ends by its own time limit."""
@@ -317,6 +317,7 @@
             news=news,
             grants=tuple(grant for grant in grants if grant is not None),
             controls=tuple(member.address for member in members),
+            loads=self._planner.loads(message.host.name),
         )
 
     def _refresh_entries(self, now: float) -> None:
--- a/packages/endivestream/src/endivestream/process/steward.py
+++ b/packages/endivestream/src/endivestream/process/steward.py
@@ -70,7 +70,7 @@
 
     def start(self) -> None:
         """Starts to look after the members."""
-        self._task = asyncio.create_task(self._run())
+        self._task = tasks.start(self._run(), type(self).__name__)
 
     async def close(self) -> None:
         """Stops."""
--- a/packages/endivestream/src/endivestream/request/call.py
+++ b/packages/endivestream/src/endivestream/request/call.py
@@ -11,6 +11,8 @@
 from tornado import httputil
 from tornado import iostream
 
+from endivestream import tasks
+
 # Headers that speak of one connection only.
 HOP_HEADERS = frozenset(
     {
@@ -147,7 +149,7 @@
 
     def start(self, call: Call) -> asyncio.Task[None]:
         """Starts to serve a request that was read."""
-        task = asyncio.create_task(self._serve(call))
+        task = tasks.start(self._serve(call), "request")
         self._running.add(task)
         task.add_done_callback(self._running.discard)
         return task
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -9,19 +9,25 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Mapping
 import dataclasses
 import hashlib
 from typing import NamedTuple
 
 from endivestream import site_messages
 
-# A target of another failure domain counts as if it had so much more of its
-# slots taken: the way there costs bytes between domains and a few
-# milliseconds, which a lightly loaded target nearby does not.
-_AWAY = 0.25
-# A target that this session's last request ran on counts as so much emptier:
-# it still holds the prompt's shared parts, which saves reading them again.
-_KNOWN_SESSION = 0.2
+# A target of another failure domain counts as if so many more requests ran
+# there, or so much of its slots were taken, whichever is less: the way there
+# costs bytes between domains and a few milliseconds. More would crowd the near
+# ones: each request on an engine reads its prompt between the tokens of all
+# others (1,460 tokens take 66 ms), which makes pauses.
+_AWAY_REQUESTS = 4.0
+_AWAY_SHARE = 0.25
+# A target that this session's last request ran on counts as so many requests
+# emptier: it still holds the prompt's shared parts.
+_KNOWN_SESSION = 2.0
+# A target that misses its reports counts as so many requests fuller.
+_SILENT_REQUESTS = 20.0
 # Failures in a row after which a target gets one trial request at a time.
 _FAILURES = 2
 # How long a failing target is left alone; doubled with each further failure.
@@ -105,6 +111,7 @@
         self._by_service: dict[str, list[str]] = {}
         self._seen: dict[str, _Seen] = {}
         self._sessions: dict[tuple[str, str], str] = {}
+        self._others: dict[str, int] = {}
 
     def __repr__(self) -> str:
         return f"<View of {len(self._targets)} targets>"
@@ -148,6 +155,10 @@
         for name, target in self._targets.items():
             self._by_service.setdefault(target.said.service, []).append(name)
 
+    def set_loads(self, others: Mapping[str, int]) -> None:
+        """Takes over what other entry hosts have running, by target."""
+        self._others = dict(others)
+
     def pick(self, ask: Ask, now: float, *, limit: int) -> Picked | NotThere:
         """Chooses a target.
 
@@ -212,10 +223,11 @@
         best, least, reason = "", float("inf"), ""
         for name in names:
             target, seen = self._targets[name], self._seen[name]
-            load = (seen.running + 1) / max(1, target.said.slots)
+            slots = max(1, target.said.slots)
+            load = seen.running + self._others.get(name, 0) + 1.0
             why = "load"
             if target.said.domain != self._domain:
-                load += _AWAY
+                load += min(_AWAY_REQUESTS, _AWAY_SHARE * slots)
             else:
                 why = "near"
             if ask.session and name == last:
@@ -224,10 +236,10 @@
             if target.said.warm_in > 0:
                 load *= 2
             if target.silent:
-                load += 1
+                load += _SILENT_REQUESTS
             # Between equals the session decides, so that its requests meet
             # again at the target which has read their shared parts.
-            load += _spread(ask.session or ask.model, name) / 100
+            load += _spread(ask.session or ask.model, name)
             if load < least:
                 best, least, reason = name, load, why
         if ask.session:
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -183,6 +183,7 @@
         news: What the host lacks, or None.
         grants: Credit.
         controls: Where control hosts listen.
+        loads: Requests that other entry hosts have running, by target.
     """
 
     seconds: float
@@ -190,6 +191,7 @@
     news: News | None = None
     grants: tuple[Grant, ...] = ()
     controls: tuple[str, ...] = ()
+    loads: dict[str, int] = {}
 
 
 class AskCredit(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/tasks.py
+++ b/packages/endivestream/src/endivestream/tasks.py
@@ -1,12 +1,38 @@
-"""How a part ends its tasks."""
+"""How a part starts and ends its tasks."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Iterable
 import contextlib
 from typing import Any
 
+from endivestream import logs
+
+
+def start(work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
+    """Starts a task whose failure is logged.
+
+    The library keeps the error of a task that nobody waits for to itself: a
+    host would go on without one of its parts and nothing would say so.
+
+    Args:
+        work: What the task does.
+        name: What to call it in the log.
+    """
+    task = asyncio.create_task(work, name=name)
+    task.add_done_callback(_note_failure)
+    return task
+
+
+def _note_failure(task: asyncio.Task[Any]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        logs.failed("task_failed", error, task=task.get_name())
+
 
 async def cancel(tasks: Iterable[asyncio.Task[Any] | None]) -> None:
     """Cancels tasks and waits until each has ended; None is passed over."""
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -45,9 +45,13 @@
 # more: its next request waits for the store.
 _HOMELESS = 0.05
 # Copies beyond which a model never gets more by demand alone.
-_MOST_COPIES = 3
-# A copy takes about so many requests a second without falling behind.
-_COPY_RATE = 25.0
+_MOST_COPIES = 5
+# A copy takes about so many requests a second before their prompts, read
+# between the tokens of running requests, make pauses: 1,460 tokens take 66 ms,
+# so that six fill two fifths of an engine's time.
+_COPY_RATE = 6.0
+# An engine is full at about so many requests a second over all its models.
+_ENGINE_RATE = 16.0
 
 
 class Want(NamedTuple):
@@ -245,7 +249,8 @@
             cost = step.loss + _SECOND_COSTS * self._seconds(place, step)
             cost += self._eviction(place, step)
             if place.domain in domains:
-                cost += gain / 2
+                cost += gain / 4
+            cost += self._crowding(place, step)
             if cost < least:
                 found, least = step, cost
         return found
@@ -259,7 +264,9 @@
         # model's last one off a disk, whose next request goes to the store in
         # turn (seen: two of three loads came from the store, at four seconds
         # each, and all engines were busy with them).
-        if from_store and (self._store_loads <= 0 or self._homes.get(model)):
+        # A further copy may come from there, where it gains enough.
+        has_home = reason == "missing" and self._homes.get(model)
+        if from_store and (self._store_loads <= 0 or has_home):
             return None
         room = self._room - sum(
             self._models[name].weights_mb
@@ -297,6 +304,21 @@
             loss += _SECOND_COSTS * _RUNNING_SECONDS
         return loss
 
+    def _crowding(self, place: Place, step: Step) -> float:
+        """Returns what requests lose by sharing an engine with others."""
+        there = sum(
+            self._copy_rate(name, 0)
+            for name in place.loaded
+            if name not in step.victims
+        )
+        return self._copy_rate(step.model, 1) * there / _ENGINE_RATE
+
+    def _copy_rate(self, model: str, more: int) -> float:
+        """Returns the requests a second at one of a model's copies."""
+        want = self._wants.get(model)
+        copies = max(1, self._copies.get(model, 0) + more)
+        return want.rate / copies if want else 0.0
+
     def _eviction(self, place: Place, step: Step) -> float:
         """Returns what it costs that a load pushes a copy off the disk."""
         if not step.from_store or not place.on_disk:
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -187,8 +187,8 @@
             seconds=clock.now() - begun,
         )
         self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._sync()),
+            tasks.start(self._tick(), "tick"),
+            tasks.start(self._sync(), "sync"),
         ]
 
     def _form(self, founders: Sequence[members_lib.Member]) -> None:
