--- a/tests/test_credit_portions.py
+++ b/tests/test_credit_portions.py
@@ -151,7 +151,7 @@
         The host hears no leader for long; it stops counting on its part.
         """
         site = Site(hosts=2)
-        for tick in range(60):
+        for _ in range(60):
             site.now += TICK
             for name in site.hosts:
                 site.renew(name)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""The folder `platform/`: what is read there, and that nothing read breaks it."""
+"""The folder `platform/`: what is read there; nothing that comes breaks it."""
 
 import json
 import pathlib
