--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -172,6 +172,7 @@
         self._asked: dict[tuple[str, str, str], _Asked] = {}
         self._waiting: dict[tuple[str, str, str], dict[str, int]] = {}
         self._running: dict[str, dict[tuple[str, str], int]] = {}
+        self._starting: dict[str, dict[str, int]] = {}
         self._store_loads: list[float] = []
         self._begun = clock.now()
         self._poked = asyncio.Event()
@@ -264,29 +265,38 @@
     def used(self, host: str, uses: Iterable[site_messages.Use]) -> None:
         """Takes in what runs where for an entry host."""
         self._running[host] = {}
+        self._starting[host] = {}
         now = clock.now()
         for use in uses:
             key = (use.target, use.model)
             running = self._running[host]
             running[key] = running.get(key, 0) + use.running
+            starting = self._starting[host]
+            starting[use.target] = starting.get(use.target, 0) + use.starting
             worker = self._workers.get(use.target)
             name = f"{use.model}/{use.adapter}"
             if worker is not None and use.adapter and name in worker.adapters:
                 worker.adapters[name] = now
 
     def loads(self, host: str) -> dict[str, int]:
-        """Returns what runs on targets for all entry hosts but one."""
+        """Returns what runs on targets for all entry hosts but one.
+
+        Requests whose prompts are still being read count twice.
+        """
         loads: dict[str, int] = {}
         for other, uses in self._running.items():
             if other == host:
                 continue
             for (target, _), count in uses.items():
                 loads[target] = loads.get(target, 0) + count
+            for target, count in self._starting.get(other, {}).items():
+                loads[target] = loads.get(target, 0) + count
         return loads
 
     def forget_host(self, host: str) -> None:
         """An entry host is gone, and with it what waited there."""
         self._running.pop(host, None)
+        self._starting.pop(host, None)
         for waiting in self._waiting.values():
             waiting.pop(host, None)
 
@@ -359,6 +369,7 @@
             in_memory=worker.said.in_memory,
             on_disk=worker.said.on_disk,
             running=running,
+            is_home=worker.step is not None and worker.step.reason == "home",
         )
 
     def _wants(self, service: str, now: float) -> dict[str, plan_lib.Want]:
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -82,6 +82,7 @@
     Attributes:
         running: Requests of this host on it.
         models: The same by model and adapter.
+        starting: Those without a byte of an answer, by model and adapter.
         heard: When the last byte came from it.
         waiting_since: When the oldest request was sent that has had no byte
             since; None if there is none.
@@ -94,6 +95,9 @@
 
     running: int = 0
     models: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+    starting: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
     heard: float = float("-inf")
     waiting_since: float | None = None
     failures: int = 0
@@ -142,7 +146,9 @@
             if restarted or name not in self._seen:
                 before = self._seen.get(name, _Seen())
                 self._seen[name] = _Seen(
-                    running=before.running, models=before.models
+                    running=before.running,
+                    models=before.models,
+                    starting=before.starting,
                 )
             if known != target:
                 self._seen[name].denied.clear()
@@ -224,7 +230,10 @@
         for name in names:
             target, seen = self._targets[name], self._seen[name]
             slots = max(1, target.said.slots)
-            load = seen.running + self._others.get(name, 0) + 1.0
+            # Prompts that are still to be read weigh twice: they are what
+            # makes others wait.
+            load = seen.running + sum(seen.starting.values()) + 1.0
+            load += self._others.get(name, 0)
             why = "load"
             if target.said.domain != self._domain:
                 load += min(_AWAY_REQUESTS, _AWAY_SHARE * slots)
@@ -259,11 +268,21 @@
         seen.running += 1
         key = (ask.model, ask.adapter)
         seen.models[key] = seen.models.get(key, 0) + 1
+        seen.starting[key] = seen.starting.get(key, 0) + 1
         if seen.waiting_since is None:
             seen.waiting_since = now
         if seen.failures >= _FAILURES:
             seen.trial = True
 
+    def started(self, target: str, ask: Ask) -> None:
+        """Notes that the first event of an answer is there, or its end."""
+        seen = self._seen.get(target)
+        key = (ask.model, ask.adapter)
+        if seen is not None and seen.starting.get(key):
+            seen.starting[key] -= 1
+            if not seen.starting[key]:
+                del seen.starting[key]
+
     def heard(self, target: str, now: float) -> None:
         """Notes that bytes of an answer came from a target."""
         seen = self._seen.get(target)
@@ -324,7 +343,13 @@
     def uses(self) -> tuple[site_messages.Use, ...]:
         """Returns how many requests of this host run where for what."""
         return tuple(
-            site_messages.Use(name, model, adapter, count)
+            site_messages.Use(
+                name,
+                model,
+                adapter,
+                count,
+                seen.starting.get((model, adapter), 0),
+            )
             for name, seen in self._seen.items()
             for (model, adapter), count in seen.models.items()
             if model
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -176,6 +176,7 @@
         status: The status sent.
         reason: Why it ended.
         target: The last target.
+        starting: What the attempt under way needs, until its first event.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -188,6 +189,7 @@
     status: int = 0
     reason: str = ""
     target: str = ""
+    starting: choice_lib.Ask | None = None
 
 
 class _Refused(NamedTuple):
@@ -522,6 +524,7 @@
         )
         ask = _ask(work, progress)
         view.sent(said.name, ask, clock.now())
+        progress.starting = ask
         # Until it is known how the attempt ended, a caller who leaves says
         # nothing of the target.
         failed = False
@@ -531,6 +534,7 @@
             return result
         finally:
             exchange.close()
+            self._started(progress)
             if view.ended(said.name, ask, clock.now(), failed=failed):
                 self._parts.idle()
 
@@ -566,6 +570,12 @@
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
+    def _started(self, progress: _Progress) -> None:
+        """Notes once for each attempt that its prompt has been read."""
+        if progress.starting is not None:
+            self._parts.view.started(progress.target, progress.starting)
+            progress.starting = None
+
     def _until(self, work: Work, progress: _Progress) -> float:
         """Returns until when one attempt may take."""
         more = len(progress.tried) + 1 < work.route.attempts
@@ -691,6 +701,7 @@
         cutter = sse.Cutter()
         async for chunk in exchange.chunks(silence=work.route.timeout):
             self._parts.view.heard(progress.target, clock.now())
+            self._started(progress)
             if work.route.resumable:
                 # Only whole events: another target goes on after the last.
                 events = cutter.feed(chunk)
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -61,12 +61,14 @@
         model: The model.
         adapter: The adapter, or empty.
         running: How many run now.
+        starting: How many of these have had no byte of an answer yet.
     """
 
     target: str
     model: str
     adapter: str
     running: int
+    starting: int = 0
 
 
 class Need(NamedTuple):
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -44,14 +44,20 @@
 # What it costs, in requests a second, that no engine's disk has a model any
 # more: its next request waits for the store.
 _HOMELESS = 0.05
-# Copies beyond which a model never gets more by demand alone.
+# Copies beyond which a model never gets more.
 _MOST_COPIES = 5
-# A copy takes about so many requests a second before their prompts, read
-# between the tokens of running requests, make pauses: 1,460 tokens take 66 ms,
-# so that six fill two fifths of an engine's time.
-_COPY_RATE = 6.0
-# An engine is full at about so many requests a second over all its models.
-_ENGINE_RATE = 16.0
+# Requests a second at one engine. Prompts are read between the tokens of
+# running requests (1,460 tokens take 66 ms); up to the first figure pauses stay
+# short, at the second every answer has a long one.
+_EASY_RATE = 4.0
+_FULL_RATE = 14.0
+# Models and engines that are looked at for a further copy in one round: the
+# fullest engines' busiest models, and the emptiest engines.
+_COPY_MODELS = 4
+_COPY_PLACES = 4
+# Loads that only give models a home, at once over all engines: each keeps its
+# engine from swaps for four seconds.
+_HOME_LOADS = 1
 
 
 class Want(NamedTuple):
@@ -81,6 +87,7 @@
         in_memory: Models in its host memory, least recently used first.
         on_disk: Models on its disk, least recently used first.
         running: Requests that run there, by model.
+        is_home: Whether a load is under way that only gives a model a home.
     """
 
     target: str
@@ -92,6 +99,7 @@
     in_memory: tuple[str, ...]
     on_disk: tuple[str, ...]
     running: Mapping[str, int]
+    is_home: bool = False
 
 
 class Step(NamedTuple):
@@ -162,7 +170,9 @@
         self._taken: set[str] = set()
         self._copies: dict[str, int] = {}
         self._homes: dict[str, int] = {}
+        self._home_loads = 0
         for place in places:
+            self._home_loads += place.is_home
             if not place.usable:
                 continue
             for model in place.on_disk:
@@ -188,23 +198,78 @@
                 self._make(step)
 
     def add_copies(self) -> None:
-        """Gives busy models a further copy where that gains enough."""
-        busy = sorted(self._wants.items(), key=lambda item: -item[1].rate)
-        for name, want in busy:
+        """Gives models on full engines a further copy on empty ones.
+
+        The gain is the requests a second that would no longer be late, by
+        how full engines are with the model's requests spread evenly.
+        """
+        loads = self._loads()
+        full = sorted(loads, key=lambda target: -loads[target])
+        models = dict.fromkeys(
+            name
+            for target in full
+            for name in self._by_rate(self._places[target].loaded)
+        )
+        empty = [t for t in reversed(full) if self._is_free(t)]
+        for name in list(models)[:_COPY_MODELS]:
             copies = self._copies.get(name, 0)
-            if name not in self._models or not 0 < copies < _MOST_COPIES:
+            if not 0 < copies < _MOST_COPIES:
                 continue
             if any(p.coming == name for p in self._places.values()):
                 continue
-            gain = want.rate * _LOSS.get(copies + 1, _LOSS_MORE)
-            if want.rate > copies * _COPY_RATE:
-                gain = want.rate - copies * _COPY_RATE
-            step = self._best(name, "copy", gain)
-            if step is None or gain <= _HYSTERESIS * step.loss:
+            self._add_copy(name, copies, loads, empty[:_COPY_PLACES])
+
+    def _add_copy(
+        self,
+        name: str,
+        copies: int,
+        loads: Mapping[str, float],
+        empty: Sequence[str],
+    ) -> None:
+        holders = [t for t, p in self._places.items() if name in p.loaded]
+        rate = self._rate(name)
+        less = rate / copies - rate / (copies + 1)
+        relief = sum(_late(loads[t]) - _late(loads[t] - less) for t in holders)
+        domains = {self._places[target].domain for target in holders}
+        best, most = None, 0.0
+        for target in empty:
+            place = self._places[target]
+            if target in self._taken or name in place.loaded:
+                continue
+            more = rate / (copies + 1)
+            gain = relief + _late(loads[target]) - _late(loads[target] + more)
+            # A copy that other failure domains lack also saves the way there
+            # and is a spare.
+            if place.domain not in domains:
+                gain += rate * _LOSS.get(copies + 1, _LOSS_MORE)
+            step = self._step(place, name, "copy", gain)
+            if step is None:
                 continue
             costs = _STEP_COSTS + step.from_store * _STORE_COSTS
-            if (gain - step.loss) * _HORIZON_SECONDS > costs:
-                self._make(step)
+            net = gain - step.loss - costs / _HORIZON_SECONDS
+            if gain > _HYSTERESIS * step.loss and net > most:
+                best, most = step, net
+        if best is not None:
+            self._make(best)
+
+    def _loads(self) -> dict[str, float]:
+        """Returns the requests a second at each usable engine."""
+        return {
+            target: sum(self._copy_rate(name, 0) for name in place.loaded)
+            for target, place in self._places.items()
+            if place.usable
+        }
+
+    def _by_rate(self, models: Sequence[str]) -> list[str]:
+        return sorted(models, key=lambda name: -self._rate(name))
+
+    def _rate(self, model: str) -> float:
+        want = self._wants.get(model)
+        return want.rate if want else 0.0
+
+    def _is_free(self, target: str) -> bool:
+        place = self._places[target]
+        return not place.busy and target not in self._taken
 
     def give_homes(self) -> None:
         """Loads models that no engine has on its disk, while it is quiet.
@@ -214,13 +279,17 @@
         """
         if any(want.waiting for want in self._wants.values()):
             return
+        quiet = all(want.rate < _UNKNOWN_RATE for want in self._wants.values())
+        # Before there is any traffic nothing is in the way.
+        left = len(self._places) if quiet else _HOME_LOADS - self._home_loads
         for name in self._models:
             known = self._copies.get(name) or self._homes.get(name)
-            if known or self._store_loads <= 0:
+            if known or self._store_loads <= 0 or left <= 0:
                 continue
             step = self._best(name, "home", _HOMELESS)
             if step is not None and step.loss < _HOMELESS:
                 self._make(step)
+                left -= 1
 
     def _make(self, step: Step) -> None:
         self.made.append(step)
@@ -305,19 +374,17 @@
         return loss
 
     def _crowding(self, place: Place, step: Step) -> float:
-        """Returns what requests lose by sharing an engine with others."""
+        """Returns the requests a second that a model makes late by coming."""
         there = sum(
             self._copy_rate(name, 0)
             for name in place.loaded
             if name not in step.victims
         )
-        return self._copy_rate(step.model, 1) * there / _ENGINE_RATE
+        return _late(there + self._copy_rate(step.model, 1)) - _late(there)
 
     def _copy_rate(self, model: str, more: int) -> float:
         """Returns the requests a second at one of a model's copies."""
-        want = self._wants.get(model)
-        copies = max(1, self._copies.get(model, 0) + more)
-        return want.rate / copies if want else 0.0
+        return self._rate(model) / max(1, self._copies.get(model, 0) + more)
 
     def _eviction(self, place: Place, step: Step) -> float:
         """Returns what it costs that a load pushes a copy off the disk."""
@@ -334,3 +401,9 @@
         if step.model in place.on_disk:
             return model.disk_seconds
         return model.load_seconds
+
+
+def _late(rate: float) -> float:
+    """Returns how many requests a second are late at an engine's rate."""
+    share = (rate - _EASY_RATE) / (_FULL_RATE - _EASY_RATE)
+    return max(0.0, rate) * min(1.0, max(0.0, share))
