--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -21,18 +21,12 @@
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.process import engine_worker as worker_lib
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
 from endivestream.version import plan as plan_lib
 
 _PLAN_SECONDS = 0.05
-# An engine answers an order within a few milliseconds.
-_ORDER_SECONDS = 0.5
-_ORDER_TRIES = 6
-# An engine that was busy is tried again after so long.
-_BUSY_SECONDS = 0.06
-# What an engine reports may be so much older than its answer.
-_REPORT_OLD_SECONDS = 0.4
 # After a victim is announced to entry hosts, until its unload is ordered: the
 # push takes a few milliseconds, and requests on their way arrive first.
 _CLOSE_SECONDS = 0.03
@@ -48,8 +42,6 @@
 _ADAPTERS_AT_ONCE = 4
 # An adapter that was asked for within this time is not taken off.
 _ADAPTER_KEEP_SECONDS = 0.6
-# A report may be so much older than an order that took an adapter off.
-_REPORT_LAG_SECONDS = 3.0
 # After a step that failed, before an engine is tried again.
 _AGAIN_SECONDS = 0.3
 # A victim's runs are waited for so long before its unload is ordered: until
@@ -93,49 +85,6 @@
             self.last = now
 
 
-class _Worker:
-    """What is known and under way at one engine.
-
-    Attributes:
-        said: Its newest registration.
-        closing: Models that entry hosts were told to leave alone.
-        adapters: `MODEL/ADAPTER` that it holds, with the time of the order.
-        dropped: The same for those taken off.
-        leaving: Those that are about to be taken off.
-        pending: `MODEL/ADAPTER` that are ordered and not there yet.
-        task: The step or adapter order under way.
-        step: The step under way, or None.
-        accepted: Orders that it has accepted; None if that is not known.
-        is_busy: Whether it carries out an order for a model, and takes none.
-        blocked_until: When it may be tried again after a step that failed.
-        asked_at: When it was last asked what it holds.
-        taken_at: When it last accepted an order.
-    """
-
-    def __init__(self, *, said: registry_lib.Registration) -> None:
-        self.said = said
-        self.closing: set[str] = set()
-        self.adapters: dict[str, float] = {}
-        self.dropped: dict[str, float] = {}
-        self.leaving: dict[str, float] = {}
-        self.pending: set[str] = set()
-        self.is_busy = False
-        self.blocked_until = float("-inf")
-        self.asked_at = float("-inf")
-        self.taken_at = float("-inf")
-        self.step: plan_lib.Step | None = None
-        self.loading = ""
-        self.accepted: int | None = None
-        self.lock = asyncio.Lock()
-        self.reported = asyncio.Event()
-        self.task: asyncio.Task[None] | None = None
-
-    @property
-    def models(self) -> set[str]:
-        """Models that it holds."""
-        return {loaded.model for loaded in self.said.loaded}
-
-
 class Planner:
     """Placement of models and adapters while this host leads."""
 
@@ -166,7 +115,7 @@
         self._may_order = may_order
         self._changed = changed
         self._services: dict[str, document_lib.Engine] = {}
-        self._workers: dict[str, _Worker] = {}
+        self._workers: dict[str, worker_lib.EngineWorker] = {}
         self._silent: set[str] = set()
         self._complete = False
         self._asked: dict[tuple[str, str, str], _Asked] = {}
@@ -225,11 +174,15 @@
         if worker is None or worker.said.born != said.born:
             if worker is not None and worker.task is not None:
                 worker.task.cancel()
-            worker = _Worker(said=said)
+            worker = worker_lib.EngineWorker(
+                said=said,
+                engines=self._engines,
+                holder=self._settings.name,
+                fence=self._fence,
+                may_order=self._may_order,
+            )
             self._workers[said.name] = worker
-        worker.said = said
-        self._add_adapters(worker, said.loaded)
-        worker.reported.set()
+        worker.take_report(said)
         self._poked.set()
 
     def demanded(
@@ -312,7 +265,8 @@
         worker = self._workers.get(target)
         if worker is None:
             return ()
-        return tuple(sorted(worker.adapters.keys() - worker.leaving.keys()))
+        away = worker.leaving | worker.pending
+        return tuple(sorted(worker.adapters.keys() - away))
 
     # Planning.
 
@@ -352,7 +306,7 @@
                 self._begin(workers[step.target], step, engine)
             self._plan_adapters(service, engine, workers, now)
 
-    def _place(self, worker: _Worker) -> plan_lib.Place:
+    def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
         name = worker.said.name
         running: dict[str, int] = {}
         for uses in self._running.values():
@@ -397,7 +351,10 @@
     # Steps.
 
     def _begin(
-        self, worker: _Worker, step: plan_lib.Step, engine: document_lib.Engine
+        self,
+        worker: worker_lib.EngineWorker,
+        step: plan_lib.Step,
+        engine: document_lib.Engine,
     ) -> None:
         logs.event(
             "placement",
@@ -412,7 +369,6 @@
         if step.from_store:
             self._store_loads.append(clock.now())
         worker.step = step
-        worker.loading = step.model
         worker.closing.update(step.victims)
         if step.victims:
             self._changed([step.target])
@@ -421,7 +377,10 @@
         )
 
     async def _carry_out(
-        self, worker: _Worker, step: plan_lib.Step, engine: document_lib.Engine
+        self,
+        worker: worker_lib.EngineWorker,
+        step: plan_lib.Step,
+        engine: document_lib.Engine,
     ) -> None:
         begun = clock.now()
         done = False
@@ -429,7 +388,6 @@
             done = await self._swap(worker, step, engine)
         finally:
             worker.step = None
-            worker.loading = ""
             worker.closing.clear()
             worker.is_busy = False
             if not done:
@@ -445,19 +403,19 @@
             self._poked.set()
 
     async def _swap(
-        self, worker: _Worker, step: plan_lib.Step, engine: document_lib.Engine
+        self,
+        worker: worker_lib.EngineWorker,
+        step: plan_lib.Step,
+        engine: document_lib.Engine,
     ) -> bool:
         if step.victims:
             await asyncio.sleep(_CLOSE_SECONDS)
             await self._until_idle(worker, step.victims)
         worker.is_busy = True
         for victim in step.victims:
-            if not await self._unload(worker, victim):
+            if not await self._unload(worker, victim, engine):
                 return False
-        if not self._fits(worker, step.model, engine):
-            logs.warn("no_room", target=step.target, model=step.model)
-            return False
-        if not await self._order(worker, load=True, model=step.model):
+        if not await worker.order(load=True, model=step.model, engine=engine):
             return False
         seconds = next(
             (m.load_seconds for m in engine.models if m.name == step.model), 5.0
@@ -468,18 +426,23 @@
             2 * seconds + _OVERDUE_SECONDS,
         )
 
-    async def _unload(self, worker: _Worker, victim: str) -> bool:
-        if not await self._order(worker, load=False, model=victim):
+    async def _unload(
+        self,
+        worker: worker_lib.EngineWorker,
+        victim: str,
+        engine: document_lib.Engine,
+    ) -> bool:
+        if not await worker.order(load=False, model=victim, engine=engine):
             return False
         gone = await self._until(
             worker, lambda: victim not in worker.models, _UNLOAD_SECONDS
         )
         if gone:
-            self._forget_adapters(worker, victim)
+            worker.forget_adapters(victim)
         return gone
 
     async def _until_idle(
-        self, worker: _Worker, victims: tuple[str, ...]
+        self, worker: worker_lib.EngineWorker, victims: tuple[str, ...]
     ) -> None:
         """Waits for the runs of models that are about to go.
 
@@ -493,24 +456,11 @@
                 return
             await asyncio.sleep(_RUNS_POLL_SECONDS)
 
-    def _fits(
-        self, worker: _Worker, model: str, engine: document_lib.Engine
-    ) -> bool:
-        """Whether a report shows the room.
-
-        An engine that is ordered to hold more than it can crashes, with all
-        that runs on it.
-        """
-        sizes = {m.name: m for m in engine.models}
-        held = {*worker.models, model}
-        weights = sum(sizes[m].weights_mb for m in held if m in sizes)
-        adapters = engine.adapter_places * max(
-            (m.adapter_mb for m in engine.models), default=0.0
-        )
-        return weights + adapters <= engine.weights_mb
-
     async def _until(
-        self, worker: _Worker, holds: Callable[[], bool], seconds: float
+        self,
+        worker: worker_lib.EngineWorker,
+        holds: Callable[[], bool],
+        seconds: float,
     ) -> bool:
         """Waits for a report that shows an effect; False if none does."""
         until = clock.now() + seconds
@@ -523,118 +473,16 @@
                 async with asyncio.timeout(left):
                     await worker.reported.wait()
             except TimeoutError:
-                worker.accepted = None
-        return True
-
-    async def _order(
-        self, worker: _Worker, *, load: bool, model: str, adapter: str = ""
-    ) -> bool:
-        """Sends one order; whether it was taken or holds already."""
-        async with worker.lock:
-            for attempt in range(_ORDER_TRIES):
-                if worker.accepted is None and not await self._learn(worker):
-                    return False
-                if not self._may_order():
-                    return False
-                order = engines_lib.Order(
-                    load=load,
-                    model=model,
-                    adapter=adapter,
-                    expected=worker.accepted or 0,
-                    holder=self._settings.name,
-                    fence=self._fence,
-                )
-                outcome = await self._engines.order(
-                    worker.said.address,
-                    worker.said.name,
-                    order,
-                    seconds=_ORDER_SECONDS,
-                )
-                logs.event(
-                    "order",
-                    target=worker.said.name,
-                    load=load,
-                    model=model,
-                    adapter=adapter,
-                    expected=order.expected,
-                    fence=self._fence,
-                    attempt=attempt,
-                    outcome=outcome,
-                )
-                match outcome:
-                    case (
-                        engines_lib.Outcome.ACCEPTED | engines_lib.Outcome.DONE
-                    ):
-                        # What holds already is counted like any other.
-                        worker.accepted = order.expected + 1
-                        worker.taken_at = clock.now()
-                        return True
-                    case engines_lib.Outcome.REFUSED:
-                        return False
-                    case engines_lib.Outcome.BUSY if attempt % 2 == 0:
-                        # Another order is still under way, or ours is not
-                        # the number that the engine expects. The first is
-                        # likelier and passes by itself.
-                        await asyncio.sleep(_BUSY_SECONDS)
-                    case _:
-                        worker.accepted = None
-        return False
-
-    async def _learn(self, worker: _Worker) -> bool:
-        """Asks how many orders an engine has accepted."""
-        # A report is a little older than its answer. Asked right after an
-        # order, it would give the number before that (symptom: every further
-        # order is refused).
-        wait = worker.taken_at + _REPORT_OLD_SECONDS - clock.now()
-        await asyncio.sleep(max(0.0, wait))
-        report = await self._engines.report(
-            worker.said.address, seconds=_ORDER_SECONDS
-        )
-        if report is None:
-            return False
-        worker.accepted = report.accepted
-        worker.is_busy = report.busy
-        # Asked for under the lock: no order of ours is under way that this
-        # does not show yet.
-        held = {
-            f"{loaded.model}/{adapter}"
-            for loaded in report.loaded
-            for adapter in loaded.adapters
-        }
-        for name in worker.adapters.keys() - held - set(report.coming):
-            if clock.now() - worker.adapters[name] > _REPORT_LAG_SECONDS:
-                del worker.adapters[name]
-        self._add_adapters(worker, report.loaded)
+                worker.distrust()
         return True
 
     # Adapters.
 
-    def _add_adapters(
-        self, worker: _Worker, loaded: Iterable[registry_lib.Loaded]
-    ) -> None:
-        """Adds adapters that an engine says it holds.
-
-        None is ever taken off by a report: it may be older than the order
-        that loaded one, and an engine that is ordered to hold one too many
-        crashes. Engines lose adapters only by orders and restarts.
-        """
-        now = clock.now()
-        for held in loaded:
-            for adapter in held.adapters:
-                name = f"{held.model}/{adapter}"
-                if now - worker.dropped.get(name, 0.0) > _REPORT_LAG_SECONDS:
-                    worker.adapters.setdefault(name, now)
-
-    def _forget_adapters(self, worker: _Worker, model: str) -> None:
-        for name in list(worker.adapters):
-            if name.startswith(f"{model}/"):
-                del worker.adapters[name]
-
     def _plan_adapters(
         self,
         service: str,
         engine: document_lib.Engine,
-        workers: Mapping[str, _Worker],
+        workers: Mapping[str, worker_lib.EngineWorker],
         now: float,
     ) -> None:
         for key, hosts in list(self._waiting.items()):
@@ -672,37 +520,37 @@
             if victim:
                 # Entry hosts stop sending at once; it still counts until the
                 # engine has confirmed that it is gone.
-                worker.leaving[victim] = worker.adapters[victim]
+                worker.leaving.add(victim)
                 self._changed([worker.said.name])
             task = tasks.start(
-                self._place_adapter(worker, name, victim), "adapter"
+                self._place_adapter(worker, name, victim, engine), "adapter"
             )
             self._adapter_tasks.add(task)
             task.add_done_callback(self._adapter_tasks.discard)
 
-    def _check_adapters(self, workers: list[_Worker], now: float) -> None:
+    def _check_adapters(
+        self, workers: list[worker_lib.EngineWorker], now: float
+    ) -> None:
         """Asks engines that should hold what requests still wait for."""
         for worker in workers:
             if now - worker.asked_at > _ASK_SECONDS and not worker.leaving:
                 worker.asked_at = now
-                worker.accepted = None
                 task = tasks.start(self._ask_adapters(worker), "ask_adapters")
                 self._adapter_tasks.add(task)
                 task.add_done_callback(self._adapter_tasks.discard)
 
-    async def _ask_adapters(self, worker: _Worker) -> None:
-        async with worker.lock:
-            if worker.accepted is None:
-                await self._learn(worker)
+    async def _ask_adapters(self, worker: worker_lib.EngineWorker) -> None:
+        await worker.ask()
         self._changed([worker.said.name])
 
     def _adapter_victim(
-        self, worker: _Worker, engine: document_lib.Engine, now: float
+        self,
+        worker: worker_lib.EngineWorker,
+        engine: document_lib.Engine,
+        now: float,
     ) -> str | None:
         """Returns an adapter to take off, empty if none needs to, or None."""
-        held = len(worker.adapters) + len(worker.pending)
-        held -= len(worker.leaving)
-        if held < engine.adapter_places:
+        if worker.adapter_room(engine) > 0:
             return ""
         old = [
             (used, name)
@@ -712,28 +560,29 @@
         return min(old)[1] if old else None
 
     async def _place_adapter(
-        self, worker: _Worker, name: str, victim: str
+        self,
+        worker: worker_lib.EngineWorker,
+        name: str,
+        victim: str,
+        engine: document_lib.Engine,
     ) -> None:
         try:
             if victim:
                 model, _, adapter = victim.partition("/")
                 await asyncio.sleep(_CLOSE_SECONDS)
-                taken = await self._order(
-                    worker, load=False, model=model, adapter=adapter
+                taken = await worker.order(
+                    load=False, model=model, adapter=adapter, engine=engine
                 )
                 if not taken:
                     return
-                worker.adapters.pop(victim, None)
-                worker.leaving.pop(victim, None)
-                worker.dropped[victim] = clock.now()
+                worker.adapter_gone(victim)
             model, _, adapter = name.partition("/")
-            if await self._order(
-                worker, load=True, model=model, adapter=adapter
+            if await worker.order(
+                load=True, model=model, adapter=adapter, engine=engine
             ):
                 await asyncio.sleep(_ADAPTER_SECONDS)
-                worker.adapters[name] = clock.now()
         finally:
             worker.pending.discard(name)
-            worker.leaving.pop(victim, None)
+            worker.leaving.discard(victim)
             if worker.said.name in self._workers:
                 self._changed([worker.said.name])
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -36,7 +36,9 @@
                 return reason
 
     def _send(self, name, now=0.0, **ask):
-        self.view.sent(name, choice_lib.Ask(service="s", **ask), now)
+        asked = choice_lib.Ask(service="s", **ask)
+        self.view.sent(name, asked, now)
+        self.view.started(name, asked)
 
     def _end(self, name, now, *, failed=False, **ask):
         asked = choice_lib.Ask(service="s", **ask)
@@ -86,6 +88,18 @@
         self.view.set_loads({"near": 9})
         self.assertEqual(self._pick(), "far")
 
+    def test_prompts_still_to_be_read_weigh_twice(self):
+        self.view.set_targets([target("near"), target("far", domain="b")], [])
+        asked = choice_lib.Ask(service="s")
+        self.view.sent("near", asked, 0.0)
+        self.assertEqual(self._pick(), "near")
+        self.view.sent("near", asked, 0.0)
+        self.view.sent("near", asked, 0.0)
+        self.assertEqual(self._pick(), "far")
+        for _ in range(3):
+            self.view.started("near", asked)
+        self.assertEqual(self._pick(), "near")
+
     def test_a_session_returns_to_where_its_prompt_was_read(self):
         self.view.set_targets([target("t1"), target("t2")], [])
         first = self._pick(session="s1")
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -9,6 +9,7 @@
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.process import engine_worker as worker_lib
 from endivestream.process import planner as planner_lib
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
@@ -158,25 +159,25 @@
 class PlannerTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         # Pauses that are long beside a call are short beside a test.
-        self._constants = {
-            name: getattr(planner_lib, name)
-            for name in (
-                "_REPORT_OLD_SECONDS",
-                "_BUSY_SECONDS",
-                "_AGAIN_SECONDS",
-                "_OVERDUE_SECONDS",
-                "_UNLOAD_SECONDS",
-                "_RUNS_SECONDS",
-                "_ASK_SECONDS",
-                "_ADAPTER_KEEP_SECONDS",
+        self._constants = [
+            (module, name, getattr(module, name))
+            for module, name in (
+                (worker_lib, "REPORT_OLD_SECONDS"),
+                (worker_lib, "BUSY_SECONDS"),
+                (planner_lib, "_AGAIN_SECONDS"),
+                (planner_lib, "_OVERDUE_SECONDS"),
+                (planner_lib, "_UNLOAD_SECONDS"),
+                (planner_lib, "_RUNS_SECONDS"),
+                (planner_lib, "_ASK_SECONDS"),
+                (planner_lib, "_ADAPTER_KEEP_SECONDS"),
             )
-        }
-        for name in self._constants:
-            setattr(planner_lib, name, 0.01)
+        ]
+        for module, name, _ in self._constants:
+            setattr(module, name, 0.01)
 
     def tearDown(self):
-        for name, value in self._constants.items():
-            setattr(planner_lib, name, value)
+        for module, name, value in self._constants:
+            setattr(module, name, value)
 
     def _start(self, *engines, first=True, may_order=lambda: True):
         self.engines = engines
