--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -193,7 +193,10 @@
                     logs.warn("no_room", target=self.said.name, load=name)
                     return False
                 expected = self._accepted or 0
-                earlier = expected in self._doubts.values()
+                earlier = any(
+                    number == expected and other != name
+                    for other, number in self._doubts.items()
+                )
                 outcome = await self._send(load, model, adapter, attempt)
                 match outcome:
                     case (
@@ -284,6 +287,10 @@
         loaded = {held.model for held in report.loaded}
         self._shown = loaded - {held.model for held in self.said.loaded}
         self._drop_absent(report)
+        # What it shows when asked is newer than any order that took it off.
+        for held in report.loaded:
+            for adapter in held.adapters:
+                self._dropped.pop(f"{held.model}/{adapter}", None)
         self._add_adapters(report.loaded)
         return True
 
