--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -87,6 +87,11 @@
         for link in self._links.values():
             await link.close()
 
+    def set_seeds(self, controls: Sequence[str]) -> None:
+        """Takes over other control hosts to begin a search with."""
+        self._seeds = tuple(controls)
+        self._learn([c for c in self._controls if c not in controls])
+
     def poke(self) -> None:
         """Renews at once, because something changed on this host."""
         self._poked.set()
--- a/packages/endivestream/src/endivestream/logs.py
+++ b/packages/endivestream/src/endivestream/logs.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 from typing import Any
+from typing import TextIO
 
 from loguru import logger
 
@@ -19,16 +20,17 @@
 )
 
 
-def start(*, level: str, host: str) -> None:
-    """Sends all lines to standard error.
+def start(*, level: str, host: str, stream: TextIO | None = None) -> None:
+    """Sends all lines to a stream.
 
     Args:
         level: The least level shown: `DEBUG`, `INFO`, `WARNING` or `ERROR`.
         host: The host's name, a pair of every line.
+        stream: Where lines go; standard error if it is not given.
     """
     logger.remove()
     logger.add(
-        sys.stderr,
+        stream or sys.stderr,
         level=level,
         format=(
             "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -100,6 +100,7 @@
         self._lead = lead
         self._new_identity = new_identity
         self._settings = settings
+        self._named = tuple(settings.peers.control)
         self._keys = keys
         self._context = context
         self._pool = pool
@@ -221,8 +222,12 @@
                 return True
         return False
 
+    def set_controls(self, controls: Sequence[str]) -> None:
+        """Takes over the control hosts that changed settings name."""
+        self._named = tuple(controls)
+
     def _others(self) -> list[str]:
-        return [a for a in self._settings.peers.control if a != self.address]
+        return [a for a in self._named if a != self.address]
 
     async def close(self) -> None:
         """Stops in the reverse order."""
@@ -346,12 +351,12 @@
 
     async def _join(self) -> None:
         """Asks to be let in for as long as it is no member."""
-        others = self._others()
         turn = 0
         while True:
             await asyncio.sleep(_JOIN_SECONDS)
             if self.replicator.replica.members.find(self.replicator.identity):
                 continue
+            others = self._others()
             if not others:
                 continue
             address = others[turn % len(others)]
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import contextlib
 import math
 import time
@@ -211,6 +212,10 @@
         self._server.add_sockets(sockets)
         self._watch.start()
 
+    def set_controls(self, controls: Sequence[str]) -> None:
+        """Takes over the control hosts that changed settings name."""
+        self._watch.set_seeds(controls)
+
     async def drain(self) -> None:
         """Stops without cutting a request.
 
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 import zmq.asyncio
@@ -81,6 +82,10 @@
         self._pool.close()
         self._context.destroy(linger=0)
 
+    def set_controls(self, controls: Sequence[str]) -> None:
+        """Takes over the control hosts that changed settings name."""
+        self._control.set_controls(controls)
+
     async def apply(self, document: document_lib.Document) -> bool:
         """Has a document committed; False if that is not sure."""
         answer = await self._control.call(
