The path of a request in three modules: admission, forward, sending

Moved only: what is refused as not run (admission), the way of a request through its attempts (forward), one attempt (sending). The same tests pass unchanged but for how the parts are put together.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -25,6 +25,7 @@
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import watch as watch_lib
 from endivestream.process import site_settings
+from endivestream.request import admission
 from endivestream.request import allowance as allowance_lib
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
@@ -138,8 +139,15 @@
             on_renewed=self._renewed,
             on_news=self._take_news,
         )
-        parts = forward_lib.Parts(
+        rules = admission.Rules(
             names=names,
+            table=lambda: self._table,
+            lease_until=lambda: self._watch.lease_until,
+            share=lambda: 1 / max(1, len(self._entries)),
+            takes=self._takes,
+        )
+        parts = forward_lib.Parts(
+            rules=rules,
             view=self._view,
             pool=self._pool,
             credit=_Credit(
@@ -147,11 +155,7 @@
                 watch=self._watch,
                 host=settings.name,
             ),
-            table=lambda: self._table,
-            lease_until=lambda: self._watch.lease_until,
             repeats=self._budget,
-            share=lambda: 1 / max(1, len(self._entries)),
-            takes=self._takes,
             missing=self._missing,
             changed=self._wait_for_change,
             asked=self._count,
@@ -365,12 +369,12 @@
             self._repeats[service] = budget
         return budget
 
-    def _count(self, work: forward_lib.Work) -> None:
+    def _count(self, work: admission.Work) -> None:
         if work.model and work.service.engine is not None:
             key = (work.service.name, work.model, work.adapter)
             self._demand[key] = self._demand.get(key, 0) + 1
 
-    def _missing(self, work: forward_lib.Work) -> Callable[[], None]:
+    def _missing(self, work: admission.Work) -> Callable[[], None]:
         """Tells the leader that a request waits; returns what ends that."""
         key = (work.service.name, work.model, work.adapter)
         waiting = self._waiting.setdefault(key, [])
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -7,6 +7,7 @@
 from endivestream import site_messages
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
 from endivestream.request import forward as forward_lib
@@ -59,16 +60,19 @@
             ratio=1.0, window=10.0, slack=100.0, now=clock.now() - 60.0
         )
         self.table = None
-        parts = forward_lib.Parts(
+        rules = admission.Rules(
             names=names_lib.HeaderNames(),
-            view=self.view,
-            pool=self.pool,
-            credit=self.credit,
             table=lambda: self.table,
             lease_until=lambda: self.lease,
-            repeats=lambda service: self.repeats,
             share=lambda: 1.0,
             takes=lambda kind: kind not in self.refused_kinds,
+        )
+        parts = forward_lib.Parts(
+            rules=rules,
+            view=self.view,
+            pool=self.pool,
+            credit=self.credit,
+            repeats=lambda service: self.repeats,
             missing=self._missing,
             changed=lambda seconds: asyncio.sleep(0.001),
             asked=lambda work: None,
