A full disk is waited for instead of ending the process over and over

Cause: a replica whose disk refuses an entry ends, is started again, and ends at its first vote or entry while the disk is full. Change: before it takes part a control host writes a probe; it waits while that is refused, and can be asked to stop meanwhile. Test: test_a_full_disk_is_waited_for.

--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import pathlib
 
 import zmq.asyncio
 
+from endivestream import logs
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
@@ -22,11 +25,14 @@
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
 from endivestream.version import members as members_lib
+from endivestream.version import storage as storage_lib
 
 # Callers give a control host one second, more for a large body; an answer
 # that comes later is asked for again elsewhere.
 _ANSWER_SECONDS = 0.9
 _APPLY_SECONDS = 1.5
+# Between two looks at a disk that takes no bytes.
+_DISK_SECONDS = 0.3
 
 
 class SiteControl:
@@ -66,6 +72,7 @@
             storage.CorruptError: The stored data is damaged.
             OSError: It cannot be read, or the address cannot be used.
         """
+        await self._until_writable()
         founders = [
             members_lib.Member(_founder(address), address, address)
             for address in self._settings.controls
@@ -76,6 +83,28 @@
             founders=founders,
         )
 
+    async def _until_writable(self) -> None:
+        """Waits while the disk takes no bytes.
+
+        A replica whose disk fails ends its process, because it cannot know
+        what lasts. Started again on a full disk it would end at its first
+        entry, over and over; so it waits here, and the others go on.
+        """
+        folder = pathlib.Path(self._settings.data_folder)
+        refused = False
+        while True:
+            try:
+                await asyncio.to_thread(storage_lib.check_writable, folder)
+            except OSError as error:
+                if not refused:
+                    logs.warn("disk_refuses", folder=folder, why=error)
+                refused = True
+                await asyncio.sleep(_DISK_SECONDS)
+                continue
+            if refused:
+                logs.event("disk_writes_again", folder=folder)
+            return
+
     async def close(self) -> None:
         """Hands leadership over and stops."""
         await self._control.close()
--- a/packages/endivestream/src/endivestream/version/storage.py
+++ b/packages/endivestream/src/endivestream/version/storage.py
@@ -33,6 +33,10 @@
 _LONGEST_PAYLOAD = 64 * 1024 * 1024
 
 
+# More than one block, so that a disk with a few bytes left counts as full.
+_PROBE_BYTES = 64 * 1024
+
+
 class Entry(NamedTuple):
     """One entry of the log.
 
@@ -331,6 +335,19 @@
         self._sync_folder()
 
 
+def check_writable(folder: pathlib.Path) -> None:
+    """Writes and removes a file; raises OSError if the disk takes no bytes."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / "probe.tmp"
+    try:
+        with open(path, "wb") as file:
+            file.write(bytes(_PROBE_BYTES))
+            file.flush()
+            os.fsync(file.fileno())
+    finally:
+        path.unlink(missing_ok=True)
+
+
 def _entry_checksum(term: int, index: int, payload: bytes) -> int:
     head = _HEADER.pack(len(payload), 0, term, index)
     return zlib.crc32(payload, zlib.crc32(head))
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -5,6 +5,7 @@
 import socket
 import tempfile
 import unittest
+from unittest import mock
 
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
@@ -13,6 +14,7 @@
 from endivestream.process import site_settings
 from endivestream.request import names as names_lib
 from endivestream.version import document as document_lib
+from endivestream.version import storage
 
 from tests import standin
 from tests import test_document
@@ -238,6 +240,41 @@
         await self.controls.pop(other).close()
         await self._apply(test_document.document(2), self.controls[peer])
 
+    async def test_a_full_disk_is_waited_for(self):
+        """A control host does not end again and again on a full disk.
+
+        It ended when its disk refused an entry and is started while the disk
+        still does; once there is room it takes part, and nothing accepted
+        meanwhile is missing.
+        """
+        await self._apply(test_document.document(1))
+        peer = self.peers[0]
+        await self.controls.pop(peer).close()
+        tries = []
+
+        def refuses(folder):
+            tries.append(folder)
+            if len(tries) < 3:
+                raise OSError(28, "no space left")
+
+        with (
+            mock.patch.object(site_control, "_DISK_SECONDS", 0.001),
+            mock.patch.object(storage, "check_writable", refuses),
+        ):
+            await self._start_control(peer)
+        self.assertEqual(len(tries), 3)
+        await self._apply(test_document.document(2))
+        source = None
+        async with asyncio.timeout(30):
+            while source != b"version 2":
+                source = await self.controls[peer].read()
+
+    def test_a_disk_that_takes_bytes_is_left_as_it_was(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "log"
+            storage.check_writable(path)
+            self.assertEqual(list(path.iterdir()), [])
+
     async def test_a_draining_target_gets_nothing_new(self):
         await self._apply(test_document.document(1))
         await self._register()
