--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
-PATHS := packages tests benchmarks
+PATHS := packages tests benchmarks platform
 export PYTHONPATH := benchmarks
 export PYTHONHASHSEED := 0
 
