--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -28,6 +28,7 @@
         await site.until(
             lambda: (
                 "e1" in self._ledger()
+                and "brass" in self._ledger()["e1"].entries
                 and self._ledger()["e1"].entries["brass"].loaded
             )
         )
