A target's good-bye holds across leaders

A whole table did not say who had left either, and a successor took a held-up report for that of a sound target. Ruled out: lost pushes within one term, which the next renewal mends in 0.3 s.

Change: departures are committed before they are acknowledged (version/departures.py), a leader's table starts with them, a good-bye is remembered and told also where the target is not known, and the whole table names those that left.

--- a/packages/endivestream/src/endivestream/connection/registry.py
+++ b/packages/endivestream/src/endivestream/connection/registry.py
@@ -16,6 +16,10 @@
 # before may arrive seconds later and would bring the target back (symptom:
 # requests go to an address that another service has taken).
 _REMEMBER_SECONDS = 60.0
+# A new start counts its reports from the beginning. Where the start that left
+# is not known, a report up to this number is taken for that of a newer one;
+# a process that has worked before it left has sent more.
+_FIRST_REPORTS = 3
 
 
 class Loaded(msgspec.Struct, frozen=True, array_like=True):
@@ -83,12 +87,30 @@
     heard: float
 
 
+class _Gone(NamedTuple):
+    """A target that left.
+
+    Attributes:
+        born: The start that left; None if the table did not have it.
+        since: When it left.
+    """
+
+    born: int | None
+    since: float
+
+    def covers(self, said: Registration) -> bool:
+        """Whether a report is of the start that left."""
+        if self.born is None:
+            return said.number > _FIRST_REPORTS
+        return said.born <= self.born
+
+
 class Registry:
     """All targets that may exist. Times are seconds of one clock."""
 
     def __init__(self) -> None:
         self._sessions: dict[str, Session] = {}
-        self._gone: dict[str, tuple[int, float]] = {}
+        self._gone: dict[str, _Gone] = {}
 
     def __repr__(self) -> str:
         return f"<Registry of {len(self._sessions)} targets>"
@@ -110,7 +132,7 @@
             those whose address it has taken over; empty if it is old.
         """
         gone = self._gone.get(said.name)
-        if gone is not None and said.born <= gone[0]:
+        if gone is not None and gone.covers(said):
             return []
         known = self._sessions.get(said.name)
         if known is not None and known.said.order >= said.order:
@@ -130,12 +152,43 @@
         self._sessions[said.name] = Session(said, now)
         return [said.name, *(rival.name for rival in rivals)]
 
-    def leave(self, name: str, now: float) -> bool:
-        """Removes a target that said good-bye; False if it is not known."""
-        known = name in self._sessions
-        if known:
+    def leave(self, name: str, now: float, born: int | None = None) -> bool:
+        """Removes a target that said good-bye, also one not heard of yet.
+
+        Args:
+            name: The target's id.
+            now: The time.
+            born: The start that left, if it is known from elsewhere.
+
+        Returns:
+            Whether it was in the table.
+        """
+        session = self._sessions.get(name)
+        if (
+            session is not None
+            and born is not None
+            and (session.said.born > born)
+        ):
+            return False
+        if session is not None:
             self._forget(name, now)
-        return known
+            return True
+        # Entry hosts may still have it from the leader before.
+        known = self._gone.get(name)
+        if born is None and known is not None:
+            born = known.born
+        self._gone[name] = _Gone(born, now)
+        return False
+
+    @property
+    def departed(self) -> tuple[str, ...]:
+        """Names of targets that have left or were replaced lately."""
+        return tuple(self._gone.keys() - self._sessions.keys())
+
+    def born(self, name: str) -> int | None:
+        """Returns when a target in the table was started, or None."""
+        session = self._sessions.get(name)
+        return session.said.born if session else None
 
     def expire(self, now: float, *, silence: float) -> list[str]:
         """Removes and returns targets that were silent for too long."""
@@ -146,8 +199,8 @@
         ]
         for name in silent:
             self._forget(name, now)
-        for name, (_, since) in list(self._gone.items()):
-            if now - since > _REMEMBER_SECONDS:
+        for name, gone in list(self._gone.items()):
+            if now - gone.since > _REMEMBER_SECONDS:
                 del self._gone[name]
         return silent
 
@@ -158,4 +211,4 @@
 
     def _forget(self, name: str, now: float) -> None:
         session = self._sessions.pop(name)
-        self._gone[name] = (session.said.born, now)
+        self._gone[name] = _Gone(session.said.born, now)
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -26,6 +26,7 @@
 from endivestream.process import planner as planner_lib
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
+from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import state as state_lib
 
@@ -75,6 +76,8 @@
         self._began = clock.now()
         self._complete = False
         self._registry = registry_lib.Registry()
+        for name, born in lead.replicator.state.departures.born.items():
+            self._registry.leave(name, self._began, born)
         self._silent: set[str] = set()
         self._sessions: dict[str, _Session] = {}
         self._entries: tuple[site_messages.EntryHost, ...] = ()
@@ -176,9 +179,7 @@
                 self._register(said)
                 return site_messages.Registered()
             case site_messages.Deregister(name=name):
-                if self._registry.leave(name, clock.now()):
-                    logs.event("target_left", target=name)
-                    self._targets_changed([name])
+                await self._depart(name)
                 return site_messages.Registered()
             case messages.Join(member=member):
                 self._steward.join(member)
@@ -202,6 +203,20 @@
 
     # Targets.
 
+    async def _depart(self, name: str) -> None:
+        """Tells entry hosts that a target leaves, then commits it.
+
+        Entry hosts may know it from the leader before, so they are told also
+        where this one has not heard of it.
+        """
+        born = self._registry.born(name)
+        known = self._registry.leave(name, clock.now())
+        logs.event("target_left", target=name, born=born, known=known)
+        self._targets_changed([name])
+        await self._replicator.propose(
+            departures_lib.Depart(name=name, born=born)
+        )
+
     def _register(self, said: registry_lib.Registration) -> None:
         now = clock.now()
         known = self._registry.find(said.name)
@@ -267,6 +282,7 @@
             after=None,
             complete=self._complete,
             targets=tuple(self._target(session) for session in sessions),
+            gone=self._registry.departed,
             entries=self._entries if self._complete else None,
         )
 
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -12,6 +12,7 @@
 from endivestream.version import calls as calls_lib
 from endivestream.version import configuration as configuration_lib
 from endivestream.version import credit as credit_lib
+from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import ledger as ledger_lib
 
@@ -28,6 +29,7 @@
     | ledger_lib.ConfirmLoad
     | credit_lib.SetAside
     | document_lib.ApplyDocument
+    | departures_lib.Depart
 )
 Result = (
     configuration_lib.Applied
@@ -42,6 +44,7 @@
     | ledger_lib.Noted
     | credit_lib.DoneSettingAside
     | document_lib.DocumentApplied
+    | departures_lib.Departed
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -54,6 +57,7 @@
     ledger: dict[str, ledger_lib.Target]
     credit: tuple[int, dict[str, credit_lib.Level]]
     document: document_lib.Document | None = None
+    departures: dict[str, int | None] = {}
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -78,6 +82,7 @@
         ledger: Memory of targets.
         credit: Teams' credit without what the leader may spend.
         document: The configuration that is applied as a whole.
+        departures: Targets that have left.
     """
 
     def __init__(self) -> None:
@@ -86,6 +91,7 @@
         self.ledger = ledger_lib.Ledger()
         self.credit = credit_lib.Credit()
         self.document = document_lib.Holder()
+        self.departures = departures_lib.Departures()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -116,6 +122,8 @@
                 return self.credit.apply(command)
             case document_lib.ApplyDocument():
                 return self.document.apply(command)
+            case departures_lib.Depart():
+                return self.departures.apply(command)
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
@@ -126,6 +134,7 @@
                 ledger=self.ledger.snapshot(),
                 credit=self.credit.snapshot(),
                 document=self.document.current,
+                departures=self.departures.born,
             )
         )
 
@@ -137,3 +146,4 @@
         self.ledger.restore(snapshot.ledger)
         self.credit.restore(snapshot.credit)
         self.document.current = snapshot.document
+        self.departures.restore(snapshot.departures)
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,38 @@
+import unittest
+
+from endivestream.version import departures as departures_lib
+from endivestream.version import state as state_lib
+
+
+class DeparturesTest(unittest.TestCase):
+    def setUp(self):
+        self.departures = departures_lib.Departures()
+
+    def _depart(self, name, born):
+        self.departures.apply(departures_lib.Depart(name=name, born=born))
+
+    def test_the_newest_start_that_left_holds(self):
+        """A good-bye that is told twice hides nothing.
+
+        It comes by way of a leader that knows the start, then of one that
+        does not, then late for an older start of the same name.
+        """
+        self._depart("t1", 7)
+        self._depart("t1", None)
+        self._depart("t1", 3)
+        self.assertEqual(self.departures.born, {"t1": 7})
+
+    def test_only_the_latest_are_kept(self):
+        for number in range(600):
+            self._depart(f"t{number}", number)
+        self.assertEqual(len(self.departures.born), 512)
+        self.assertNotIn("t0", self.departures.born)
+        self.assertEqual(self.departures.born["t599"], 599)
+
+    def test_they_are_part_of_a_snapshot(self):
+        """A replica that starts from a snapshot knows who has left."""
+        state = state_lib.State()
+        state.apply(1, departures_lib.Depart(name="t1", born=None))
+        other = state_lib.State()
+        other.restore(state.snapshot())
+        self.assertEqual(other.departures.born, {"t1": None})
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -1,6 +1,7 @@
 """A whole site of entry and control hosts in one event loop, on loopback."""
 
 import asyncio
+import math
 import pathlib
 import socket
 import tempfile
@@ -287,6 +288,64 @@
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.target.requests, [])
 
+    async def _new_leader(self):
+        """Ends the leader, and waits until both entry hosts follow another."""
+        peer = next(
+            peer
+            for peer, control in self.controls.items()
+            if control._control.replicator.leads
+        )
+        await self.controls.pop(peer).close()
+        await self._until(
+            lambda: all(e._watch.leader not in ("", peer) for e in self.entries)
+        )
+
+    async def _leave(self):
+        control = list(self.controls.values())[-1]
+        async with asyncio.timeout(30):
+            while not await control.leave("t1"):
+                await asyncio.sleep(0.005)
+
+    async def test_a_good_bye_that_a_new_leader_hears_first_counts(self):
+        """A target that has left gets nothing, though its leader is new.
+
+        The leader dies; the target says good-bye to its successor before any
+        report. Entry hosts still have the target from the leader before, and
+        would keep one that is merely not named for a while.
+        """
+        keep = mock.patch.object(entry_lib, "_UNNAMED_SECONDS", math.inf)
+        self.enterContext(keep)
+        await self._apply(test_document.document(1))
+        await self._register()
+        await self._in_force(1)
+        await self._until(
+            lambda: all("t1" in e._view.targets for e in self.entries)
+        )
+        await self._new_leader()
+        await self._leave()
+        await self._until(
+            lambda: not any("t1" in e._view.targets for e in self.entries)
+        )
+        reply = await self._ask(self.entries[0])
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.target.requests, [])
+
+    async def test_a_late_report_brings_nobody_back_at_a_new_leader(self):
+        """A target that has left gets nothing after a change of leader.
+
+        It says good-bye, the leader dies, and a report from before arrives at
+        the successor, whose own table is empty.
+        """
+        await self._apply(test_document.document(1))
+        await self._register(number=8)
+        await self._leave()
+        await self._new_leader()
+        await self._register(number=7)
+        await self._in_force(1)
+        reply = await self._ask(self.entries[0])
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.target.requests, [])
+
     async def test_a_stopping_host_leaves_the_directory(self):
         """Callers are sent to hosts that go on; the other ends in time."""
         await self._apply(test_document.document(1))
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -36,6 +36,29 @@
         self.assertEqual(self.registry.note(said(number=6), 3.0), [])
         self.assertIsNone(self.registry.find("t1"))
 
+    def test_a_good_bye_before_the_first_report_is_remembered(self):
+        """Nothing is sent to a target whose good-bye came by a new leader.
+
+        The leader has not heard of it yet; the good-bye arrives first, then a
+        report that was held up. A later start of the same name counts anew.
+        """
+        self.assertFalse(self.registry.leave("t1", 1.0))
+        self.assertEqual(self.registry.departed, ("t1",))
+        self.assertEqual(self.registry.note(said(number=9), 2.0), [])
+        self.assertEqual(
+            self.registry.note(said(born=5, number=1), 3.0), ["t1"]
+        )
+        self.assertEqual(self.registry.departed, ())
+
+    def test_a_newer_start_outlives_the_good_bye_of_an_older(self):
+        """A target that came back is not lost with a leader's memory.
+
+        The log says that an older start has left.
+        """
+        self.registry.note(said(born=5, number=9), 1.0)
+        self.assertFalse(self.registry.leave("t1", 2.0, born=4))
+        self.assertIsNotNone(self.registry.find("t1"))
+
     def test_a_restart_under_the_same_name_counts_anew(self):
         """A target that came back is used at once.
 
