Under load no engine takes more than it answers, and copies come in time

Ruled out: too few engines (demand 90/s, 7 to 10 engines of 10 to 14/s).

Change: an engine gets three quarters of its slots, less for less urgent requests; the rest waits at the hosts for half its objective, then takes the engine's own queue up to its slots. Hosts keep the averages of demand. What an engine's rate costs rises ever steeper; copies that save four requests a second come before rare models; no bound on copies.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -29,6 +29,7 @@
 from endivestream.request import allowance as allowance_lib
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
+from endivestream.request import demand as demand_lib
 from endivestream.request import forward as forward_lib
 from endivestream.request import names as names_lib
 from endivestream.request import repeats as repeats_lib
@@ -125,7 +126,7 @@
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._unnamed: dict[str, float] = {}
         self._repeats: dict[str, repeats_lib.RepeatBudget] = {}
-        self._demand: dict[tuple[str, str, str], int] = {}
+        self._demand = demand_lib.Meters(now=clock.now())
         self._waiting: dict[tuple[str, str, str], list[float]] = {}
         self._changed = asyncio.Event()
         self._draining = False
@@ -160,6 +161,7 @@
             changed=self._wait_for_change,
             asked=self._count,
             idle=self._watch.poke,
+            freed=self._signal_change,
             observe=observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
@@ -257,16 +259,16 @@
     # What the leader says.
 
     def _renewal(self) -> site_messages.Renew:
+        rates = self._demand.rates(clock.now())
         demand = tuple(
             site_messages.Demand(
                 *key,
-                self._demand.get(key, 0),
+                rates.get(key, 0.0),
                 len(self._waiting.get(key, ())),
                 min(self._waiting.get(key) or [0.0]),
             )
-            for key in {*self._demand, *self._waiting}
+            for key in {*rates, *self._waiting}
         )
-        self._demand.clear()
         return site_messages.Renew(
             host=site_messages.EntryHost(
                 self._settings.name,
@@ -372,7 +374,7 @@
     def _count(self, work: admission.Work) -> None:
         if work.model and work.service.engine is not None:
             key = (work.service.name, work.model, work.adapter)
-            self._demand[key] = self._demand.get(key, 0) + 1
+            self._demand.count(key, clock.now())
 
     def _missing(self, work: admission.Work) -> Callable[[], None]:
         """Tells the leader that a request waits; returns what ends that."""
@@ -381,7 +383,8 @@
         waiting.append(work.route.objective)
         if len(waiting) == 1:
             # At once: the next renewal would cost a third of a second.
-            demand = site_messages.Demand(*key, 0, 1, work.route.objective)
+            rate = self._demand.rates(clock.now()).get(key, 0.0)
+            demand = site_messages.Demand(*key, rate, 1, work.route.objective)
             self._tell(
                 site_messages.Missing(
                     host=self._settings.name, demand=(demand,)
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -51,9 +51,6 @@
 _RUNS_POLL_SECONDS = 0.02
 # An engine is asked what it holds at most so often.
 _ASK_SECONDS = 1.0
-# Demand is averaged over about so many seconds: long enough to smooth a
-# second without requests, short enough to follow a shift of a few seconds.
-_AVERAGE_SECONDS = 4.0
 # Left between an old holder's last order and the first of a new one.
 _HOLDER_MARGIN_SECONDS = 0.4
 # What the store may be asked for, as a part of what it allows.
@@ -65,24 +62,17 @@
     """How much one model or adapter is asked for.
 
     Attributes:
-        rate: Requests a second, averaged.
-        at: When the average was last brought up to date.
-        last: When it was last asked for.
+        rates: Requests a second, by the entry host that they come to.
         objective: Least objective seen, in seconds; 0 if none.
     """
 
-    rate: float = 0.0
-    at: float = 0.0
-    last: float = float("-inf")
+    rates: dict[str, float] = dataclasses.field(default_factory=dict)
     objective: float = 0.0
 
-    def add(self, arrivals: int, now: float) -> None:
-        """Counts requests that came since the last call."""
-        self.rate *= math.exp(-(now - self.at) / _AVERAGE_SECONDS)
-        self.rate += arrivals / _AVERAGE_SECONDS
-        self.at = now
-        if arrivals:
-            self.last = now
+    @property
+    def rate(self) -> float:
+        """Requests a second at all hosts."""
+        return sum(self.rates.values())
 
 
 class Planner:
@@ -189,31 +179,33 @@
         self, host: str, demand: Iterable[site_messages.Demand]
     ) -> None:
         """Takes an entry host's counts in."""
-        now = clock.now()
+        self._forget_demand(host)
+        for each in demand:
+            self._note(host, each)
+
+    def _forget_demand(self, host: str) -> None:
         for waiting in self._waiting.values():
             waiting.pop(host, None)
-        for each in demand:
-            self._note(host, each, now)
+        for asked in self._asked.values():
+            asked.rates.pop(host, None)
 
     def missing(
         self, host: str, demand: Iterable[site_messages.Demand]
     ) -> None:
         """Takes in at once what requests wait for."""
-        now = clock.now()
         for each in demand:
-            self._note(host, each, now)
+            self._note(host, each)
         self._poked.set()
 
-    def _note(self, host: str, each: site_messages.Demand, now: float) -> None:
+    def _note(self, host: str, each: site_messages.Demand) -> None:
         key = (each.service, each.model, each.adapter)
-        asked = self._asked.setdefault(key, _Asked(at=now))
-        asked.add(each.arrivals, now)
+        asked = self._asked.setdefault(key, _Asked())
+        asked.rates[host] = each.rate
         if each.urgency:
             known = asked.objective or each.urgency
             asked.objective = min(known, each.urgency)
         if each.waiting:
             self._waiting.setdefault(key, {})[host] = each.waiting
-            asked.last = now
 
     def used(self, host: str, uses: Iterable[site_messages.Use]) -> None:
         """Takes in what runs where for an entry host."""
@@ -250,8 +242,7 @@
         """An entry host is gone, and with it what waited there."""
         self._running.pop(host, None)
         self._starting.pop(host, None)
-        for waiting in self._waiting.values():
-            waiting.pop(host, None)
+        self._forget_demand(host)
 
     # What others ask.
 
@@ -309,7 +300,7 @@
             planned = plan_lib.steps(
                 engine=engine,
                 places=[self._place(w) for w in workers.values()],
-                wants=self._wants(service, now),
+                wants=self._wants(service),
                 store_loads=self._store_room(engine, now),
                 complete=self._complete,
             )
@@ -337,13 +328,17 @@
             is_home=worker.step is not None and worker.step.reason == "home",
         )
 
-    def _wants(self, service: str, now: float) -> dict[str, plan_lib.Want]:
+    def _wants(self, service: str) -> dict[str, plan_lib.Want]:
         wants: dict[str, plan_lib.Want] = {}
-        for key, asked in self._asked.items():
+        for key, asked in list(self._asked.items()):
             if key[0] != service:
                 continue
-            asked.add(0, now)
             waiting = sum(self._waiting.get(key, {}).values())
+            if not waiting and not asked.rates:
+                # Callers can name any model; what they no longer name goes.
+                del self._asked[key]
+                self._waiting.pop(key, None)
+                continue
             before = wants.get(key[1], plan_lib.Want(0.0, 0, math.inf))
             wants[key[1]] = plan_lib.Want(
                 before.rate + asked.rate,
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -28,6 +28,14 @@
 _KNOWN_SESSION = 2.0
 # A target that misses its reports counts as so many requests fuller.
 _SILENT_REQUESTS = 20.0
+# Requests that an engine gets from all hosts, as a part of its slots: less by
+# one step for each rank below the most urgent. An engine answers as many
+# requests a second with 32 as with 170; beyond, they only wait there, where no
+# further copy of their model can take them (seen: 173 on one engine of 64
+# slots, every answer late or cut, while two thirds of the engines were idle).
+_FULL_SHARE = 0.75
+_FULL_STEP = 0.1
+_LAST_STEP = 3
 # Failures in a row after which a target gets one trial request at a time.
 _FAILURES = 2
 # How long a failing target is left alone; doubled with each further failure.
@@ -47,6 +55,8 @@
         adapter: The adapter, or empty.
         session: What its requests share a prompt by, or empty.
         tried: Targets that it was already sent to.
+        rank: 0 for the most urgent.
+        waits: Whether it can still wait for a place on a full engine.
     """
 
     service: str
@@ -54,6 +64,8 @@
     adapter: str = ""
     session: str = ""
     tried: Collection[str] = ()
+    rank: int = 0
+    waits: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -193,6 +205,8 @@
         if not sound:
             return NotThere(reason="all_failing")
         names = [n for n in sound if self._seen[n].running < limit]
+        if ask.model:
+            names = [n for n in names if self._has_place(n, ask)]
         if not names:
             return NotThere(reason="full")
         return self._least_loaded(ask, names, now)
@@ -211,6 +225,15 @@
             and adapter not in self._seen[name].denied
         )
 
+    def _has_place(self, name: str, ask: Ask) -> bool:
+        """Whether an engine should get one more request."""
+        slots = self._targets[name].said.slots
+        share = 1.0
+        if ask.waits:
+            share = _FULL_SHARE - _FULL_STEP * min(ask.rank, _LAST_STEP)
+        running = self._seen[name].running + self._others.get(name, 0)
+        return running < max(1.0, slots * share)
+
     def _is_sound(self, name: str, now: float) -> bool:
         """Whether a target may get a request now."""
         seen = self._seen[name]
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -31,6 +31,9 @@
 # A request waits for a model that is being loaded for this multiple of its
 # route's objective at most: later, callers of streams have given up.
 _WAIT_OBJECTIVES = 2.5
+# It holds out for a place on an engine that is not full for this multiple;
+# after that it takes its turn in a full engine's own queue.
+_PLACE_OBJECTIVES = 0.5
 # How often a request that no target wants is offered again, at most.
 _REFUSALS = 6
 # Pause after a refusal by a target, before another is asked.
@@ -64,6 +67,7 @@
         changed: Waits until targets change, for so many seconds at most.
         asked: Counts a request for a model.
         idle: Told when the last run of a model that is to go has ended.
+        freed: Told when a place on a target may be free.
         observe: Takes a finished request's figures.
     """
 
@@ -76,6 +80,7 @@
     changed: Callable[[float], Awaitable[None]]
     asked: Callable[[admission.Work], None]
     idle: Callable[[], None]
+    freed: Callable[[], None]
     observe: Callable[[Ended], None]
 
 
@@ -119,6 +124,7 @@
             view=parts.view,
             pool=parts.pool,
             idle=parts.idle,
+            freed=parts.freed,
         )
 
     async def serve(self, call: call_lib.Call) -> None:
@@ -337,7 +343,7 @@
         self, work: admission.Work, progress: sending.Progress
     ) -> choice_lib.Picked | findings.Failure:
         """Returns a target, after waiting for one if that pays."""
-        ask = sending.ask(work, progress)
+        holds_out = work.came + work.route.objective * _PLACE_OBJECTIVES
         patience = work.came + work.route.objective * _WAIT_OBJECTIVES
         until = min(work.deadline, max(patience, clock.now() + 0.1))
         stop_missing = None
@@ -346,6 +352,7 @@
                 now = clock.now()
                 if self._parts.rules.lease_until() < now:
                     return admission.no_lease()
+                ask = sending.ask(work, progress, waits=now < holds_out)
                 found = self._parts.view.pick(ask, now, limit=work.limit)
                 if isinstance(found, choice_lib.Picked):
                     return found
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -122,6 +122,7 @@
         view: choice_lib.View,
         pool: exchange_lib.Pool,
         idle: Callable[[], None],
+        freed: Callable[[], None],
     ) -> None:
         """Opens nothing yet.
 
@@ -130,11 +131,13 @@
             view: Targets; told of every attempt.
             pool: Connections to targets.
             idle: Told when the last run of a model that is to go has ended.
+            freed: Told when a place on a target may be free.
         """
         self._names = names
         self._view = view
         self._pool = pool
         self._idle = idle
+        self._freed = freed
 
     async def send(
         self,
@@ -167,6 +170,7 @@
             self._started(progress)
             if view.ended(said.name, asked, clock.now(), failed=failed):
                 self._idle()
+            self._freed()
 
     async def _exchange(
         self,
@@ -364,8 +368,16 @@
         return Passed(head.status)
 
 
-def ask(work: admission.Work, progress: Progress) -> choice_lib.Ask:
-    """Returns what a request needs of a target."""
+def ask(
+    work: admission.Work, progress: Progress, *, waits: bool = False
+) -> choice_lib.Ask:
+    """Returns what a request needs of a target.
+
+    Args:
+        work: The request.
+        progress: What has happened to it.
+        waits: Whether it can still wait for a place on a full engine.
+    """
     on_engine = work.service.engine is not None
     return choice_lib.Ask(
         service=work.service.name,
@@ -373,6 +385,8 @@
         adapter=work.adapter if on_engine else "",
         session=work.session,
         tried=tuple(progress.tried),
+        rank=_priority(work),
+        waits=waits,
     )
 
 
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -35,13 +35,13 @@
 
 
 class Demand(NamedTuple):
-    """How often a model was asked for on one entry host since the last report.
+    """How often a model is asked for on one entry host.
 
     Attributes:
         service: The service.
         model: The model.
         adapter: The adapter, or empty.
-        arrivals: Requests that came.
+        rate: Requests a second, averaged over the last seconds.
         waiting: Requests that wait because no target holds it.
         urgency: Least objective among the waiting, in seconds; 0 if none.
     """
@@ -49,7 +49,7 @@
     service: str
     model: str
     adapter: str
-    arrivals: int
+    rate: float
     waiting: int
     urgency: float
 
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -45,13 +45,21 @@
 # What it costs, in requests a second, that no engine's disk has a model any
 # more: its next request waits for the store.
 _HOMELESS = 0.05
-# Copies beyond which a model never gets more.
-_MOST_COPIES = 5
 # Requests a second at one engine. Prompts are read between the tokens of
 # running requests (1,460 tokens take 66 ms); up to the first figure pauses stay
 # short, at the second every answer has a long one.
 _EASY_RATE = 4.0
 _FULL_RATE = 14.0
+# What a late answer loses of its worth.
+_LATE_LOSS = 0.7
+# What each request a second above the full rate costs: it makes all that wait
+# behind it later still, until they give up. Steeper than the cost below the
+# full rate ever is, or a third copy would look useless where a fourth is
+# needed too (seen: 40 requests a second on two engines for 14 s, four idle).
+_OVER_LOSS = 2.0
+# A further copy that saves so many requests a second comes before models that
+# few requests wait for: else every free engine is busy with those.
+_PRESSING = 4.0
 # Models and engines that are looked at for a further copy in one round: the
 # fullest engines' busiest models, and the emptiest engines.
 _COPY_MODELS = 4
@@ -144,8 +152,9 @@
             has on its disk is then on no disk.
     """
     planner = _Planning(engine, places, wants, store_loads)
+    planner.add_copies(least=_PRESSING)
     planner.load_missing()
-    planner.add_copies()
+    planner.add_copies(least=0.0)
     if complete:
         planner.give_homes()
     return planner.made
@@ -198,11 +207,15 @@
             if step is not None:
                 self._make(step)
 
-    def add_copies(self) -> None:
+    def add_copies(self, *, least: float) -> None:
         """Gives models on full engines a further copy on empty ones.
 
-        The gain is the requests a second that would no longer be late, by
-        how full engines are with the model's requests spread evenly.
+        The gain is the requests a second that would no longer be late or
+        lost, by how full engines are with the model's requests spread evenly;
+        copies on their way count as if they were there.
+
+        Args:
+            least: Least gain, less what it costs, in requests a second.
         """
         loads = self._loads()
         full = sorted(loads, key=lambda target: -loads[target])
@@ -214,11 +227,8 @@
         empty = [t for t in reversed(full) if self._is_free(t)]
         for name in list(models)[:_COPY_MODELS]:
             copies = self._copies.get(name, 0)
-            if not 0 < copies < _MOST_COPIES:
-                continue
-            if any(p.coming == name for p in self._places.values()):
-                continue
-            self._add_copy(name, copies, loads, empty[:_COPY_PLACES])
+            if copies:
+                self._add_copy(name, copies, loads, empty[:_COPY_PLACES], least)
 
     def _add_copy(
         self,
@@ -226,20 +236,22 @@
         copies: int,
         loads: Mapping[str, float],
         empty: Sequence[str],
+        least: float,
     ) -> None:
         # Engines that leave still hold models; they are no help any more.
         holders = [t for t in loads if name in self._places[t].loaded]
         rate = self._rate(name)
         less = rate / copies - rate / (copies + 1)
-        relief = sum(_late(loads[t]) - _late(loads[t] - less) for t in holders)
+        relief = sum(_lost(loads[t]) - _lost(loads[t] - less) for t in holders)
         domains = {self._places[target].domain for target in holders}
-        best, most = None, 0.0
+        best, most = None, least
         for target in empty:
             place = self._places[target]
-            if target in self._taken or name in place.loaded:
+            there = name in place.loaded or name == place.coming
+            if target in self._taken or there:
                 continue
             more = rate / (copies + 1)
-            gain = relief + _late(loads[target]) - _late(loads[target] + more)
+            gain = relief + _lost(loads[target]) - _lost(loads[target] + more)
             # A copy that other failure domains lack also saves the way there
             # and is a spare.
             if place.domain not in domains:
@@ -376,13 +388,13 @@
         return loss
 
     def _crowding(self, place: Place, step: Step) -> float:
-        """Returns the requests a second that a model makes late by coming."""
+        """Returns what a model costs others by coming."""
         there = sum(
             self._copy_rate(name, 0)
             for name in place.loaded
             if name not in step.victims
         )
-        return _late(there + self._copy_rate(step.model, 1)) - _late(there)
+        return _lost(there + self._copy_rate(step.model, 1)) - _lost(there)
 
     def _copy_rate(self, model: str, more: int) -> float:
         """Returns the requests a second at one of a model's copies."""
@@ -405,7 +417,9 @@
         return model.load_seconds
 
 
-def _late(rate: float) -> float:
-    """Returns how many requests a second are late at an engine's rate."""
-    share = (rate - _EASY_RATE) / (_FULL_RATE - _EASY_RATE)
-    return max(0.0, rate) * min(1.0, max(0.0, share))
+def _lost(rate: float) -> float:
+    """Returns what an engine's rate costs, in whole requests a second."""
+    below = min(max(0.0, rate), _FULL_RATE)
+    share = max(0.0, below - _EASY_RATE) / (_FULL_RATE - _EASY_RATE)
+    over = max(0.0, rate - _FULL_RATE)
+    return _LATE_LOSS * below * share + _OVER_LOSS * over
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -55,6 +55,48 @@
         self.view.set_targets([closing], [])
         self.assertEqual(self._pick(model="m"), "no_model")
 
+    def test_no_engine_takes_what_it_cannot_answer_in_time(self):
+        """Requests that a full engine would keep are there for its next copy.
+
+        A model is asked for 200 times at once and stands on one engine; an
+        engine of 64 slots answers no more a second with 200 than with 48.
+        What waits goes to a second copy at once when that is loaded.
+        """
+        self.view.set_targets([target("t1", models=["m"])], [])
+        sent = {"t1": 0, "t2": 0}
+        for _ in range(200):
+            found = self._pick(model="m", waits=True, limit=400)
+            if found in sent:
+                sent[found] += 1
+                self._send(found, model="m")
+        self.assertEqual(sent, {"t1": 48, "t2": 0})
+        self.view.set_targets([target("t2", models=["m"])], [])
+        self.assertEqual(self._pick(model="m", waits=True, limit=400), "t2")
+
+    def test_a_full_engine_has_places_for_the_urgent_only(self):
+        """A less urgent request waits; a more urgent one is sent."""
+        self.view.set_targets([target("t1", models=["m"])], [])
+        for _ in range(40):
+            self._send("t1", model="m")
+        self.assertEqual(self._pick(model="m", waits=True, rank=2), "full")
+        self.assertEqual(self._pick(model="m", waits=True, rank=0), "t1")
+
+    def test_who_cannot_wait_any_longer_gets_an_engine_s_own_queue(self):
+        """A late answer is worth more than none: slots are the last bound."""
+        self.view.set_targets([target("t1", models=["m"])], [])
+        for _ in range(60):
+            self._send("t1", model="m")
+        self.assertEqual(self._pick(model="m", waits=True), "full")
+        self.assertEqual(self._pick(model="m"), "t1")
+        for _ in range(4):
+            self._send("t1", model="m")
+        self.assertEqual(self._pick(model="m"), "full")
+
+    def test_what_other_hosts_run_counts(self):
+        self.view.set_targets([target("t1", models=["m"])], [])
+        self.view.set_loads({"t1": 64})
+        self.assertEqual(self._pick(model="m"), "full")
+
     def test_draining_targets_get_nothing_new(self):
         self.view.set_targets([target("t1", draining=True)], [])
         self.assertEqual(self._pick(), "no_target")
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -77,6 +77,7 @@
             changed=lambda seconds: asyncio.sleep(0.001),
             asked=lambda work: None,
             idle=lambda: None,
+            freed=lambda: None,
             observe=self.ended.append,
         )
         forwarder = forward_lib.Forwarder(parts=parts)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -158,6 +158,55 @@
         self.assertEqual(copies, ["t3"])
 
 
+class OverloadTest(unittest.TestCase):
+    """One model at forty requests a second on two engines of eight."""
+
+    def _engines(self):
+        tails = ["bcd", "cde", "def", "efg", "fgh", "gbc"]
+        on_disk = tuple("abcdefgh")
+        return [place("t0", "abc"), place("t1", "ade")] + [
+            place(f"t{n + 2}", tail, on_disk=on_disk)
+            for n, tail in enumerate(tails)
+        ]
+
+    def test_a_model_on_too_few_engines_gets_copies_until_they_keep_up(self):
+        """Callers wait a second or two for the model's copies, not longer.
+
+        Demand moves to a model within seconds; both its engines are far over
+        what they can answer. One copy more leaves all three too full still,
+        so each copy must look worth it before the last one is there.
+        """
+        wants = {name: want(0.3) for name in "bcdefgh"} | {"a": want(40.0)}
+        places = {p.target: p for p in self._engines()}
+        for _ in range(8):
+            for step in steps(list(places.values()), wants):
+                before = places[step.target]
+                kept = set(before.loaded) - set(step.victims)
+                places[step.target] = place(
+                    step.target,
+                    "".join(sorted(kept)),
+                    coming=step.model,
+                    busy=True,
+                    on_disk=before.on_disk,
+                )
+        copies = sum("a" in (*p.loaded, p.coming) for p in places.values())
+        self.assertGreaterEqual(copies, 4)
+
+    def test_a_pressing_copy_comes_before_models_that_few_wait_for(self):
+        """Forty requests a second are not held up by three that wait.
+
+        All free engines would be busy with the rare models, in round after
+        round, while the wanted model's engines fill up.
+        """
+        wants = {name: want(0.2) for name in "bcdefg"} | {"a": want(40.0)}
+        places = self._engines()[:5]
+        wants["h"] = want(0.5, 1)
+        for each in "ijk":
+            wants[each] = want(0.5, 1)
+        made = steps(places, wants, engine=engine("abcdefghijk"))
+        self.assertIn("a", [s.model for s in made])
+
+
 class HomesTest(unittest.TestCase):
     def test_what_no_disk_has_is_fetched_while_it_is_quiet(self):
         places = [place("t1", "ab"), place("t2", "cd")]
