Metrics of entry and control hosts; a bound on the volume of log lines

Cause: on the users' platform a process showed no metrics, and a flood of lines (each request of a refused burst, each question to a lost leader) took the processor time that requests need.

At most 300 lines a second for long and 1,500 at once, the last fifth for warnings; what is left out is counted in a line. Not done: writing never blocks only as long as the reader of standard output reads.

--- a/packages/endivestream/src/endivestream/logs.py
+++ b/packages/endivestream/src/endivestream/logs.py
@@ -2,24 +2,40 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import json
 import logging
 import pathlib
 import sys
+import time
 import traceback
 from typing import Any
+from typing import Protocol
 from typing import TextIO
 
 from loguru import logger
 
 # Innermost places of an error that go into its line.
 _PLACES = 6
+# Lines a second that a process may write for long, and at once. A host of a
+# small site ends 10 to 20 requests a second, one line each.
+_LINES_PER_SECOND = 300.0
+_LINES_AT_ONCE = 1500.0
+# The last part is kept for warnings and errors.
+_KEPT_FOR_WARNINGS = 0.2
+_WARNING = 30  # The library's number for that level.
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
     "._:/@+-,[]{}()*"
 )
 
 
+class Message(Protocol):
+    """A line of the library: text with the record that it is made from."""
+
+    record: dict[str, Any]
+
+
 def start(*, level: str, host: str, stream: TextIO | None = None) -> None:
     """Sends all lines to a stream.
 
@@ -30,7 +46,7 @@
     """
     logger.remove()
     logger.add(
-        stream or sys.stderr,
+        Bounded(stream or sys.stderr, host=host).write,
         level=level,
         format=(
             "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} "
@@ -44,6 +60,55 @@
     logging.basicConfig(handlers=[_Bridge()], level=logging.WARNING, force=True)
 
 
+class Bounded:
+    """Passes lines on up to a rate, and counts what it leaves out.
+
+    A flood of lines (every request of a burst refused, a lost leader asked for
+    by each) would take the processor time that requests need.
+    """
+
+    def __init__(
+        self,
+        stream: TextIO,
+        *,
+        host: str,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Writes nothing yet.
+
+        Args:
+            stream: Where lines go.
+            host: The host's name.
+            now: The clock, in seconds.
+        """
+        self._stream = stream
+        self._host = host
+        self._now = now
+        self._level = _LINES_AT_ONCE
+        self._filled = now()
+        self._left_out = 0
+
+    def write(self, message: Message) -> None:
+        """Writes a line, or counts it if there were too many lately."""
+        now = self._now()
+        grown = self._level + (now - self._filled) * _LINES_PER_SECOND
+        self._level, self._filled = min(_LINES_AT_ONCE, grown), now
+        urgent = message.record["level"].no >= _WARNING
+        least = 0.0 if urgent else _LINES_AT_ONCE * _KEPT_FOR_WARNINGS
+        if self._level < least + 1.0:
+            self._left_out += 1
+            return
+        self._level -= 1.0
+        if self._left_out:
+            pairs = line("lines_left_out", {"count": self._left_out})
+            time_text = f"{message.record['time']:YYYY-MM-DDTHH:mm:ss.SSSZZ}"
+            self._stream.write(
+                f"time={time_text} level=WARNING host={self._host} {pairs}\n"
+            )
+            self._left_out = 0
+        self._stream.write(message)
+
+
 class _Bridge(logging.Handler):
     """Turns records of the standard module into events."""
 
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -24,6 +24,7 @@
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import watch as watch_lib
+from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.process import turn_desk
 from endivestream.request import admission
@@ -132,7 +133,6 @@
         *,
         settings: site_settings.SiteSettings,
         names: names_lib.HeaderNames,
-        observe: Callable[[forward_lib.Ended], None] = lambda ended: None,
     ) -> None:
         self._settings = settings
         self._context = zmq.asyncio.Context()
@@ -161,6 +161,12 @@
         self._turn_desk = turn_desk.TurnDesk(
             name=settings.name, address=settings.peers, context=self._context
         )
+        self._metrics = site_metrics.EntryMetrics(
+            running=lambda: self.running,
+            version=lambda: self.version,
+            lease=lambda: max(0.0, self._watch.lease_until - clock.now()),
+            targets=lambda: len(self._view.targets),
+        )
         rules = admission.Rules(
             names=names,
             table=lambda: self._table,
@@ -184,7 +190,7 @@
             idle=self._watch.poke,
             freed=self._signal_change,
             turn=self._turn_desk.take,
-            observe=observe,
+            observe=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
         self._front = call_lib.Front(serve=self._forwarder.serve, now=clock.now)
@@ -200,6 +206,11 @@
             and self._watch.lease_until > clock.now()
         )
 
+    @property
+    def metrics(self) -> site_metrics.EntryMetrics:
+        """What this host counts."""
+        return self._metrics
+
     @property
     def running(self) -> int:
         """Requests under way."""
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -22,6 +22,7 @@
 from endivestream.process import control as control_lib
 from endivestream.process import settings as settings_lib
 from endivestream.process import site_leading
+from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
 from endivestream.version import members as members_lib
@@ -60,6 +61,21 @@
             else "",
         )
 
+        self._metrics = site_metrics.ControlMetrics(
+            leads=lambda: self._control.replicator.leads,
+            term=lambda: self._control.replicator.term,
+            index=lambda: self._control.replicator.index,
+            version=lambda: self._control.replicator.state.document.version,
+            departed=lambda: len(
+                self._control.replicator.state.departures.born
+            ),
+        )
+
+    @property
+    def metrics(self) -> site_metrics.ControlMetrics:
+        """What this host counts; readable once it is started."""
+        return self._metrics
+
     def _lead(self, lead: control_lib.Lead) -> control_lib.Leading:
         return site_leading.SiteLeading(
             settings=self._settings, lead=lead, engines=self._engines
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -102,6 +102,7 @@
         waited: Seconds until it was first sent to a target.
         first: Seconds until the first byte of the answer.
         total: Seconds until the end.
+        gap: Longest pause between two pieces of a stream, in seconds.
         tries: Targets that it was sent to.
     """
 
@@ -113,6 +114,7 @@
     waited: float
     first: float
     total: float
+    gap: float
     tries: int
 
 
@@ -172,6 +174,7 @@
             waited=(progress.waited or now) - call.came,
             first=(progress.first or now) - call.came,
             total=now - call.came,
+            gap=progress.gap,
             tries=progress.sends,
         )
         self._parts.observe(ended)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 import sys
+import tomllib
 import unittest
 
 _FOLDER = pathlib.Path(__file__).parent.parent / "platform"
@@ -268,3 +269,13 @@
         raw = json.dumps({k: v for k, v in SETTINGS.items() if k != "ip"})
         found = settings.decode(raw.encode(), self._PLACE)
         self.assertIn("ip", str(found[0]))
+
+
+class DeployTest(unittest.TestCase):
+    def test_metrics_are_shown_where_the_deploy_file_says(self):
+        """An incident is examined by metrics; a wrong port shows none."""
+        file = _FOLDER.parent / "deploy" / "system.toml"
+        roles = tomllib.loads(file.read_text())["roles"]
+        for role in roles.values():
+            expected = f"{settings.METRICS_PORT}/metrics"
+            self.assertEqual(role["metrics"], expected)
--- /dev/null
+++ b/tests/test_site_metrics.py
@@ -0,0 +1,73 @@
+import unittest
+
+from endivestream.process import site_metrics
+from endivestream.request import forward as forward_lib
+
+
+def ended(**fields):
+    given = {
+        "route": "r1",
+        "kind": "stream",
+        "team": "band",
+        "status": 200,
+        "reason": "served",
+        "waited": 0.0,
+        "first": 0.3,
+        "total": 2.0,
+        "gap": 0.25,
+        "tries": 1,
+    } | fields
+    return forward_lib.Ended(**given)
+
+
+class EntryMetricsTest(unittest.TestCase):
+    def setUp(self):
+        self.metrics = site_metrics.EntryMetrics(
+            running=lambda: 3,
+            version=lambda: 7,
+            lease=lambda: 4.2,
+            targets=lambda: 12,
+        )
+
+    def _lines(self):
+        return self.metrics.exposition().decode().splitlines()
+
+    def test_requests_and_their_times_are_counted(self):
+        self.metrics.observe(ended())
+        self.metrics.observe(ended(status=503, reason="no_model", tries=0))
+        lines = self._lines()
+        for line in (
+            'endivestream_requests_total{kind="stream",reason="served",'
+            'status="200"} 1.0',
+            'endivestream_requests_total{kind="stream",reason="no_model",'
+            'status="503"} 1.0',
+            'endivestream_first_byte_seconds_count{kind="stream"} 1.0',
+            'endivestream_stream_pause_seconds_bucket{kind="stream",le="0.3"}'
+            " 2.0",
+            "endivestream_running 3.0",
+            "endivestream_lease_left_seconds 4.2",
+        ):
+            self.assertIn(line, lines)
+
+    def test_callers_cannot_add_labels(self):
+        """Memory stays bounded whatever models and paths are asked for."""
+        self.metrics.observe(ended())
+        before = len(self._lines())
+        for number in range(50):
+            self.metrics.observe(ended(route=f"r{number}", team=f"t{number}"))
+        self.assertEqual(len(self._lines()), before)
+
+
+class ControlMetricsTest(unittest.TestCase):
+    def test_figures_are_read_when_they_are_asked_for(self):
+        leads = [False]
+        metrics = site_metrics.ControlMetrics(
+            leads=lambda: leads[0],
+            term=lambda: 2,
+            index=lambda: 40,
+            version=lambda: 7,
+            departed=lambda: 1,
+        )
+        self.assertIn(b"endivestream_leads 0.0", metrics.exposition())
+        leads[0] = True
+        self.assertIn(b"endivestream_leads 1.0", metrics.exposition())
