A copy counts as the load that it carries, on its way and before it is taken off

Cause: two faults of the planner's account of load. Also, while there is no leader every host filled an engine by itself (142 requests on 64 slots).

Change: Place.holds counts what comes; a victim's loss holds what its requests cost on the engines that they go to; hosts that have not heard of others' load for a second keep to their part of an engine's slots.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -327,7 +327,7 @@
             self._allowance.take(grant, now)
         if renewed.news is not None:
             self._take_news(renewed.news)
-        self._view.set_loads(renewed.loads)
+        self._view.set_loads(renewed.loads, now)
         self._drop_unnamed(now)
 
     def _take_news(self, news: site_messages.News) -> None:
@@ -354,6 +354,7 @@
         if news.entries is not None:
             self._entries = news.entries
             self._turn_desk.set_hosts(news.entries)
+            self._view.set_hosts(len(news.entries))
             for budget in self._repeats.values():
                 budget.set_hosts(len(self._entries))
         self._signal_change()
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -38,6 +38,8 @@
 _FULL_SHARE = 0.75
 _FULL_STEP = 0.1
 _LAST_STEP = 3
+# What others run is too old to count after three lost renewals.
+_LOADS_OLD_SECONDS = 1.0
 # Failures in a row after which a target gets one trial request at a time.
 _FAILURES = 2
 # How long a failing target is left alone; doubled with each further failure.
@@ -132,6 +134,8 @@
         self._seen: dict[str, _Seen] = {}
         self._sessions: dict[tuple[str, str], str] = {}
         self._others: dict[str, int] = {}
+        self._others_at = float("-inf")
+        self._hosts = 1
 
     def __repr__(self) -> str:
         return f"<View of {len(self._targets)} targets>"
@@ -182,9 +186,14 @@
         if target in self._seen:
             self._seen[target].turn = when
 
-    def set_loads(self, others: Mapping[str, int]) -> None:
+    def set_loads(self, others: Mapping[str, int], now: float) -> None:
         """Takes over what other entry hosts have running, by target."""
         self._others = dict(others)
+        self._others_at = now
+
+    def set_hosts(self, hosts: int) -> None:
+        """Sets how many entry hosts there are, this one included."""
+        self._hosts = max(1, hosts)
 
     def pick(self, ask: Ask, now: float, *, limit: int) -> Picked | NotThere:
         """Chooses a target.
@@ -215,7 +224,7 @@
             return NotThere(reason="all_failing")
         names = [n for n in sound if self._seen[n].running < limit]
         if ask.model:
-            names = [n for n in names if self._has_place(n, ask)]
+            names = [n for n in names if self._has_place(n, ask, now)]
         if not names:
             return NotThere(reason="full")
         return self._least_loaded(ask, names, now)
@@ -234,13 +243,19 @@
             and adapter not in self._seen[name].denied
         )
 
-    def _has_place(self, name: str, ask: Ask) -> bool:
+    def _has_place(self, name: str, ask: Ask, now: float) -> bool:
         """Whether an engine should get one more request."""
         slots = self._targets[name].said.slots
         share = 1.0
         if ask.waits:
             share = _FULL_SHARE - _FULL_STEP * min(ask.rank, _LAST_STEP)
-        running = self._seen[name].running + self._others.get(name, 0)
+        running = self._seen[name].running
+        if now - self._others_at > _LOADS_OLD_SECONDS:
+            # Without a leader nobody says what others run there; each alone
+            # would fill it (seen: 142 on 64 slots while there was none).
+            running *= self._hosts
+        else:
+            running += self._others.get(name, 0)
         return running < max(1.0, slots * share)
 
     def _is_sound(self, name: str, now: float) -> bool:
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -121,6 +121,11 @@
     running: Mapping[str, int]
     is_home: bool = False
 
+    @property
+    def holds(self) -> tuple[str, ...]:
+        """Models that it holds or will hold shortly."""
+        return (*self.loaded, self.coming) if self.coming else self.loaded
+
 
 class Step(NamedTuple):
     """Put a model on an engine, after taking others off.
@@ -193,13 +198,15 @@
         self._copies: dict[str, int] = {}
         self._homes: dict[str, int] = {}
         self._home_loads = 0
+        # Requests a second by engine, counted anew after each step.
+        self._known_loads: dict[str, float] | None = None
         for place in places:
             self._home_loads += place.is_home
             if not place.usable:
                 continue
             for model in place.on_disk:
                 self._homes[model] = self._homes.get(model, 0) + 1
-            for model in {*place.loaded, place.coming} - {""}:
+            for model in place.holds:
                 self._copies[model] = self._copies.get(model, 0) + 1
         self.made: list[Step] = []
 
@@ -236,7 +243,7 @@
         models = dict.fromkeys(
             name
             for target in full
-            for name in self._by_rate(self._places[target].loaded)
+            for name in self._by_rate(self._places[target].holds)
         )
         empty = [t for t in reversed(full) if self._is_free(t)]
         for name in list(models)[:_COPY_MODELS]:
@@ -252,8 +259,11 @@
         empty: Sequence[str],
         least: float,
     ) -> None:
-        # Engines that leave still hold models; they are no help any more.
-        holders = [t for t in loads if name in self._places[t].loaded]
+        # Engines that leave still hold models; they are no help any more. One
+        # that is to get its first copy counts: a swap may take eight seconds,
+        # and if that engine is going to be too full, a second copy must not
+        # wait for it (seen: 54 requests refused meanwhile).
+        holders = [t for t in loads if name in self._places[t].holds]
         rate = self._rate(name)
         less = rate / copies - rate / (copies + 1)
         relief = sum(_lost(loads[t]) - _lost(loads[t] - less) for t in holders)
@@ -261,8 +271,7 @@
         best, most = None, least
         for target in empty:
             place = self._places[target]
-            there = name in place.loaded or name == place.coming
-            if target in self._taken or there:
+            if target in self._taken or name in place.holds:
                 continue
             more = rate / (copies + 1)
             gain = relief + _lost(loads[target]) - _lost(loads[target] + more)
@@ -299,8 +308,13 @@
 
     def _loads(self) -> dict[str, float]:
         """Returns the requests a second at each usable engine."""
+        if self._known_loads is None:
+            self._known_loads = self._count_loads()
+        return self._known_loads
+
+    def _count_loads(self) -> dict[str, float]:
         return {
-            target: sum(self._copy_rate(name, 0) for name in place.loaded)
+            target: sum(self._copy_rate(name, 0) for name in place.holds)
             for target, place in self._places.items()
             if place.usable
         }
@@ -342,6 +356,7 @@
         self.made.append(step)
         self._taken.add(step.target)
         self._store_loads -= step.from_store
+        self._known_loads = None
         self._copies[step.model] = self._copies.get(step.model, 0) + 1
         for victim in step.victims:
             self._copies[victim] -= 1
@@ -352,12 +367,12 @@
         domains = {
             place.domain
             for place in self._places.values()
-            if model in (*place.loaded, place.coming)
+            if model in place.holds
         }
         for place in self._places.values():
             if not place.usable or place.busy or place.target in self._taken:
                 continue
-            if model in place.loaded or model == place.coming:
+            if model in place.holds:
                 continue
             step = self._step(place, model, reason, gain)
             if step is None:
@@ -418,13 +433,30 @@
             again = _SWAP_SECONDS + self._models[model].disk_seconds
             in_time = want.objective > 2 * again
             share = _IN_TIME if in_time else _LATE
-        loss = want.rate * share
+        loss = want.rate * share + self._burden(place, model, copies)
         running = place.running.get(model, 0)
         if running:
             times = 1.0 + running / _RUNNING_STEP
             loss += _SECOND_COSTS * _RUNNING_SECONDS * times
         return loss
 
+    def _burden(self, place: Place, model: str, copies: int) -> float:
+        """Returns what a copy's requests cost on the engines they go to.
+
+        Without it the copies of a model that many ask for look idle as soon as
+        there are enough of them, and the next step takes one off again (seen:
+        off 1 ms after four seconds of loading it).
+        """
+        if copies < 2:
+            return 0.0
+        rate = self._rate(model)
+        more = rate / (copies - 1) - rate / copies
+        return sum(
+            _lost(load + more) - _lost(load)
+            for target, load in self._loads().items()
+            if target != place.target and model in self._places[target].holds
+        )
+
     def _crowding(self, place: Place, step: Step) -> float:
         """Returns what a model costs others by coming."""
         there = sum(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -94,9 +94,24 @@
 
     def test_what_other_hosts_run_counts(self):
         self.view.set_targets([target("t1", models=["m"])], [])
-        self.view.set_loads({"t1": 64})
+        self.view.set_loads({"t1": 64}, 0.0)
         self.assertEqual(self._pick(model="m"), "full")
 
+    def test_without_a_leader_each_host_takes_its_part_of_an_engine(self):
+        """An engine is not filled by every host while there is no leader.
+
+        What others run there was last heard of long ago; four hosts send to
+        it, and each keeps to a quarter of its slots.
+        """
+        self.view.set_targets([target("t1", models=["m"])], [])
+        self.view.set_loads({}, 0.0)
+        self.view.set_hosts(4)
+        for _ in range(16):
+            self._send("t1", model="m")
+        self.assertEqual(self._pick(now=0.5, model="m"), "t1")
+        self.view.heard("t1", 5.0)
+        self.assertEqual(self._pick(now=5.0, model="m"), "full")
+
     def test_draining_targets_get_nothing_new(self):
         self.view.set_targets([target("t1", draining=True)], [])
         self.assertEqual(self._pick(), "no_target")
@@ -127,7 +142,7 @@
         for _ in range(3):
             self.assertEqual(self._pick(), "near")
             self._send("near")
-        self.view.set_loads({"near": 9})
+        self.view.set_loads({"near": 9}, 0.0)
         self.assertEqual(self._pick(), "far")
 
     def test_prompts_still_to_be_read_weigh_twice(self):
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -192,6 +192,37 @@
         copies = sum("a" in (*p.loaded, p.coming) for p in places.values())
         self.assertGreaterEqual(copies, 4)
 
+    def test_a_second_copy_does_not_wait_for_a_slow_first_one(self):
+        """Callers of a model that many ask for wait for one swap, not two.
+
+        Its first copy is on its way to an engine that waits for long runs of
+        its victim to end; that engine alone will be too full with it.
+        """
+        places = [
+            place("t0", "bc", coming="a", busy=True, on_disk=()),
+            place("t1", "def", on_disk=("a", "d", "e", "f")),
+            place("t2", "def", on_disk=("d", "e", "f")),
+        ]
+        made = steps(places, {"a": want(16.0, 9)}, complete=False)
+        self.assertIn(("t1", "a"), [(s.target, s.model) for s in made])
+
+    def test_a_copy_that_carries_load_is_no_victim(self):
+        """A model that many ask for keeps the copies that it just got.
+
+        It stands on four engines and fills them; callers of a rare model wait
+        for that to be loaded, and a quiet model stands beside each copy.
+        """
+        tails = ["bc", "de", "fg", "hi"]
+        places = [
+            place(f"t{n}", "a" + tail, on_disk=("k", "a", *tail))
+            for n, tail in enumerate(tails)
+        ]
+        wants = {"a": want(48.0)} | {name: want(0.3) for name in "bcdefghi"}
+        wants["k"] = want(0.5, 1)
+        made = steps(places, wants, engine=engine("abcdefghik"), complete=False)
+        self.assertEqual([s.model for s in made], ["k"])
+        self.assertNotIn("a", made[0].victims)
+
     def test_an_engine_stays_free_for_a_model_that_many_wait_for(self):
         """Thirty callers of one model do not wait behind single ones.
 
