Planning looks up a model's holders instead of searching all engines

Cause: a victim's loss searched all engines for each model of each engine, and so did the question whether an engine with the weights is free: the time of a round grew with the square of the engines.

Change: holders by model are listed once a round, free homes answered once a step.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -197,9 +197,13 @@
         self._taken: set[str] = set()
         self._copies: dict[str, int] = {}
         self._homes: dict[str, int] = {}
+        # Usable engines that hold a model or will shortly, by model.
+        self._holders: dict[str, list[str]] = {}
         self._home_loads = 0
         # Requests a second by engine, counted anew after each step.
         self._known_loads: dict[str, float] | None = None
+        # The answers of `_has_free_home`, likewise.
+        self._free_homes: dict[str, bool] = {}
         for place in places:
             self._home_loads += place.is_home
             if not place.usable:
@@ -207,6 +211,7 @@
             for model in place.on_disk:
                 self._homes[model] = self._homes.get(model, 0) + 1
             for model in place.holds:
+                self._holders.setdefault(model, []).append(place.target)
                 self._copies[model] = self._copies.get(model, 0) + 1
         self.made: list[Step] = []
 
@@ -263,7 +268,7 @@
         # that is to get its first copy counts: a swap may take eight seconds,
         # and if that engine is going to be too full, a second copy must not
         # wait for it (seen: 54 requests refused meanwhile).
-        holders = [t for t in loads if name in self._places[t].holds]
+        holders = self._holders.get(name, [])
         rate = self._rate(name)
         less = rate / copies - rate / (copies + 1)
         relief = sum(_lost(loads[t]) - _lost(loads[t] - less) for t in holders)
@@ -291,12 +296,14 @@
 
     def _has_free_home(self, model: str) -> bool:
         """Whether an engine that can take an order has a model's weights."""
-        return any(
-            place.usable
-            and self._is_free(place.target)
-            and model in (*place.in_memory, *place.on_disk)
-            for place in self._places.values()
-        )
+        if model not in self._free_homes:
+            self._free_homes[model] = any(
+                place.usable
+                and self._is_free(place.target)
+                and model in (*place.in_memory, *place.on_disk)
+                for place in self._places.values()
+            )
+        return self._free_homes[model]
 
     def _may_begin(self, gain: float) -> bool:
         """Whether a step of so much gain may take a free engine."""
@@ -357,6 +364,7 @@
         self._taken.add(step.target)
         self._store_loads -= step.from_store
         self._known_loads = None
+        self._free_homes = {}
         self._copies[step.model] = self._copies.get(step.model, 0) + 1
         for victim in step.victims:
             self._copies[victim] -= 1
@@ -398,8 +406,8 @@
         # A further copy may come from there, where it gains enough, and so may
         # what many wait for while no engine that has it can take an order.
         has_home = reason == "missing" and self._homes.get(model)
-        if gain >= _PRESSING and not self._has_free_home(model):
-            has_home = False
+        if from_store and has_home and gain >= _PRESSING:
+            has_home = self._has_free_home(model)
         if from_store and (self._store_loads <= 0 or has_home):
             return None
         room = self._room - sum(
@@ -451,10 +459,11 @@
             return 0.0
         rate = self._rate(model)
         more = rate / (copies - 1) - rate / copies
+        loads = self._loads()
         return sum(
-            _lost(load + more) - _lost(load)
-            for target, load in self._loads().items()
-            if target != place.target and model in self._places[target].holds
+            _lost(loads[target] + more) - _lost(loads[target])
+            for target in self._holders.get(model, ())
+            if target != place.target
         )
 
     def _crowding(self, place: Place, step: Step) -> float:
