A waiting caller no longer takes a model off that is asked for much more

Change: for a model that requests wait for, victims may lose at most 0.3 more than it gains, so that rare models still come to their turn.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -63,6 +63,11 @@
 # A further copy that saves so many requests a second comes before models that
 # few requests wait for: else every free engine is busy with those.
 _PRESSING = 4.0
+# How much more the victims of a model that requests wait for may lose than it
+# gains: rare models must come to their turn. Without a limit one waiting
+# caller took a model off that was just loaded and asked for more and more
+# (seen: 95 refused, because the leader was lost before it was back).
+_RARE_WORTH = 0.3
 # One engine of so many is kept free for steps that gain as much as that. All
 # would be busy with models that one caller each waits for, from the store for
 # four seconds, when one that thirty wait for is missing (seen: 85 requests for
@@ -230,7 +235,7 @@
             if not self._may_begin(gain):
                 continue
             step = self._best(name, "missing", gain)
-            if step is not None:
+            if step is not None and step.loss < gain + _RARE_WORTH:
                 self._make(step)
 
     def add_copies(self, *, least: float) -> None:
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -223,6 +223,20 @@
         self.assertEqual([s.model for s in made], ["k"])
         self.assertNotIn("a", made[0].victims)
 
+    def test_one_caller_does_not_take_a_model_off_that_many_ask_for(self):
+        """A model that is asked for more and more stays where it was loaded.
+
+        A single caller waits for a rare one; the only engine that can take an
+        order has nothing else to unload. With others waiting too it comes.
+        """
+        wants = {name: want(2.0) for name in "abc"}
+        places = [place("t1", "abc", on_disk=("g", "a", "b", "c"))]
+        wants["g"] = want(0.2, 1, 4.0)
+        self.assertEqual(steps(places, wants, complete=False), [])
+        wants["g"] = want(0.2, 12, 4.0)
+        made = steps(places, wants, complete=False)
+        self.assertEqual([s.model for s in made], ["g"])
+
     def test_an_engine_stays_free_for_a_model_that_many_wait_for(self):
         """Thirty callers of one model do not wait behind single ones.
 
