Callers wait as long as they stay, and are told when their model comes

Cause: requests for a missing model or a full engine were refused after 2.5 objectives (1.0 s), whoever asked; a host without a lease refused at once.

Change: request/patience.py decides. The planner's notices say when a model will be there: who cannot wait so long is refused at once with that time. A deadline that is no finite number counts as none.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -148,6 +148,7 @@
         self._waiting: dict[tuple[str, str, str], list[float]] = {}
         self._changed = asyncio.Event()
         self._draining = False
+        self._leased_until = -math.inf
         self._ends = math.inf
         self._incarnation = time.time_ns() // 1_000_000
         self._watch = watch_lib.Watch(
@@ -329,6 +330,10 @@
             self._take_news(renewed.news)
         self._view.set_loads(renewed.loads, now)
         self._drop_unnamed(now)
+        if self._leased_until < now:
+            # Requests wait for the lease.
+            self._signal_change()
+        self._leased_until = self._watch.lease_until
 
     def _take_news(self, news: site_messages.News) -> None:
         if news.document is not None:
@@ -350,7 +355,7 @@
                 self._unnamed.pop(name, None)
         for target in news.targets:
             self._unnamed.pop(target.said.name, None)
-        self._view.set_targets(news.targets, gone)
+        self._view.set_targets(news.targets, gone, clock.now())
         if news.entries is not None:
             self._entries = news.entries
             self._turn_desk.set_hosts(news.entries)
@@ -377,7 +382,7 @@
         for name in old:
             del self._unnamed[name]
         if old:
-            self._view.set_targets((), old)
+            self._view.set_targets((), old, now)
 
     def _signal_change(self) -> None:
         self._changed.set()
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -251,6 +251,14 @@
         worker = self._workers.get(target)
         return tuple(sorted(worker.closing)) if worker else ()
 
+    def coming(self, target: str) -> tuple[site_messages.Coming, ...]:
+        """Returns the models that a target is about to hold, and when."""
+        worker = self._workers.get(target)
+        if worker is None or worker.step is None:
+            return ()
+        left = max(0.0, worker.there_at - clock.now())
+        return (site_messages.Coming(worker.step.model, left),)
+
     def adapters(self, target: str) -> tuple[str, ...]:
         """Returns the adapters that a target holds, as `MODEL/ADAPTER`."""
         worker = self._workers.get(target)
@@ -375,9 +383,9 @@
         if step.from_store:
             self._store_loads.append(clock.now())
         worker.step = step
+        worker.there_at = clock.now() + _CLOSE_SECONDS + step.seconds
         worker.closing.update(step.victims)
-        if step.victims:
-            self._changed([step.target])
+        self._changed([step.target])
         worker.task = tasks.start(
             self._carry_out(worker, step, engine), "placement"
         )
@@ -423,6 +431,8 @@
                 return False
         if not await worker.order(load=True, model=step.model, engine=engine):
             return False
+        worker.there_at = clock.now() + step.seconds
+        self._changed([step.target])
         seconds = next(
             (m.load_seconds for m in engine.models if m.name == step.model), 5.0
         )
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -249,6 +249,7 @@
             closing=self._planner.closing(said.name),
             adapters=self._planner.adapters(said.name),
             silent=said.name in self._silent,
+            coming=self._planner.coming(said.name),
         )
 
     def _targets_changed(self, names: Iterable[str]) -> None:
--- a/packages/endivestream/src/endivestream/request/admission.py
+++ b/packages/endivestream/src/endivestream/request/admission.py
@@ -17,6 +17,8 @@
 from endivestream.request import routes as routes_lib
 from endivestream.version import document as document_lib
 
+# The reason of a refusal by a host that may not act.
+NO_LEASE = "no_lease"
 # A caller that is refused comes back after so long where nothing is known of
 # when it would be served.
 COME_BACK_SECONDS = 0.5
@@ -95,7 +97,7 @@
     request = call.headers.get(names.request, "")
     service = table.service(routes_lib.pick_service(route, request))
     assert service is not None, "checked when the document was applied"
-    patience = _patience(call, names)
+    patience = caller_deadline(call, names)
     model, _, adapter = call.headers.get(names.model, "").partition("/")
     tokens = _tokens(call.headers.get(names.tokens, ""))
     share = max(1, int(service.connections * rules.share()))
@@ -127,7 +129,7 @@
     """Returns the refusal of a host that may not act any more."""
     what = "this host has no current configuration"
     return findings.not_run(
-        "no_lease", what, status=503, retry_after=COME_BACK_SECONDS
+        NO_LEASE, what, status=503, retry_after=COME_BACK_SECONDS
     )
 
 
@@ -137,13 +139,16 @@
     return key.strip() if word.lower() == scheme.lower() else ""
 
 
-def _patience(call: call_lib.Call, names: names_lib.HeaderNames) -> float:
-    """Returns when the caller stops waiting; infinite if it does not say."""
-    value = call.headers.get(names.deadline_ms, "")
+def caller_deadline(call: call_lib.Call, names: names_lib.HeaderNames) -> float:
+    """Returns when the caller stops waiting; infinite if it does not say.
+
+    A figure that is no time is as good as none.
+    """
     try:
-        return call.came + float(value) / 1000
+        seconds = float(call.headers.get(names.deadline_ms, "")) / 1000
     except ValueError:
         return math.inf
+    return call.came + seconds if math.isfinite(seconds) else math.inf
 
 
 class _Tokens(NamedTuple):
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -86,9 +86,11 @@
 
     Attributes:
         reason: `no_target`, `no_model`, `no_adapter`, `all_failing`, `full`.
+        expected: When there will be one, if that is known.
     """
 
     reason: str
+    expected: float | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -132,6 +134,8 @@
         self._targets: dict[str, site_messages.Target] = {}
         self._by_service: dict[str, list[str]] = {}
         self._seen: dict[str, _Seen] = {}
+        # When a model is expected to be there, by target.
+        self._coming: dict[str, dict[str, float]] = {}
         self._sessions: dict[tuple[str, str], str] = {}
         self._others: dict[str, int] = {}
         self._others_at = float("-inf")
@@ -153,8 +157,15 @@
         self,
         changed: Collection[site_messages.Target],
         gone: Collection[str],
+        now: float = 0.0,
     ) -> None:
-        """Takes over what the leader says."""
+        """Takes over what the leader says.
+
+        Args:
+            changed: Targets that are new or different.
+            gone: Names of those that are gone.
+            now: The time, from which models on their way are reckoned.
+        """
         for target in changed:
             name = target.said.name
             known = self._targets.get(name)
@@ -173,8 +184,12 @@
             if known != target:
                 self._seen[name].denied.clear()
             self._targets[name] = target
+            self._coming[name] = {
+                each.model: now + each.seconds for each in target.coming
+            }
         for name in gone:
             self._targets.pop(name, None)
+            self._coming.pop(name, None)
             if name in self._seen and not self._seen[name].running:
                 del self._seen[name]
         self._by_service = {}
@@ -211,9 +226,11 @@
         if not names:
             return NotThere(reason="no_target")
         if ask.model:
-            names = [n for n in names if self._holds(n, ask.model)]
+            there = names
+            names = [n for n in there if self._holds(n, ask.model)]
             if not names:
-                return NotThere(reason="no_model")
+                expected = self._expected(there, ask.model, now)
+                return NotThere(reason="no_model", expected=expected)
         if ask.adapter:
             wanted = f"{ask.model}/{ask.adapter}"
             names = [n for n in names if self._holds_adapter(n, wanted)]
@@ -229,6 +246,18 @@
             return NotThere(reason="full")
         return self._least_loaded(ask, names, now)
 
+    def _expected(
+        self, names: Collection[str], model: str, now: float
+    ) -> float | None:
+        """Returns when the first of some targets will hold a model."""
+        times = [
+            self._coming[name][model]
+            for name in names
+            if model in self._coming.get(name, {})
+        ]
+        # One that is overdue may come at any moment.
+        return max(now, min(times)) if times else None
+
     def _holds(self, name: str, model: str) -> bool:
         target = self._targets[name]
         return (
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -24,13 +24,11 @@
 from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
+from endivestream.request import patience as patience_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import sending
 from endivestream.version import document as document_lib
 
-# A request waits for a model that is being loaded for this multiple of its
-# route's objective at most: later, callers of streams have given up.
-_WAIT_OBJECTIVES = 2.5
 # It holds out for a place on an engine that is not full for this multiple;
 # after that it takes its turn in a full engine's own queue.
 _PLACE_OBJECTIVES = 0.5
@@ -41,6 +39,12 @@
 _REFUSALS = 6
 # Pause after a refusal by a target, before another is asked.
 _REFUSED_SECONDS = 0.02
+# A request that was broken off late still gets so long to find a place.
+_LEAST_WAIT = 0.1
+# Requests that wait for this host's lease, and the bytes of their bodies, at
+# most: beyond, memory would grow with every caller of an outage.
+_LEASELESS_REQUESTS = 500
+_LEASELESS_BYTES = 16 * 1024 * 1024
 
 
 class Credit:
@@ -134,12 +138,16 @@
             idle=parts.idle,
             freed=parts.freed,
         )
+        self._leaseless = 0
+        self._leaseless_bytes = 0
 
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request to its end."""
         progress = sending.Progress()
         work = admission.admit(call, self._parts.rules)
         try:
+            if isinstance(work, findings.Failure):
+                work = await self._admitted_later(call, work)
             if isinstance(work, findings.Failure):
                 progress.reason = work.reason
                 await self._fail(call, progress, work)
@@ -201,10 +209,46 @@
             lease_s=self._parts.rules.lease_until() - now,
         )
 
-    # Admission.
-
     # The request's way through.
 
+    async def _admitted_later(
+        self, call: call_lib.Call, refused: findings.Failure
+    ) -> admission.Work | findings.Failure:
+        """Admits a request once this host has a lease, if that comes in time.
+
+        Returns:
+            The admitted request, or why it is refused.
+        """
+        rules = self._parts.rules
+        work: admission.Work | findings.Failure = refused
+        size = len(call.body)
+        until = patience_lib.until_lease(
+            came=call.came,
+            deadline=admission.caller_deadline(call, rules.names),
+            fresh=rules.lease_until() == -math.inf,
+        )
+        full = (
+            self._leaseless >= _LEASELESS_REQUESTS
+            or self._leaseless_bytes + size > _LEASELESS_BYTES
+        )
+        if full:
+            return refused
+        self._leaseless += 1
+        self._leaseless_bytes += size
+        try:
+            while (
+                isinstance(work, findings.Failure)
+                and work.reason == admission.NO_LEASE
+                and rules.takes(document_lib.Kind.STREAM)
+                and clock.now() < until
+            ):
+                await self._parts.changed(until - clock.now())
+                work = admission.admit(call, rules)
+        finally:
+            self._leaseless -= 1
+            self._leaseless_bytes -= size
+        return work
+
     async def _run(
         self,
         call: call_lib.Call,
@@ -334,16 +378,31 @@
         return admission.stopping()
 
     def _given_up(
-        self, work: admission.Work, progress: sending.Progress, why: str
+        self,
+        work: admission.Work,
+        progress: sending.Progress,
+        why: str,
+        expected: float | None = None,
     ) -> findings.Failure:
-        """Returns the final answer of a request that was not served."""
-        late = clock.now() >= work.deadline
+        """Returns the final answer of a request that was not served.
+
+        Args:
+            work: The request.
+            progress: What has happened to it.
+            why: The reason, for the caller and the log.
+            expected: When it could be served, if that is known.
+        """
+        now = clock.now()
+        late = now >= work.deadline
         if not progress.may_have_run:
+            again = patience_lib.come_back(
+                expected=expected, now=now, usual=admission.COME_BACK_SECONDS
+            )
             return findings.not_run(
                 why,
                 f"no target took it: {why}",
                 status=503,
-                retry_after=None if late else admission.COME_BACK_SECONDS,
+                retry_after=None if late else again,
             )
         return findings.Failure(
             outcome=findings.Outcome.UNKNOWN,
@@ -359,8 +418,13 @@
     ) -> choice_lib.Picked | findings.Failure:
         """Returns a target, after waiting for one if that pays."""
         holds_out = work.came + work.route.objective * _PLACE_OBJECTIVES
-        patience = work.came + work.route.objective * _WAIT_OBJECTIVES
-        until = min(work.deadline, max(patience, clock.now() + 0.1))
+        until = patience_lib.until_place(
+            route=work.route,
+            came=work.came,
+            heard=progress.last,
+            deadline=work.deadline,
+        )
+        until = min(work.deadline, max(until, clock.now() + _LEAST_WAIT))
         stop_missing = None
         try:
             while True:
@@ -371,8 +435,10 @@
                 found = self._parts.view.pick(ask, now, limit=work.limit)
                 if isinstance(found, choice_lib.Picked):
                     return found
-                if now >= until:
-                    return self._given_up(work, progress, found.reason)
+                if now >= until or (found.expected or now) > until:
+                    return self._given_up(
+                        work, progress, found.reason, found.expected
+                    )
                 if not self._parts.rules.takes(work.route.kind):
                     # It would still wait when the process ends, and its
                     # caller would get a closed connection.
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -48,6 +48,7 @@
         last_event: The last event passed on, in a stream.
         waited: When it was first sent.
         first: When the first byte of the answer was there.
+        last: When a piece of a stream was last passed on.
         turn: How long it waited for its turn at an engine, in seconds.
         gap: Longest pause between two pieces of a stream so far, in seconds.
         status: The status sent.
@@ -63,6 +64,7 @@
     last_event: bytes = b""
     waited: float = 0.0
     first: float = 0.0
+    last: float = 0.0
     turn: float = 0.0
     gap: float = 0.0
     status: int = 0
@@ -355,7 +357,8 @@
                     progress.last_event = event.id or progress.last_event
             if not chunk:
                 continue
-            progress.first = progress.first or clock.now()
+            progress.last = clock.now()
+            progress.first = progress.first or progress.last
             if not call.begun:
                 headers = _passed_headers(head.headers)
                 progress.status = head.status
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -109,6 +109,18 @@
     most: float = math.inf
 
 
+class Coming(NamedTuple):
+    """A model that a target is about to hold.
+
+    Attributes:
+        model: The model.
+        seconds: How long it will still take, from when this was said.
+    """
+
+    model: str
+    seconds: float
+
+
 class Target(msgspec.Struct, frozen=True, kw_only=True):
     """A target, as entry hosts are told of it.
 
@@ -117,12 +129,14 @@
         closing: Models that it is about to unload: no new requests for them.
         adapters: `MODEL/ADAPTER` that it holds, by the planner's own orders.
         silent: Whether it has not reported for longer than it should.
+        coming: Models that it is loading.
     """
 
     said: registry_lib.Registration
     closing: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     silent: bool = False
+    coming: tuple[Coming, ...] = ()
 
 
 class Position(NamedTuple):
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -141,6 +141,7 @@
         victims: Models to unload first.
         from_store: Whether the weights come from the store.
         reason: `missing`, `copy` or `home`, for the log.
+        seconds: How long the load takes.
         gain: Requests a second that gain by it.
         loss: Requests a second that the victims lose.
     """
@@ -150,6 +151,7 @@
     victims: tuple[str, ...]
     from_store: bool
     reason: str
+    seconds: float
     gain: float
     loss: float
 
@@ -390,7 +392,7 @@
             step = self._step(place, model, reason, gain)
             if step is None:
                 continue
-            cost = step.loss + _SECOND_COSTS * self._seconds(place, step)
+            cost = step.loss + _SECOND_COSTS * step.seconds
             cost += self._eviction(place, step)
             if place.domain in domains:
                 cost += gain / 4
@@ -432,7 +434,14 @@
         if room < self._models[model].weights_mb:
             return None
         return Step(
-            place.target, model, tuple(victims), from_store, reason, gain, loss
+            target=place.target,
+            model=model,
+            victims=tuple(victims),
+            from_store=from_store,
+            reason=reason,
+            seconds=self._seconds(place, model),
+            gain=gain,
+            loss=loss,
         )
 
     def _loss(self, place: Place, model: str) -> float:
@@ -492,11 +501,12 @@
         last = self._homes.get(oldest, 0) <= 1 and oldest not in place.loaded
         return _HOMELESS if last else 0.0
 
-    def _seconds(self, place: Place, step: Step) -> float:
-        model = self._models[step.model]
-        if step.model in place.in_memory:
+    def _seconds(self, place: Place, name: str) -> float:
+        """Returns how long an engine takes to load a model."""
+        model = self._models[name]
+        if name in place.in_memory:
             return model.memory_seconds
-        if step.model in place.on_disk:
+        if name in place.on_disk:
             return model.disk_seconds
         return model.load_seconds
 
