A team's credit is promised in a line, each request its own moment

After a loss of power 235 callers of teams inside their rate were refused in two seconds.

Change: the leader takes promised credit out of the bucket at once and says from when it may be spent; a team inside its rate waits up to its callers' patience, one above it only as long as answers are still in time. A promise holds only while the leader that gave it surely leads. Refused callers are told times one after the other.

--- a/packages/endivestream/src/endivestream/process/bank.py
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -1,5 +1,14 @@
 """The leader's buckets of the teams' credit, given out in portions. Pure.
 
+The load patterns that it answers:
+
+- After an outage the requests of some seconds come at once. The rate covers
+  them within a second or two, and each gets its own moment in the team's line
+  instead of a refusal.
+- A team asks for many times its rate. A long line would make every answer
+  late, so it stays short: who gets a place is answered in time, and all others
+  are refused at once.
+
 Each team has one bucket, so no window gives more than rate and burst. What
 was given out is gone from it; hosts return what they do not need. A new
 leader starts empty: what its predecessor gave out may still be spent.
@@ -12,6 +21,7 @@
 
 from endivestream import logs
 from endivestream import site_messages
+from endivestream.request import allowance
 from endivestream.version import document as document_lib
 
 # One host gets at most this part of what is there at once, so that one report
@@ -27,6 +37,12 @@
 _MOST_HELD = 0.75
 # The largest request is forgotten over about so many seconds.
 _LARGEST_SECONDS = 30.0
+# A team that asks for more than this part of its rate keeps a short line; one
+# that asks for less works a long line off.
+_STEADY_SHARE = 1.0
+# Of the rate, what is left to callers who come back after a refusal while new
+# ones keep coming.
+_RETURNING_SHARE = 0.5
 # Hosts that hear no leader count on this part of the rate between them; the
 # rest is margin for hosts of which this leader has not heard.
 _ALONE_SHARE = 0.8
@@ -44,6 +60,7 @@
         wanted: What each host wants to hold.
         held: What each host held when it last reported, with what it was
             given since.
+        turned_away: Credit that refused callers will ask for again.
     """
 
     team: document_lib.Team
@@ -52,6 +69,13 @@
     largest: float = 0.0
     wanted: dict[str, float] = dataclasses.field(default_factory=dict)
     held: dict[str, float] = dataclasses.field(default_factory=dict)
+    turned_away: float = 0.0
+
+    @property
+    def is_steady(self) -> bool:
+        """Whether the team asks for no more than its rate lately."""
+        asked = sum(self.wanted.values()) / allowance.AHEAD_SECONDS
+        return asked <= _STEADY_SHARE * self.team.rate
 
     def refill(self, now: float) -> None:
         """Adds what the rate has brought since the last time.
@@ -64,6 +88,8 @@
         self.level = min(room, grown)
         past = max(0.0, now - self.filled)
         self.largest *= math.exp(-past / _LARGEST_SECONDS)
+        returned = _RETURNING_SHARE * self.team.rate * past
+        self.turned_away = max(0.0, self.turned_away - returned)
         self.filled = now
 
     def share(self, host: str) -> float:
@@ -140,13 +166,30 @@
         bucket.wanted[host] = need.wanted
         wanted = min(need.wanted, bucket.most_held(host))
         lacking = max(0.0, wanted - need.balance)
-        given = min(lacking, bucket.level * _MOST_SHARE)
+        given = min(lacking, max(0.0, bucket.level) * _MOST_SHARE)
         return self._give(host, bucket, given, 0.0)
 
     def ask(
-        self, host: str, need: site_messages.Need, now: float
+        self,
+        host: str,
+        need: site_messages.Need,
+        now: float,
+        *,
+        soon: float = 0.0,
+        patience: float = 0.0,
     ) -> site_messages.Grant | None:
-        """Gives credit for one request that waits; None without limit."""
+        """Gives credit for one request that waits; None without limit.
+
+        What is promised for later is gone from the bucket at once, so no
+        other request gets the same refill.
+
+        Args:
+            host: Who asks.
+            need: What is needed.
+            now: The time.
+            soon: Seconds that the request can wait and still be in time.
+            patience: Seconds that it can wait at all.
+        """
         bucket = self._buckets.get(need.team)
         if bucket is None:
             return None
@@ -154,10 +197,19 @@
         bucket.refill(now)
         bucket.largest = max(bucket.largest, need.wanted)
         lacking = max(0.0, need.wanted - need.balance)
-        if lacking > bucket.level:
-            short = (lacking - bucket.level) / bucket.team.rate
-            return self._give(host, bucket, 0.0, short)
-        return self._give(host, bucket, lacking, 0.0)
+        if lacking <= bucket.level:
+            return self._give(host, bucket, lacking, 0.0)
+        rate = bucket.team.rate
+        after = (need.wanted - bucket.level) / rate
+        longest = patience if bucket.is_steady else soon
+        if after <= longest:
+            bucket.level -= need.wanted
+            grant = self._grant(host, bucket, need.wanted, 0.0)
+            return grant._replace(after=after)
+        told = after + bucket.turned_away / rate
+        bucket.turned_away += need.wanted
+        short = (lacking - bucket.level) / rate
+        return self._grant(host, bucket, 0.0, short)._replace(told=told)
 
     def forget(self, host: str) -> None:
         """A host is gone; what it held is lost."""
@@ -170,6 +222,11 @@
     ) -> site_messages.Grant:
         bucket.level -= credit
         bucket.held[host] = bucket.held.get(host, 0.0) + credit
+        return self._grant(host, bucket, credit, short)
+
+    def _grant(
+        self, host: str, bucket: _Bucket, credit: float, short: float
+    ) -> site_messages.Grant:
         rate = bucket.team.rate * _ALONE_SHARE * bucket.share(host)
         most = bucket.most_held(host)
         return site_messages.Grant(bucket.team.name, credit, rate, short, most)
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -24,6 +24,7 @@
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import watch as watch_lib
+from endivestream.process import entry_credit
 from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.process import turn_desk
@@ -38,10 +39,6 @@
 from endivestream.request import routes as routes_lib
 from endivestream.version import document as document_lib
 
-# A leader answers about credit within a few milliseconds.
-_CREDIT_SECONDS = 0.25
-# Before a leader that did not answer is asked again.
-_ASK_AGAIN_SECONDS = 0.05
 # What callers are told of entry hosts: at least so many, from other failure
 # domains if need be, so that one loss leaves them another.
 _LEAST_ADDRESSES = 2
@@ -59,72 +56,6 @@
 _OTHER_GRACE = 0.25
 
 
-class _Credit(forward_lib.Credit):
-    """Credit from this host's portions, and from the leader if they lack."""
-
-    def __init__(
-        self,
-        *,
-        allowance: allowance_lib.Allowance,
-        watch: watch_lib.Watch,
-        host: str,
-    ) -> None:
-        self._allowance = allowance
-        self._watch = watch
-        self._host = host
-
-    async def take(
-        self, team: document_lib.Team, cost: float, patience: float
-    ) -> float | None:
-        allowance = self._allowance
-        allowance.ask(team.name, cost)
-        if cost > team.burst:
-            # It would never fit, however long it waits.
-            return max(1.0, cost / team.rate)
-        until = clock.now() + patience
-        unanswered_until = until + patience
-        while not allowance.spend(team.name, cost, clock.now()):
-            short = allowance.short_for(team.name, clock.now())
-            if not short:
-                asked = await self._ask(team.name, cost)
-                if asked is None:
-                    # Nobody has said that the team is over its rate. Over a
-                    # link that loses packets the next answer comes in time
-                    # more often than not.
-                    if clock.now() < unanswered_until:
-                        continue
-                    return _CREDIT_SECONDS
-                short = asked
-            if not short:
-                continue
-            if clock.now() + short > until:
-                return short
-            await asyncio.sleep(short)
-        return None
-
-    async def _ask(self, team: str, cost: float) -> float | None:
-        """Asks the leader for credit.
-
-        Returns:
-            Seconds until it is worth asking again, or None without an answer.
-        """
-        balance = self._allowance.balance(team)
-        need = site_messages.Need(team, 0.0, balance, cost)
-        answer = await self._watch.ask(
-            site_messages.AskCredit(host=self._host, need=need),
-            seconds=_CREDIT_SECONDS,
-        )
-        if not isinstance(answer, site_messages.GiveCredit):
-            # Without a leader the answer is there at once.
-            await asyncio.sleep(_ASK_AGAIN_SECONDS)
-            return None
-        self._allowance.take(answer.grant, clock.now())
-        return answer.grant.short
-
-    def refund(self, team: document_lib.Team, cost: float) -> None:
-        self._allowance.refund(team.name, cost)
-
-
 class Entry:
     """One entry host. Lives as long as the process."""
 
@@ -179,7 +110,7 @@
             rules=rules,
             view=self._view,
             pool=self._pool,
-            credit=_Credit(
+            credit=entry_credit.EntryCredit(
                 allowance=self._allowance,
                 watch=self._watch,
                 host=settings.name,
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -159,7 +159,13 @@
             case site_messages.Renew():
                 return self._renew(peer, message)
             case site_messages.AskCredit(host=host, need=need):
-                grant = self._bank.ask(host, need, clock.now())
+                grant = self._bank.ask(
+                    host,
+                    need,
+                    clock.now(),
+                    soon=message.soon,
+                    patience=message.patience,
+                )
                 if grant is None:
                     # This leader has no such limit (yet): nothing is short.
                     grant = site_messages.Grant(
--- a/packages/endivestream/src/endivestream/request/allowance.py
+++ b/packages/endivestream/src/endivestream/request/allowance.py
@@ -14,7 +14,7 @@
 
 # A host likes to hold credit for so many seconds of its recent demand: longer
 # than an election, so that none is missed while there is no leader.
-_AHEAD_SECONDS = 1.5
+AHEAD_SECONDS = 1.5
 # Demand is averaged over about so many seconds.
 _AVERAGE_SECONDS = 2.0
 # A host that hears no leader for so long counts on its rate alone: longer than
@@ -40,6 +40,7 @@
         rate: Credit a second to count on without a leader.
         refilled: When `rate` was last added.
         short_until: Until when the leader has none to give.
+        told_until: When refused callers were told to come back.
     """
 
     balance: float = 0.0
@@ -49,6 +50,7 @@
     rate: float = 0.0
     refilled: float = 0.0
     short_until: float = float("-inf")
+    told_until: float = float("-inf")
 
 
 class Allowance:
@@ -62,6 +64,11 @@
     def __repr__(self) -> str:
         return f"<Allowance of {len(self._purses)} teams>"
 
+    @property
+    def heard(self) -> float:
+        """When the leader last answered."""
+        return self._heard
+
     def balance(self, team: str) -> float:
         """Returns the credit held for a team."""
         purse = self._purses.get(team)
@@ -72,6 +79,11 @@
         purse = self._purses.get(team)
         return max(0.0, purse.short_until - now) if purse else 0.0
 
+    def told_for(self, team: str, now: float) -> float:
+        """Returns seconds after which a refused caller should come back."""
+        purse = self._purses.get(team)
+        return max(0.0, purse.told_until - now) if purse else 0.0
+
     def ask(self, team: str, cost: float) -> None:
         """Counts a request's cost as demand, whether it is spent or not."""
         purse = self._purses.setdefault(team, _Purse())
@@ -108,7 +120,7 @@
                 share = seconds / _AVERAGE_SECONDS
                 now_asked = purse.asked / seconds
                 purse.demand += share * (now_asked - purse.demand)
-            wanted = purse.demand * _AHEAD_SECONDS
+            wanted = purse.demand * AHEAD_SECONDS
             # Taken out before the report leaves: if that is lost, so is the
             # credit, but it is never both here and at the leader.
             keep = min(_SURPLUS * wanted, purse.most)
@@ -126,7 +138,8 @@
         purse.balance += grant.credit
         purse.rate = grant.rate
         purse.most = grant.most
-        purse.short_until = now + grant.short if grant.short else now
+        purse.short_until = now + grant.short
+        purse.told_until = now + grant.told
 
     def heard_leader(self, now: float) -> None:
         """Notes that the leader answered: it counts the refill from here."""
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -32,6 +32,8 @@
 # It holds out for a place on an engine that is not full for this multiple;
 # after that it takes its turn in a full engine's own queue.
 _PLACE_OBJECTIVES = 0.5
+# One that gets its credit within this multiple can still be in time.
+_SOON_OBJECTIVES = 0.5
 # It waits for its turn at an engine for this multiple at most: an answer that
 # is late for the caller is worse than a pause for others.
 _TURN_OBJECTIVES = 0.4
@@ -51,9 +53,24 @@
     """Where a team's credit comes from; see `process.entry`."""
 
     async def take(
-        self, team: document_lib.Team, cost: float, patience: float
+        self,
+        team: document_lib.Team,
+        cost: float,
+        *,
+        soon: float,
+        patience: float,
     ) -> float | None:
-        """Takes credit; returns None, or seconds until there may be some."""
+        """Takes credit, waiting for it if that pays.
+
+        Args:
+            team: Whose credit.
+            cost: How much.
+            soon: Seconds that the request can wait and still be in time.
+            patience: Seconds that it can wait at all.
+
+        Returns:
+            None, or seconds after which the caller should come back.
+        """
         raise NotImplementedError
 
     def refund(self, team: document_lib.Team, cost: float) -> None:
@@ -269,9 +286,17 @@
     async def _charge(self, work: admission.Work) -> findings.Failure | None:
         if work.team is None or work.team.rate <= 0:
             return None
-        left = work.deadline - clock.now()
-        patience = min(left, work.route.objective / 2)
-        short = await self._parts.credit.take(work.team, work.cost, patience)
+        now = clock.now()
+        until = patience_lib.until_place(
+            route=work.route, came=work.came, heard=0.0, deadline=work.deadline
+        )
+        soon = min(work.deadline - now, work.route.objective * _SOON_OBJECTIVES)
+        short = await self._parts.credit.take(
+            work.team,
+            work.cost,
+            soon=max(0.0, soon),
+            patience=max(0.0, until - now),
+        )
         if short is None:
             return None
         what = f"team {work.team.name} is over its rate"
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -100,6 +100,9 @@
             hears from no leader.
         short: Seconds until as much as was wanted can be given; 0 if it was.
         most: The most that the host may hold; it returns the rest.
+        after: Seconds until the credit may be spent, by the request that
+            asked for it and no other.
+        told: Seconds after which a refused caller should come back.
     """
 
     team: str
@@ -107,6 +110,8 @@
     rate: float
     short: float
     most: float = math.inf
+    after: float = 0.0
+    told: float = 0.0
 
 
 class Coming(NamedTuple):
@@ -221,10 +226,14 @@
     Attributes:
         host: The asking host's name.
         need: What is needed.
+        soon: Seconds that the request can wait and still be in time.
+        patience: Seconds that it can wait at all.
     """
 
     host: str
     need: Need
+    soon: float = 0.0
+    patience: float = 0.0
 
 
 class GiveCredit(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/tests/test_credit_portions.py
+++ b/tests/test_credit_portions.py
@@ -75,6 +75,91 @@
         return most
 
 
+class LineTest(unittest.TestCase):
+    def setUp(self):
+        self.bank = bank_lib.Bank()
+        self.bank.set_teams((team(),), 0.0, full=False)
+
+    def ask(self, now, *, soon=0.2, patience=2.0, cost=COST, host="h0"):
+        need = site_messages.Need("band", 0.0, 0.0, cost)
+        return self.bank.ask(host, need, now, soon=soon, patience=patience)
+
+    def report(self, demand, now=0.0):
+        wanted = demand * allowance_lib.AHEAD_SECONDS
+        need = site_messages.Need("band", 0.0, 0.0, wanted)
+        self.bank.report("h1", need, now)
+
+    def test_a_backlog_after_an_outage_is_served_in_its_turn(self):
+        """Callers of three seconds come at once, to a leader without credit.
+
+        The rate covers them within two seconds. Each is promised a moment of
+        its own; without that all are told the same short time, come back
+        together, and all but the first are refused for good.
+        """
+        self.report(RATE / 2)
+        grants = [self.ask(0.0) for _ in range(15)]
+        self.assertEqual([COST] * 15, [g.credit for g in grants])
+        for number, grant in enumerate(grants, 1):
+            self.assertAlmostEqual(number * COST / RATE, grant.after)
+        # Whoever asks later waits behind them.
+        self.assertAlmostEqual(1.1, self.ask(0.5).after)
+
+    def test_a_promise_is_never_given_twice(self):
+        """Hosts that report meanwhile get nothing of what was promised."""
+        self.report(RATE / 2)
+        promised = [self.ask(0.0) for _ in range(5)]
+        self.assertEqual(5, sum(g.after > 0 for g in promised))
+        need = site_messages.Need("band", 0.0, 0.0, RATE)
+        for now in (0.1, 0.3, 0.49):
+            self.assertEqual(0.0, self.bank.report("h2", need, now).credit)
+        self.assertGreater(self.bank.report("h2", need, 0.9).credit, 0.0)
+
+    def test_a_surge_of_one_team_keeps_a_short_line(self):
+        """A team asks for six times its rate; nobody waits until he is late.
+
+        A line of two seconds would be full all the time, and every answer of
+        the team late. It holds what can still be in time; the others are
+        refused at once, each told a later time than the one before.
+        """
+        self.report(6 * RATE)
+        grants = [self.ask(0.0) for _ in range(12)]
+        given = [g for g in grants if g.credit]
+        refused = [g for g in grants if not g.credit]
+        self.assertEqual(2, len(given))
+        self.assertLessEqual(max(g.after for g in given), 0.2)
+        told = [g.told for g in refused]
+        self.assertEqual(sorted(set(told)), told)
+        self.assertTrue(all(g.short > 0 for g in refused))
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.floats(0.0, 0.5),
+                st.floats(1.0, 3 * COST),
+                st.floats(0.0, 3.0),
+            ),
+            max_size=60,
+        )
+    )
+    def test_no_window_of_promises_is_above_rate_and_burst(self, asked):
+        """Whatever is asked, what may be spent by then is backed by refill."""
+        bank = bank_lib.Bank()
+        bank.set_teams((team(),), 0.0, full=True)
+        now, due = 0.0, []
+        for pause, cost, patience in asked:
+            now += pause
+            need = site_messages.Need("band", 0.0, 0.0, cost)
+            grant = bank.ask("h0", need, now, soon=0.0, patience=patience)
+            due.append((now + grant.after, grant.credit))
+            bank.report("h0", need._replace(wanted=0.0), now)
+        due.sort()
+        for start, _ in due:
+            for end, _ in due:
+                given = sum(c for at, c in due if start <= at <= end)
+                most = RATE * max(0.0, end - start) + BURST + 1e-6
+                self.assertLessEqual(given, most)
+
+
 class PortionsTest(unittest.TestCase):
     @hypothesis.given(st.data())
     @hypothesis.settings(max_examples=60)
--- a/tests/test_entry_credit.py
+++ b/tests/test_entry_credit.py
@@ -1,7 +1,7 @@
 import unittest
 
 from endivestream import site_messages
-from endivestream.process import entry as entry_lib
+from endivestream.process import entry_credit
 from endivestream.request import allowance as allowance_lib
 from endivestream.version import document as document_lib
 
@@ -27,10 +27,10 @@
 
 class CreditTest(unittest.IsolatedAsyncioTestCase):
     async def _take(self, watch, patience):
-        credit = entry_lib._Credit(
+        credit = entry_credit.EntryCredit(
             allowance=allowance_lib.Allowance(), watch=watch, host="e1"
         )
-        return await credit.take(TEAM, 100.0, patience)
+        return await credit.take(TEAM, 100.0, soon=patience, patience=patience)
 
     async def test_a_lost_answer_refuses_nobody(self):
         """A team inside its rate is served over a link that loses packets.
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -39,7 +39,7 @@
         self.taken = []
         self.refunded = []
 
-    async def take(self, team, cost, patience):
+    async def take(self, team, cost, *, soon, patience):
         if self.short is None:
             self.taken.append(cost)
         return self.short
