Placement no longer stops with the leader: its holder is in the log

Cause: each new leader waited out the pause between two holders (3.4 s) before its first order. Ruled out: counting the pause from the last word of the old leader (saves 0.4 s of it).

Change: the log names the host that places models and its fence, apart from leadership. That host asks the leader, whoever it is, for what is new (a feed, each item once) and for a lease of 2 s; it goes on through elections, and after a restart of the same machine without a pause. Another is appointed only after the lease has surely ended, and waits the whole pause then. Hosts that will not lead are preferred. Entry hosts' counts are one table, used by both sides.

The test that a new planner waits moved to the seat, where the wait now is: test_a_new_holder_waits, and a property test over cuts and changes of leaders.

--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -23,6 +23,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.process import engine_worker as worker_lib
 from endivestream.process import site_settings
+from endivestream.process import use_table
 from endivestream.version import document as document_lib
 from endivestream.version import plan as plan_lib
 
@@ -51,8 +52,6 @@
 _RUNS_POLL_SECONDS = 0.02
 # An engine is asked what it holds at most so often.
 _ASK_SECONDS = 1.0
-# Left between an old holder's last order and the first of a new one.
-_HOLDER_MARGIN_SECONDS = 0.4
 # What the store may be asked for, as a part of what it allows.
 _STORE_SHARE = 0.9
 
@@ -76,7 +75,7 @@
 
 
 class Planner:
-    """Placement of models and adapters while this host leads."""
+    """Placement of models and adapters while this host holds the seat."""
 
     def __init__(
         self,
@@ -84,7 +83,6 @@
         settings: site_settings.SiteSettings,
         engines: engines_lib.Engines,
         fence: int,
-        first: bool,
         may_order: Callable[[], bool],
         changed: Callable[[Iterable[str]], None],
     ) -> None:
@@ -94,14 +92,13 @@
             settings: The host's settings.
             engines: Calls to engines.
             fence: The fencing token of all its orders.
-            first: Whether nobody can have ordered before it.
-            may_order: Whether this host surely leads, asked before each order.
+            may_order: Whether this host surely is the only one that orders,
+                asked before each order.
             changed: Told of targets whose closing models or adapters changed.
         """
         self._settings = settings
         self._engines = engines
         self._fence = fence
-        self._first = first
         self._may_order = may_order
         self._changed = changed
         self._services: dict[str, document_lib.Engine] = {}
@@ -110,8 +107,7 @@
         self._complete = False
         self._asked: dict[tuple[str, str, str], _Asked] = {}
         self._waiting: dict[tuple[str, str, str], dict[str, int]] = {}
-        self._running: dict[str, dict[tuple[str, str], int]] = {}
-        self._starting: dict[str, dict[str, int]] = {}
+        self._uses = use_table.UseTable()
         self._store_loads: list[float] = []
         self._begun = clock.now()
         self._poked = asyncio.Event()
@@ -137,23 +133,19 @@
             if service.engine is not None
         }
 
-    def set_sessions(
-        self,
-        sessions: Mapping[str, registry_lib.Session],
-        silent: set[str],
-        *,
-        complete: bool,
+    def set_targets(
+        self, names: Iterable[str], silent: set[str], *, complete: bool
     ) -> None:
         """Takes over which targets there are.
 
         Args:
-            sessions: All targets by name.
+            names: All of them.
             silent: Those that miss reports.
             complete: Whether every sound one has been heard of.
         """
         self._complete = complete
         self._silent = set(silent)
-        for name in self._workers.keys() - sessions.keys():
+        for name in self._workers.keys() - set(names):
             worker = self._workers.pop(name)
             if worker.task is not None:
                 worker.task.cancel()
@@ -209,43 +201,27 @@
 
     def used(self, host: str, uses: Iterable[site_messages.Use]) -> None:
         """Takes in what runs where for an entry host."""
-        self._running[host] = {}
-        self._starting[host] = {}
+        uses = tuple(uses)
+        self._uses.note(host, uses)
         now = clock.now()
         for use in uses:
-            key = (use.target, use.model)
-            running = self._running[host]
-            running[key] = running.get(key, 0) + use.running
-            starting = self._starting[host]
-            starting[use.target] = starting.get(use.target, 0) + use.starting
             worker = self._workers.get(use.target)
             name = f"{use.model}/{use.adapter}"
             if worker is not None and use.adapter and name in worker.adapters:
                 worker.adapters[name] = now
 
-    def loads(self, host: str) -> dict[str, int]:
-        """Returns what runs on targets for all entry hosts but one.
-
-        Requests whose prompts are still being read count twice.
-        """
-        loads: dict[str, int] = {}
-        for other, uses in self._running.items():
-            if other == host:
-                continue
-            for (target, _), count in uses.items():
-                loads[target] = loads.get(target, 0) + count
-            for target, count in self._starting.get(other, {}).items():
-                loads[target] = loads.get(target, 0) + count
-        return loads
-
     def forget_host(self, host: str) -> None:
         """An entry host is gone, and with it what waited there."""
-        self._running.pop(host, None)
-        self._starting.pop(host, None)
+        self._uses.forget(host)
         self._forget_demand(host)
 
     # What others ask.
 
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """All engines that are known."""
+        return tuple(self._workers)
+
     def closing(self, target: str) -> tuple[str, ...]:
         """Returns the models that must get no new requests at a target."""
         worker = self._workers.get(target)
@@ -270,15 +246,13 @@
     # Planning.
 
     async def _run(self) -> None:
-        # An older holder may have ordered until just before it was replaced;
-        # engines see only one holder within this time.
-        if not self._first:
-            lease = self._settings.bounds.lease
-            await asyncio.sleep(lease + _HOLDER_MARGIN_SECONDS)
-        logs.event("planner_started", fence=self._fence)
+        started = False
         while True:
             self._poked.clear()
             if self._may_order():
+                if not started:
+                    logs.event("planner_started", fence=self._fence)
+                    started = True
                 self._plan_safely()
             try:
                 async with asyncio.timeout(_PLAN_SECONDS):
@@ -318,11 +292,6 @@
 
     def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
         name = worker.said.name
-        running: dict[str, int] = {}
-        for uses in self._running.values():
-            for (target, model), count in uses.items():
-                if target == name:
-                    running[model] = running.get(model, 0) + count
         return plan_lib.Place(
             target=name,
             domain=worker.said.domain,
@@ -332,7 +301,7 @@
             usable=not worker.said.draining and name not in self._silent,
             in_memory=worker.said.in_memory,
             on_disk=worker.said.on_disk,
-            running=running,
+            running=self._uses.running(name),
             is_home=worker.step is not None and worker.step.reason == "home",
         )
 
@@ -467,7 +436,7 @@
         """
         until = clock.now() + _RUNS_SECONDS
         while clock.now() < until:
-            running = self._place(worker).running
+            running = self._uses.running(worker.said.name)
             if not any(running.get(victim) for victim in victims):
                 return
             await asyncio.sleep(_RUNS_POLL_SECONDS)
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -20,6 +20,7 @@
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import control as control_lib
+from endivestream.process import seat as seat_lib
 from endivestream.process import settings as settings_lib
 from endivestream.process import site_leading
 from endivestream.process import site_metrics
@@ -60,7 +61,13 @@
             if settings.first_start
             else "",
         )
-
+        self._seat = seat_lib.Seat(
+            host=settings.machine,
+            settings=settings,
+            engines=self._engines,
+            call=self._control.call,
+            document=lambda: self._control.replicator.state.document.current,
+        )
         self._metrics = site_metrics.ControlMetrics(
             leads=lambda: self._control.replicator.leads,
             term=lambda: self._control.replicator.term,
@@ -77,9 +84,7 @@
         return self._metrics
 
     def _lead(self, lead: control_lib.Lead) -> control_lib.Leading:
-        return site_leading.SiteLeading(
-            settings=self._settings, lead=lead, engines=self._engines
-        )
+        return site_leading.SiteLeading(settings=self._settings, lead=lead)
 
     async def start(self) -> None:
         """Reads the state back, then takes part.
@@ -98,6 +103,7 @@
             and self._settings.peers in self._settings.controls,
             founders=founders,
         )
+        self._seat.start()
 
     async def _until_writable(self) -> None:
         """Waits while the disk takes no bytes.
@@ -123,6 +129,7 @@
 
     async def close(self) -> None:
         """Hands leadership over and stops."""
+        await self._seat.close()
         await self._control.close()
         self._pool.close()
         self._context.destroy(linger=0)
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -19,11 +19,10 @@
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
-from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import bank as bank_lib
 from endivestream.process import control as control_lib
-from endivestream.process import planner as planner_lib
+from endivestream.process import seat_desk
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
 from endivestream.version import departures as departures_lib
@@ -66,7 +65,6 @@
         *,
         settings: site_settings.SiteSettings,
         lead: control_lib.Lead,
-        engines: engines_lib.Engines,
     ) -> None:
         self._settings = settings
         self._replicator = lead.replicator
@@ -88,12 +86,11 @@
             replace_seconds=_REPLACE_SECONDS,
             superseded_seconds=_REPLACE_SECONDS,
         )
-        self._planner = planner_lib.Planner(
-            settings=settings,
-            engines=engines,
-            fence=self._term,
-            first=lead.replicator.replica.first_own == 1,
-            may_order=lambda: lead.replicator.leads,
+        self._seat = seat_desk.SeatDesk(
+            host=settings.machine,
+            replicator=lead.replicator,
+            pause=settings.bounds.lease,
+            sessions=lambda: self._registry.sessions,
             changed=self._targets_changed,
         )
         self._tasks: list[asyncio.Task[None]] = []
@@ -112,19 +109,17 @@
         if self._document is not None:
             self._take_document(self._document, full=False)
         self._steward.start()
-        self._planner.start()
         self._tasks = [tasks.start(self._sweep(), "sweep")]
 
     async def close(self) -> None:
         """Stops; what waits here ends by its own time limit."""
         await tasks.cancel((*self._tasks, *self._pushing))
-        await self._planner.close()
         await self._steward.close()
 
     def applied(
         self, command: state_lib.Command, result: state_lib.Result
     ) -> None:
-        """Follows a commit: credit, placement, pushes to all entry hosts."""
+        """Follows a commit: credit, pushes to all entry hosts."""
         match command, result:
             case (
                 document_lib.ApplyDocument(document=document),
@@ -149,7 +144,6 @@
         self, document: document_lib.Document, *, full: bool
     ) -> None:
         self._bank.set_teams(document.teams, clock.now(), full=full)
-        self._planner.set_document(document)
 
     async def handle(
         self, peer: bytes, message: messages.Message
@@ -172,9 +166,14 @@
                         need.team, need.wanted, 0.0, 0.0
                     )
                 return site_messages.GiveCredit(grant=grant)
-            case site_messages.Missing(host=host, demand=demand):
-                self._planner.missing(host, demand)
+            case site_messages.Missing():
+                self._seat.missing(message)
                 return None
+            case site_messages.AskSeat():
+                return await self._seat.ask(message)
+            case site_messages.TellNotices():
+                self._seat.told(message)
+                return site_messages.Registered()
             case site_messages.Apply(document=document):
                 return await self._apply(document)
             case site_messages.ReadDocument():
@@ -229,7 +228,7 @@
         changed = self._registry.note(said, now)
         if not changed:
             return
-        self._planner.reported(said)
+        self._seat.reported(said)
         if said.name in self._silent:
             self._silent.discard(said.name)
         elif known is not None and _same(known.said, said):
@@ -250,12 +249,13 @@
 
     def _target(self, session: registry_lib.Session) -> site_messages.Target:
         said = session.said
+        notice = self._seat.notice(said.name)
         return site_messages.Target(
             said=said,
-            closing=self._planner.closing(said.name),
-            adapters=self._planner.adapters(said.name),
+            closing=notice.closing,
+            adapters=notice.adapters,
             silent=said.name in self._silent,
-            coming=self._planner.coming(said.name),
+            coming=notice.coming,
         )
 
     def _targets_changed(self, names: Iterable[str]) -> None:
@@ -270,9 +270,7 @@
                 self._silent.discard(name)
             else:
                 targets.append(self._target(session))
-        self._planner.set_sessions(
-            self._registry.sessions, self._silent, complete=self._complete
-        )
+        self._seat.set_targets(self._silent, complete=self._complete)
         self._tell_all(
             site_messages.News(
                 position=self._position,
@@ -311,8 +309,7 @@
             )
         self._sessions[host.name] = _Session(host=host, peer=peer, heard=now)
         self._refresh_entries(now)
-        self._planner.demanded(host.name, message.demand)
-        self._planner.used(host.name, message.uses)
+        self._seat.renewed(message)
         grants = [
             self._bank.report(host.name, need, now) for need in message.needs
         ]
@@ -340,7 +337,7 @@
             news=news,
             grants=tuple(grant for grant in grants if grant is not None),
             controls=tuple(member.address for member in members),
-            loads=self._planner.loads(message.host.name),
+            loads=self._seat.loads(message.host.name),
         )
 
     def _refresh_entries(self, now: float) -> None:
@@ -382,9 +379,7 @@
                 self._complete = True
                 self._number += 1
                 self._tell_all(self._whole_table())
-                self._planner.set_sessions(
-                    self._registry.sessions, self._silent, complete=True
-                )
+                self._seat.set_targets(self._silent, complete=True)
 
     @property
     def _settle_seconds(self) -> float:
@@ -396,7 +391,7 @@
             if now - session.heard > self._settings.lease_seconds:
                 del self._sessions[name]
                 self._bank.forget(name)
-                self._planner.forget_host(name)
+                self._seat.forget_host(name)
                 logs.warn("entry_host_gone", peer=name)
 
     def _note_silence(self, now: float) -> None:
--- a/packages/endivestream/src/endivestream/process/site_settings.py
+++ b/packages/endivestream/src/endivestream/process/site_settings.py
@@ -85,6 +85,15 @@
     report: float
     bounds: Bounds
 
+    @property
+    def machine(self) -> str:
+        """This machine among all that ever had its name.
+
+        One that replaces a lost machine may bear its name, but listens
+        elsewhere.
+        """
+        return f"{self.name}@{self.peers}"
+
     @property
     def lease_seconds(self) -> float:
         """How long an entry host may act without hearing a leader."""
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -254,6 +254,113 @@
     demand: tuple[Demand, ...]
 
 
+class FedDemand(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """What an entry host counts, for the host that places models.
+
+    Attributes:
+        host: The entry host.
+        demand: What is asked for.
+        uses: What runs where.
+    """
+
+    host: str
+    demand: tuple[Demand, ...]
+    uses: tuple[Use, ...]
+
+
+class FedGone(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An entry host is gone."""
+
+    host: str
+
+
+class FedReport(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A target's own report."""
+
+    said: registry_lib.Registration
+
+
+class FedTargets(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Which targets there are.
+
+    Attributes:
+        names: All of them.
+        silent: Those that miss reports.
+        complete: Whether every sound one has been heard of.
+    """
+
+    names: tuple[str, ...] = ()
+    silent: tuple[str, ...] = ()
+    complete: bool = False
+
+
+Fed = FedDemand | FedGone | FedReport | FedTargets | Missing
+
+
+class AskSeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """A control host asks to place models, or for what is new.
+
+    Attributes:
+        host: The asking machine.
+        position: Up to where it has the feed.
+    """
+
+    host: str
+    position: Position = Position()
+
+
+class ToldSeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `AskSeat`.
+
+    Attributes:
+        holder: Who holds the seat; all else is for that host.
+        fence: The fencing token of its orders.
+        seconds: How long it may order, from the sending of the question.
+        wait: Seconds before its first order.
+        position: Up to where it has the feed after this.
+        fresh: Whether the items are the whole, not what is new.
+        items: What it should know.
+    """
+
+    holder: str
+    fence: int = 0
+    seconds: float = 0.0
+    wait: float = 0.0
+    position: Position = Position()
+    fresh: bool = False
+    items: tuple[Fed, ...] = ()
+
+
+class Notice(msgspec.Struct, frozen=True, kw_only=True):
+    """What the host that places models says of a target.
+
+    Attributes:
+        target: The target.
+        number: Rises with each notice of a holder.
+        closing: Models that it is about to unload.
+        adapters: `MODEL/ADAPTER` that it holds.
+        coming: Models that it is loading.
+    """
+
+    target: str
+    number: int = 0
+    closing: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    coming: tuple[Coming, ...] = ()
+
+
+class TellNotices(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Tells the leader what was decided; answered by `Registered`.
+
+    Attributes:
+        fence: The fencing token of who decided it.
+        notices: One for each target concerned.
+    """
+
+    fence: int
+    notices: tuple[Notice, ...]
+
+
 class AskTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """An entry host asks the owner of an engine when to send a prompt.
 
@@ -319,6 +426,9 @@
     | AskCredit
     | GiveCredit
     | Missing
+    | AskSeat
+    | ToldSeat
+    | TellNotices
     | AskTurn
     | GiveTurn
     | Apply
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -15,6 +15,7 @@
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import ledger as ledger_lib
+from endivestream.version import seat as seat_lib
 
 Command = (
     configuration_lib.ApplyRules
@@ -30,6 +31,7 @@
     | credit_lib.SetAside
     | document_lib.ApplyDocument
     | departures_lib.Depart
+    | seat_lib.Appoint
 )
 Result = (
     configuration_lib.Applied
@@ -45,6 +47,7 @@
     | credit_lib.DoneSettingAside
     | document_lib.DocumentApplied
     | departures_lib.Departed
+    | seat_lib.Appointed
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -58,6 +61,7 @@
     credit: tuple[int, dict[str, credit_lib.Level]]
     document: document_lib.Document | None = None
     departures: dict[str, int | None] = {}
+    seat: seat_lib.Record = seat_lib.Record()
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -83,6 +87,7 @@
         credit: Teams' credit without what the leader may spend.
         document: The configuration that is applied as a whole.
         departures: Targets that have left.
+        seat: Which host places models.
     """
 
     def __init__(self) -> None:
@@ -92,6 +97,7 @@
         self.credit = credit_lib.Credit()
         self.document = document_lib.Holder()
         self.departures = departures_lib.Departures()
+        self.seat = seat_lib.Seat()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -124,6 +130,8 @@
                 return self.document.apply(command)
             case departures_lib.Depart():
                 return self.departures.apply(command)
+            case seat_lib.Appoint():
+                return self.seat.apply(command)
 
     def snapshot(self) -> bytes:
         """Returns the whole state as bytes."""
@@ -135,6 +143,7 @@
                 credit=self.credit.snapshot(),
                 document=self.document.current,
                 departures=self.departures.born,
+                seat=self.seat.record,
             )
         )
 
@@ -147,3 +156,4 @@
         self.credit.restore(snapshot.credit)
         self.document.current = snapshot.document
         self.departures.restore(snapshot.departures)
+        self.seat.record = snapshot.seat
