No model is ordered to an engine that still loads one unknown here

All power was lost at 34.3; the holder of the seat, back on the same machine, planned at 36.7 without the pause. An engine was still loading what the process before had ordered at 31.5; that showed in no report, so there seemed to be room. It refused eight orders as busy and took the ninth right after the load had ended. Loads of 5.8 s outlast the old pause of 3.4 s too, so this was there before.

An engine that shows an order under way when asked gets no model until it has shown none; after a refusal for being busy it is asked before the next try. The test's engine ends its load just before the next order arrives.

--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -81,6 +81,9 @@
         self._dropped: dict[str, float] = {}
         # Models that it showed when asked, and not in a report of its own yet.
         self._shown: set[str] = set()
+        # Whether it carries out an order that is not known here: one of the
+        # holder before, or of this one before its process was started again.
+        self._under_way = False
         # What orders without an answer may still load, by their number.
         self._doubts: dict[str, int] = {}
 
@@ -186,11 +189,21 @@
         """
         name = f"{model}/{adapter}" if adapter else model
         async with self._lock:
-            if self._accepted is None and not await self._learn():
+            # An order under way may have ended since the engine was asked.
+            known = self._accepted is not None and not (
+                self._under_way and load and not adapter
+            )
+            if not known and not await self._learn():
                 return False
             for attempt in range(ORDER_TRIES):
                 if not self._may_order():
                     return False
+                if load and not adapter and self._under_way:
+                    # What it is loading shows nowhere yet. An order that
+                    # arrives right after that would be one model too many,
+                    # and the engine crashes with all that runs on it.
+                    logs.warn("order_under_way", target=self.said.name)
+                    return False
                 if load and not self._has_room(name, engine):
                     logs.warn("no_room", target=self.said.name, load=name)
                     return False
@@ -211,7 +224,9 @@
                         return False
                     case engines_lib.Outcome.UNANSWERED if load:
                         self._doubts[name] = expected
-                    case engines_lib.Outcome.BUSY if attempt % 2 == 0:
+                    case engines_lib.Outcome.BUSY if attempt % 2 == 0 and (
+                        adapter or not load
+                    ):
                         # Another order is still under way, or ours is not
                         # the number that the engine expects. The first is
                         # likelier and passes by itself.
@@ -281,6 +296,7 @@
         if report is None:
             return False
         self._accepted = report.accepted
+        self._under_way = report.busy
         if not report.busy:
             # A load that is under way does not show yet.
             self._doubts = {
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -75,6 +75,8 @@
         self.orders = []
         self.crashed = False
         self.busy = False
+        # A load under way that an earlier holder has ordered.
+        self.loading = ""
         self.most_adapters = 0
         # How the next orders are treated: `late` ones are carried out, and
         # `lost` ones are not; neither is answered.
@@ -114,6 +116,7 @@
 
     def __init__(self, engines):
         self.engines = {engine.name: engine for engine in engines}
+        self.asked = []
 
     async def order(self, address, target, order, *, seconds):
         engine = self.engines[target]
@@ -122,6 +125,10 @@
         how = engine.treat.pop(0) if engine.treat else "answer"
         if how == "answer":
             return engine.take(order)
+        if how == "after_a_load":
+            engine.busy = False
+            engine.loaded.add(engine.loading)
+            return engine.take(order)
         if how == "done_unheard":
             engine.take(order)
         if how == "late":
@@ -129,6 +136,7 @@
         return engines_lib.Outcome.UNANSWERED
 
     async def report(self, address, *, seconds):
+        self.asked.append(address)
         await asyncio.sleep(0)
         engine = next(e for e in self.engines.values() if e.name == address)
         return engines_lib.Report(
@@ -182,9 +190,10 @@
     def _start(self, *engines, may_order=lambda: True):
         self.engines = engines
         self.changes = []
+        self.fake = FakeEngines(engines)
         self.planner = planner_lib.Planner(
             settings=settings(),
-            engines=FakeEngines(engines),
+            engines=self.fake,
             fence=7,
             may_order=may_order,
             changed=lambda names: self.changes.extend(names),
@@ -286,6 +295,28 @@
             self.assertEqual(engine.take(order), engines_lib.Outcome.BUSY)
         self.assertEqual(engine.loaded, before)
 
+    async def test_an_engine_that_still_loads_gets_no_second_model(self):
+        """Callers of an engine keep their streams when placement restarts.
+
+        The process before has ordered a load, which shows in no report yet;
+        the next one finds room and orders another model. The engine refuses
+        while it loads; the order that arrives right after that would be one
+        model too many, and it would crash.
+        """
+        engine = Engine("e1", "a")
+        engine.busy, engine.loading = True, "b"
+        engine.treat = ["answer", "after_a_load"]
+        self._start(engine)
+        self._ask_for("c")
+        await self._until(lambda: engine.crashed or len(self.fake.asked) > 2)
+        self.assertFalse(engine.crashed)
+        engine.busy = False
+        engine.loaded.add("b")
+        engine.treat = []
+        self._report(engine)
+        await self._until(lambda: "c" in engine.loaded)
+        self.assertFalse(engine.crashed)
+
     async def test_without_leadership_nothing_is_ordered(self):
         engine = Engine("e1", "a")
         self._start(engine, may_order=lambda: False)
