--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -250,6 +250,7 @@
             demand=demand,
             uses=self._view.uses(),
             needs=self._allowance.needs(clock.now()),
+            failing=self._view.failing(clock.now()),
         )
 
     def _renewed(self, renewed: site_messages.Renewed) -> None:
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -52,6 +52,8 @@
 _RUNS_POLL_SECONDS = 0.02
 # An engine is asked what it holds at most so often.
 _ASK_SECONDS = 1.0
+# Entry hosts that a target must fail before it counts as lost.
+_FAILED_HOSTS = 2
 # What the store may be asked for, as a part of what it allows.
 _STORE_SHARE = 0.9
 
@@ -108,6 +110,8 @@
         self._asked: dict[tuple[str, str, str], _Asked] = {}
         self._waiting: dict[tuple[str, str, str], dict[str, int]] = {}
         self._uses = use_table.UseTable()
+        # Targets that fail entry hosts, by host.
+        self._failing: dict[str, frozenset[str]] = {}
         self._store_loads: list[float] = []
         self._begun = clock.now()
         self._poked = asyncio.Event()
@@ -210,8 +214,27 @@
             if worker is not None and use.adapter and name in worker.adapters:
                 worker.adapters[name] = now
 
+    def failed(self, host: str, targets: Iterable[str]) -> None:
+        """Takes in which targets fail an entry host."""
+        failing = frozenset(targets)
+        if failing != self._failing.get(host, frozenset()):
+            self._failing[host] = failing
+            self._poked.set()
+
+    def _fails(self, target: str) -> bool:
+        """Whether a target counts as lost, by what entry hosts see of it.
+
+        A crashed engine is missed by its reports only after three seconds;
+        until then no other would get what it alone held (symptom: callers of
+        its models are refused, though they met a closed port at once). One
+        host alone may be cut off from it.
+        """
+        hosts = sum(target in failing for failing in self._failing.values())
+        return hosts >= min(_FAILED_HOSTS, len(self._failing))
+
     def forget_host(self, host: str) -> None:
         """An entry host is gone, and with it what waited there."""
+        self._failing.pop(host, None)
         self._uses.forget(host)
         self._forget_demand(host)
 
@@ -298,7 +321,9 @@
             loaded=tuple(sorted(worker.models - worker.closing)),
             coming=worker.loading,
             busy=worker.step is not None or clock.now() < worker.blocked_until,
-            usable=not worker.said.draining and name not in self._silent,
+            usable=not worker.said.draining
+            and name not in self._silent
+            and not (self._failing and self._fails(name)),
             in_memory=worker.said.in_memory,
             on_disk=worker.said.on_disk,
             running=self._uses.running(name),
@@ -352,7 +377,9 @@
         if step.from_store:
             self._store_loads.append(clock.now())
         worker.step = step
-        worker.there_at = clock.now() + _CLOSE_SECONDS + step.seconds
+        worker.there_at = (
+            clock.now() + _CLOSE_SECONDS + step.wait + step.seconds
+        )
         worker.closing.update(step.victims)
         self._changed([step.target])
         worker.task = tasks.start(
--- a/packages/endivestream/src/endivestream/process/seat.py
+++ b/packages/endivestream/src/endivestream/process/seat.py
@@ -164,10 +164,11 @@
         self, planner: planner_lib.Planner, item: site_messages.Fed
     ) -> None:
         match item:
-            case site_messages.FedDemand(host=host, demand=demand, uses=uses):
+            case site_messages.FedDemand(host=host):
                 self._hosts.add(host)
-                planner.demanded(host, demand)
-                planner.used(host, uses)
+                planner.demanded(host, item.demand)
+                planner.used(host, item.uses)
+                planner.failed(host, item.failing)
             case site_messages.Missing(host=host, demand=demand):
                 planner.missing(host, demand)
             case site_messages.FedGone(host=host):
--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -114,7 +114,10 @@
         host = message.host.name
         self._uses.note(host, message.uses)
         fed = site_messages.FedDemand(
-            host=host, demand=message.demand, uses=message.uses
+            host=host,
+            demand=message.demand,
+            uses=message.uses,
+            failing=message.failing,
         )
         if fed != self._demand.get(host):
             self._demand[host] = fed
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -417,6 +417,15 @@
         if target in self._seen:
             self._seen[target].denied.add(what)
 
+    def failing(self, now: float) -> tuple[str, ...]:
+        """Returns the targets that are left alone because they fail."""
+        return tuple(
+            name
+            for name in sorted(self._targets)
+            if self._seen[name].failures >= _FAILURES
+            or not self._is_sound(name, now)
+        )
+
     def uses(self) -> tuple[site_messages.Use, ...]:
         """Returns how many requests of this host run where for what."""
         return tuple(
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -189,6 +189,8 @@
         demand: What was asked for since the last report.
         uses: What runs where.
         needs: Credit of teams.
+        failing: Targets that break this host's requests or leave them
+            unanswered.
     """
 
     host: EntryHost
@@ -197,6 +199,7 @@
     demand: tuple[Demand, ...] = ()
     uses: tuple[Use, ...] = ()
     needs: tuple[Need, ...] = ()
+    failing: tuple[str, ...] = ()
 
 
 class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -261,11 +264,13 @@
         host: The entry host.
         demand: What is asked for.
         uses: What runs where.
+        failing: Targets that fail it.
     """
 
     host: str
     demand: tuple[Demand, ...]
     uses: tuple[Use, ...]
+    failing: tuple[str, ...] = ()
 
 
 class FedGone(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -142,6 +142,7 @@
         from_store: Whether the weights come from the store.
         reason: `missing`, `copy` or `home`, for the log.
         seconds: How long the load takes.
+        wait: How long the victims' runs will still take, about.
         gain: Requests a second that gain by it.
         loss: Requests a second that the victims lose.
     """
@@ -152,6 +153,7 @@
     from_store: bool
     reason: str
     seconds: float
+    wait: float
     gain: float
     loss: float
 
@@ -296,6 +298,7 @@
                 continue
             costs = _STEP_COSTS + step.from_store * _STORE_COSTS
             net = gain - step.loss - costs / _HORIZON_SECONDS
+            net -= gain * (step.wait + step.seconds) / _HORIZON_SECONDS
             if gain > _HYSTERESIS * step.loss and net > most:
                 best, most = step, net
         if best is not None and self._may_begin(best.gain):
@@ -392,7 +395,7 @@
             step = self._step(place, model, reason, gain)
             if step is None:
                 continue
-            cost = step.loss + _SECOND_COSTS * step.seconds
+            cost = step.loss + _delay_costs(step)
             cost += self._eviction(place, step)
             if place.domain in domains:
                 cost += gain / 4
@@ -424,7 +427,14 @@
         )
         victims: list[str] = []
         loss = 0.0
-        by_loss = sorted(place.loaded, key=lambda name: self._loss(place, name))
+        hurry = max(1.0, gain)
+        by_loss = sorted(
+            place.loaded,
+            key=lambda name: (
+                self._loss(place, name)
+                + _SECOND_COSTS * hurry * _run_seconds(place, name)
+            ),
+        )
         for name in by_loss:
             if room >= self._models[model].weights_mb:
                 break
@@ -440,6 +450,7 @@
             from_store=from_store,
             reason=reason,
             seconds=self._seconds(place, model),
+            wait=max((_run_seconds(place, v) for v in victims), default=0.0),
             gain=gain,
             loss=loss,
         )
@@ -456,11 +467,7 @@
             in_time = want.objective > 2 * again
             share = _IN_TIME if in_time else _LATE
         loss = want.rate * share + self._burden(place, model, copies)
-        running = place.running.get(model, 0)
-        if running:
-            times = 1.0 + running / _RUNNING_STEP
-            loss += _SECOND_COSTS * _RUNNING_SECONDS * times
-        return loss
+        return loss + _SECOND_COSTS * _run_seconds(place, model)
 
     def _burden(self, place: Place, model: str, copies: int) -> float:
         """Returns what a copy's requests cost on the engines they go to.
@@ -511,6 +518,21 @@
         return model.load_seconds
 
 
+def _run_seconds(place: Place, model: str) -> float:
+    """Returns how long a model's runs on an engine will still take, about."""
+    running = place.running.get(model, 0)
+    return _RUNNING_SECONDS * (1.0 + running / _RUNNING_STEP) * bool(running)
+
+
+def _delay_costs(step: Step) -> float:
+    """Returns what it costs until a step has its effect.
+
+    What many wait for goes where it is soonest there, not where the fewest
+    are displaced: a victim's streams may run for as long as a load takes.
+    """
+    return _SECOND_COSTS * max(1.0, step.gain) * (step.seconds + step.wait)
+
+
 def _lost(rate: float) -> float:
     """Returns what an engine's rate costs, in whole requests a second."""
     below = min(max(0.0, rate), _FULL_RATE)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -116,6 +116,24 @@
         self.assertEqual(sum(s.from_store for s in made), 2)
 
 
+class HurryTest(unittest.TestCase):
+    """Demand moves to a model at sixteen requests a second."""
+
+    def test_what_many_wait_for_goes_where_it_is_soonest_there(self):
+        """A victim whose streams still run holds the load up for seconds.
+
+        The engine with the least asked-for victim runs eight streams of it;
+        another has a victim that is asked for a little more, and idle.
+        """
+        places = [
+            place("t1", "a", running={"a": 8}),
+            place("t2", "b"),
+        ]
+        wants = {"a": want(0.1), "b": want(1.0), "h": want(16.0, 20, 0.4)}
+        made = steps(places, wants, engine=engine(places=1), complete=False)
+        self.assertEqual("t2", made[0].target)
+
+
 class CopiesTest(unittest.TestCase):
     def test_a_busy_model_gets_copies_and_a_quiet_one_none(self):
         places = [place("t1", "a"), place("t2", "b"), place("t3", "")]
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -317,6 +317,31 @@
         await self._until(lambda: "c" in engine.loaded)
         self.assertFalse(engine.crashed)
 
+    async def test_what_a_failing_engine_held_is_loaded_elsewhere(self):
+        """Callers of a crashed engine's models are served after one load.
+
+        They meet a closed port at once; the engine's missing reports would
+        show it only seconds later.
+        """
+        lost, sound = Engine("e1", "a"), Engine("e2", "b")
+        self._start(lost, sound)
+        for host in ("h1", "h2"):
+            self.planner.failed(host, ["e1"])
+        self._ask_for("a")
+        await self._until(lambda: "a" in sound.loaded)
+
+    async def test_one_host_that_is_cut_off_moves_nothing(self):
+        """It reaches no engine; all others do, and are served as before."""
+        engines = Engine("e1", "a"), Engine("e2", "b")
+        self._start(*engines)
+        self.planner.failed("h1", ["e1", "e2"])
+        for host in ("h2", "h3"):
+            self.planner.failed(host, [])
+        self._ask_for("a")
+        for _ in range(50):
+            await asyncio.sleep(0.002)
+        self.assertEqual([], [o for e in engines for o in e.orders if o.load])
+
     async def test_without_leadership_nothing_is_ordered(self):
         engine = Engine("e1", "a")
         self._start(engine, may_order=lambda: False)
