A load spares the last weights of a model on a disk

A copy did not count what its load pushes off, a missing model counted it as a twentieth of a request a second.

Change: pushing a last copy off costs as much as one request a second, for copies too.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -48,6 +48,10 @@
 # What it costs, in requests a second, that no engine's disk has a model any
 # more: its next request waits for the store.
 _HOMELESS = 0.05
+# What it costs, likewise, to push a model's last copy off a disk. Far more
+# than an empty home is worth: models come back into demand, and then take
+# several times as long to be there.
+_EVICTION_COSTS = 1.0
 # Requests a second at one engine. Prompts are read between the tokens of
 # running requests (1,460 tokens take 66 ms); up to the first figure pauses stay
 # short, at the second every answer has a long one.
@@ -299,6 +303,7 @@
             costs = _STEP_COSTS + step.from_store * _STORE_COSTS
             net = gain - step.loss - costs / _HORIZON_SECONDS
             net -= gain * (step.wait + step.seconds) / _HORIZON_SECONDS
+            net -= self._eviction(place, step)
             if gain > _HYSTERESIS * step.loss and net > most:
                 best, most = step, net
         if best is not None and self._may_begin(best.gain):
@@ -506,7 +511,7 @@
             return 0.0
         oldest = place.on_disk[0]
         last = self._homes.get(oldest, 0) <= 1 and oldest not in place.loaded
-        return _HOMELESS if last else 0.0
+        return _EVICTION_COSTS if last else 0.0
 
     def _seconds(self, place: Place, name: str) -> float:
         """Returns how long an engine takes to load a model."""
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -134,6 +134,28 @@
         self.assertEqual("t2", made[0].target)
 
 
+class DiskTest(unittest.TestCase):
+    """More models than disks have places for; demand moves among them."""
+
+    def test_a_copy_spares_the_last_one_on_a_disk(self):
+        """A model that was busy a minute ago comes back in one second.
+
+        Its last weights are the oldest on one engine's disk, and a further
+        copy of another model would push them off there; the other engine's
+        oldest are on a second disk too. Pushed off, its next callers would
+        wait for the store.
+        """
+        places = [
+            place("t0", "a"),
+            place("t1", "bc", on_disk=("g", "b", "c")),
+            place("t2", "bc", on_disk=("f", "b", "c")),
+            place("t3", "d", on_disk=("f", "d"), busy=True),
+        ]
+        made = steps(places, {"a": want(20.0)})
+        copies = [s.target for s in made if s.model == "a"]
+        self.assertEqual(["t2"], copies[:1])
+
+
 class CopiesTest(unittest.TestCase):
     def test_a_busy_model_gets_copies_and_a_quiet_one_none(self):
         places = [place("t1", "a"), place("t2", "b"), place("t3", "")]
