--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -147,13 +147,13 @@
         """
         places = [
             place("t0", "a"),
-            place("t1", "bc", on_disk=("g", "b", "c")),
-            place("t2", "bc", on_disk=("f", "b", "c")),
+            place("t1", "bc", on_disk=("f", "b", "c")),
+            place("t2", "bc", on_disk=("g", "b", "c")),
             place("t3", "d", on_disk=("f", "d"), busy=True),
         ]
         made = steps(places, {"a": want(20.0)})
         copies = [s.target for s in made if s.model == "a"]
-        self.assertEqual(["t2"], copies[:1])
+        self.assertEqual(["t1"], copies[:1])
 
 
 class CopiesTest(unittest.TestCase):
