A part of a team's rate is for its small requests

Change: 15 in 100 of the rate fill a reserve of 5 in 100 of the burst for requests below 0.3 of the usual cost; what it does not need goes to all. Promises reckon with the rest of the rate only, so nothing is given twice.

--- a/packages/endivestream/src/endivestream/process/bank.py
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -5,6 +5,9 @@
 - After an outage the requests of some seconds come at once. The rate covers
   them within a second or two, and each gets its own moment in the team's line
   instead of a refusal.
+- A team's rate is used up by large requests. Its small ones, a sixth of the
+  size, would wait behind them or be refused, though a few hundredths of the
+  rate serve them all; they have a part of it to themselves.
 - A team asks for many times its rate. A long line would make every answer
   late, so it stays short: who gets a place is answered in time, and all others
   are refused at once.
@@ -40,6 +43,17 @@
 # A team that asks for more than this part of its rate keeps a short line; one
 # that asks for less works a long line off.
 _STEADY_SHARE = 1.0
+# Requests that cost less than this part of what the team's requests cost on
+# average are small.
+_SMALL_COST = 0.3
+# The part of the rate that goes to small requests first, and the part of the
+# burst that is saved up for them.
+_SMALL_RATE = 0.15
+_SMALL_BURST = 0.05
+# What one request adds to the average of costs.
+_USUAL_WEIGHT = 0.05
+# Credit that is meant for one request only, and may be spent at once.
+_AT_ONCE_SECONDS = 1e-6
 # Of the rate, what is left to callers who come back after a refusal while new
 # ones keep coming.
 _RETURNING_SHARE = 0.5
@@ -55,6 +69,8 @@
     Attributes:
         team: The team's rule.
         level: Credit that may be given out.
+        small: Credit for small requests only.
+        usual: What requests cost on average lately.
         filled: When it was last refilled.
         largest: Cost of the largest request that was asked for lately.
         wanted: What each host wants to hold.
@@ -66,6 +82,8 @@
     team: document_lib.Team
     level: float
     filled: float
+    small: float = 0.0
+    usual: float = 0.0
     largest: float = 0.0
     wanted: dict[str, float] = dataclasses.field(default_factory=dict)
     held: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -83,15 +101,31 @@
         What hosts hold counts as part of the bucket: filled up beside it, a
         team could spend its burst and all portions on top within a moment.
         """
-        grown = self.level + self.team.rate * max(0.0, now - self.filled)
-        room = max(0.0, self.team.burst - sum(self.held.values()))
-        self.level = min(room, grown)
         past = max(0.0, now - self.filled)
+        gained = self.team.rate * past
+        lacking = max(0.0, _SMALL_BURST * self.team.burst - self.small)
+        to_small = min(_SMALL_RATE * gained, lacking)
+        self.small += to_small
+        held = sum(self.held.values())
+        room = max(0.0, self.team.burst - held - self.small)
+        self.level = min(room, self.level + gained - to_small)
         self.largest *= math.exp(-past / _LARGEST_SECONDS)
         returned = _RETURNING_SHARE * self.team.rate * past
         self.turned_away = max(0.0, self.turned_away - returned)
         self.filled = now
 
+    def note_cost(self, cost: float) -> None:
+        """Takes a request into the average of costs."""
+        weight = _USUAL_WEIGHT if self.usual else 1.0
+        self.usual += weight * (cost - self.usual)
+
+    def takes_small(self, cost: float) -> bool:
+        """Takes credit for a small request; False if there is none."""
+        if cost > min(self.small, _SMALL_COST * self.usual):
+            return False
+        self.small -= cost
+        return True
+
     def share(self, host: str) -> float:
         """Returns a host's part of what all hosts want."""
         total = sum(self.wanted.values())
@@ -116,7 +150,7 @@
     @property
     def levels(self) -> dict[str, float]:
         """Each team's credit that is not given out."""
-        return {name: b.level for name, b in self._buckets.items()}
+        return {name: b.level + b.small for name, b in self._buckets.items()}
 
     def set_teams(
         self,
@@ -149,6 +183,7 @@
                 bucket.refill(now)
                 bucket.team = team
                 bucket.level = min(bucket.level, team.burst)
+                bucket.small = min(bucket.small, _SMALL_BURST * team.burst)
             buckets[team.name] = bucket
         self._buckets = buckets
 
@@ -196,10 +231,15 @@
         bucket.held[host] = need.balance
         bucket.refill(now)
         bucket.largest = max(bucket.largest, need.wanted)
+        bucket.note_cost(need.wanted)
         lacking = max(0.0, need.wanted - need.balance)
         if lacking <= bucket.level:
             return self._give(host, bucket, lacking, 0.0)
-        rate = bucket.team.rate
+        if bucket.takes_small(need.wanted):
+            grant = self._grant(host, bucket, need.wanted, 0.0)
+            return grant._replace(after=_AT_ONCE_SECONDS)
+        # Small requests may take their part of the refill meanwhile.
+        rate = bucket.team.rate * (1.0 - _SMALL_RATE)
         after = (need.wanted - bucket.level) / rate
         longest = patience if bucket.is_steady else soon
         if after <= longest:
@@ -208,7 +248,7 @@
             return grant._replace(after=after)
         told = after + bucket.turned_away / rate
         bucket.turned_away += need.wanted
-        short = (lacking - bucket.level) / rate
+        short = (lacking - bucket.level) / bucket.team.rate
         return self._grant(host, bucket, 0.0, short)._replace(told=told)
 
     def forget(self, host: str) -> None:
