Whether a copy pays is asked of its whole gain

Cause: the delay of a step, taken off a copy's gain, also raised the bar: a copy from the store then needed 2.9 requests a second in place of 1.2, and copies of a model that had moved to 45 a second came late. Change: delay decides where a copy goes, not whether it pays.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -286,7 +286,7 @@
         less = rate / copies - rate / (copies + 1)
         relief = sum(_lost(loads[t]) - _lost(loads[t] - less) for t in holders)
         domains = {self._places[target].domain for target in holders}
-        best, most = None, least
+        best, most = None, float("-inf")
         for target in empty:
             place = self._places[target]
             if target in self._taken or name in place.holds:
@@ -302,9 +302,13 @@
                 continue
             costs = _STEP_COSTS + step.from_store * _STORE_COSTS
             net = gain - step.loss - costs / _HORIZON_SECONDS
-            net -= gain * (step.wait + step.seconds) / _HORIZON_SECONDS
             net -= self._eviction(place, step)
-            if gain > _HYSTERESIS * step.loss and net > most:
+            if gain <= _HYSTERESIS * step.loss or net <= least:
+                continue
+            # Whether a copy pays is a question of its whole gain; where it
+            # goes, also of how soon it is there.
+            net -= gain * (step.wait + step.seconds) / _HORIZON_SECONDS
+            if net > most:
                 best, most = step, net
         if best is not None and self._may_begin(best.gain):
             self._make(best)
