--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -11,7 +11,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -21,6 +20,7 @@
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.process import adapter_placer
 from endivestream.process import engine_worker as worker_lib
 from endivestream.process import site_settings
 from endivestream.process import use_table
@@ -36,13 +36,6 @@
 _OVERDUE_SECONDS = 1.0
 # An unload waits for the runs of its model; these end within this time.
 _UNLOAD_SECONDS = 8.0
-# An adapter is there so long after its order was taken, and entry hosts are
-# told then.
-_ADAPTER_SECONDS = 0.012
-# Adapters that may be on their way to one engine at once.
-_ADAPTERS_AT_ONCE = 4
-# An adapter that was asked for within this time is not taken off.
-_ADAPTER_KEEP_SECONDS = 0.6
 # After a step that failed, before an engine is tried again.
 _AGAIN_SECONDS = 0.3
 # A victim's runs are waited for so long before its unload is ordered: until
@@ -50,8 +43,6 @@
 _RUNS_SECONDS = 5.0
 # How often it is looked whether they have ended.
 _RUNS_POLL_SECONDS = 0.02
-# An engine is asked what it holds at most so often.
-_ASK_SECONDS = 1.0
 # Entry hosts that a target must fail before it counts as lost.
 _FAILED_HOSTS = 2
 # What the store may be asked for, as a part of what it allows.
@@ -116,7 +107,7 @@
         self._begun = clock.now()
         self._poked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._adapter_tasks: set[asyncio.Task[None]] = set()
+        self._adapters = adapter_placer.AdapterPlacer(changed=changed)
 
     def start(self) -> None:
         """Starts to plan."""
@@ -125,7 +116,8 @@
     async def close(self) -> None:
         """Stops; orders under way are not followed further."""
         running = [w.task for w in self._workers.values()]
-        await tasks.cancel((*self._tasks, *self._adapter_tasks, *running))
+        await tasks.cancel((*self._tasks, *running))
+        await self._adapters.close()
 
     # What others tell.
 
@@ -311,7 +303,20 @@
             )
             for step in planned:
                 self._begin(workers[step.target], step, engine)
-            self._plan_adapters(service, engine, workers, now)
+            self._adapters.plan(
+                engine=engine,
+                workers=[
+                    worker
+                    for name, worker in workers.items()
+                    if not worker.said.draining and name not in self._silent
+                ],
+                waited_for={
+                    f"{model}/{adapter}": model
+                    for (of, model, adapter), hosts in self._waiting.items()
+                    if of == service and hosts and adapter
+                },
+                now=now,
+            )
 
     def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
         name = worker.said.name
@@ -487,114 +492,3 @@
             except TimeoutError:
                 worker.distrust()
         return True
-
-    # Adapters.
-
-    def _plan_adapters(
-        self,
-        service: str,
-        engine: document_lib.Engine,
-        workers: Mapping[str, worker_lib.EngineWorker],
-        now: float,
-    ) -> None:
-        for key, hosts in list(self._waiting.items()):
-            if key[0] != service or not hosts or not key[2]:
-                continue
-            name = f"{key[1]}/{key[2]}"
-            holders = [
-                w
-                for w in workers.values()
-                if key[1] in w.models - w.closing
-                and not w.said.draining
-                and w.said.name not in self._silent
-            ]
-            if any(name in w.pending for w in holders):
-                continue
-            known = [w for w in holders if name in w.adapters]
-            if known:
-                self._check_adapters(known, now)
-                continue
-            free = [
-                w
-                for w in holders
-                if not w.is_busy and len(w.pending) < _ADAPTERS_AT_ONCE
-            ]
-            if not free:
-                continue
-            worker = min(
-                free,
-                key=lambda w: len(w.adapters) + len(w.pending),
-            )
-            victim = self._adapter_victim(worker, engine, now)
-            if victim is None:
-                continue
-            worker.pending.add(name)
-            if victim:
-                # Entry hosts stop sending at once; it still counts until the
-                # engine has confirmed that it is gone.
-                worker.leaving.add(victim)
-                self._changed([worker.said.name])
-            task = tasks.start(
-                self._place_adapter(worker, name, victim, engine), "adapter"
-            )
-            self._adapter_tasks.add(task)
-            task.add_done_callback(self._adapter_tasks.discard)
-
-    def _check_adapters(
-        self, workers: list[worker_lib.EngineWorker], now: float
-    ) -> None:
-        """Asks engines that should hold what requests still wait for."""
-        for worker in workers:
-            if now - worker.asked_at > _ASK_SECONDS and not worker.leaving:
-                worker.asked_at = now
-                task = tasks.start(self._ask_adapters(worker), "ask_adapters")
-                self._adapter_tasks.add(task)
-                task.add_done_callback(self._adapter_tasks.discard)
-
-    async def _ask_adapters(self, worker: worker_lib.EngineWorker) -> None:
-        await worker.ask()
-        self._changed([worker.said.name])
-
-    def _adapter_victim(
-        self,
-        worker: worker_lib.EngineWorker,
-        engine: document_lib.Engine,
-        now: float,
-    ) -> str | None:
-        """Returns an adapter to take off, empty if none needs to, or None."""
-        if worker.adapter_room(engine) > 0:
-            return ""
-        old = [
-            (used, name)
-            for name, used in worker.adapters.items()
-            if now - used > _ADAPTER_KEEP_SECONDS and name not in worker.leaving
-        ]
-        return min(old)[1] if old else None
-
-    async def _place_adapter(
-        self,
-        worker: worker_lib.EngineWorker,
-        name: str,
-        victim: str,
-        engine: document_lib.Engine,
-    ) -> None:
-        try:
-            if victim:
-                model, _, adapter = victim.partition("/")
-                await asyncio.sleep(_CLOSE_SECONDS)
-                taken = await worker.order(
-                    load=False, model=model, adapter=adapter, engine=engine
-                )
-                if not taken:
-                    return
-                worker.adapter_gone(victim)
-            model, _, adapter = name.partition("/")
-            if await worker.order(
-                load=True, model=model, adapter=adapter, engine=engine
-            ):
-                await asyncio.sleep(_ADAPTER_SECONDS)
-        finally:
-            worker.pending.discard(name)
-            worker.leaving.discard(victim)
-            if worker.said.name in self._workers:
-                self._changed([worker.said.name])
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -24,6 +24,7 @@
 from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
+from endivestream.request import lease_queue
 from endivestream.request import patience as patience_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import sending
@@ -43,10 +44,6 @@
 _REFUSED_SECONDS = 0.02
 # A request that was broken off late still gets so long to find a place.
 _LEAST_WAIT = 0.1
-# Requests that wait for this host's lease, and the bytes of their bodies, at
-# most: beyond, memory would grow with every caller of an outage.
-_LEASELESS_REQUESTS = 500
-_LEASELESS_BYTES = 16 * 1024 * 1024
 
 
 class Credit:
@@ -155,16 +152,16 @@
             idle=parts.idle,
             freed=parts.freed,
         )
-        self._leaseless = 0
-        self._leaseless_bytes = 0
+        self._lease_queue = lease_queue.LeaseQueue(
+            rules=parts.rules, changed=parts.changed
+        )
 
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request to its end."""
         progress = sending.Progress()
-        work = admission.admit(call, self._parts.rules)
+        work: admission.Work | findings.Failure = admission.no_lease()
         try:
-            if isinstance(work, findings.Failure):
-                work = await self._admitted_later(call, work)
+            work = await self._lease_queue.admit(call)
             if isinstance(work, findings.Failure):
                 progress.reason = work.reason
                 await self._fail(call, progress, work)
@@ -228,44 +225,6 @@
 
     # The request's way through.
 
-    async def _admitted_later(
-        self, call: call_lib.Call, refused: findings.Failure
-    ) -> admission.Work | findings.Failure:
-        """Admits a request once this host has a lease, if that comes in time.
-
-        Returns:
-            The admitted request, or why it is refused.
-        """
-        rules = self._parts.rules
-        work: admission.Work | findings.Failure = refused
-        size = len(call.body)
-        until = patience_lib.until_lease(
-            came=call.came,
-            deadline=admission.caller_deadline(call, rules.names),
-            fresh=rules.lease_until() == -math.inf,
-        )
-        full = (
-            self._leaseless >= _LEASELESS_REQUESTS
-            or self._leaseless_bytes + size > _LEASELESS_BYTES
-        )
-        if full:
-            return refused
-        self._leaseless += 1
-        self._leaseless_bytes += size
-        try:
-            while (
-                isinstance(work, findings.Failure)
-                and work.reason == admission.NO_LEASE
-                and rules.takes(document_lib.Kind.STREAM)
-                and clock.now() < until
-            ):
-                await self._parts.changed(until - clock.now())
-                work = admission.admit(call, rules)
-        finally:
-            self._leaseless -= 1
-            self._leaseless_bytes -= size
-        return work
-
     async def _run(
         self,
         call: call_lib.Call,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -193,6 +193,22 @@
         self.view.heard("t1", 2.6)
         self.assertEqual(self._pick(now=2.7), "t1")
 
+    def test_targets_that_fail_are_reported(self):
+        """The planner counts them as lost before their reports are missed.
+
+        One breaks what it is given, one is mute; the third is at work and
+        has said something just now.
+        """
+        names = ("broken", "mute", "sound")
+        self.view.set_targets([target(name) for name in names], [])
+        for _ in range(2):
+            self._send("broken")
+            self._end("broken", 1.0, failed=True)
+        self._send("mute", now=1.0)
+        self._send("sound", now=1.0)
+        self.view.heard("sound", 2.5)
+        self.assertEqual(("broken", "mute"), self.view.failing(2.6))
+
     def test_a_full_target_is_passed_over(self):
         self.view.set_targets([target("t1")], [])
         self._send("t1")
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -13,6 +13,7 @@
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
 from endivestream.request import forward as forward_lib
+from endivestream.request import lease_queue
 from endivestream.request import names as names_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import routes as routes_lib
@@ -196,7 +197,7 @@
     async def test_only_so_many_wait_for_a_lease(self):
         """Callers of a long outage would fill the memory."""
         self.lease = -math.inf
-        with mock.patch.object(forward_lib, "_LEASELESS_REQUESTS", 0):
+        with mock.patch.object(lease_queue, "_MOST_REQUESTS", 0):
             reply = await self.caller.ask(X_Deadline_Ms=60_000)
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.waited, 0)
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -9,6 +9,7 @@
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.process import adapter_placer
 from endivestream.process import engine_worker as worker_lib
 from endivestream.process import planner as planner_lib
 from endivestream.process import site_settings
@@ -176,8 +177,8 @@
                 (planner_lib, "_OVERDUE_SECONDS"),
                 (planner_lib, "_UNLOAD_SECONDS"),
                 (planner_lib, "_RUNS_SECONDS"),
-                (planner_lib, "_ASK_SECONDS"),
-                (planner_lib, "_ADAPTER_KEEP_SECONDS"),
+                (adapter_placer, "_ASK_SECONDS"),
+                (adapter_placer, "_KEEP_SECONDS"),
             )
         ]
         for module, name, _ in self._constants:
