--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -40,6 +40,7 @@
         leaving: Those of them that are about to be taken off.
         pending: `MODEL/ADAPTER` that are ordered and not there yet.
         step: The step under way, or None.
+        step_begun: When that step began.
         there_at: When the model of that step is expected to be there.
         task: What carries it out.
         is_busy: Whether it carries out an order for a model, and takes none.
@@ -63,6 +64,7 @@
         self.leaving: set[str] = set()
         self.pending: set[str] = set()
         self.step: plan_lib.Step | None = None
+        self.step_begun = 0.0
         self.there_at = 0.0
         self.task: asyncio.Task[None] | None = None
         self.is_busy = False
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -41,6 +41,9 @@
 # A victim's runs are waited for so long before its unload is ordered: until
 # then the engine can still take adapters.
 _RUNS_SECONDS = 5.0
+# A step that waits for them longer does not keep its model from coming
+# another way.
+_STUCK_SECONDS = 1.0
 # How often it is looked whether they have ended.
 _RUNS_POLL_SECONDS = 0.02
 # Entry hosts that a target must fail before it counts as lost.
@@ -324,7 +327,7 @@
             target=name,
             domain=worker.said.domain,
             loaded=tuple(sorted(worker.models - worker.closing)),
-            coming=worker.loading,
+            coming="" if self._is_stuck(worker) else worker.loading,
             busy=worker.step is not None or clock.now() < worker.blocked_until,
             usable=not worker.said.draining
             and name not in self._silent
@@ -335,6 +338,15 @@
             is_home=worker.step is not None and worker.step.reason == "home",
         )
 
+    def _is_stuck(self, worker: worker_lib.EngineWorker) -> bool:
+        """Whether a step still waits for streams of what it displaces.
+
+        Its model may then be begun elsewhere: a stream of some seconds would
+        keep all that wait for the model waiting, while other engines are idle.
+        """
+        waits = worker.step is not None and not worker.is_busy
+        return waits and clock.now() - worker.step_begun > _STUCK_SECONDS
+
     def _wants(self, service: str) -> dict[str, plan_lib.Want]:
         wants: dict[str, plan_lib.Want] = {}
         for key, asked in list(self._asked.items()):
@@ -382,6 +394,7 @@
         if step.from_store:
             self._store_loads.append(clock.now())
         worker.step = step
+        worker.step_begun = clock.now()
         worker.there_at = (
             clock.now() + _CLOSE_SECONDS + step.wait + step.seconds
         )
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
@@ -331,6 +332,29 @@
         self._ask_for("a")
         await self._until(lambda: "a" in sound.loaded)
 
+    async def test_a_model_comes_another_way_when_one_proves_slow(self):
+        """Callers are not kept waiting by a stream of what must make room.
+
+        The only engine waits for long streams of its models; another one
+        joins, and is idle.
+        """
+        slow, idle = Engine("e1", "ab"), Engine("e2", "de")
+        with (
+            mock.patch.object(planner_lib, "_RUNS_SECONDS", 60.0),
+            mock.patch.object(planner_lib, "_STUCK_SECONDS", 0.01),
+        ):
+            self._start(slow)
+            self.fake.engines["e2"] = idle
+            idle.report = lambda: self._report(idle)
+            uses = [site_messages.Use("e1", m, "", 9) for m in "ab"]
+            self.planner.used("h1", uses)
+            self._ask_for("c")
+            await self._until(lambda: self.planner.coming("e1"))
+            self.numbers["e2"] = 0
+            self._report(idle)
+            await self._until(lambda: "c" in idle.loaded)
+        self.assertEqual({"a", "b"}, slow.loaded)
+
     async def test_one_host_that_is_cut_off_moves_nothing(self):
         """It reaches no engine; all others do, and are served as before."""
         engines = Engine("e1", "a"), Engine("e2", "b")
