--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -33,8 +33,8 @@
 # Requests that an engine gets from all hosts, as a part of its slots: less by
 # one step for each rank below the most urgent. An engine answers as many
 # requests a second with 32 as with 170; beyond, they only wait there, where no
-# further copy of their model can take them (seen: 173 on one engine of 64
-# slots, every answer late or cut, while two thirds of the engines were idle).
+# further copy of their model can take them (symptom: every answer of one
+# engine is late or cut, while most others are idle).
 _FULL_SHARE = 0.75
 _FULL_STEP = 0.1
 _LAST_STEP = 3
@@ -281,7 +281,7 @@
         running = self._seen[name].running
         if now - self._others_at > _LOADS_OLD_SECONDS:
             # Without a leader nobody says what others run there; each alone
-            # would fill it (seen: 142 on 64 slots while there was none).
+            # would fill it, and it would get several times its slots.
             running *= self._hosts
         else:
             running += self._others.get(name, 0)
--- a/packages/endivestream/src/endivestream/request/turns.py
+++ b/packages/endivestream/src/endivestream/request/turns.py
@@ -8,9 +8,8 @@
 
 from __future__ import annotations
 
-# Prompt tokens a second that an engine is given. Measured on streams of two
-# loaded days: with up to 4,500 tokens within 0.3 s, 3 in 100 streams had a
-# pause above 0.3 s; with 7,500, 10 in 100; with 12,000, 60 in 100.
+# Prompt tokens a second that an engine is given. With more, most streams pause
+# for longer than their callers count as in time.
 PACE_TOKENS = 14_000.0
 # What may come at once, in seconds of that pace: one long prompt or two.
 AHEAD_SECONDS = 0.15
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -62,23 +62,21 @@
 # What each request a second above the full rate costs: it makes all that wait
 # behind it later still, until they give up. Steeper than the cost below the
 # full rate ever is, or a third copy would look useless where a fourth is
-# needed too (seen: 40 requests a second on two engines for 14 s, four idle).
+# needed too (symptom: two engines drown, others stay idle).
 _OVER_LOSS = 2.0
 # A further copy that saves so many requests a second comes before models that
 # few requests wait for: else every free engine is busy with those.
 _PRESSING = 4.0
 # How much more the victims of a model that requests wait for may lose than it
 # gains: rare models must come to their turn. Without a limit one waiting
-# caller took a model off that was just loaded and asked for more and more
-# (seen: 95 refused, because the leader was lost before it was back).
+# caller took a model off that was just loaded and asked for more and more.
 _RARE_WORTH = 0.3
 # One engine of so many is kept free for steps that gain as much as that. All
 # would be busy with models that one caller each waits for, from the store for
-# four seconds, when one that thirty wait for is missing (seen: 85 requests for
-# one model refused in 12 s, while nine engines loaded others).
+# four seconds, when one that thirty wait for is missing.
 _KEPT_FREE = 4
 # Running requests of a victim that hold its unload up by another 1.5 s: an
-# engine that runs many is slow with each (seen: 15 s until a victim was gone).
+# engine that runs many is slow with each.
 _RUNNING_STEP = 8.0
 # Models and engines that are looked at for a further copy in one round: the
 # fullest engines' busiest models, and the emptiest engines.
@@ -280,7 +278,7 @@
         # Engines that leave still hold models; they are no help any more. One
         # that is to get its first copy counts: a swap may take eight seconds,
         # and if that engine is going to be too full, a second copy must not
-        # wait for it (seen: 54 requests refused meanwhile).
+        # wait for it (symptom: its callers are refused meanwhile).
         holders = self._holders.get(name, [])
         rate = self._rate(name)
         less = rate / copies - rate / (copies + 1)
@@ -420,8 +418,8 @@
         # Where an engine has it on its disk, the store is not asked, even if
         # that engine is busy for a second: the copy would push another
         # model's last one off a disk, whose next request goes to the store in
-        # turn (seen: two of three loads came from the store, at four seconds
-        # each, and all engines were busy with them).
+        # turn (symptom: most loads come from the store, and all engines are
+        # busy with them).
         # A further copy may come from there, where it gains enough, and so may
         # what many wait for while no engine that has it can take an order.
         has_home = reason == "missing" and self._homes.get(model)
@@ -482,8 +480,8 @@
         """Returns what a copy's requests cost on the engines they go to.
 
         Without it the copies of a model that many ask for look idle as soon as
-        there are enough of them, and the next step takes one off again (seen:
-        off 1 ms after four seconds of loading it).
+        there are enough of them, and the next step takes one off again, right
+        after it was loaded.
         """
         if copies < 2:
             return 0.0
