The first holder in a log of an earlier version waits out the pause

There the leaders ordered themselves, until just before the hosts were restarted with the version that has the seat; the log names no holder then, and the first one would have ordered at once beside them. By reading, with a test.

--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -246,7 +246,8 @@
             if now - self._heard < least:
                 return
             orders_from = now
-            if record.holder:
+            # In a log of an earlier version leaders have ordered themselves.
+            if record.holder or self._replicator.replica.first_own > 1:
                 orders_from += self._pause + _HOLDER_MARGIN_SECONDS
             result = await self._replicator.propose(
                 seat_lib.Appoint(
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -34,7 +34,7 @@
     def __init__(self):
         self.state = state_lib.State()
         self.term = 1
-        self.replica = types.SimpleNamespace(members=MEMBERS)
+        self.replica = types.SimpleNamespace(members=MEMBERS, first_own=1)
 
     async def propose(self, command):
         return self.state.apply(1, command)
@@ -116,6 +116,17 @@
         self.assertGreater(new.fence, old.fence)
         self.assertGreaterEqual(new.wait, PAUSE)
 
+    async def test_the_first_holder_in_an_old_log_waits(self):
+        """Hosts are restarted with a new version, one after the other.
+
+        The leader before has ordered loads itself until just now, and the log
+        names no holder yet.
+        """
+        self.log.replica.first_own = 700
+        told = await self._ask("m2")
+        self.assertEqual("m2", told.holder)
+        self.assertGreaterEqual(told.wait, PAUSE)
+
     async def test_a_new_leader_replaces_nobody_whose_lease_may_run(self):
         """It does not know when the leader before gave the last lease."""
         await self._ask("m1")
