A holder's pause outlives the leader that began it

Found by reading: a new leader did not know when its predecessor had appointed the holder of the seat, and let it order at once. A holder lost, then a leader within the 3.4 s after, and engines would have seen two holders close together.

The log now records when a pause has passed; until then each new leader begins it anew. A holder whose position is no longer kept while it waited for news begins with the whole feed, not with a wrong part of it."

--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -72,7 +72,10 @@
         self._news = asyncio.Event()
         self._began = clock.now()
         self._heard = self._began
+        # When the holder may begin to order.
         self._orders_from = self._began
+        if self._record.holder and not self._record.settled:
+            self._orders_from += pause + _HOLDER_MARGIN_SECONDS
         self._appointing = asyncio.Lock()
 
     @property
@@ -176,30 +179,33 @@
             if self._record.holder != message.host:
                 return site_messages.ToldSeat(holder=self._record.holder)
         self._heard = clock.now()
-        term = self._replicator.term
+        await self._settle()
         seen = message.position
-        fresh = seen.term != term or not (
-            self._first - 1 <= seen.number <= self._number
-        )
-        if not fresh and seen.number == self._number:
+        if not self._lacks(seen) and seen.number == self._number:
             await self._wait_for_news()
-        # After the pause: what was appended meanwhile goes along.
-        number = self._number
-        items = (
-            self._all()
-            if fresh
-            else self._items[seen.number + 1 - self._first :]
-        )
+        # After the wait: what was appended meanwhile goes along.
+        fresh = self._lacks(seen)
+        items = self._all() if fresh else self._after(seen)
         return site_messages.ToldSeat(
             holder=message.host,
             fence=self._record.fence,
             seconds=LEASE_SECONDS,
             wait=max(0.0, self._orders_from - clock.now()),
-            position=site_messages.Position(term, number),
+            position=site_messages.Position(
+                self._replicator.term, self._number
+            ),
             fresh=fresh,
             items=tuple(items),
         )
 
+    def _lacks(self, seen: site_messages.Position) -> bool:
+        """Whether the feed does not go on from a position."""
+        kept = self._first - 1 <= seen.number <= self._number
+        return seen.term != self._replicator.term or not kept
+
+    def _after(self, seen: site_messages.Position) -> list[site_messages.Fed]:
+        return self._items[seen.number + 1 - self._first :]
+
     def _all(self) -> list[site_messages.Fed]:
         """Returns all that a holder must know, from nothing."""
         reports = [
@@ -218,6 +224,13 @@
 
     # Appointment.
 
+    async def _settle(self) -> None:
+        """Notes in the log that the pause before the holder has passed."""
+        if not self._record.settled and clock.now() >= self._orders_from:
+            await self._replicator.propose(
+                seat_lib.Settle(fence=self._record.fence)
+            )
+
     def _preference(self, host: str) -> int:
         """Returns how many kinds of hosts are preferred to this one.
 
@@ -245,21 +258,21 @@
                 least += LEASE_SECONDS + _SILENT_MARGIN_SECONDS
             if now - self._heard < least:
                 return
-            orders_from = now
             # In a log of an earlier version leaders have ordered themselves.
-            if record.holder or self._replicator.replica.first_own > 1:
-                orders_from += self._pause + _HOLDER_MARGIN_SECONDS
+            first = not record.holder and self._replicator.replica.first_own < 2
+            pause = 0.0 if first else self._pause + _HOLDER_MARGIN_SECONDS
             result = await self._replicator.propose(
                 seat_lib.Appoint(
                     holder=host,
                     after=record.fence,
                     term=self._replicator.term,
+                    settled=first,
                 )
             )
             assert isinstance(result, seat_lib.Appointed), result
             if result.holder == host:
                 self._heard = clock.now()
-                self._orders_from = orders_from
+                self._orders_from = now + pause
             logs.event(
                 "seat",
                 holder=result.holder,
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -32,6 +32,7 @@
     | document_lib.ApplyDocument
     | departures_lib.Depart
     | seat_lib.Appoint
+    | seat_lib.Settle
 )
 Result = (
     configuration_lib.Applied
@@ -130,7 +131,7 @@
                 return self.document.apply(command)
             case departures_lib.Depart():
                 return self.departures.apply(command)
-            case seat_lib.Appoint():
+            case seat_lib.Appoint() | seat_lib.Settle():
                 return self.seat.apply(command)
 
     def snapshot(self) -> bytes:
