--- a/packages/endivestream/src/endivestream/process/bank.py
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -40,9 +40,6 @@
 _MOST_HELD = 0.75
 # The largest request is forgotten over about so many seconds.
 _LARGEST_SECONDS = 30.0
-# A team that asks for more than this part of its rate keeps a short line; one
-# that asks for less works a long line off.
-_STEADY_SHARE = 1.0
 # Requests that cost less than this part of what the team's requests cost on
 # average are small.
 _SMALL_COST = 0.3
@@ -91,9 +88,12 @@
 
     @property
     def is_steady(self) -> bool:
-        """Whether the team asks for no more than its rate lately."""
+        """Whether the team asks for no more than its rate lately.
+
+        It then works a long line off; otherwise that would stay full.
+        """
         asked = sum(self.wanted.values()) / allowance.AHEAD_SECONDS
-        return asked <= _STEADY_SHARE * self.team.rate
+        return asked <= self.team.rate
 
     def refill(self, now: float) -> None:
         """Adds what the rate has brought since the last time.
--- a/packages/endivestream/src/endivestream/process/entry_credit.py
+++ b/packages/endivestream/src/endivestream/process/entry_credit.py
@@ -54,11 +54,12 @@
         unanswered_until = until + patience
         while not allowance.spend(team.name, cost, clock.now()):
             now = clock.now()
-            # Asking is of no use before the leader's line is short enough.
-            if now + allowance.short_for(team.name, now) > max(until, now):
+            left = max(0.0, until - now)
+            if allowance.short_for(team.name, now) > left:
+                # Asking is of no use before the leader's line is shorter.
                 return allowance.told_for(team.name, now)
             grant = await self._ask(
-                team.name, cost, soon=in_time - now, patience=until - now
+                team.name, cost, soon=max(0.0, in_time - now), patience=left
             )
             if grant is None:
                 # Nobody has said that the team is over its rate. Over a link
@@ -83,8 +84,8 @@
             site_messages.AskCredit(
                 host=self._host,
                 need=need,
-                soon=max(0.0, soon),
-                patience=max(0.0, patience),
+                soon=soon,
+                patience=patience,
             ),
             seconds=_CREDIT_SECONDS,
         )
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -528,7 +528,9 @@
 def _run_seconds(place: Place, model: str) -> float:
     """Returns how long a model's runs on an engine will still take, about."""
     running = place.running.get(model, 0)
-    return _RUNNING_SECONDS * (1.0 + running / _RUNNING_STEP) * bool(running)
+    if not running:
+        return 0.0
+    return _RUNNING_SECONDS * (1.0 + running / _RUNNING_STEP)
 
 
 def _delay_costs(step: Step) -> float:
