Logs and metrics tell a busy leader from a lost one

On-call could not tell why control hosts of a site of 69 entry hosts change leaders without a fault, nor when a change had reached all hosts: no line said that an event loop was late, what a leader's time goes to, or under which lease a host took a version.

Added, no decision changed: lateness of the event loop (loop_late with the kinds of work that held it up), time, number, bytes and longest run by type of message as metrics, configuration_everywhere with the seconds from commit to the last entry host, and leader, lease and lateness with the version that a host takes.

--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -8,16 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 import itertools
 import time
+from typing import Any
 
 import msgspec
 import zmq
 import zmq.asyncio
 
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import tasks
 from endivestream.connection import link_keys
@@ -46,6 +48,18 @@
     return socket
 
 
+def _encode(envelope: messages.Envelope, meter: loop_meter.LoopMeter) -> bytes:
+    with meter.span(f"{type(envelope.body).__name__}_out") as tally:
+        frame = messages.encode(envelope)
+    tally.size += len(frame)
+    return frame
+
+
+def _decode(frame: bytes, meter: loop_meter.LoopMeter) -> messages.Envelope:
+    with meter.span("decode", size=len(frame)):
+        return messages.decode(frame)
+
+
 class Server:
     """Answers the requests of other hosts on one socket."""
 
@@ -54,13 +68,16 @@
         *,
         address: str,
         handle: Callable[
-            [bytes, messages.Message], Awaitable[messages.Message | None]
+            [bytes, messages.Message],
+            Coroutine[Any, Any, messages.Message | None],
         ],
         context: zmq.asyncio.Context,
         keys: link_keys.LinkKeys | None = None,
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         self._address = address
         self._keys = keys
+        self._meter = meter or loop_meter.LoopMeter()
         self._handle = handle
         self._context = context
         self._socket: zmq.asyncio.Socket | None = None
@@ -100,14 +117,15 @@
         assert self._socket is not None, "not started"
         # A router drops frames for peers that are gone, which is right: the
         # peer's own time limit speaks to whoever waits there.
-        await self._socket.send_multipart([peer, messages.encode(envelope)])
+        frame = _encode(envelope, self._meter)
+        await self._socket.send_multipart([peer, frame])
 
     async def _run(self) -> None:
         assert self._socket is not None, "not started"
         while True:
             peer, *frames = await self._socket.recv_multipart()
             try:
-                envelope = messages.decode(frames[0])
+                envelope = _decode(frames[0], self._meter)
             except (msgspec.DecodeError, IndexError) as error:
                 logs.warn("bad_frame", peer=peer.hex(), error=error)
                 continue
@@ -119,7 +137,10 @@
         if isinstance(envelope.body, messages.Ping):
             answer: messages.Message | None = messages.Pong()
         else:
-            answer = await self._handle(peer, envelope.body)
+            answer = await self._meter.timed(
+                type(envelope.body).__name__,
+                self._handle(peer, envelope.body),
+            )
         if answer is not None and envelope.id:
             await self._send(peer, messages.Envelope(envelope.id, answer))
 
@@ -142,9 +163,11 @@
         on_push: Callable[[messages.Message], None],
         silence: float,
         keys: link_keys.LinkKeys | None = None,
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         self._address = address
         self._keys = keys
+        self._meter = meter or loop_meter.LoopMeter()
         self._context = context
         self._on_push = on_push
         self._silence = silence
@@ -223,19 +246,20 @@
 
     async def _send(self, envelope: messages.Envelope) -> None:
         assert self._socket is not None, "not started"
-        await self._socket.send(messages.encode(envelope))
+        await self._socket.send(_encode(envelope, self._meter))
 
     async def _read(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             frame = await socket.recv()
             self._heard = time.monotonic()
             try:
-                envelope = messages.decode(frame)
+                envelope = _decode(frame, self._meter)
             except msgspec.DecodeError as error:
                 logs.warn("bad_frame", peer=self._address, error=error)
                 continue
             if envelope.id == 0:
-                self._on_push(envelope.body)
+                with self._meter.span(type(envelope.body).__name__):
+                    self._on_push(envelope.body)
                 continue
             future = self._waiting.get(envelope.id)
             # A late answer, whose request was given up, finds no one waiting.
--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -15,6 +15,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
@@ -42,6 +43,7 @@
         renewal: Callable[[], site_messages.Renew],
         on_renewed: Callable[[site_messages.Renewed], None],
         on_news: Callable[[site_messages.News], None],
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Does not connect yet.
 
@@ -52,7 +54,9 @@
             renewal: Makes the next renewal.
             on_renewed: Takes an answer.
             on_news: Takes what is pushed.
+            meter: Counts what messages cost.
         """
+        self._meter = meter
         self._seeds = tuple(controls)
         self._controls = list(controls)
         self._context = context
@@ -123,6 +127,7 @@
                 context=self._context,
                 on_push=self._pushed,
                 silence=_SILENCE_SECONDS,
+                meter=self._meter,
             )
             link.start()
             self._links[address] = link
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -16,6 +16,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
@@ -84,6 +85,7 @@
         keys: link_keys.LinkKeys | None = None,
         lead: Callable[[Lead], Leading] | None = None,
         new_identity: str = "",
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Does not open anything yet.
 
@@ -96,7 +98,9 @@
             lead: Makes what this host does while it leads; by default the
                 parts of a host that schedules each request.
             new_identity: Who this replica is in a new folder; random if empty.
+            meter: Counts what its messages cost.
         """
+        self._meter = meter or loop_meter.LoopMeter()
         self._lead = lead
         self._new_identity = new_identity
         self._settings = settings
@@ -110,6 +114,7 @@
             handle=self._handle,
             context=context,
             keys=keys,
+            meter=self._meter,
         )
         self._doorkeeper: link_keys.Doorkeeper | None = None
         if keys is not None:
@@ -332,6 +337,7 @@
                 on_push=lambda message: None,
                 silence=self._settings.peers.silence_seconds,
                 keys=self._keys,
+                meter=self._meter,
             )
             link.start()
             self._links[address] = link
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -20,6 +20,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
@@ -67,6 +68,7 @@
     ) -> None:
         self._settings = settings
         self._context = zmq.asyncio.Context()
+        self._meter = loop_meter.LoopMeter()
         self._pool = exchange_lib.Pool()
         self._view = choice_lib.View(domain=settings.domain)
         self._allowance = allowance_lib.Allowance()
@@ -89,6 +91,7 @@
             renewal=self._renewal,
             on_renewed=self._renewed,
             on_news=self._take_news,
+            meter=self._meter,
         )
         self._turn_desk = turn_desk.TurnDesk(
             name=settings.name, address=settings.peers, context=self._context
@@ -98,6 +101,7 @@
             version=lambda: self.version,
             lease=lambda: max(0.0, self._watch.lease_until - clock.now()),
             targets=lambda: len(self._view.targets),
+            meter=self._meter,
         )
         rules = admission.Rules(
             names=names,
@@ -181,6 +185,7 @@
             idle_connection_timeout=limits.idle_seconds,
         )
         self._server.add_sockets(sockets)
+        self._meter.start()
         self._turn_desk.start()
         self._watch.start()
 
@@ -219,6 +224,7 @@
             self._server.stop()
         await self._watch.close()
         await self._turn_desk.close()
+        await self._meter.close()
         await tasks.cancel(list(self._telling))
         self._pool.close()
         self._context.destroy(linger=0)
@@ -300,7 +306,13 @@
         if document.version <= self.version:
             return
         self._table = routes_lib.Table(document=document)
-        logs.event("configuration", version=document.version)
+        logs.event(
+            "configuration",
+            version=document.version,
+            leader=self._watch.leader,
+            lease_s=self._watch.lease_until - clock.now(),
+            loop_late_s=self._meter.late,
+        )
         if self._server is not None:
             limits = document.limits
             params = self._server.conn_params
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -16,6 +16,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
@@ -81,6 +82,7 @@
         fence: int,
         may_order: Callable[[], bool],
         changed: Callable[[Iterable[str]], None],
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Orders nothing before `start`.
 
@@ -91,7 +93,9 @@
             may_order: Whether this host surely is the only one that orders,
                 asked before each order.
             changed: Told of targets whose closing models or adapters changed.
+            meter: Counts what planning costs.
         """
+        self._meter = meter or loop_meter.LoopMeter()
         self._settings = settings
         self._engines = engines
         self._fence = fence
@@ -285,7 +289,8 @@
         and more requests find none). The next round starts from new reports.
         """
         try:
-            self._plan()
+            with self._meter.span("plan"):
+                self._plan()
         except Exception as error:
             logs.failed("plan_failed", error)
 
--- a/packages/endivestream/src/endivestream/process/seat.py
+++ b/packages/endivestream/src/endivestream/process/seat.py
@@ -13,6 +13,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
@@ -42,6 +43,7 @@
         engines: engines_lib.Engines,
         call: Call,
         document: Callable[[], document_lib.Document | None],
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Asks for nothing before `start`.
 
@@ -51,7 +53,9 @@
             engines: Calls to engines.
             call: Has the leader answer a message within so many seconds.
             document: Returns the newest configuration held here.
+            meter: Counts what the seat costs.
         """
+        self._meter = meter or loop_meter.LoopMeter()
         self._host = host
         self._settings = settings
         self._engines = engines
@@ -127,10 +131,11 @@
         if document is not None and document.version != self._version:
             self._version = document.version
             planner.set_document(document)
-        if answer.fresh:
-            self._begin_anew(planner, answer.items)
-        for item in answer.items:
-            self._feed(planner, item)
+        with self._meter.span("feed"):
+            if answer.fresh:
+                self._begin_anew(planner, answer.items)
+            for item in answer.items:
+                self._feed(planner, item)
         if answer.fresh and answer.position.term != self._position.term:
             # A new leader knows nothing of what was decided.
             self._tell(planner.targets)
@@ -143,6 +148,7 @@
             fence=self._fence,
             may_order=lambda: self.holds,
             changed=self._tell,
+            meter=self._meter,
         )
 
     def _begin_anew(
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -15,6 +15,7 @@
 import zmq.asyncio
 
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
@@ -49,6 +50,7 @@
     ) -> None:
         self._settings = settings
         self._context = zmq.asyncio.Context()
+        self._meter = loop_meter.LoopMeter()
         self._pool = exchange_lib.Pool()
         self._engines = engines_lib.Engines(pool=self._pool, codec=codec)
         self._control = control_lib.Control(
@@ -60,6 +62,7 @@
             new_identity=_founder(settings.peers)
             if settings.first_start
             else "",
+            meter=self._meter,
         )
         self._seat = seat_lib.Seat(
             host=settings.machine,
@@ -67,6 +70,7 @@
             engines=self._engines,
             call=self._control.call,
             document=lambda: self._control.replicator.state.document.current,
+            meter=self._meter,
         )
         self._metrics = site_metrics.ControlMetrics(
             leads=lambda: self._control.replicator.leads,
@@ -76,6 +80,7 @@
             departed=lambda: len(
                 self._control.replicator.state.departures.born
             ),
+            meter=self._meter,
         )
 
     @property
@@ -84,7 +89,9 @@
         return self._metrics
 
     def _lead(self, lead: control_lib.Lead) -> control_lib.Leading:
-        return site_leading.SiteLeading(settings=self._settings, lead=lead)
+        return site_leading.SiteLeading(
+            settings=self._settings, lead=lead, meter=self._meter
+        )
 
     async def start(self) -> None:
         """Reads the state back, then takes part.
@@ -94,6 +101,7 @@
             OSError: It cannot be read, or the address cannot be used.
         """
         await self._until_writable()
+        self._meter.start()
         founders = [
             members_lib.Member(_founder(address), address, address)
             for address in self._settings.controls
@@ -131,6 +139,7 @@
         """Hands leadership over and stops."""
         await self._seat.close()
         await self._control.close()
+        await self._meter.close()
         self._pool.close()
         self._context.destroy(linger=0)
 
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -16,6 +16,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
@@ -57,6 +58,21 @@
     heard: float
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Rollout:
+    """A configuration on its way to entry hosts.
+
+    Attributes:
+        version: Its version.
+        committed: When it was committed.
+        lacking: Entry hosts that have not confirmed it yet.
+    """
+
+    version: int
+    committed: float
+    lacking: set[str]
+
+
 class SiteLeading:
     """One term of leadership."""
 
@@ -65,8 +81,10 @@
         *,
         settings: site_settings.SiteSettings,
         lead: control_lib.Lead,
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         self._settings = settings
+        self._meter = meter or loop_meter.LoopMeter()
         self._replicator = lead.replicator
         self._push = lead.push
         self._term = lead.replicator.term
@@ -95,6 +113,7 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._pushing: set[asyncio.Task[None]] = set()
+        self._rollout: _Rollout | None = None
 
     @property
     def _document(self) -> document_lib.Document | None:
@@ -132,6 +151,11 @@
                     teams=len(document.teams),
                 )
                 self._take_document(document, full=True)
+                self._rollout = _Rollout(
+                    version=document.version,
+                    committed=clock.now(),
+                    lacking=set(self._sessions),
+                )
                 self._tell_all(
                     site_messages.News(
                         position=self._position,
@@ -308,6 +332,7 @@
                 new=session is None,
             )
         self._sessions[host.name] = _Session(host=host, peer=peer, heard=now)
+        self._note_version(host.name, message.version)
         self._refresh_entries(now)
         self._seat.renewed(message)
         grants = [
@@ -340,6 +365,21 @@
             loads=self._seat.loads(message.host.name),
         )
 
+    def _note_version(self, host: str, version: int) -> None:
+        """Says when all entry hosts have the newest configuration."""
+        rollout = self._rollout
+        if rollout is None or version < rollout.version:
+            return
+        rollout.lacking.discard(host)
+        if not rollout.lacking:
+            self._rollout = None
+            logs.event(
+                "configuration_everywhere",
+                version=rollout.version,
+                seconds=clock.now() - rollout.committed,
+                hosts=len(self._sessions),
+            )
+
     def _refresh_entries(self, now: float) -> None:
         """Tells everyone when the entry hosts are others than before."""
         silence = _SILENT_RENEWALS * self._settings.renew_seconds
@@ -371,15 +411,18 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
-            now = clock.now()
-            self._refresh_entries(now)
-            self._forget_hosts(now)
-            self._note_silence(now)
-            if not self._complete and now - self._began > self._settle_seconds:
-                self._complete = True
-                self._number += 1
-                self._tell_all(self._whole_table())
-                self._seat.set_targets(self._silent, complete=True)
+            with self._meter.span("sweep"):
+                self._sweep_once(clock.now())
+
+    def _sweep_once(self, now: float) -> None:
+        self._refresh_entries(now)
+        self._forget_hosts(now)
+        self._note_silence(now)
+        if not self._complete and now - self._began > self._settle_seconds:
+            self._complete = True
+            self._number += 1
+            self._tell_all(self._whole_table())
+            self._seat.set_targets(self._silent, complete=True)
 
     @property
     def _settle_seconds(self) -> float:
@@ -390,6 +433,8 @@
         for name, session in list(self._sessions.items()):
             if now - session.heard > self._settings.lease_seconds:
                 del self._sessions[name]
+                if self._rollout is not None:
+                    self._rollout.lacking.discard(name)
                 self._bank.forget(name)
                 self._seat.forget_host(name)
                 logs.warn("entry_host_gone", peer=name)
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
 
 import prometheus_client
+from prometheus_client import core
 
+from endivestream import loop_meter
 from endivestream.request import forward as forward_lib
 
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.1, 2.0, 4.0, 8.0, 16.0)
@@ -39,11 +42,54 @@
             registry=self._registry,
         )
 
+    def _loop(self, meter: loop_meter.LoopMeter) -> None:
+        self._gauge(
+            "loop_late_seconds",
+            "Lateness of the event loop at the last look",
+            lambda: meter.late,
+        )
+        self._gauge(
+            "loop_latest_seconds",
+            "Greatest lateness of the event loop since the start",
+            lambda: meter.latest,
+        )
+        self._registry.register(_Work(meter=meter))
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
 
 
+class _Work:
+    """What the event loop's time goes to, by type of message."""
+
+    def __init__(self, *, meter: loop_meter.LoopMeter) -> None:
+        self._meter = meter
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the figures as they are now."""
+        count = core.CounterMetricFamily(
+            "endivestream_work", "Messages and other work", labels=["kind"]
+        )
+        size = core.CounterMetricFamily(
+            "endivestream_work_bytes", "Bytes of messages", labels=["kind"]
+        )
+        seconds = core.CounterMetricFamily(
+            "endivestream_work_seconds", "Time of the loop", labels=["kind"]
+        )
+        longest = core.GaugeMetricFamily(
+            "endivestream_work_longest_seconds",
+            "Longest uninterrupted run of the loop",
+            labels=["kind"],
+        )
+        for kind, tally in self._meter.tallies.items():
+            count.add_metric([kind], tally.count)
+            size.add_metric([kind], tally.size)
+            seconds.add_metric([kind], tally.seconds)
+            longest.add_metric([kind], tally.longest)
+        yield from (count, size, seconds, longest)
+
+
 class EntryMetrics(_Metrics):
     """What an entry host counts."""
 
@@ -54,6 +100,7 @@
         version: Callable[[], float],
         lease: Callable[[], float],
         targets: Callable[[], float],
+        meter: loop_meter.LoopMeter,
     ) -> None:
         """Counts nothing yet.
 
@@ -62,6 +109,7 @@
             version: Returns the configuration version in force.
             lease: Returns seconds left of the lease.
             targets: Returns how many targets are known.
+            meter: Where the event loop's time goes.
         """
         super().__init__()
         self._requests = prometheus_client.Counter(
@@ -92,6 +140,7 @@
         self._gauge("configuration_version", "Version in force", version)
         self._gauge("lease_left_seconds", "Left of the lease", lease)
         self._gauge("targets", "Targets that are known", targets)
+        self._loop(meter)
 
     def observe(self, ended: forward_lib.Ended) -> None:
         """Counts a finished request."""
@@ -117,6 +166,7 @@
         index: Callable[[], float],
         version: Callable[[], float],
         departed: Callable[[], float],
+        meter: loop_meter.LoopMeter,
     ) -> None:
         """Counts nothing itself; each figure is read when it is asked for.
 
@@ -126,6 +176,7 @@
             index: Returns the last entry that is applied.
             version: Returns the newest configuration version held.
             departed: Returns how many targets that left are remembered.
+            meter: Where the event loop's time goes.
         """
         super().__init__()
         self._gauge("leads", "1 if this host leads", leads)
@@ -133,3 +184,4 @@
         self._gauge("log_applied_index", "Last entry applied", index)
         self._gauge("configuration_version", "Newest version held", version)
         self._gauge("departed_targets", "Targets that left", departed)
+        self._loop(meter)
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -1,5 +1,6 @@
 import unittest
 
+from endivestream import loop_meter
 from endivestream.process import site_metrics
 from endivestream.request import forward as forward_lib
 
@@ -27,6 +28,7 @@
             version=lambda: 7,
             lease=lambda: 4.2,
             targets=lambda: 12,
+            meter=loop_meter.LoopMeter(),
         )
 
     def _lines(self):
@@ -67,6 +69,7 @@
             index=lambda: 40,
             version=lambda: 7,
             departed=lambda: 1,
+            meter=loop_meter.LoopMeter(),
         )
         self.assertIn(b"endivestream_leads 0.0", metrics.exposition())
         leads[0] = True
