--- /dev/null
+++ b/tests/leader_site.py
@@ -0,0 +1,309 @@
+"""A leader with a whole site before it, in virtual time, for tests of its load.
+
+The leader is the real one behind a real server of links; frames cost it time
+of its event loop as on a control host with a third of a core. Entry hosts and
+targets are tasks that cost nothing.
+"""
+
+import asyncio
+import types
+from unittest import mock
+
+from endivestream import clock
+from endivestream import messages
+from endivestream import site_messages
+from endivestream.connection import links
+from endivestream.connection import registry as registry_lib
+from endivestream.process import control as control_lib
+from endivestream.process import site_leading
+from endivestream.process import site_settings
+from endivestream.version import members as members_lib
+from endivestream.version import state as state_lib
+
+from tests import test_document
+
+# Seconds of the leader's loop, with what goes on around a frame.
+READ_SECONDS = 0.0006
+ENCODE_SECONDS = 0.00005
+ENCODE_SECONDS_PER_BYTE = 0.15e-6
+SEND_SECONDS = 0.0003
+_LOOK_SECONDS = 0.01
+_ENCODE = messages.encode
+
+SETTINGS = site_settings.SiteSettings(
+    name="c0",
+    domain="a",
+    domains={"a": ""},
+    region="",
+    callers="",
+    peers="tcp://c0",
+    controls=("tcp://c0",),
+    data_folder="",
+    first_start=True,
+    losses=1,
+    report=1.2,
+    bounds=site_settings.Bounds(config=2.5),
+)
+
+
+class Log:
+    """A replicated log of one."""
+
+    leads = True
+    term = 1
+    identity = "c0"
+
+    def __init__(self):
+        self.state = state_lib.State()
+        member = members_lib.Member("c0", "c0", "tcp://c0")
+        self.replica = types.SimpleNamespace(
+            members=members_lib.Members(voters=(member,)),
+            first_own=1,
+            commit=1,
+            silent_for=lambda identity: 0.0,
+            matched=lambda identity: 1,
+        )
+        self.on_applied = lambda command, result: None
+
+    async def propose(self, command):
+        result = self.state.apply(1, command)
+        self.on_applied(command, result)
+        return result
+
+
+def encode(envelope, site):
+    """Encodes a frame on the leader's time."""
+    frame = _ENCODE(envelope)
+    site.charge(ENCODE_SECONDS + len(frame) * ENCODE_SECONDS_PER_BYTE)
+    return frame
+
+
+class Wire:
+    """The server's socket: what it reads and sends costs it time."""
+
+    def __init__(self, site):
+        self._site = site
+        self._arrived = asyncio.Queue()
+
+    def setsockopt(self, *_):
+        pass
+
+    def bind(self, *_):
+        pass
+
+    def close(self):
+        pass
+
+    def getsockopt_string(self, _):
+        return "tcp://c0"
+
+    def deliver(self, peer, message, number):
+        envelope = messages.Envelope(number, message)
+        self._arrived.put_nowait((peer, envelope))
+
+    async def recv_multipart(self):
+        peer, envelope = await self._arrived.get()
+        self._site.charge(READ_SECONDS)
+        return [peer, _ENCODE(envelope)]
+
+    async def send_multipart(self, frames):
+        peer, frame = frames
+        self._site.charge(SEND_SECONDS)
+        self._site.sent(peer, frame)
+
+
+class Host:
+    """An entry host: renews, and keeps what it is told."""
+
+    def __init__(self, site, number):
+        self.name = f"e{number}"
+        self.incarnation = 1
+        self.peer = self.name.encode()
+        self.targets = {}
+        self.version = 0
+        self.version_at = {}
+        self.position = site_messages.Position()
+        self.frames = 0
+        self.size = 0
+        self._site = site
+        self._answers = {}
+        self._number = 0
+
+    def heard(self, frame):
+        self.frames += 1
+        self.size += len(frame)
+        envelope = messages.decode(frame)
+        if envelope.id:
+            answer = self._answers.pop(envelope.id, None)
+            if answer is not None and not answer.done():
+                answer.set_result(envelope.body)
+        elif isinstance(envelope.body, site_messages.News):
+            self._take(envelope.body)
+
+    def _take(self, news):
+        if news.document is not None and news.document.version > self.version:
+            self.version = news.document.version
+            self.version_at[self.version] = clock.now()
+        if news.after is None:
+            self.targets = {}
+        for target in news.targets:
+            self.targets[target.said.name] = target
+        for name in news.gone:
+            self.targets.pop(name, None)
+        self.position = max(self.position, news.position)
+
+    async def ask(self, message, seconds=0.4):
+        """Returns the leader's answer; None if it does not come in time."""
+        self._number += 1
+        answer = asyncio.get_running_loop().create_future()
+        self._answers[self._number] = answer
+        self._site.wire.deliver(self.peer, message, self._number)
+        try:
+            async with asyncio.timeout(seconds):
+                return await answer
+        except TimeoutError:
+            return None
+
+    async def renew(self):
+        host = site_messages.EntryHost(
+            self.name, self.incarnation, "a", f"{self.name}:1", False
+        )
+        answer = await self.ask(
+            site_messages.Renew(
+                host=host, version=self.version, position=self.position
+            )
+        )
+        if isinstance(answer, site_messages.Renewed) and answer.news:
+            self._take(answer.news)
+        return answer
+
+
+class Site:
+    """A leader, its entry hosts and its targets."""
+
+    def __init__(self, *, hosts, targets):
+        self.loop = asyncio.get_running_loop()
+        self.wire = Wire(self)
+        self.hosts = [Host(self, n) for n in range(hosts)]
+        self.targets = [f"t{n}" for n in range(targets)]
+        self.unanswered = 0
+        self.latest = 0.0
+        self.log = Log()
+        self._by_peer = {host.peer: host for host in self.hosts}
+        self._reports = 0
+        self._tasks = []
+        self._server = links.Server(
+            address="tcp://c0",
+            handle=self._handle,
+            context=types.SimpleNamespace(socket=lambda kind: self.wire),
+        )
+
+    async def start(self):
+        self._encoding = mock.patch.object(
+            messages, "encode", lambda envelope: encode(envelope, self)
+        )
+        self._encoding.start()
+        self._server.start()
+        self.leading = site_leading.SiteLeading(
+            settings=SETTINGS,
+            lead=control_lib.Lead(self.log, self._server.push),
+        )
+        self.log.on_applied = self.leading.applied
+        self.leading.start()
+        self.repeat(_LOOK_SECONDS, self._look)
+        return self
+
+    async def close(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.leading.close()
+        await self._server.close()
+        self._encoding.stop()
+
+    def charge(self, seconds):
+        self.loop.charge(seconds)
+
+    def sent(self, peer, frame):
+        host = self._by_peer.get(peer)
+        if host is not None:
+            host.heard(frame)
+
+    async def _handle(self, peer, message):
+        return await self.leading.handle(peer, message)
+
+    def repeat(self, seconds, work, *, first=0.0):
+        """Does something again and again for as long as the site runs."""
+
+        async def run():
+            await asyncio.sleep(first)
+            while True:
+                due = clock.now() + seconds
+                await work()
+                await asyncio.sleep(max(0.0, due - clock.now()))
+
+        self._tasks.append(asyncio.create_task(run()))
+
+    async def _look(self):
+        due = clock.now() + _LOOK_SECONDS
+        await asyncio.sleep(_LOOK_SECONDS)
+        self.latest = max(self.latest, clock.now() - due)
+
+    # What the site does.
+
+    async def renew(self, host):
+        if not isinstance(await host.renew(), site_messages.Renewed):
+            self.unanswered += 1
+
+    async def ask_credit(self, host):
+        need = site_messages.Need("band", 0.0, 0.0, 1.0)
+        ask = site_messages.AskCredit(host=host.name, need=need)
+        if await host.ask(ask, seconds=0.25) is None:
+            self.unanswered += 1
+
+    async def report(self, target, *, loaded=()):
+        self._reports += 1
+        said = registry_lib.Registration(
+            name=target,
+            service="llm",
+            address=f"{target}:1",
+            domain="a",
+            born=1,
+            number=self._reports,
+            loaded=tuple(registry_lib.Loaded(model) for model in loaded),
+        )
+        self.wire.deliver(b"c1", site_messages.Register(said=said), 0)
+
+    async def change(self, target):
+        """A target says something that entry hosts act on."""
+        await self.report(target, loaded=(f"m{self._reports}",))
+
+    async def apply(self, version):
+        await self.leading.handle(
+            b"c1", site_messages.Apply(document=test_document.document(version))
+        )
+
+    def run_hosts(self, *, every, credit):
+        """Has all hosts renew, and ask for credit so often together."""
+        for number, host in enumerate(self.hosts):
+            begin = every * number / len(self.hosts)
+            self.repeat(every, lambda h=host: self.renew(h), first=begin)
+        for number in range(credit):
+            host = self.hosts[number % len(self.hosts)]
+            self.repeat(
+                1.0, lambda h=host: self.ask_credit(h), first=number / credit
+            )
+
+    def run_targets(self, *, changes):
+        """Has targets report, and change so often a second together."""
+        for number, target in enumerate(self.targets):
+            self.repeat(
+                SETTINGS.report,
+                lambda t=target: self.report(t),
+                first=SETTINGS.report * number / len(self.targets),
+            )
+        for number in range(changes):
+            target = self.targets[number % len(self.targets)]
+            self.repeat(
+                1.0, lambda t=target: self.change(t), first=number / changes
+            )
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -165,6 +165,43 @@
             reply = await self._ask(entry, Authorization="Bearer k")
             self.assertEqual(reply.status, 401)
 
+    async def test_a_host_that_missed_a_change_denies_nothing(self):
+        """A route or key added by a confirmed change must not get 404 or 401.
+
+        One entry host hears nothing more of the leader, and still has a lease.
+        """
+        await self._apply(test_document.document(1))
+        await self._register()
+        await self._in_force(1)
+        cut, sound = self.entries
+        await self._until(lambda: "t1" in sound._view.targets)
+        await self._cut_off(cut)
+        team = document_lib.Team(name="band", keys=("k",))
+        added = test_document.route("added", prefix="/added/", anonymous=True)
+        await self._apply(
+            test_document.document(
+                2, routes=[test_document.route(), added], teams=[team]
+            )
+        )
+        await self._until(lambda: sound.version == 2)
+        self.assertEqual(cut.version, 1)
+        reply = await self._ask(cut, path="/added/1")
+        self.assertEqual(reply.status, 503)
+        reply = await self._ask(sound, path="/added/1")
+        self.assertEqual(reply.status, 200)
+        reply = await self._ask(sound, path="/never/1")
+        self.assertEqual(reply.status, 404)
+
+    async def _cut_off(self, entry):
+        """Leaves an entry host without a way to any control host."""
+        nowhere = f"tcp://{free_address()}"
+        watch = entry._watch
+        watch._seeds, watch._controls = (nowhere,), [nowhere]
+        watch._leader = nowhere
+        for link in list(watch._links.values()):
+            await link.close()
+        watch._links.clear()
+
     async def test_the_leader_s_death_refuses_nobody(self):
         """Requests go on while there is no leader, and a new one is found.
 
