A test's stand-in for leadership no longer counts who asks

test_answer_that_waited_past_the_lease_is_not_given failed once in a whole run: an error, StopIteration in Control._handle. It replaced Replicator.leads by a list of two answers, true and then false, for the whole process; any other message that the host handled between the two readings took one of them.

It now holds leadership until the charge has been handled and drops it then, whoever asks meanwhile, and checks that the charge was handled. As strict: the answer that was made while leading must not be given.

--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -355,9 +355,24 @@
         charge = messages.Charge(
             team="band", request="r", tokens=1, patience=1.0
         )
-        with unittest.mock.patch.object(
-            type(control.replicator), "leads", unittest.mock.PropertyMock()
-        ) as leads:
-            leads.side_effect = [True, False]
+        leads = [True]
+        handle = control.leading.handle
+
+        async def handle_and_lose(peer, message):
+            answer = await handle(peer, message)
+            leads[0] = False
+            return answer
+
+        with (
+            unittest.mock.patch.object(
+                type(control.replicator),
+                "leads",
+                unittest.mock.PropertyMock(side_effect=lambda: leads[0]),
+            ),
+            unittest.mock.patch.object(
+                control.leading, "handle", handle_and_lose
+            ),
+        ):
             answer = await control._handle(b"peer", charge)
+        self.assertFalse(leads[0], "the charge was not handled")
         self.assertIsInstance(answer, messages.NotLeader)
