News of the table are gathered and encoded once

Cause: each change of a target, of a placement or of the hosts' list was a frame of its own for every host, a task, an encoding and a write each. Nothing bounded their number. Placement makes 20 to 40 changes a second there, 69 frames each; the leader's loop ran up to 3.6 s late, voters and hosts took it for lost, and the next leader met the same load and all hosts at once. A renewal that crossed a push was answered with the whole table, which added to it.

Change: process/table_feed.py numbers changes, tells all that came since the last round in one frame, encoded once, and leaves the loop to other work for four times as long as the round took (0.2 s at most). A renewal is answered with the targets that changed since the host's position. The hosts' list is looked at ten times a second in place of at each renewal. A configuration still goes out at once. Pushes let other work in after 16 peers. An entry host takes news that begin at or before its position, and skips what a renewal's answer has overtaken.

Why it works: the share of the loop's time that news may take is bounded, whatever happens at however many hosts.

--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 import itertools
 import time
 from typing import Any
@@ -30,6 +31,9 @@
 # requests time out, which is what a cut-off peer's requests do anyway.
 _FRAMES_KEPT = 10_000
 
+# Pushes to so many peers go out before other work gets its turn.
+_PUSHES_IN_A_ROW = 16
+
 # Pings are answered under an id that no request has, so that the answer is
 # heard and then finds no one waiting.
 _PING_ID = 2**62
@@ -109,15 +113,21 @@
         if self._socket is not None:
             self._socket.close()
 
-    async def push(self, peer: bytes, message: messages.Message) -> None:
-        """Sends a message that was not asked for."""
-        await self._send(peer, messages.Envelope(0, message))
-
-    async def _send(self, peer: bytes, envelope: messages.Envelope) -> None:
+    async def push(
+        self, peers: Iterable[bytes], message: messages.Message
+    ) -> None:
+        """Sends a message that was not asked for, the same to many."""
+        frame = _encode(messages.Envelope(0, message), self._meter)
+        for number, peer in enumerate(peers):
+            if number and not number % _PUSHES_IN_A_ROW:
+                # Heartbeats and answers must get in between.
+                await asyncio.sleep(0)
+            await self._send(peer, frame)
+
+    async def _send(self, peer: bytes, frame: bytes) -> None:
         assert self._socket is not None, "not started"
         # A router drops frames for peers that are gone, which is right: the
         # peer's own time limit speaks to whoever waits there.
-        frame = _encode(envelope, self._meter)
         await self._socket.send_multipart([peer, frame])
 
     async def _run(self) -> None:
@@ -142,7 +152,8 @@
                 self._handle(peer, envelope.body),
             )
         if answer is not None and envelope.id:
-            await self._send(peer, messages.Envelope(envelope.id, answer))
+            answered = messages.Envelope(envelope.id, answer)
+            await self._send(peer, _encode(answered, self._meter))
 
 
 class Link:
--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 import pathlib
 import time
@@ -65,11 +66,11 @@
 
     Attributes:
         replicator: The replica that leads.
-        push: Sends a message that was not asked for to a peer.
+        push: Sends a message that was not asked for to peers.
     """
 
     replicator: replicate.Replicator
-    push: Callable[[bytes, messages.Message], Awaitable[None]]
+    push: Callable[[Iterable[bytes], messages.Message], Awaitable[None]]
 
 
 class Control:
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -276,11 +276,12 @@
     def _take_news(self, news: site_messages.News) -> None:
         if news.document is not None:
             self._take_document(news.document)
-        if news.after is not None and news.after != self._position:
-            # Something between was lost; the next renewal brings it all.
-            self._watch.poke()
+        if news.position <= self._position:
+            # A renewal's answer has overtaken it.
             return
-        if news.position.term < self._position.term:
+        if news.after is not None and not self._reaches(news.after):
+            # Something between was lost; the next renewal brings it.
+            self._watch.poke()
             return
         self._position = news.position
         gone = list(news.gone)
@@ -302,6 +303,13 @@
                 budget.set_hosts(len(self._entries))
         self._signal_change()
 
+    def _reaches(self, after: site_messages.Position) -> bool:
+        """Whether this host's table is at least that far."""
+        return (
+            after.term == self._position.term
+            and after.number <= self._position.number
+        )
+
     def _take_document(self, document: document_lib.Document) -> None:
         if document.version <= self.version:
             return
--- a/packages/endivestream/src/endivestream/process/leading.py
+++ b/packages/endivestream/src/endivestream/process/leading.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import time
 
@@ -50,7 +51,7 @@
         settings: settings_lib.Settings,
         replicator: replicate.Replicator,
         pool: exchange_lib.Pool,
-        push: Callable[[bytes, messages.Message], Awaitable[None]],
+        push: Callable[[Iterable[bytes], messages.Message], Awaitable[None]],
         credit_heard: dict[str, float],
     ) -> None:
         timing = settings.timing
@@ -194,8 +195,7 @@
             hosts=None,
             hosts_version=self.watchers.hosts_version,
         )
-        for peer in self.watchers.peers(now):
-            await self._push(peer, push)
+        await self._push(self.watchers.peers(now), push)
 
     async def handle(
         self, peer: bytes, message: messages.Message
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -26,6 +26,7 @@
 from endivestream.process import seat_desk
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
+from endivestream.process import table_feed
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import state as state_lib
@@ -86,9 +87,6 @@
         self._settings = settings
         self._meter = meter or loop_meter.LoopMeter()
         self._replicator = lead.replicator
-        self._push = lead.push
-        self._term = lead.replicator.term
-        self._number = 0
         self._began = clock.now()
         self._complete = False
         self._registry = registry_lib.Registry()
@@ -112,27 +110,31 @@
             changed=self._targets_changed,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._pushing: set[asyncio.Task[None]] = set()
+        self._feed = table_feed.TableFeed(
+            term=lead.replicator.term,
+            push=lead.push,
+            peers=lambda: [s.peer for s in self._sessions.values()],
+            target=self._target,
+            whole=self._whole_table,
+        )
         self._rollout: _Rollout | None = None
 
     @property
     def _document(self) -> document_lib.Document | None:
         return self._replicator.state.document.current
 
-    @property
-    def _position(self) -> site_messages.Position:
-        return site_messages.Position(self._term, self._number)
-
     def start(self) -> None:
         """Takes the lead over the state as it stands."""
         if self._document is not None:
             self._take_document(self._document, full=False)
         self._steward.start()
+        self._feed.start()
         self._tasks = [tasks.start(self._sweep(), "sweep")]
 
     async def close(self) -> None:
         """Stops; what waits here ends by its own time limit."""
-        await tasks.cancel((*self._tasks, *self._pushing))
+        await tasks.cancel(self._tasks)
+        await self._feed.close()
         await self._steward.close()
 
     def applied(
@@ -156,13 +158,7 @@
                     committed=clock.now(),
                     lacking=set(self._sessions),
                 )
-                self._tell_all(
-                    site_messages.News(
-                        position=self._position,
-                        after=self._position,
-                        document=document,
-                    )
-                )
+                self._feed.tell_at_once(document)
 
     def _take_document(
         self, document: document_lib.Document, *, full: bool
@@ -271,7 +267,10 @@
         if changed:
             self._targets_changed(changed)
 
-    def _target(self, session: registry_lib.Session) -> site_messages.Target:
+    def _target(self, name: str) -> site_messages.Target | None:
+        session = self._registry.find(name)
+        if session is None:
+            return None
         said = session.said
         notice = self._seat.notice(said.name)
         return site_messages.Target(
@@ -283,36 +282,18 @@
         )
 
     def _targets_changed(self, names: Iterable[str]) -> None:
-        """Numbers a change of some targets and tells everyone."""
-        before = self._position
-        self._number += 1
-        targets, gone = [], []
-        for name in names:
-            session = self._registry.find(name)
-            if session is None:
-                gone.append(name)
-                self._silent.discard(name)
-            else:
-                targets.append(self._target(session))
+        """Has everyone told of a change of some targets."""
+        names = list(names)
+        self._silent -= {n for n in names if self._registry.find(n) is None}
         self._seat.set_targets(self._silent, complete=self._complete)
-        self._tell_all(
-            site_messages.News(
-                position=self._position,
-                after=before,
-                targets=tuple(targets),
-                gone=tuple(gone),
-            )
-        )
+        self._feed.note_targets(names)
 
-    def _whole_table(self) -> site_messages.News:
-        sessions = self._registry.sessions.values()
-        return site_messages.News(
-            position=self._position,
-            after=None,
-            complete=self._complete,
-            targets=tuple(self._target(session) for session in sessions),
+    def _whole_table(self) -> table_feed.Table:
+        targets = map(self._target, self._registry.sessions)
+        return table_feed.Table(
+            targets=tuple(t for t in targets if t is not None),
             gone=self._registry.departed,
-            entries=self._entries if self._complete else None,
+            complete=self._complete,
         )
 
     # Entry hosts.
@@ -333,7 +314,6 @@
             )
         self._sessions[host.name] = _Session(host=host, peer=peer, heard=now)
         self._note_version(host.name, message.version)
-        self._refresh_entries(now)
         self._seat.renewed(message)
         grants = [
             self._bank.report(host.name, need, now) for need in message.needs
@@ -350,11 +330,11 @@
             return messages.NotLeader(address="")
         document = self._document
         version = document.version if document else 0
-        news = None
-        if message.position != self._position or message.version < version:
-            news = self._whole_table()
-            if message.version < version:
-                news = msgspec.structs.replace(news, document=document)
+        news = self._feed.since(message.position)
+        if message.version < version:
+            position = message.position
+            news = news or site_messages.News(position=position, after=position)
+            news = msgspec.structs.replace(news, document=document)
         members = self._replicator.replica.members.all
         return site_messages.Renewed(
             seconds=self._settings.lease_seconds,
@@ -381,30 +361,16 @@
             )
 
     def _refresh_entries(self, now: float) -> None:
-        """Tells everyone when the entry hosts are others than before."""
+        """Has everyone told when the entry hosts are others than before."""
         silence = _SILENT_RENEWALS * self._settings.renew_seconds
         live = tuple(
             session.host
             for _, session in sorted(self._sessions.items())
             if now - session.heard <= silence
         )
-        if live == self._entries:
-            return
-        self._entries = live
-        if self._complete:
-            before = self._position
-            self._number += 1
-            self._tell_all(
-                site_messages.News(
-                    position=self._position, after=before, entries=live
-                )
-            )
-
-    def _tell_all(self, news: site_messages.News) -> None:
-        for session in self._sessions.values():
-            task = asyncio.create_task(self._push(session.peer, news))
-            self._pushing.add(task)
-            task.add_done_callback(self._pushing.discard)
+        if self._complete and live != self._entries:
+            self._entries = live
+            self._feed.note_entries(live)
 
     # Time.
 
@@ -415,14 +381,13 @@
                 self._sweep_once(clock.now())
 
     def _sweep_once(self, now: float) -> None:
-        self._refresh_entries(now)
         self._forget_hosts(now)
         self._note_silence(now)
         if not self._complete and now - self._began > self._settle_seconds:
             self._complete = True
-            self._number += 1
-            self._tell_all(self._whole_table())
+            self._feed.note_whole()
             self._seat.set_targets(self._silent, complete=True)
+        self._refresh_entries(now)
 
     @property
     def _settle_seconds(self) -> float:
@@ -442,7 +407,9 @@
     def _note_silence(self, now: float) -> None:
         silence = _SILENT_REPORTS * self._settings.report
         changed = self._registry.expire(now, silence=_FORGET_SECONDS)
-        for name, session in self._registry.sessions.items():
+        sessions = self._registry.sessions
+        self._feed.forget_all_but({*sessions, *self._registry.departed})
+        for name, session in sessions.items():
             if now - session.heard > silence and name not in self._silent:
                 logs.warn("target_silent", target=name)
                 self._silent.add(name)
