Nobody is denied by a configuration that no leader has confirmed

What callers saw: 404 on a route that a confirmed change had added, 2.588 s after the confirmation (bound 2.5 s).

Cause: an entry host acts on its configuration for a lease of 4.2 s after it last heard the leader, and says by it also what is final for the caller.

Change: before a request is denied for want of its route or key, the host asks the leader which version is the newest (process/freshness.py), and waits for that version if it lacks it. Without an answer within half a second the request is refused as not run, with a time to come back.

Why it works: the leader answers under its lease, so no newer version was confirmed before the question. A request whose route and key are known is not held up. That such a request runs by an older route is another matter and open here.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -26,6 +26,7 @@
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import watch as watch_lib
 from endivestream.process import entry_credit
+from endivestream.process import freshness as freshness_lib
 from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.process import turn_desk
@@ -110,6 +111,11 @@
             share=lambda: 1 / max(1, len(self._entries)),
             takes=self._takes,
         )
+        self._freshness = freshness_lib.Freshness(
+            watch=self._watch,
+            version=lambda: self.version,
+            changed=self._wait_for_change,
+        )
         parts = forward_lib.Parts(
             rules=rules,
             view=self._view,
@@ -122,6 +128,7 @@
             repeats=self._budget,
             missing=self._missing,
             changed=self._wait_for_change,
+            confirm=self._freshness.confirm,
             asked=self._count,
             idle=self._watch.poke,
             freed=self._signal_change,
@@ -222,6 +229,7 @@
         """Closes everything; requests under way are broken off."""
         if self._server is not None:
             self._server.stop()
+        await self._freshness.close()
         await self._watch.close()
         await self._turn_desk.close()
         await self._meter.close()
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -196,6 +196,9 @@
                 return site_messages.Registered()
             case site_messages.Apply(document=document):
                 return await self._apply(document)
+            case site_messages.AskVersion():
+                held = self._replicator.state.document
+                return site_messages.ToldVersion(version=held.version)
             case site_messages.ReadDocument():
                 held = self._document
                 source = held.source if held else b""
--- a/packages/endivestream/src/endivestream/request/admission.py
+++ b/packages/endivestream/src/endivestream/request/admission.py
@@ -19,6 +19,8 @@
 
 # The reason of a refusal by a host that may not act.
 NO_LEASE = "no_lease"
+# Statuses of refusals that tell a caller not to come back.
+DENIALS = (401, 404)
 # A caller that is refused comes back after so long where nothing is known of
 # when it would be served.
 COME_BACK_SECONDS = 0.5
@@ -133,6 +135,14 @@
     )
 
 
+def unconfirmed() -> findings.Failure:
+    """Returns the refusal where an older configuration may be in force here."""
+    what = "no leader confirms this host's configuration"
+    return findings.not_run(
+        "unconfirmed", what, status=503, retry_after=COME_BACK_SECONDS
+    )
+
+
 def _key(authorization: str, scheme: str) -> str:
     """Returns the key of an `Authorization` header, or empty."""
     word, _, key = authorization.strip().partition(" ")
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -86,6 +86,8 @@
         repeats: Returns a service's budget of repeats.
         missing: Tells the planner what is missing; returns what ends that.
         changed: Waits until targets change, for so many seconds at most.
+        confirm: Waits until the configuration here surely is the newest, for
+            so many seconds at most; whether it is.
         asked: Counts a request for a model.
         idle: Told when the last run of a model that is to go has ended.
         freed: Told when a place on a target may be free.
@@ -101,6 +103,7 @@
     repeats: Callable[[str], repeats_lib.RepeatBudget]
     missing: Callable[[admission.Work], Callable[[], None]]
     changed: Callable[[float], Awaitable[None]]
+    confirm: Callable[[float], Awaitable[bool]]
     asked: Callable[[admission.Work], None]
     idle: Callable[[], None]
     freed: Callable[[], None]
@@ -153,7 +156,7 @@
             freed=parts.freed,
         )
         self._lease_queue = lease_queue.LeaseQueue(
-            rules=parts.rules, changed=parts.changed
+            rules=parts.rules, changed=parts.changed, confirm=parts.confirm
         )
 
     async def serve(self, call: call_lib.Call) -> None:
--- a/packages/endivestream/src/endivestream/request/lease_queue.py
+++ b/packages/endivestream/src/endivestream/request/lease_queue.py
@@ -1,8 +1,10 @@
-"""Requests that wait for this host's lease.
+"""Requests that wait for this host's lease, or for word of the leader.
 
 A host that has just started listens before it has found a leader. What comes
 meanwhile is admitted once there is a configuration that may be acted on, as
-long as its caller stays; it is refused as not run otherwise.
+long as its caller stays; it is refused as not run otherwise. What would be
+denied for good, for want of its route or key, waits until the leader has
+confirmed the configuration.
 """
 
 from __future__ import annotations
@@ -32,6 +34,7 @@
         *,
         rules: admission.Rules,
         changed: Callable[[float], Awaitable[None]],
+        confirm: Callable[[float], Awaitable[bool]],
     ) -> None:
         """Holds nothing yet.
 
@@ -39,7 +42,10 @@
             rules: What requests are admitted by.
             changed: Waits until a lease, a configuration or targets change,
                 for so many seconds at most.
+            confirm: Waits until the configuration here surely is the newest,
+                for so many seconds at most; whether it is.
         """
+        self._confirm = confirm
         self._rules = rules
         self._changed = changed
         self._requests = 0
@@ -57,16 +63,33 @@
             The request, or why it is refused.
         """
         work = admission.admit(call, self._rules)
-        if not _lacks_lease(work) or not self._has_room(call):
+        if not (_lacks_lease(work) or _denies(work)):
             return work
+        if not self._has_room(call):
+            return admission.no_lease()
         self._requests += 1
         self._bytes += len(call.body)
         try:
-            return await self._wait(call, work)
+            work = await self._wait(call, work)
+            if _denies(work):
+                work = await self._confirmed(call)
+            return work
         finally:
             self._requests -= 1
             self._bytes -= len(call.body)
 
+    async def _confirmed(
+        self, call: call_lib.Call
+    ) -> admission.Work | findings.Failure:
+        """Admits by a configuration that surely is the newest."""
+        until = patience.until_confirmed(
+            came=call.came,
+            deadline=admission.caller_deadline(call, self._rules.names),
+        )
+        if not await self._confirm(until - clock.now()):
+            return admission.unconfirmed()
+        return admission.admit(call, self._rules)
+
     def _has_room(self, call: call_lib.Call) -> bool:
         return (
             self._requests < _MOST_REQUESTS
@@ -91,6 +114,12 @@
         return work
 
 
+def _denies(work: admission.Work | findings.Failure) -> bool:
+    return (
+        isinstance(work, findings.Failure) and work.status in admission.DENIALS
+    )
+
+
 def _lacks_lease(work: admission.Work | findings.Failure) -> bool:
     return (
         isinstance(work, findings.Failure) and work.reason == admission.NO_LEASE
--- a/packages/endivestream/src/endivestream/request/patience.py
+++ b/packages/endivestream/src/endivestream/request/patience.py
@@ -34,6 +34,8 @@
 # The part of that which may pass before a target has the request: a prompt is
 # still to be read.
 _SILENT_SHARE = 0.85
+# A leader confirms within milliseconds, or is being elected.
+_CONFIRMED_SECONDS = 0.5
 # A process whose lease ran out was frozen, and has the next one at once, or is
 # cut off, and callers do better elsewhere.
 _NEXT_LEASE_SECONDS = 0.25
@@ -54,6 +56,17 @@
     return came + min(most, _LEASE_SHARE * max(0.0, deadline - came))
 
 
+def until_confirmed(*, came: float, deadline: float) -> float:
+    """Returns until when a request waits for word of the leader.
+
+    Args:
+        came: When the request was read, in seconds.
+        deadline: When its caller stops waiting, in seconds.
+    """
+    most = _LEASE_SHARE * max(0.0, deadline - came)
+    return came + min(_CONFIRMED_SECONDS, most)
+
+
 def until_place(
     *, route: document_lib.Route, came: float, heard: float, deadline: float
 ) -> float:
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -414,6 +414,16 @@
     """Answers `Register` and `Deregister`: entry hosts have heard of it."""
 
 
+class AskVersion(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An entry host asks which configuration is the newest."""
+
+
+class ToldVersion(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `AskVersion`; 0 if there is none yet."""
+
+    version: int
+
+
 class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks the leader for the configuration as the operator sent it."""
 
@@ -441,6 +451,8 @@
     | Register
     | Deregister
     | Registered
+    | AskVersion
+    | ToldVersion
     | ReadDocument
     | DocumentRead
 )
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -58,6 +58,9 @@
         self.ended = []
         self.missed = []
         self.waited = 0
+        self.questions = 0
+        self.confirms = True
+        self.newer = None
         self.turns = []
         self.turn_seconds = 0.0
         self.refused_kinds = set()
@@ -81,6 +84,7 @@
             repeats=lambda service: self.repeats,
             missing=self._missing,
             changed=self._changed,
+            confirm=self._confirm,
             asked=lambda work: None,
             idle=lambda: None,
             freed=lambda: None,
@@ -107,6 +111,12 @@
         self.waited += 1
         await asyncio.sleep(0.001)
 
+    async def _confirm(self, seconds):
+        self.questions += 1
+        if self.newer is not None:
+            self.table = self.newer
+        return self.confirms
+
     def _missing(self, work):
         self.missed.append(work.model)
         return lambda: None
@@ -213,6 +223,27 @@
             reply = await self.caller.ask(X_Deadline_Ms=value)
             self.assertIn(reply.status, (503, 504), value)
 
+    async def test_what_no_leader_confirms_is_not_denied(self):
+        """A route or key of a newer configuration must not get 404 or 401."""
+        team = document_lib.Team(name="band", keys=("k",))
+        self._route(ONCE, teams=[team])
+        self.confirms = False
+        for fields in ({"path": "/none/"}, {"Authorization": "Bearer new"}):
+            reply = await self.caller.ask(**fields)
+            self.assertEqual(reply.status, 503)
+            self.assertIn("Retry-After", reply.headers)
+        self.assertEqual(self.questions, 2)
+
+    async def test_a_route_that_the_leader_knows_of_is_served(self):
+        """A request must not be denied by the configuration it came under."""
+        self._route(ONCE)
+        newer = test_document.document(
+            2, routes=[test_document.route("new", prefix="/new/")]
+        )
+        self.newer = routes_lib.Table(document=newer)
+        await self._target(standin.says(standin.answer()))
+        self.assertEqual((await self.caller.ask(path="/new/")).status, 200)
+
     async def test_no_route_and_no_configuration_differ(self):
         self.assertEqual((await self.caller.ask()).status, 503)
         self._route(ONCE)
