A change is confirmed no sooner than its bound can be kept

What callers could see: a request handled by an older configuration later than the bound after the change was confirmed: by an old route or service, or with a dropped key.

Cause: Bounds.config had no mechanism. A change was confirmed at its commit; an entry host that neither push nor renewal reaches acts on the one before until its lease ends, 4.2 s later on both kinds of sites (bounds 2.0 and 2.5 s).

Change: the leader confirms a change once every entry host with a lease has said that it has it, or when the last such lease ends within the bound: lease less bound after the commit (1.7 and 2.2 s). A new leader does not know who holds a lease of the one before, so for as long after its election it confirms nothing. Hosts say at once what they take (HasVersion). Weighed: a lease as short as the bound would make every election refuse callers; a question to the leader before every request would stop traffic with it.

Operators wait no longer than the last host needs.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -333,6 +333,11 @@
             limits = document.limits
             params = self._server.conn_params
             params.header_timeout = limits.idle_seconds
+        self._tell(
+            site_messages.HasVersion(
+                host=self._settings.name, version=document.version
+            )
+        )
         self._signal_change()
 
     def _drop_unnamed(self, now: float) -> None:
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -23,6 +23,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.process import bank as bank_lib
 from endivestream.process import control as control_lib
+from endivestream.process import rollout as rollout_lib
 from endivestream.process import seat_desk
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
@@ -59,21 +60,6 @@
     heard: float
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Rollout:
-    """A configuration on its way to entry hosts.
-
-    Attributes:
-        version: Its version.
-        committed: When it was committed.
-        lacking: Entry hosts that have not confirmed it yet.
-    """
-
-    version: int
-    committed: float
-    lacking: set[str]
-
-
 class SiteLeading:
     """One term of leadership."""
 
@@ -117,7 +103,12 @@
             target=self._target,
             whole=self._whole_table,
         )
-        self._rollout: _Rollout | None = None
+        self._rollout = rollout_lib.Rollout(
+            version=lead.replicator.state.document.version,
+            begun=self._began,
+            lacking=(),
+        )
+        self._rolled_out = asyncio.Event()
 
     @property
     def _document(self) -> document_lib.Document | None:
@@ -153,10 +144,10 @@
                     teams=len(document.teams),
                 )
                 self._take_document(document, full=True)
-                self._rollout = _Rollout(
+                self._rollout = rollout_lib.Rollout(
                     version=document.version,
-                    committed=clock.now(),
-                    lacking=set(self._sessions),
+                    begun=clock.now(),
+                    lacking=self._sessions,
                 )
                 self._feed.tell_at_once(document)
 
@@ -186,6 +177,9 @@
                         need.team, need.wanted, 0.0, 0.0
                     )
                 return site_messages.GiveCredit(grant=grant)
+            case site_messages.HasVersion(host=host, version=version):
+                self._note_version(host, version)
+                return None
             case site_messages.Missing():
                 self._seat.missing(message)
                 return None
@@ -220,14 +214,32 @@
         self, document: document_lib.Document
     ) -> site_messages.Applied:
         held = self._replicator.state.document
-        if document.version <= held.version:
-            # Committed already, or overtaken: nothing to write.
-            return site_messages.Applied(version=held.version)
-        result = await self._replicator.propose(
-            document_lib.ApplyDocument(document=document)
-        )
-        assert isinstance(result, document_lib.DocumentApplied), result
-        return site_messages.Applied(version=result.version)
+        version = held.version
+        if document.version > version:
+            result = await self._replicator.propose(
+                document_lib.ApplyDocument(document=document)
+            )
+            assert isinstance(result, document_lib.DocumentApplied), result
+            version = result.version
+        # Otherwise committed already, or overtaken: nothing to write.
+        await self._wait_for_rollout()
+        return site_messages.Applied(version=version)
+
+    async def _wait_for_rollout(self) -> None:
+        """Waits until the newest configuration may be confirmed."""
+        longest = self._settings.rollout_seconds
+        until = self._rollout.begun + longest
+        # Hosts that have not found this leader yet may act on what the one
+        # before gave them.
+        await asyncio.sleep(max(0.0, self._began + longest - clock.now()))
+        while not self._rollout.is_everywhere:
+            self._rolled_out.clear()
+            try:
+                async with asyncio.timeout(until - clock.now()):
+                    await self._rolled_out.wait()
+            except TimeoutError:
+                logs.warn("configuration_not_everywhere", rollout=self._rollout)
+                return
 
     # Targets.
 
@@ -350,16 +362,12 @@
 
     def _note_version(self, host: str, version: int) -> None:
         """Says when all entry hosts have the newest configuration."""
-        rollout = self._rollout
-        if rollout is None or version < rollout.version:
-            return
-        rollout.lacking.discard(host)
-        if not rollout.lacking:
-            self._rollout = None
+        if self._rollout.has(host, version):
+            self._rolled_out.set()
             logs.event(
                 "configuration_everywhere",
-                version=rollout.version,
-                seconds=clock.now() - rollout.committed,
+                version=self._rollout.version,
+                seconds=clock.now() - self._rollout.begun,
                 hosts=len(self._sessions),
             )
 
@@ -401,8 +409,8 @@
         for name, session in list(self._sessions.items()):
             if now - session.heard > self._settings.lease_seconds:
                 del self._sessions[name]
-                if self._rollout is not None:
-                    self._rollout.lacking.discard(name)
+                if self._rollout.forget(name):
+                    self._rolled_out.set()
                 self._bank.forget(name)
                 self._seat.forget_host(name)
                 logs.warn("entry_host_gone", peer=name)
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -424,6 +424,13 @@
     version: int
 
 
+class HasVersion(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An entry host has a configuration in force; not answered."""
+
+    host: str
+    version: int
+
+
 class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Asks the leader for the configuration as the operator sent it."""
 
@@ -453,6 +460,7 @@
     | Registered
     | AskVersion
     | ToldVersion
+    | HasVersion
     | ReadDocument
     | DocumentRead
 )
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -125,11 +125,15 @@
         self.position = site_messages.Position()
         self.frames = 0
         self.size = 0
+        self.lease_until = 0.0
+        self.is_cut_off = False
         self._site = site
         self._answers = {}
         self._number = 0
 
     def heard(self, frame):
+        if self.is_cut_off:
+            return
         self.frames += 1
         self.size += len(frame)
         envelope = messages.decode(frame)
@@ -144,6 +148,8 @@
         if news.document is not None and news.document.version > self.version:
             self.version = news.document.version
             self.version_at[self.version] = clock.now()
+            has = site_messages.HasVersion(host=self.name, version=self.version)
+            self._site.wire.deliver(self.peer, has, 0)
         if news.position <= self.position:
             return
         if news.after is None:
@@ -170,13 +176,16 @@
         host = site_messages.EntryHost(
             self.name, self.incarnation, "a", f"{self.name}:1", False
         )
+        sent = clock.now()
         answer = await self.ask(
             site_messages.Renew(
                 host=host, version=self.version, position=self.position
             )
         )
-        if isinstance(answer, site_messages.Renewed) and answer.news:
-            self._take(answer.news)
+        if isinstance(answer, site_messages.Renewed):
+            self.lease_until = sent + answer.seconds
+            if answer.news:
+                self._take(answer.news)
         return answer
 
 
@@ -281,9 +290,11 @@
         await self.report(target, loaded=(f"m{self._reports}",))
 
     async def apply(self, version):
+        """Has a document committed; returns when it was confirmed."""
         await self.leading.handle(
             b"c1", site_messages.Apply(document=test_document.document(version))
         )
+        return clock.now()
 
     def run_hosts(self, *, every, credit):
         """Has all hosts renew, and ask for credit so often together."""
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -64,8 +64,7 @@
             await asyncio.sleep(4.0)
             late = []
             for version in range(1, 6):
-                await site.apply(version)
-                confirmed = site.loop.time()
+                confirmed = await site.apply(version)
                 await asyncio.sleep(1.0)
                 late += [
                     host.version_at.get(version, float("inf")) - confirmed
@@ -75,3 +74,43 @@
 
         late = self._run(changed)
         self.assertLess(max(late), leader_site.SETTINGS.bounds.config)
+
+    def test_no_host_acts_on_an_older_document_past_the_bound(self):
+        """A change must not be confirmed while a lease without it runs on."""
+
+        async def cut(site):
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(5.0)
+            lost = site.hosts[7]
+            lost.is_cut_off = True
+            confirmed = await site.apply(1)
+            self.assertNotIn(1, lost.version_at)
+            return lost.lease_until - confirmed
+
+        bounds = leader_site.SETTINGS.bounds
+        self.assertLessEqual(self._run(cut), bounds.config)
+
+    def test_a_new_leader_confirms_no_change_that_hosts_may_lack(self):
+        """Hosts that have not found it act on what the one before gave."""
+
+        async def anew(site):
+            begun = site.loop.time()
+            confirmed = await site.apply(1)
+            return begun + leader_site.SETTINGS.lease_seconds - confirmed
+
+        bounds = leader_site.SETTINGS.bounds
+        self.assertLessEqual(self._run(anew), bounds.config)
+
+    def test_operators_wait_no_longer_than_hosts_need(self):
+        async def calm(site):
+            site.run_hosts(every=0.3, credit=150)
+            site.run_targets(changes=40)
+            await asyncio.sleep(5.0)
+            begun = site.loop.time()
+            confirmed = await site.apply(1)
+            late = max(host.version_at[1] for host in site.hosts)
+            return confirmed - begun, confirmed - late
+
+        waited, after_last = self._run(calm)
+        self.assertGreaterEqual(after_last, 0.0)
+        self.assertLess(waited, leader_site.SETTINGS.renew_seconds)
