Totals of what runs and of credit are kept as reports come

Cause: each renewal added up what all other hosts have running, and, for each of 16 teams, three times what all hosts hold or want: work that grows with the square of the number of hosts. The planner added up all uses once more for each engine in each round.

Change: use_table keeps totals by target and model, bank those of each team. The bank's are summed anew after a thousand changes, so that rounding does not add up.

--- a/packages/endivestream/src/endivestream/loop_meter.py
+++ b/packages/endivestream/src/endivestream/loop_meter.py
@@ -13,8 +13,10 @@
 from collections.abc import Generator
 import contextlib
 import dataclasses
+import time
 import types
 from typing import Any
+from typing import NamedTuple
 
 from endivestream import clock
 from endivestream import logs
@@ -24,8 +26,10 @@
 _LOOK_SECONDS = 0.05
 # A lateness, in seconds, that gets a log line: several lost heartbeats.
 _LATE_SECONDS = 0.15
-# Kinds named in such a line.
-_KINDS_NAMED = 5
+# Kinds named in a line.
+_KINDS_NAMED = 8
+# Between two lines that say what the loop did.
+_REPORT_SECONDS = 10.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -52,12 +56,27 @@
         self.longest = max(self.longest, seconds)
 
 
+class Spent(NamedTuple):
+    """What work of one kind had taken by some moment.
+
+    Attributes:
+        seconds: Time of the event loop.
+        count: How often it was done.
+        size: Bytes read or written for it.
+    """
+
+    seconds: float = 0.0
+    count: int = 0
+    size: int = 0
+
+
 class LoopMeter:
     """Counts of one event loop. Lives as long as the process."""
 
     def __init__(self) -> None:
         self._tallies: dict[str, Tally] = {}
-        self._reported: dict[str, tuple[int, float]] = {}
+        self._looked: dict[str, Spent] = {}
+        self._reported: dict[str, Spent] = {}
         self._late = 0.0
         self._latest = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -134,27 +153,43 @@
 
     async def _run(self) -> None:
         due = clock.now() + _LOOK_SECONDS
+        began = clock.now()
+        processor = time.process_time()
         while True:
             await asyncio.sleep(max(0.0, due - clock.now()))
             now = clock.now()
             self._late = now - due
             self._latest = max(self._latest, self._late)
             if self._late >= _LATE_SECONDS:
-                logs.warn("loop_late", late_s=self._late, spent=self._spent())
-            self._reported = {
-                kind: (tally.count, tally.seconds)
-                for kind, tally in self._tallies.items()
-            }
+                spent = self._most_since(self._looked)
+                logs.warn("loop_late", late_s=self._late, spent=spent)
+            self._looked = self._spent()
+            if now - began >= _REPORT_SECONDS:
+                logs.event(
+                    "load",
+                    seconds=now - began,
+                    processor_s=time.process_time() - processor,
+                    spent=self._most_since(self._reported),
+                )
+                began, processor = now, time.process_time()
+                self._reported = self._looked
             due = now + _LOOK_SECONDS
 
-    def _spent(self) -> str:
-        """Returns the kinds that took most time since the last look."""
+    def _spent(self) -> dict[str, Spent]:
+        return {
+            kind: Spent(tally.seconds, tally.count, tally.size)
+            for kind, tally in self._tallies.items()
+        }
+
+    def _most_since(self, before: dict[str, Spent]) -> str:
+        """Returns the kinds that took most time, as KIND:TIME/COUNT/BYTES."""
         took = []
-        for kind, tally in self._tallies.items():
-            count, seconds = self._reported.get(kind, (0, 0.0))
-            took.append((tally.seconds - seconds, tally.count - count, kind))
+        for kind, spent in self._spent().items():
+            known = before.get(kind, Spent())
+            since = (now - then for now, then in zip(spent, known, strict=True))
+            took.append((Spent(*since), kind))
         took.sort(reverse=True)
         return ",".join(
-            f"{kind}:{seconds:.3f}s/{count}"
-            for seconds, count, kind in took[:_KINDS_NAMED]
+            f"{kind}:{spent.seconds:.3f}s/{spent.count}/{spent.size}B"
+            for spent, kind in took[:_KINDS_NAMED]
         )
--- a/packages/endivestream/src/endivestream/process/bank.py
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -54,11 +54,42 @@
 # Of the rate, what is left to callers who come back after a refusal while new
 # ones keep coming.
 _RETURNING_SHARE = 0.5
+# Changes of amounts between two sums over all of them.
+_CHANGES_SUMMED = 1000
 # Hosts that hear no leader count on this part of the rate between them; the
 # rest is margin for hosts of which this leader has not heard.
 _ALONE_SHARE = 0.8
 
 
+class _Shares:
+    """An amount for each host, with their total."""
+
+    def __init__(self) -> None:
+        self._amounts: dict[str, float] = {}
+        self._total = 0.0
+        self._changes = 0
+
+    @property
+    def total(self) -> float:
+        """The sum over all hosts."""
+        return self._total
+
+    def of(self, host: str) -> float:
+        """Returns a host's amount."""
+        return self._amounts.get(host, 0.0)
+
+    def set(self, host: str, amount: float) -> None:
+        """Sets a host's amount; zero forgets it."""
+        self._total += amount - self._amounts.pop(host, 0.0)
+        if amount:
+            self._amounts[host] = amount
+        self._changes += 1
+        if self._changes >= _CHANGES_SUMMED or not self._amounts:
+            # Rounding errors must not add up.
+            self._total = sum(self._amounts.values())
+            self._changes = 0
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Bucket:
     """One team's credit.
@@ -82,8 +113,8 @@
     small: float = 0.0
     usual: float = 0.0
     largest: float = 0.0
-    wanted: dict[str, float] = dataclasses.field(default_factory=dict)
-    held: dict[str, float] = dataclasses.field(default_factory=dict)
+    wanted: _Shares = dataclasses.field(default_factory=lambda: _Shares())
+    held: _Shares = dataclasses.field(default_factory=lambda: _Shares())
     turned_away: float = 0.0
 
     @property
@@ -92,7 +123,7 @@
 
         It then works a long line off; otherwise that would stay full.
         """
-        asked = sum(self.wanted.values()) / allowance.AHEAD_SECONDS
+        asked = self.wanted.total / allowance.AHEAD_SECONDS
         return asked <= self.team.rate
 
     def refill(self, now: float) -> None:
@@ -106,7 +137,7 @@
         lacking = max(0.0, _SMALL_BURST * self.team.burst - self.small)
         to_small = min(_SMALL_RATE * gained, lacking)
         self.small += to_small
-        held = sum(self.held.values())
+        held = self.held.total
         room = max(0.0, self.team.burst - held - self.small)
         self.level = min(room, self.level + gained - to_small)
         self.largest *= math.exp(-past / _LARGEST_SECONDS)
@@ -128,8 +159,8 @@
 
     def share(self, host: str) -> float:
         """Returns a host's part of what all hosts want."""
-        total = sum(self.wanted.values())
-        return self.wanted.get(host, 0.0) / total if total else 0.0
+        total = self.wanted.total
+        return self.wanted.of(host) / total if total > 0 else 0.0
 
     def most_held(self, host: str) -> float:
         """Returns the most that a host may hold."""
@@ -195,10 +226,10 @@
         if bucket is None:
             return None
         # In this order: what the host has spent makes room for the refill.
-        bucket.held[host] = need.balance
+        bucket.held.set(host, need.balance)
         bucket.level += need.returned
         bucket.refill(now)
-        bucket.wanted[host] = need.wanted
+        bucket.wanted.set(host, need.wanted)
         wanted = min(need.wanted, bucket.most_held(host))
         lacking = max(0.0, wanted - need.balance)
         given = min(lacking, max(0.0, bucket.level) * _MOST_SHARE)
@@ -228,7 +259,7 @@
         bucket = self._buckets.get(need.team)
         if bucket is None:
             return None
-        bucket.held[host] = need.balance
+        bucket.held.set(host, need.balance)
         bucket.refill(now)
         bucket.largest = max(bucket.largest, need.wanted)
         bucket.note_cost(need.wanted)
@@ -254,14 +285,14 @@
     def forget(self, host: str) -> None:
         """A host is gone; what it held is lost."""
         for bucket in self._buckets.values():
-            bucket.wanted.pop(host, None)
-            bucket.held.pop(host, None)
+            bucket.wanted.set(host, 0.0)
+            bucket.held.set(host, 0.0)
 
     def _give(
         self, host: str, bucket: _Bucket, credit: float, short: float
     ) -> site_messages.Grant:
         bucket.level -= credit
-        bucket.held[host] = bucket.held.get(host, 0.0) + credit
+        bucket.held.set(host, bucket.held.of(host) + credit)
         return self._grant(host, bucket, credit, short)
 
     def _grant(
--- a/packages/endivestream/src/endivestream/process/use_table.py
+++ b/packages/endivestream/src/endivestream/process/use_table.py
@@ -1,4 +1,9 @@
-"""What runs on targets, as entry hosts report it. Pure."""
+"""What runs on targets, as entry hosts report it. Pure.
+
+Totals are kept as reports come: the leader reads them at each renewal and the
+planner for each engine in each round, and neither can afford to add up what
+all hosts have said.
+"""
 
 from __future__ import annotations
 
@@ -12,38 +17,59 @@
 
     def __init__(self) -> None:
         self._uses: dict[str, tuple[site_messages.Use, ...]] = {}
+        # Requests by target, those whose prompts are still read counted twice.
+        self._loads: dict[str, int] = {}
+        # Requests by target and model.
+        self._running: dict[str, dict[str, int]] = {}
 
     def __repr__(self) -> str:
         return f"<UseTable of {len(self._uses)} hosts>"
 
     def note(self, host: str, uses: Iterable[site_messages.Use]) -> None:
         """Takes a host's report in, in place of its last one."""
-        self._uses[host] = tuple(uses)
+        uses = tuple(uses)
+        before = self._uses.get(host, ())
+        if uses == before:
+            return
+        self._count(before, -1)
+        self._count(uses, 1)
+        self._uses[host] = uses
 
     def forget(self, host: str) -> None:
         """An entry host is gone."""
-        self._uses.pop(host, None)
+        self._count(self._uses.pop(host, ()), -1)
+
+    def _count(self, uses: Iterable[site_messages.Use], sign: int) -> None:
+        for use in uses:
+            _add(self._loads, use.target, sign * _load(use))
+            models = self._running.setdefault(use.target, {})
+            _add(models, use.model, sign * use.running)
+            if not models:
+                del self._running[use.target]
 
     def running(self, target: str) -> dict[str, int]:
         """Returns the requests that run on a target, by model."""
-        counts: dict[str, int] = {}
-        for uses in self._uses.values():
-            for use in uses:
-                if use.target == target:
-                    before = counts.get(use.model, 0)
-                    counts[use.model] = before + use.running
-        return counts
+        return dict(self._running.get(target, {}))
 
     def loads(self, host: str) -> dict[str, int]:
         """Returns what runs on targets for all entry hosts but one.
 
         Requests whose prompts are still being read count twice.
         """
-        loads: dict[str, int] = {}
-        for other, uses in self._uses.items():
-            if other == host:
-                continue
-            for use in uses:
-                before = loads.get(use.target, 0)
-                loads[use.target] = before + use.running + use.starting
+        loads = dict(self._loads)
+        for use in self._uses.get(host, ()):
+            _add(loads, use.target, -_load(use))
         return loads
+
+
+def _load(use: site_messages.Use) -> int:
+    return use.running + use.starting
+
+
+def _add(counts: dict[str, int], key: str, change: int) -> None:
+    """Changes a count, and leaves out what is zero."""
+    count = counts.get(key, 0) + change
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
--- a/tests/test_loop_meter.py
+++ b/tests/test_loop_meter.py
@@ -84,7 +84,7 @@
         name, fields = said[0]
         self.assertEqual(name, "loop_late")
         self.assertAlmostEqual(fields["late_s"], 0.7)
-        self.assertEqual(fields["spent"], "Renewed_out:0.700s/1")
+        self.assertEqual(fields["spent"], "Renewed_out:0.700s/1/9B")
         self.assertAlmostEqual(self.meter.latest, 0.7)
 
     async def test_work_is_shown_as_metrics_by_kind(self):
