A leaving target is let go no sooner than hosts stop sending to it

What callers could see: requests sent to a target, and broken off, later than the bound after its good-bye was confirmed.

A report that a target leaves was confirmed at once, a good-bye at its commit; an entry host that no news reach goes on sending until its lease ends (4.2 s; bounds 2.0 and 2.5 s).

Change: the confirmation waits as that of a configuration does, in one function: until every host with a lease has a table that names the target as leaving, or so late that the last lease ends within the bound. Hosts say at once that they have such news (Confirm, in place of HasVersion). A target that is not answered within its second asks again; each repeat waits for the same moment, at most 2.2 s after the first.

With all hosts reachable the report is answered within its second under 40 changes and 150 questions for credit a second.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -282,8 +282,23 @@
         self._leased_until = self._watch.lease_until
 
     def _take_news(self, news: site_messages.News) -> None:
+        before = self.version, self._position
         if news.document is not None:
             self._take_document(news.document)
+        self._take_table(news)
+        leaving = news.gone or any(t.said.draining for t in news.targets)
+        waits = leaving or news.document is not None
+        if waits and before != (self.version, self._position):
+            # Whoever asked for this change waits until all hosts have it.
+            self._tell(
+                site_messages.Confirm(
+                    host=self._settings.name,
+                    version=self.version,
+                    position=self._position,
+                )
+            )
+
+    def _take_table(self, news: site_messages.News) -> None:
         if news.position <= self._position:
             # A renewal's answer has overtaken it.
             return
@@ -333,11 +348,6 @@
             limits = document.limits
             params = self._server.conn_params
             params.header_timeout = limits.idle_seconds
-        self._tell(
-            site_messages.HasVersion(
-                host=self._settings.name, version=document.version
-            )
-        )
         self._signal_change()
 
     def _drop_unnamed(self, now: float) -> None:
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+from typing import NamedTuple
 
 import msgspec
 
@@ -53,11 +55,25 @@
         host: What it says of itself.
         peer: Its socket's identity.
         heard: When it renewed last.
+        position: The table that it has.
     """
 
     host: site_messages.EntryHost
     peer: bytes
     heard: float
+    position: site_messages.Position
+
+
+class _Leaving(NamedTuple):
+    """A target that leaves.
+
+    Attributes:
+        since: When it said so.
+        position: The table without it.
+    """
+
+    since: float
+    position: site_messages.Position
 
 
 class SiteLeading:
@@ -108,7 +124,9 @@
             begun=self._began,
             lacking=(),
         )
-        self._rolled_out = asyncio.Event()
+        self._confirmed = asyncio.Event()
+        # Since when targets are known to leave, and by which change.
+        self._leaving: dict[str, _Leaving] = {}
 
     @property
     def _document(self) -> document_lib.Document | None:
@@ -177,8 +195,8 @@
                         need.team, need.wanted, 0.0, 0.0
                     )
                 return site_messages.GiveCredit(grant=grant)
-            case site_messages.HasVersion(host=host, version=version):
-                self._note_version(host, version)
+            case site_messages.Confirm():
+                self._note(message.host, message.version, message.position)
                 return None
             case site_messages.Missing():
                 self._seat.missing(message)
@@ -199,6 +217,10 @@
                 return site_messages.DocumentRead(source=source)
             case site_messages.Register(said=said):
                 self._register(said)
+                if said.draining:
+                    await self._wait_for_leave(said.name)
+                else:
+                    self._leaving.pop(said.name, None)
                 return site_messages.Registered()
             case site_messages.Deregister(name=name):
                 await self._depart(name)
@@ -222,24 +244,43 @@
             assert isinstance(result, document_lib.DocumentApplied), result
             version = result.version
         # Otherwise committed already, or overtaken: nothing to write.
-        await self._wait_for_rollout()
+        everywhere = await self._wait_for_hosts(
+            lambda: self._rollout.is_everywhere,
+            since=self._rollout.begun,
+            bound=self._settings.bounds.config,
+        )
+        if not everywhere:
+            logs.warn("configuration_not_everywhere", rollout=self._rollout)
         return site_messages.Applied(version=version)
 
-    async def _wait_for_rollout(self) -> None:
-        """Waits until the newest configuration may be confirmed."""
-        longest = self._settings.rollout_seconds
-        until = self._rollout.begun + longest
+    async def _wait_for_hosts(
+        self, has_all: Callable[[], bool], *, since: float, bound: float
+    ) -> bool:
+        """Waits until a change may be confirmed to whoever made it.
+
+        A host that the change does not reach acts without it until its lease
+        ends, and that may be no later than the bound after the confirmation.
+
+        Args:
+            has_all: Returns whether all hosts that are known have it.
+            since: When it was made.
+            bound: Seconds within which a confirmed change must hold.
+
+        Returns:
+            Whether all hosts have it.
+        """
+        longest = max(0.0, self._settings.lease_seconds - bound)
         # Hosts that have not found this leader yet may act on what the one
         # before gave them.
         await asyncio.sleep(max(0.0, self._began + longest - clock.now()))
-        while not self._rollout.is_everywhere:
-            self._rolled_out.clear()
+        while not has_all():
+            self._confirmed.clear()
             try:
-                async with asyncio.timeout(until - clock.now()):
-                    await self._rolled_out.wait()
+                async with asyncio.timeout(since + longest - clock.now()):
+                    await self._confirmed.wait()
             except TimeoutError:
-                logs.warn("configuration_not_everywhere", rollout=self._rollout)
-                return
+                return False
+        return True
 
     # Targets.
 
@@ -256,6 +297,23 @@
         await self._replicator.propose(
             departures_lib.Depart(name=name, born=born)
         )
+        await self._wait_for_leave(name)
+
+    async def _wait_for_leave(self, name: str) -> None:
+        """Waits until a target may be told that it gets nothing new."""
+        leaving = self._leaving.setdefault(
+            name, _Leaving(clock.now(), self._feed.position)
+        )
+        told = await self._wait_for_hosts(
+            lambda: all(
+                session.position >= leaving.position
+                for session in self._sessions.values()
+            ),
+            since=leaving.since,
+            bound=self._settings.bounds.drain,
+        )
+        if not told:
+            logs.warn("leave_not_everywhere", target=name)
 
     def _register(self, said: registry_lib.Registration) -> None:
         now = clock.now()
@@ -327,8 +385,10 @@
                 draining=host.draining,
                 new=session is None,
             )
-        self._sessions[host.name] = _Session(host=host, peer=peer, heard=now)
-        self._note_version(host.name, message.version)
+        self._sessions[host.name] = _Session(
+            host=host, peer=peer, heard=now, position=message.position
+        )
+        self._note(host.name, message.version, message.position)
         self._seat.renewed(message)
         grants = [
             self._bank.report(host.name, need, now) for need in message.needs
@@ -360,10 +420,15 @@
             loads=self._seat.loads(message.host.name),
         )
 
-    def _note_version(self, host: str, version: int) -> None:
-        """Says when all entry hosts have the newest configuration."""
+    def _note(
+        self, host: str, version: int, position: site_messages.Position
+    ) -> None:
+        """Notes what an entry host acts on."""
+        session = self._sessions.get(host)
+        if session is not None:
+            session.position = max(session.position, position)
+        self._confirmed.set()
         if self._rollout.has(host, version):
-            self._rolled_out.set()
             logs.event(
                 "configuration_everywhere",
                 version=self._rollout.version,
@@ -409,8 +474,8 @@
         for name, session in list(self._sessions.items()):
             if now - session.heard > self._settings.lease_seconds:
                 del self._sessions[name]
-                if self._rollout.forget(name):
-                    self._rolled_out.set()
+                self._rollout.forget(name)
+                self._confirmed.set()
                 self._bank.forget(name)
                 self._seat.forget_host(name)
                 logs.warn("entry_host_gone", peer=name)
@@ -419,7 +484,10 @@
         silence = _SILENT_REPORTS * self._settings.report
         changed = self._registry.expire(now, silence=_FORGET_SECONDS)
         sessions = self._registry.sessions
-        self._feed.forget_all_but({*sessions, *self._registry.departed})
+        known = {*sessions, *self._registry.departed}
+        self._feed.forget_all_but(known)
+        for name in self._leaving.keys() - known:
+            del self._leaving[name]
         for name, session in sessions.items():
             if now - session.heard > silence and name not in self._silent:
                 logs.warn("target_silent", target=name)
--- a/packages/endivestream/src/endivestream/process/site_settings.py
+++ b/packages/endivestream/src/endivestream/process/site_settings.py
@@ -99,14 +99,6 @@
         """How long an entry host may act without hearing a leader."""
         return self.bounds.revoke - _REVOKE_MARGIN_SECONDS
 
-    @property
-    def rollout_seconds(self) -> float:
-        """How long a change waits for hosts before it is confirmed.
-
-        What such a host was told before ends so much later than the bound.
-        """
-        return max(0.0, self.lease_seconds - self.bounds.config)
-
     @property
     def renew_seconds(self) -> float:
         """Time between two renewals."""
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -424,11 +424,18 @@
     version: int
 
 
-class HasVersion(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """An entry host has a configuration in force; not answered."""
+class Confirm(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """An entry host acts on what it was told; not answered.
+
+    Attributes:
+        host: The host's name.
+        version: The configuration in force there.
+        position: The table that it has.
+    """
 
     host: str
     version: int
+    position: Position
 
 
 class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -460,7 +467,7 @@
     | Registered
     | AskVersion
     | ToldVersion
-    | HasVersion
+    | Confirm
     | ReadDocument
     | DocumentRead
 )
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -148,8 +148,16 @@
         if news.document is not None and news.document.version > self.version:
             self.version = news.document.version
             self.version_at[self.version] = clock.now()
-            has = site_messages.HasVersion(host=self.name, version=self.version)
-            self._site.wire.deliver(self.peer, has, 0)
+        self._take_table(news)
+        self._site.wire.deliver(
+            self.peer,
+            site_messages.Confirm(
+                host=self.name, version=self.version, position=self.position
+            ),
+            0,
+        )
+
+    def _take_table(self, news):
         if news.position <= self.position:
             return
         if news.after is None:
@@ -202,6 +210,7 @@
         self.log = Log()
         self._by_peer = {host.peer: host for host in self.hosts}
         self._reports = 0
+        self._leaving = set()
         self._tasks = []
         self._server = links.Server(
             address="tcp://c0",
@@ -272,18 +281,29 @@
         if await host.ask(ask, seconds=0.25) is None:
             self.unanswered += 1
 
+    async def leave(self, target):
+        """A target says that it leaves; returns when that was confirmed."""
+        self._leaving.add(target)
+        said = self._said(target)
+        await self.leading.handle(b"c1", site_messages.Register(said=said))
+        return clock.now()
+
     async def report(self, target, *, loaded=()):
+        said = self._said(target, loaded=loaded)
+        self.wire.deliver(b"c1", site_messages.Register(said=said), 0)
+
+    def _said(self, target, *, loaded=()):
         self._reports += 1
-        said = registry_lib.Registration(
+        return registry_lib.Registration(
             name=target,
             service="llm",
             address=f"{target}:1",
             domain="a",
             born=1,
             number=self._reports,
+            draining=target in self._leaving,
             loaded=tuple(registry_lib.Loaded(model) for model in loaded),
         )
-        self.wire.deliver(b"c1", site_messages.Register(said=said), 0)
 
     async def change(self, target):
         """A target says something that entry hosts act on."""
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -114,3 +114,35 @@
         waited, after_last = self._run(calm)
         self.assertGreaterEqual(after_last, 0.0)
         self.assertLess(waited, leader_site.SETTINGS.renew_seconds)
+
+    def test_no_host_sends_to_a_leaving_target_past_the_bound(self):
+        """A target must not be let go while a lease without its word runs."""
+
+        async def cut(site):
+            site.run_hosts(every=0.3, credit=0)
+            site.run_targets(changes=0)
+            await asyncio.sleep(5.0)
+            lost = site.hosts[7]
+            lost.is_cut_off = True
+            confirmed = await site.leave("t1")
+            self.assertFalse(lost.targets["t1"].said.draining)
+            return lost.lease_until - confirmed
+
+        bounds = leader_site.SETTINGS.bounds
+        self.assertLessEqual(self._run(cut), bounds.drain)
+
+    def test_a_leaving_target_waits_no_longer_than_hosts_need(self):
+        """Its report must be answered within a second, or it asks again."""
+
+        async def calm(site):
+            site.run_hosts(every=0.3, credit=150)
+            site.run_targets(changes=40)
+            await asyncio.sleep(5.0)
+            begun = site.loop.time()
+            confirmed = await site.leave("t1")
+            self.assertTrue(
+                all(host.targets["t1"].said.draining for host in site.hosts)
+            )
+            return confirmed - begun
+
+        self.assertLess(self._run(calm), 1.0)
