A renewal that crosses a change does not bring the document again

Cause: whoever renews before the push has reached it is answered with the whole document, encoded for it alone. Under load all hosts do.

Change: for half a second after the push, renewals over the same connection bring no document. One that was lost goes along with a later renewal, as before.

A host that loses the push has the change within half the bound.

--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -43,6 +43,9 @@
 _FORGET_SECONDS = 20.0
 # Renewals that an entry host may miss before callers are sent elsewhere.
 _SILENT_RENEWALS = 4
+# A configuration that was pushed so long ago and is not in force at the host
+# goes along with its next renewal. Before, it is on its way.
+_PUSH_SECONDS = 0.5
 # A voter that is silent for so long gives its place to a caught-up spare.
 _REPLACE_SECONDS = 1.5
 
@@ -393,12 +396,15 @@
         grants = [
             self._bank.report(host.name, need, now) for need in message.needs
         ]
-        return self._renewed(message, grants)
+        was_pushed_to = session is not None and session.peer == peer
+        return self._renewed(message, grants, was_pushed_to=was_pushed_to)
 
     def _renewed(
         self,
         message: site_messages.Renew,
         grants: list[site_messages.Grant | None],
+        *,
+        was_pushed_to: bool,
     ) -> site_messages.Renewed | messages.NotLeader:
         if not self._replicator.leads:
             # Another may lead and have accepted a newer configuration.
@@ -406,7 +412,9 @@
         document = self._document
         version = document.version if document else 0
         news = self._feed.since(message.position)
-        if message.version < version:
+        since_push = clock.now() - self._rollout.begun
+        is_coming = was_pushed_to and since_push < _PUSH_SECONDS
+        if message.version < version and not is_coming:
             position = message.position
             news = news or site_messages.News(position=position, after=position)
             news = msgspec.structs.replace(news, document=document)
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -122,6 +122,7 @@
         self.targets = {}
         self.version = 0
         self.version_at = {}
+        self.documents = 0
         self.position = site_messages.Position()
         self.frames = 0
         self.size = 0
@@ -145,6 +146,7 @@
             self._take(envelope.body)
 
     def _take(self, news):
+        self.documents += news.document is not None
         if news.document is not None and news.document.version > self.version:
             self.version = news.document.version
             self.version_at[self.version] = clock.now()
@@ -309,11 +311,16 @@
         """A target says something that entry hosts act on."""
         await self.report(target, loaded=(f"m{self._reports}",))
 
-    async def apply(self, version):
+    async def apply(self, version, *, routes=1):
         """Has a document committed; returns when it was confirmed."""
-        await self.leading.handle(
-            b"c1", site_messages.Apply(document=test_document.document(version))
+        document = test_document.document(
+            version,
+            routes=[
+                test_document.route(f"r{n}", prefix=f"/{n}/")
+                for n in range(routes)
+            ],
         )
+        await self.leading.handle(b"c1", site_messages.Apply(document=document))
         return clock.now()
 
     def run_hosts(self, *, every, credit):
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -75,6 +75,41 @@
         late = self._run(changed)
         self.assertLess(max(late), leader_site.SETTINGS.bounds.config)
 
+    def test_each_host_is_sent_a_document_once(self):
+        """Renewals that cross a change must not bring it again to all hosts."""
+
+        async def storm(site):
+            site.run_hosts(every=0.3, credit=400)
+            await asyncio.sleep(4.0)
+            for version in range(1, 8):
+                renewals = [
+                    asyncio.create_task(site.renew(host)) for host in site.hosts
+                ]
+                await asyncio.sleep(0)
+                await site.apply(version, routes=200)
+                await asyncio.gather(*renewals)
+            return [host.documents for host in site.hosts]
+
+        self.assertEqual(self._run(storm), [7] * HOSTS)
+
+    def test_a_host_that_lost_a_document_gets_it_by_a_renewal(self):
+        """A push may be lost; the change must be in force all the same."""
+
+        async def lost(site):
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(4.0)
+            host = site.hosts[7]
+            host.is_cut_off = True
+            applying = asyncio.create_task(site.apply(1))
+            await asyncio.sleep(0.05)
+            host.is_cut_off = False
+            begun = site.loop.time()
+            await applying
+            return host.version_at[1] - begun
+
+        bounds = leader_site.SETTINGS.bounds
+        self.assertLess(self._run(lost), bounds.config / 2)
+
     def test_no_host_acts_on_an_older_document_past_the_bound(self):
         """A change must not be confirmed while a lease without it runs on."""
 
