Waits for confirmations in a module of their own; one word for one thing

What was called a feed of the table is news of the table: the feed is what the holder of the seat gets (glossary). No change of behaviour.

--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -9,10 +9,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-from typing import NamedTuple
 
 import msgspec
 
@@ -24,12 +22,12 @@
 from endivestream import tasks
 from endivestream.connection import registry as registry_lib
 from endivestream.process import bank as bank_lib
+from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import control as control_lib
-from endivestream.process import rollout as rollout_lib
 from endivestream.process import seat_desk
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
-from endivestream.process import table_feed
+from endivestream.process import table_news
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import state as state_lib
@@ -67,18 +65,6 @@
     position: site_messages.Position
 
 
-class _Leaving(NamedTuple):
-    """A target that leaves.
-
-    Attributes:
-        since: When it said so.
-        position: The table without it.
-    """
-
-    since: float
-    position: site_messages.Position
-
-
 class SiteLeading:
     """One term of leadership."""
 
@@ -115,21 +101,18 @@
             changed=self._targets_changed,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._feed = table_feed.TableFeed(
+        self._news = table_news.TableNews(
             term=lead.replicator.term,
             push=lead.push,
             peers=lambda: [s.peer for s in self._sessions.values()],
             target=self._target,
             whole=self._whole_table,
         )
-        self._rollout = rollout_lib.Rollout(
+        self._confirmations = confirmations_lib.Confirmations(
+            lease=settings.lease_seconds,
             version=lead.replicator.state.document.version,
-            begun=self._began,
-            lacking=(),
+            positions=lambda: [s.position for s in self._sessions.values()],
         )
-        self._confirmed = asyncio.Event()
-        # Since when targets are known to leave, and by which change.
-        self._leaving: dict[str, _Leaving] = {}
 
     @property
     def _document(self) -> document_lib.Document | None:
@@ -140,13 +123,13 @@
         if self._document is not None:
             self._take_document(self._document, full=False)
         self._steward.start()
-        self._feed.start()
+        self._news.start()
         self._tasks = [tasks.start(self._sweep(), "sweep")]
 
     async def close(self) -> None:
         """Stops; what waits here ends by its own time limit."""
         await tasks.cancel(self._tasks)
-        await self._feed.close()
+        await self._news.close()
         await self._steward.close()
 
     def applied(
@@ -165,12 +148,8 @@
                     teams=len(document.teams),
                 )
                 self._take_document(document, full=True)
-                self._rollout = rollout_lib.Rollout(
-                    version=document.version,
-                    begun=clock.now(),
-                    lacking=self._sessions,
-                )
-                self._feed.tell_at_once(document)
+                self._confirmations.committed(document.version, self._sessions)
+                self._news.tell_at_once(document)
 
     def _take_document(
         self, document: document_lib.Document, *, full: bool
@@ -212,7 +191,7 @@
                 if said.draining:
                     await self._wait_for_leave(said.name)
                 else:
-                    self._leaving.pop(said.name, None)
+                    self._confirmations.stays(said.name)
                 return site_messages.Registered()
             case site_messages.Deregister(name=name):
                 await self._depart(name)
@@ -252,44 +231,11 @@
             assert isinstance(result, document_lib.DocumentApplied), result
             version = result.version
         # Otherwise committed already, or overtaken: nothing to write.
-        everywhere = await self._wait_for_hosts(
-            lambda: self._rollout.is_everywhere,
-            since=self._rollout.begun,
-            bound=self._settings.bounds.config,
+        await self._confirmations.wait_for_configuration(
+            bound=self._settings.bounds.config
         )
-        if not everywhere:
-            logs.warn("configuration_not_everywhere", rollout=self._rollout)
         return site_messages.Applied(version=version)
 
-    async def _wait_for_hosts(
-        self, has_all: Callable[[], bool], *, since: float, bound: float
-    ) -> bool:
-        """Waits until a change may be confirmed to whoever made it.
-
-        A host that the change does not reach acts without it until its lease
-        ends, and that may be no later than the bound after the confirmation.
-
-        Args:
-            has_all: Returns whether all hosts that are known have it.
-            since: When it was made.
-            bound: Seconds within which a confirmed change must hold.
-
-        Returns:
-            Whether all hosts have it.
-        """
-        longest = max(0.0, self._settings.lease_seconds - bound)
-        # Hosts that have not found this leader yet may act on what the one
-        # before gave them.
-        await asyncio.sleep(max(0.0, self._began + longest - clock.now()))
-        while not has_all():
-            self._confirmed.clear()
-            try:
-                async with asyncio.timeout(since + longest - clock.now()):
-                    await self._confirmed.wait()
-            except TimeoutError:
-                return False
-        return True
-
     # Targets.
 
     async def _depart(self, name: str) -> None:
@@ -308,20 +254,9 @@
         await self._wait_for_leave(name)
 
     async def _wait_for_leave(self, name: str) -> None:
-        """Waits until a target may be told that it gets nothing new."""
-        leaving = self._leaving.setdefault(
-            name, _Leaving(clock.now(), self._feed.position)
-        )
-        told = await self._wait_for_hosts(
-            lambda: all(
-                session.position >= leaving.position
-                for session in self._sessions.values()
-            ),
-            since=leaving.since,
-            bound=self._settings.bounds.drain,
+        await self._confirmations.wait_for_leave(
+            name, self._news.position, bound=self._settings.bounds.drain
         )
-        if not told:
-            logs.warn("leave_not_everywhere", target=name)
 
     def _register(self, said: registry_lib.Registration) -> None:
         now = clock.now()
@@ -367,11 +302,11 @@
         names = list(names)
         self._silent -= {n for n in names if self._registry.find(n) is None}
         self._seat.set_targets(self._silent, complete=self._complete)
-        self._feed.note_targets(names)
+        self._news.note_targets(names)
 
-    def _whole_table(self) -> table_feed.Table:
+    def _whole_table(self) -> table_news.Table:
         targets = map(self._target, self._registry.sessions)
-        return table_feed.Table(
+        return table_news.Table(
             targets=tuple(t for t in targets if t is not None),
             gone=self._registry.departed,
             complete=self._complete,
@@ -416,8 +351,8 @@
             return messages.NotLeader(address="")
         document = self._document
         version = document.version if document else 0
-        news = self._feed.since(message.position)
-        since_push = clock.now() - self._rollout.begun
+        news = self._news.since(message.position)
+        since_push = clock.now() - self._confirmations.rollout_begun
         is_coming = was_pushed_to and since_push < _PUSH_SECONDS
         if message.version < version and not is_coming:
             position = message.position
@@ -440,14 +375,7 @@
         session = self._sessions.get(host)
         if session is not None:
             session.position = max(session.position, position)
-        self._confirmed.set()
-        if self._rollout.has(host, version):
-            logs.event(
-                "configuration_everywhere",
-                version=self._rollout.version,
-                seconds=clock.now() - self._rollout.begun,
-                hosts=len(self._sessions),
-            )
+        self._confirmations.confirmed(host, version)
 
     def _refresh_entries(self, now: float) -> None:
         """Has everyone told when the entry hosts are others than before."""
@@ -459,7 +387,7 @@
         )
         if self._complete and live != self._entries:
             self._entries = live
-            self._feed.note_entries(live)
+            self._news.note_entries(live)
 
     # Time.
 
@@ -474,7 +402,7 @@
         self._note_silence(now)
         if not self._complete and now - self._began > self._settle_seconds:
             self._complete = True
-            self._feed.note_whole()
+            self._news.note_whole()
             self._seat.set_targets(self._silent, complete=True)
         self._refresh_entries(now)
 
@@ -487,8 +415,7 @@
         for name, session in list(self._sessions.items()):
             if now - session.heard > self._settings.lease_seconds:
                 del self._sessions[name]
-                self._rollout.forget(name)
-                self._confirmed.set()
+                self._confirmations.forget_host(name)
                 self._bank.forget(name)
                 self._seat.forget_host(name)
                 logs.warn("entry_host_gone", peer=name)
@@ -498,9 +425,8 @@
         changed = self._registry.expire(now, silence=_FORGET_SECONDS)
         sessions = self._registry.sessions
         known = {*sessions, *self._registry.departed}
-        self._feed.forget_all_but(known)
-        for name in self._leaving.keys() - known:
-            del self._leaving[name]
+        self._news.forget_all_but(known)
+        self._confirmations.forget_all_but(known)
         for name, session in sessions.items():
             if now - session.heard > silence and name not in self._silent:
                 logs.warn("target_silent", target=name)
--- a/packages/endivestream/src/endivestream/process/table_feed.py
+++ b/packages/endivestream/src/endivestream/process/table_news.py
@@ -52,7 +52,7 @@
     complete: bool
 
 
-class TableFeed:
+class TableNews:
     """News of the table during one term of leadership."""
 
     def __init__(
--- a/tests/test_table_feed.py
+++ b/tests/test_table_news.py
@@ -7,7 +7,7 @@
 from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
 from endivestream.process import entry as entry_lib
-from endivestream.process import table_feed
+from endivestream.process import table_news
 from endivestream.request import names as names_lib
 import hypothesis
 from hypothesis import strategies as st
@@ -34,18 +34,18 @@
 
 
 class Leader:
-    """A table with its feed; what is pushed waits to be delivered or lost."""
+    """A table with its news; what is pushed waits to be delivered or lost."""
 
     def __init__(self, *, term=1):
         self.held = {}
         self.number = 0
         self.pushed = []
-        self.feed = table_feed.TableFeed(
+        self.news = table_news.TableNews(
             term=term,
             push=self._push,
             peers=lambda: [b"e0"],
             target=self.held.get,
-            whole=lambda: table_feed.Table(
+            whole=lambda: table_news.Table(
                 targets=tuple(self.held.values()), gone=(), complete=True
             ),
         )
@@ -60,10 +60,10 @@
             self.held.pop(name, None)
         else:
             self.held[name] = target(name, self.number)
-        self.feed.note_targets([name])
+        self.news.note_targets([name])
 
 
-class TableFeedTest(unittest.TestCase):
+class TableNewsTest(unittest.TestCase):
     @hypothesis.settings(max_examples=300)
     @hypothesis.given(st.lists(STEPS, max_size=25))
     def test_lost_and_crossed_news_leave_no_host_behind(self, steps):
@@ -83,7 +83,7 @@
 
     async def _play(self, steps, entry):
         leader = Leader()
-        leader.feed.start()
+        leader.news.start()
         version = 0
         seen = {}
         for step, name in steps:
@@ -103,17 +103,17 @@
                     # The answer overtakes what is still on its way.
                     self._renew(leader, entry)
                 case "whole":
-                    leader.feed.note_whole()
+                    leader.news.note_whole()
                 case "document":
                     version += 1
-                    leader.feed.tell_at_once(test_document.document(version))
+                    leader.news.tell_at_once(test_document.document(version))
                 case "elect":
-                    await leader.feed.close()
-                    after = Leader(term=leader.feed.position.term + 1)
+                    await leader.news.close()
+                    after = Leader(term=leader.news.position.term + 1)
                     after.held.update(leader.held)
                     after.number = leader.number
                     leader = after
-                    leader.feed.start()
+                    leader.news.start()
             for known in entry._view.targets.values():
                 before = seen.get(known.said.name, 0)
                 self.assertGreaterEqual(known.said.number, before)
@@ -126,10 +126,10 @@
         known = entry._view.targets
         # Those gone before an election are dropped only after a while.
         self.assertEqual({n: known.get(n) for n in held}, held)
-        await leader.feed.close()
+        await leader.news.close()
 
     def _renew(self, leader, entry):
-        news = leader.feed.since(entry._position)
+        news = leader.news.since(entry._position)
         if news is not None:
             entry._take_news(news)
 
@@ -144,8 +144,8 @@
                 await asyncio.sleep(0.02)
                 await push(peers, message)
 
-            leader.feed._push = slow
-            leader.feed.start()
+            leader.news._push = slow
+            leader.news.start()
             begun = clock.now()
             for _ in range(300):
                 leader.change("t0")
@@ -153,7 +153,7 @@
                 await asyncio.sleep(0.01)
             seconds = clock.now() - begun
             await asyncio.sleep(1.0)
-            await leader.feed.close()
+            await leader.news.close()
             return seconds, leader.pushed
 
         with virtual_time.running() as runner:
@@ -170,18 +170,18 @@
         leader = Leader()
         for number in range(100):
             leader.change(f"t{number}")
-        before = leader.feed.position
+        before = leader.news.position
         leader.change("t7")
-        news = leader.feed.since(before)
+        news = leader.news.since(before)
         self.assertEqual([t.said.name for t in news.targets], ["t7"])
 
     def test_a_host_from_before_a_gone_target_was_forgotten_gets_all(self):
         leader = Leader()
         leader.change("t0")
-        old = leader.feed.position
+        old = leader.news.position
         leader.change("t0", gone=True)
         leader.change("t1")
-        leader.feed.forget_all_but({"t1"})
-        self.assertIsNone(leader.feed.since(old).after)
-        news = leader.feed.since(leader.feed.position._replace(number=2))
+        leader.news.forget_all_but({"t1"})
+        self.assertIsNone(leader.news.since(old).after)
+        news = leader.news.since(leader.news.position._replace(number=2))
         self.assertEqual([t.said.name for t in news.targets], ["t1"])
