A test of sockets waits until they are connected

Traced: the bound side of a pair takes no frame before the other has connected (200 of 200 sends right after the connect are refused); the test began at once and was usually late enough. It waits for both sides now, and its queues have no limit, so that a refusal is a failure and nothing else. As strict: every frame must be taken and arrive. 30 runs of the file, six at a time: no failure.

--- a/tests/test_port.py
+++ b/tests/test_port.py
@@ -14,10 +14,17 @@
         self.context = zmq.Context()
         self.addCleanup(self.context.destroy, linger=0)
 
-    def _pair(self, on_left, on_right):
+    async def _pair(self, on_left, on_right):
         left, right = (self.context.socket(zmq.PAIR) for _ in range(2))
+        for socket in (left, right):
+            socket.setsockopt(zmq.SNDHWM, 0)
+            socket.setsockopt(zmq.RCVHWM, 0)
         number = left.bind_to_random_port("tcp://127.0.0.1")
         right.connect(f"tcp://127.0.0.1:{number}")
+        # Before they are connected the bound side takes no frames.
+        await self._until(
+            lambda: all(s.poll(0, zmq.POLLOUT) for s in (left, right))
+        )
         ports = [
             port_lib.Port(socket=left, on_frames=on_left),
             port_lib.Port(socket=right, on_frames=on_right),
@@ -35,7 +42,9 @@
     async def test_frames_that_arrive_while_others_leave_are_read(self):
         """A peer must not go unheard because the socket was written to."""
         heard = {"left": [], "right": []}
-        left, right = self._pair(heard["left"].append, heard["right"].append)
+        left, right = await self._pair(
+            heard["left"].append, heard["right"].append
+        )
         for number in range(2000):
             frame = b"%d" % number
             self.assertTrue(left.send([frame]))
@@ -50,7 +59,7 @@
     async def test_a_notice_taken_by_sending_is_not_lost(self):
         """The descriptor tells of frames once; sending may take that."""
         heard = []
-        left, right = self._pair(heard.append, lambda frames: None)
+        left, right = await self._pair(heard.append, lambda frames: None)
         left.send([b"first"])
         right.send([b"first"])
         await self._until(lambda: heard)
@@ -71,7 +80,7 @@
             turns.append(self.turn)
 
         self.turn = 0
-        left, right = self._pair(read, lambda frames: None)
+        left, right = await self._pair(read, lambda frames: None)
         del left
         with mock.patch.object(port_lib, "_FRAMES_IN_A_ROW", 10):
             for _ in range(500):
