Stop pinging idle request-only links

Each entry host keeps a link to the owner of each engine, for turns, and to every control host that it asked while it searched for the leader. Each link pinged when it was quiet: hosts x engines, every two seconds, and hosts x control hosts, every 0.6 s. With 191 hosts, each control host that is not the leader answered about 330 pings a second.

A link now states whether its peer may push messages. A link that only carries requests pings while a request is pending and, after a request timed out with nothing heard since it was sent, until a frame arrives or the socket is replaced. An entry host closes its links to other control hosts once it has found the leader. Turn messages are now counted in the host's load line.

--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -164,6 +164,10 @@
     after hours or, behind a proxy, never. So the link pings when it hears
     nothing, and after `silence` seconds it abandons the socket and opens a new
     one. It does not conclude that the peer is dead: that is for leases.
+
+    A link that expects no pushes pings only while a request is pending, and
+    after a request timed out until a frame arrives or the socket is replaced.
+    Pings on every idle link would grow with the square of the host count.
     """
 
     def __init__(
@@ -173,15 +177,32 @@
         context: zmq.asyncio.Context,
         on_push: Callable[[messages.Message], None],
         silence: float,
+        expects_pushes: bool = True,
         keys: link_keys.LinkKeys | None = None,
         meter: loop_meter.LoopMeter | None = None,
     ) -> None:
+        """Does not connect yet.
+
+        Args:
+            address: `tcp://IP:PORT` of the peer.
+            context: The process's zmq context.
+            on_push: Called with each message that answers no request.
+            silence: Seconds without a frame, while the link pings, after
+                which the socket is replaced.
+            expects_pushes: Whether the peer may send unrequested messages,
+                so that the connection must be kept alive between requests.
+            keys: Encryption keys; None for an unencrypted link.
+            meter: Counts what messages cost.
+        """
         self._address = address
         self._keys = keys
         self._meter = meter or loop_meter.LoopMeter()
         self._context = context
         self._on_push = on_push
         self._silence = silence
+        self._expects_pushes = expects_pushes
+        # A request timed out and no frame has arrived since it was sent.
+        self._is_suspect = False
         self._port: port_lib.Port | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._ids = itertools.count(1)
@@ -199,6 +220,10 @@
         """The peer's address."""
         return self._address
 
+    @property
+    def _needs_pings(self) -> bool:
+        return self._expects_pushes or self._is_suspect or bool(self._waiting)
+
     def start(self) -> None:
         """Opens the socket; the connection comes about in the background."""
         self._connect()
@@ -239,12 +264,18 @@
         """
         name = next(self._ids)
         future = asyncio.get_running_loop().create_future()
+        sent = time.monotonic()
+        if not self._needs_pings:
+            # Idle time without pings must not count as silence.
+            self._heard = sent
         self._waiting[name] = future
         try:
             async with asyncio.timeout(seconds):
                 self._send(messages.Envelope(name, message))
                 return await future
         except TimeoutError:
+            if self._heard <= sent:
+                self._is_suspect = True
             what = type(message).__name__
             raise LinkDownError(
                 f"{self._address}: no answer to {what} in {seconds:.1f} s"
@@ -263,6 +294,7 @@
 
     def _read(self, frames: list[bytes]) -> None:
         self._heard = time.monotonic()
+        self._is_suspect = False
         try:
             envelope = _decode(frames[0], self._meter)
         except msgspec.DecodeError as error:
@@ -287,6 +319,8 @@
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(self._silence / 3)
+            if not self._needs_pings:
+                continue
             quiet = time.monotonic() - self._heard
             if quiet > self._silence:
                 self._reconnect(quiet)
@@ -296,6 +330,7 @@
     def _reconnect(self, quiet: float) -> None:
         logs.warn("link_abandoned", peer=self._address, silent_s=quiet)
         self._reconnects += 1
+        self._is_suspect = False
         assert self._port is not None
         self._port.close()
         # Answers under way were to come over the old socket. Whether to send
--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 
 import zmq.asyncio
@@ -180,6 +181,7 @@
             case site_messages.Renewed():
                 if self._leader != address:
                     logs.event("leader_found", peer=address)
+                    self._close_links(keep=[address])
                 self._leader = address
                 self._learn(answer.controls)
                 # Counted from the sending: the leader was one then.
@@ -197,10 +199,11 @@
         known = [*controls, *(s for s in self._seeds if s not in controls)]
         if controls and known != self._controls:
             self._controls = known
-            for address in list(self._links):
-                if address not in known:
-                    closing = asyncio.create_task(
-                        self._links.pop(address).close()
-                    )
-                    self._closing.add(closing)
-                    closing.add_done_callback(self._closing.discard)
+            self._close_links(keep=known)
+
+    def _close_links(self, *, keep: Collection[str]) -> None:
+        """Closes the links to addresses not in `keep`, to stop their pings."""
+        for address in self._links.keys() - set(keep):
+            closing = asyncio.create_task(self._links.pop(address).close())
+            self._closing.add(closing)
+            closing.add_done_callback(self._closing.discard)
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -95,7 +95,10 @@
             meter=self._meter,
         )
         self._turn_desk = turn_desk.TurnDesk(
-            name=settings.name, address=settings.peers, context=self._context
+            name=settings.name,
+            address=settings.peers,
+            context=self._context,
+            meter=self._meter,
         )
         self._metrics = site_metrics.EntryMetrics(
             running=lambda: self.running,
--- a/packages/endivestream/src/endivestream/process/turn_desk.py
+++ b/packages/endivestream/src/endivestream/process/turn_desk.py
@@ -14,6 +14,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import loop_meter
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
@@ -34,7 +35,12 @@
     """Turns at all engines, as one entry host sees them."""
 
     def __init__(
-        self, *, name: str, address: str, context: zmq.asyncio.Context
+        self,
+        *,
+        name: str,
+        address: str,
+        context: zmq.asyncio.Context,
+        meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Does not listen yet.
 
@@ -42,7 +48,9 @@
             name: This host.
             address: `tcp://IP:PORT` where it listens; empty to own nothing.
             context: The process's zmq context.
+            meter: Counts what messages cost.
         """
+        self._meter = meter or loop_meter.LoopMeter()
         self._name = name
         self._context = context
         self._turns = turns_lib.Turns()
@@ -53,7 +61,10 @@
         self._server: links.Server | None = None
         if address:
             self._server = links.Server(
-                address=address, context=context, handle=self._answer
+                address=address,
+                context=context,
+                handle=self._answer,
+                meter=self._meter,
             )
 
     def start(self) -> None:
@@ -134,6 +145,8 @@
                 context=self._context,
                 on_push=lambda message: None,
                 silence=_LINK_SECONDS,
+                expects_pushes=False,
+                meter=self._meter,
             )
             link.start()
             self._links[address] = link
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -98,9 +98,9 @@
         await control.start()
         self.controls[peer] = control
 
-    def _start_entry(self, name):
+    def _start_entry(self, name, **fields):
         entry = entry_lib.Entry(
-            settings=self._settings(name, callers=free_address()),
+            settings=self._settings(name, callers=free_address(), **fields),
             names=names_lib.HeaderNames(),
         )
         entry.start()
@@ -144,6 +144,16 @@
         finally:
             caller.close()
 
+    async def test_only_the_link_to_the_leader_is_kept(self):
+        """Links left from a search would be kept alive by every host."""
+        watch = self.entries[0]._watch
+        await self._until(lambda: watch.leader)
+        others = [peer for peer in self.peers if peer != watch.leader]
+        entry = self._start_entry("e9", controls=(*others, watch.leader))
+        self.entries.append(entry)
+        await self._until(lambda: entry._watch.leader)
+        self.assertEqual(set(entry._watch._links), {entry._watch.leader})
+
     async def test_a_request_is_served_and_a_withdrawn_key_is_not(self):
         """The whole path, from an operator's document to a target's answer.
 
