Order notices by fencing token before number

After the host that places models was lost and another host took over under the same leader, adapters loaded from then on could not be used, and requests were still routed to models that were being unloaded, until the next leader was elected.

The leader keeps the last notice of each target and drops notices with a lower number as outdated. A holder starts numbering at its own boot clock, so numbers are not comparable across holders. If the lost holder's machine had been up for longer, all notices of its successor were dropped.

Order notices by the fencing token of their sender, then by number.

Add test_a_new_holders_lower_notice_number_is_accepted, which failed before this change. The existing tests compared only the numbers of one holder.

Ruled out on the way: engines that a host leaves out because they refused a model (`denied`).

--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -63,7 +63,10 @@
         self._sessions = sessions
         self._changed = changed
         self._uses = use_table.UseTable()
-        self._notices: dict[str, site_messages.Notice] = {}
+        # The last notice of each target with the fencing token of its sender.
+        # Numbers start at the sender's boot clock, so they are comparable only
+        # under the same token.
+        self._notices: dict[str, tuple[int, site_messages.Notice]] = {}
         self._demand: dict[str, site_messages.FedDemand] = {}
         self._targets = site_messages.FedTargets()
         self._items: list[site_messages.Fed] = []
@@ -156,8 +159,9 @@
 
     def notice(self, target: str) -> site_messages.Notice:
         """Returns what the holder last said of a target."""
-        known = self._notices.get(target)
-        return known or site_messages.Notice(target=target)
+        if target in self._notices:
+            return self._notices[target][1]
+        return site_messages.Notice(target=target)
 
     def told(self, message: site_messages.TellNotices) -> None:
         """Takes notices of the holder in."""
@@ -165,9 +169,9 @@
             return
         fresh = []
         for notice in message.notices:
-            known = self._notices.get(notice.target)
-            if known is None or known.number < notice.number:
-                self._notices[notice.target] = notice
+            known_fence, known = self._notices.get(notice.target, (-1, notice))
+            if (known_fence, known.number) < (message.fence, notice.number):
+                self._notices[notice.target] = (message.fence, notice)
                 fresh.append(notice.target)
         known_targets = self._sessions().keys()
         fresh = [name for name in fresh if name in known_targets]
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -209,6 +209,30 @@
         self.assertEqual(("m",), self.desk.notice("t1").closing)
         self.assertEqual(["t1"], self.changed)
 
+    async def test_a_new_holders_lower_notice_number_is_accepted(self):
+        """Guards against dropping a new holder's notices as outdated."""
+        told = await self._ask("m1")
+        old_fence = told.fence
+        said = registry_lib.Registration(
+            name="t1", service="s", address="a", domain="d"
+        )
+        self.sessions["t1"] = registry_lib.Session(said, 0.0)
+        self._send_notice(old_fence, 9_000_000, adapters=("m/a1",))
+        self.now += told.seconds + 0.3
+        new_fence = (await self._ask("m2")).fence
+        self.assertGreater(new_fence, old_fence)
+        self._send_notice(new_fence, 5, adapters=("m/a2",))
+        self.assertEqual(("m/a2",), self.desk.notice("t1").adapters)
+        self._send_notice(new_fence, 4, adapters=("m/a3",))
+        self.assertEqual(("m/a2",), self.desk.notice("t1").adapters)
+        self.assertEqual(["t1", "t1"], self.changed)
+
+    def _send_notice(self, fence, number, **fields):
+        notice = site_messages.Notice(target="t1", number=number, **fields)
+        self.desk.told(
+            site_messages.TellNotices(fence=fence, notices=(notice,))
+        )
+
     async def test_an_old_holders_notice_changes_nothing(self):
         fence = (await self._ask("m1")).fence
         notice = site_messages.Notice(target="t1", number=9, closing=("m",))
