--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -20,11 +20,12 @@
 from endivestream.version import replicate
 from endivestream.version import seat as seat_lib
 
-# The holder may order for so long after it asked. Longer than an election, so
-# that a lost leader does not stop placement.
-LEASE_SECONDS = 2.0
+# How long the holder may order after it asked. Covers most elections, so that
+# placement continues when the leader is lost. A longer lease delays the
+# successor of a lost holder, which must wait for its end and the pause.
+LEASE_SECONDS = 1.4
 # A holder that is silent for the lease and this much more is replaced.
-_SILENT_MARGIN_SECONDS = 0.2
+_SILENT_MARGIN_SECONDS = 0.4
 # Left between an old holder's last order and the first of a new one.
 _HOLDER_MARGIN_SECONDS = 0.4
 # A question of the holder waits so long for something new.
@@ -268,7 +269,7 @@
                 return
             # In a log of an earlier version leaders have ordered themselves.
             first = not record.holder and self._replicator.replica.first_own < 2
-            pause = 0.0 if first else self._pause + _HOLDER_MARGIN_SECONDS
+            orders_from = now if first else self._order_start(record, now)
             result = await self._replicator.propose(
                 seat_lib.Appoint(
                     holder=host,
@@ -280,7 +281,7 @@
             assert isinstance(result, seat_lib.Appointed), result
             if result.holder == host:
                 self._heard = clock.now()
-                self._orders_from = now + pause
+                self._orders_from = orders_from
             logs.event(
                 "seat",
                 holder=result.holder,
@@ -288,3 +289,13 @@
                 before=record.holder,
                 silent_s=now - self._heard,
             )
+
+    def _order_start(self, record: seat_lib.Record, now: float) -> float:
+        """Returns the earliest time at which a new holder may order.
+
+        The pause starts at the end of the previous holder's last lease. If the
+        log names no holder, an earlier leader may have ordered without a lease
+        until now, and the pause starts now.
+        """
+        pause_start = self._heard + LEASE_SECONDS if record.holder else now
+        return max(now, pause_start + self._pause + _HOLDER_MARGIN_SECONDS)
