Report only teams with recent demand in renewals

With 191 entry hosts and 19 teams, each host receives one or two requests a second, but reported the credit of all teams with every renewal, and the leader answered with a grant for each. A renewal took 131 us of the leader's event loop and its answer 410 bytes, the larger part of both for this.

A host now omits a team if it wants less than a twentieth of a request's cost, and returns the credit that it holds for the team with the last report. The leader forgets a host's share in teams that the host no longer reports, even if that last report was lost. Credit is reported, and granted with renewals, in whole tokens, and rates of demand are rounded to 1/256 a second, because numbers with few digits make packed frames smaller. Rates of demand below 0.02 a second are forgotten (previously 0.002).

Credit still never exceeds rate and burst: the property tests in tests/test_credit_portions.py pass, and now also forget omitted teams as the leader does.

Tests: test_a_team_that_is_no_longer_asked_for_is_not_reported, test_the_credit_of_an_idle_team_is_returned, test_a_host_keeps_no_share_of_a_team_it_stopped_reporting (fails without forget_teams), test_a_late_grant_does_not_keep_an_idle_team_reported (fails with a strict comparison).

--- a/packages/endivestream/src/endivestream/process/bank.py
+++ b/packages/endivestream/src/endivestream/process/bank.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import dataclasses
 import math
 
@@ -233,7 +234,15 @@
         wanted = min(need.wanted, bucket.most_held(host))
         lacking = max(0.0, wanted - need.balance)
         given = min(lacking, max(0.0, bucket.level) * _MOST_SHARE)
-        return self._give(host, bucket, given, 0.0)
+        return self._give(host, bucket, float(math.floor(given)), 0.0)
+
+    def forget_teams(self, host: str, teams: Iterable[str]) -> None:
+        """Clears a host's demand and credit in teams it no longer reports."""
+        for team in teams:
+            bucket = self._buckets.get(team)
+            if bucket is not None:
+                bucket.wanted.set(host, 0.0)
+                bucket.held.set(host, 0.0)
 
     def ask(
         self,
@@ -298,6 +307,9 @@
     def _grant(
         self, host: str, bucket: _Bucket, credit: float, short: float
     ) -> site_messages.Grant:
-        rate = bucket.team.rate * _ALONE_SHARE * bucket.share(host)
-        most = bucket.most_held(host)
+        # Whole numbers take less space in a packed frame.
+        rate = float(
+            math.floor(bucket.team.rate * _ALONE_SHARE * bucket.share(host))
+        )
+        most = float(math.floor(bucket.most_held(host)))
         return site_messages.Grant(bucket.team.name, credit, rate, short, most)
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -59,6 +59,7 @@
         heard: When it renewed last.
         position: The table that it has.
         relay: Name of the relay that it follows, or empty.
+        reported_teams: Teams named in its last renewal.
     """
 
     host: site_messages.EntryHost
@@ -66,6 +67,7 @@
     heard: float
     position: site_messages.Position
     relay: str = ""
+    reported_teams: frozenset[str] = frozenset()
 
 
 class SiteLeading:
@@ -344,12 +346,18 @@
                 draining=host.draining,
                 new=session is None,
             )
+        reported_teams = frozenset(need.team for need in message.needs)
+        if session is not None:
+            self._bank.forget_teams(
+                host.name, session.reported_teams - reported_teams
+            )
         self._sessions[host.name] = _Session(
             host=host,
             peer=peer,
             heard=now,
             position=message.position,
             relay=message.relay,
+            reported_teams=reported_teams,
         )
         self._note(host.name, message.version, message.position)
         self._seat.renewed(message)
--- a/packages/endivestream/src/endivestream/request/allowance.py
+++ b/packages/endivestream/src/endivestream/request/allowance.py
@@ -26,6 +26,10 @@
 _ALONE_SECONDS = 4.0
 # Credit above this multiple of what is wanted goes back to the leader.
 _SURPLUS = 2.0
+# A team is idle if less credit is wanted than this fraction of its last
+# request's cost. Idle teams are omitted from reports, which keeps renewals
+# small when there are many hosts and teams.
+_IDLE_SHARE = 0.05
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -36,6 +40,7 @@
         balance: Credit that may be spent.
         demand: Credit a second that was asked for lately.
         asked: Credit asked for since the last report.
+        last_cost: Cost of the last request.
         most: The most that the leader lets this host hold.
         rate: Credit a second to count on without a leader.
         refilled: When `rate` was last added.
@@ -46,6 +51,7 @@
     balance: float = 0.0
     demand: float = 0.0
     asked: float = 0.0
+    last_cost: float = 0.0
     most: float = math.inf
     rate: float = 0.0
     refilled: float = 0.0
@@ -88,6 +94,7 @@
         """Counts a request's cost as demand, whether it is spent or not."""
         purse = self._purses.setdefault(team, _Purse())
         purse.asked += cost
+        purse.last_cost = cost
 
     def spend(self, team: str, cost: float, now: float) -> bool:
         """Takes credit for a request; False if there is too little."""
@@ -107,29 +114,42 @@
 
     def refund(self, team: str, cost: float) -> None:
         """Gives back the credit of a request that has not run."""
-        purse = self._purses.setdefault(team, _Purse())
+        purse = self._purses.setdefault(team, _Purse(last_cost=cost))
         purse.balance += cost
 
     def needs(self, now: float) -> tuple[site_messages.Need, ...]:
-        """Returns what to report and ask for; starts a new report."""
+        """Returns what to report and ask for; starts a new report.
+
+        Idle teams are omitted once their credit has been returned. Amounts are
+        whole numbers.
+        """
         seconds = min(_AVERAGE_SECONDS, max(0.0, now - self._averaged))
         self._averaged = now
         needs = []
-        for team, purse in self._purses.items():
+        for team, purse in list(self._purses.items()):
             if seconds > 0:
                 share = seconds / _AVERAGE_SECONDS
                 now_asked = purse.asked / seconds
                 purse.demand += share * (now_asked - purse.demand)
             wanted = purse.demand * AHEAD_SECONDS
+            is_idle = wanted <= _IDLE_SHARE * purse.last_cost
+            if is_idle:
+                wanted = 0.0
             # Taken out before the report leaves: if that is lost, so is the
             # credit, but it is never both here and at the leader.
             keep = min(_SURPLUS * wanted, purse.most)
-            returned = max(0.0, purse.balance - keep)
+            returned = float(math.floor(max(0.0, purse.balance - keep)))
             purse.balance -= returned
-            needs.append(
-                site_messages.Need(team, returned, purse.balance, wanted)
-            )
             purse.asked = 0.0
+            if not is_idle or returned:
+                balance = float(math.ceil(purse.balance))
+                needs.append(
+                    site_messages.Need(
+                        team, returned, balance, float(round(wanted))
+                    )
+                )
+            elif max(purse.short_until, purse.told_until) < now:
+                del self._purses[team]
         return tuple(needs)
 
     def take(self, grant: site_messages.Grant, now: float) -> None:
--- a/packages/endivestream/src/endivestream/request/demand.py
+++ b/packages/endivestream/src/endivestream/request/demand.py
@@ -13,8 +13,12 @@
 # Demand is averaged over about so many seconds: long enough to smooth a second
 # without requests, short enough to follow a shift of a few seconds.
 _AVERAGE_SECONDS = 4.0
-# Rates below this many requests a second are forgotten.
-_LEAST_RATE = 0.002
+# Rates below this many requests a second are forgotten: a single request
+# counts for about ten seconds.
+_LEAST_RATE = 0.02
+# Rates are rounded to multiples of this many requests a second: numbers with
+# few digits take less space in a packed frame.
+_RATE_STEP = 1 / 256
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -67,5 +71,5 @@
             if rate < _LEAST_RATE:
                 del self._meters[key]
             else:
-                rates[key] = rate
+                rates[key] = round(rate / _RATE_STEP) * _RATE_STEP
         return rates
--- a/tests/test_credit_portions.py
+++ b/tests/test_credit_portions.py
@@ -32,18 +32,24 @@
         self.bank.set_teams((team(),), self.now, full=True)
         self.hosts = {f"h{n}": allowance_lib.Allowance() for n in range(hosts)}
         self.cut = set()
+        # Teams that each host named in its last report to the leader.
+        self.named = {}
         self.spent = []
         self.refused = 0
 
     def lead_anew(self):
         self.bank = bank_lib.Bank()
         self.bank.set_teams((team(),), self.now, full=False)
+        self.named = {}
 
     def renew(self, host, *, lost=False):
         allowance = self.hosts[host]
         needs = allowance.needs(self.now)
         if host in self.cut or self.bank is None:
             return
+        named = {need.team for need in needs}
+        self.bank.forget_teams(host, self.named.get(host, set()) - named)
+        self.named[host] = named
         grants = [self.bank.report(host, need, self.now) for need in needs]
         if lost:
             return
@@ -75,6 +81,56 @@
         return most
 
 
+class IdleTeamTest(unittest.TestCase):
+    """Teams without recent requests on a host."""
+
+    def setUp(self):
+        self.site = Site(2)
+        for _ in range(5):
+            self._renew(1)
+        self.site.request("h0")
+        self._renew(1)
+
+    def _renew(self, times):
+        for _ in range(times):
+            self.site.now += 0.3
+            self.site.renew("h0")
+
+    def test_a_team_that_is_no_longer_asked_for_is_not_reported(self):
+        """Guards against renewals that name every team of the site."""
+        allowance = self.site.hosts["h0"]
+        self.assertEqual(len(allowance.needs(self.site.now)), 1)
+        self._renew(40)
+        self.assertEqual(allowance.needs(self.site.now), ())
+
+    def test_the_credit_of_an_idle_team_is_returned(self):
+        """Guards against unused credit that stays on a host."""
+        self._renew(40)
+        self.assertEqual(self.site.hosts["h0"].balance("band"), 0.0)
+        self.assertEqual(self.site.bank.levels["band"], BURST)
+
+    def test_a_host_keeps_no_share_of_a_team_it_stopped_reporting(self):
+        """Guards against a lost last report reducing other hosts' credit."""
+        need = site_messages.Need("band", 0.0, 0.0, 2 * BURST)
+        self.site.bank.report("h0", need, self.site.now)
+        shared = self.site.bank.report("h1", need, self.site.now).most
+        self.site.cut.add("h0")
+        self._renew(40)
+        self.site.cut.clear()
+        self._renew(1)
+        whole = self.site.bank.report("h1", need, self.site.now).most
+        self.assertGreater(whole, 1.9 * shared)
+
+    def test_a_late_grant_does_not_keep_an_idle_team_reported(self):
+        """Guards against a grant that arrives after the team was dropped."""
+        self._renew(40)
+        allowance = self.site.hosts["h0"]
+        grant = site_messages.Grant("band", 10.0, 0.0, 0.0)
+        allowance.take(grant, self.site.now)
+        self._renew(40)
+        self.assertEqual(allowance.needs(self.site.now), ())
+
+
 class LineTest(unittest.TestCase):
     def setUp(self):
         self.bank = bank_lib.Bank()
