Make requests that have waited for a model take turns

Whether a stream pauses depends on the number of tokens (prompt and largest answer) of the requests that begin on its engine within a quarter of a second: 0.3% of streams pause below 6,000 tokens, 36% from 10,000 to 14,000, and 74% above that.

Cause: a request waited for its turn only until 0.4 objectives after it came. A request that had already waited 0.3 s or more for a model or a place was sent at once, together with all others that had waited for the same one. Of the 1,626 requests in bursts of 10,000 tokens or more, 1,038 had no turn, 699 of them after a wait of over 0.33 s.

Change: a request that can still meet its objective waits for its turn until 0.6 objectives after it came. A request already past that point waits for as long as its caller is expected to stay: it has the same limit as a request that waits for a place. A request now holds out for a place on an engine that is not full for 0.3 objectives instead of 0.5, which leaves time for its turn.

Test: test_requests_that_waited_for_a_model_take_turns replays the load of a model that twelve requests wait for. With the previous bound of 0.4 objectives, all twelve are sent at the same moment.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -32,12 +32,9 @@
 
 # It holds out for a place on an engine that is not full for this multiple;
 # after that it takes its turn in a full engine's own queue.
-_PLACE_OBJECTIVES = 0.5
+_PLACE_OBJECTIVES = 0.3
 # One that gets its credit within this multiple can still be in time.
 _SOON_OBJECTIVES = 0.5
-# It waits for its turn at an engine for this multiple at most: an answer that
-# is late for the caller is worse than a pause for others.
-_TURN_OBJECTIVES = 0.4
 # How often a request that no target wants is offered again, at most.
 _REFUSALS = 6
 # Pause after a refusal by a target, before another is asked.
@@ -454,8 +451,10 @@
         wait = await self._parts.turn(said.name, said.domain, work.prompt, rank)
         now = clock.now()
         self._parts.view.set_turn(said.name, now + wait)
-        latest = work.came + work.route.objective * _TURN_OBJECTIVES
-        wait = min(wait, latest - now, work.deadline - now)
+        until = patience_lib.until_turn(
+            route=work.route, came=work.came, now=now, deadline=work.deadline
+        )
+        wait = min(wait, until - now)
         if wait <= 0:
             return False
         progress.turn = wait
--- a/packages/endivestream/src/endivestream/request/patience.py
+++ b/packages/endivestream/src/endivestream/request/patience.py
@@ -9,6 +9,9 @@
 - Demand moves to models that no target holds. A load takes several objectives.
   Callers who would have left before it ends are better told at once when to
   come back; the others wait and are answered late instead of never.
+- A model that dozens of requests wait for is loaded. Prompts sent to its engine
+  all at once would pause every stream there until they are processed, so these
+  requests take turns too, within the limit for waiting for a place.
 
 Who is refused must still have time to come back, so nobody waits until the
 end of his time.
@@ -34,6 +37,9 @@
 # The part of that which may pass before a target has the request: a prompt is
 # still to be read.
 _SILENT_SHARE = 0.85
+# Latest turn of a request that can still meet its objective, as a multiple of
+# the objective. The rest is left for processing the prompt.
+_TURN_OBJECTIVES = 0.6
 # A leader confirms within milliseconds, or is being elected.
 _CONFIRMED_SECONDS = 0.5
 # A process whose lease ran out was frozen, and has the next one at once, or is
@@ -84,6 +90,26 @@
     return until
 
 
+def until_turn(
+    *, route: document_lib.Route, came: float, now: float, deadline: float
+) -> float:
+    """Returns until when a request waits for its turn at an engine.
+
+    A request that is past `_TURN_OBJECTIVES` has the same limit as one that
+    waits for a place.
+
+    Args:
+        route: The request's route.
+        came: When the request was read, in seconds.
+        now: The current time, in seconds.
+        deadline: When its final answer must be out, in seconds.
+    """
+    latest = came + _TURN_OBJECTIVES * route.objective
+    if now < latest:
+        return min(latest, deadline)
+    return until_place(route=route, came=came, heard=0.0, deadline=deadline)
+
+
 def silence(route: document_lib.Route) -> float:
     """Returns how long callers of a stream wait for its next event."""
     return max(
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -17,6 +17,26 @@
 TIMES = st.floats(0.0, 1e6)
 
 
+class TurnTest(unittest.TestCase):
+    @hypothesis.given(TIMES, TIMES, TIMES)
+    def test_turn_wait_ends_by_the_deadline(self, came, elapsed, given):
+        """Guards against sending a prompt after its request's deadline."""
+        for route in (CHAT, ORDER):
+            until = patience.until_turn(
+                route=route,
+                came=came,
+                now=came + elapsed,
+                deadline=came + given,
+            )
+            self.assertLessEqual(until, came + given)
+
+    def test_turn_wait_ends_before_the_objective(self):
+        until = patience.until_turn(
+            route=CHAT, came=100.0, now=100.1, deadline=112.0
+        )
+        self.assertLess(until, 100.0 + CHAT.objective)
+
+
 class PlaceTest(unittest.TestCase):
     def until(self, route, deadline, heard=0.0, came=100.0):
         return patience.until_place(
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,11 +4,15 @@
 from endivestream import site_messages
 from endivestream.connection import links
 from endivestream.process import turn_desk
+from endivestream.request import patience
 from endivestream.request import turns as turns_lib
+from endivestream.version import document as document_lib
 import hypothesis
 from hypothesis import strategies as st
 import zmq.asyncio
 
+from tests import test_document
+
 _WINDOW = 0.3  # Longest pause that streams may make, in seconds.
 
 
@@ -60,6 +64,26 @@
         bound = pace * (_WINDOW + turns_lib.AHEAD_SECONDS) + largest
         self.assertLessEqual(_most(sent), bound * (1 + 1e-9))
 
+    def test_requests_that_waited_for_a_model_take_turns(self):
+        """Sent together after a load, their prompts would pause all streams."""
+        route = test_document.route(
+            kind=document_lib.Kind.STREAM, timeout=12.0, objective=0.8, gap=0.3
+        )
+        turns, loaded = turns_lib.Turns(), 1000.0
+        draw = random.Random(5)
+        sent = []
+        for _ in range(12):
+            came = loaded - draw.uniform(0.5, 1.5)
+            until = patience.until_turn(
+                route=route, came=came, now=loaded, deadline=came + 12.0
+            )
+            wait = turns.take("t", 1500.0, 2, loaded)
+            wait = max(0.0, min(wait, until - loaded))
+            sent.append((loaded + wait, 1500.0))
+        pace = turns_lib.PACE_TOKENS
+        bound = pace * (_WINDOW + turns_lib.AHEAD_SECONDS) + 1500.0
+        self.assertLessEqual(_most(sent), bound)
+
     def test_the_urgent_do_not_wait_behind_the_others(self):
         """A burst of less urgent prompts keeps no urgent caller waiting."""
         turns = turns_lib.Turns()
