Let the leader grant most of the fixed number of repeats at large sites

Callers received 502 and 503 for requests that could have been sent again. In the same 60 s or so, all 191 hosts together sent requests again 593 times.

Cause: each host had an equal part of the fixed number, 1.3 repeats in ten seconds, while failing targets affect only a few hosts at a time.

A new leader grants none for a whole window, because the previous leader may have granted them. A host whose question was denied or not answered asks again after half a second.

test_hosts_and_successive_leaders_stay_within_slack draws hosts, numbers, pauses and leader changes; hosts and leader agree on the number of hosts there. Other tests: test_one_of_many_hosts_may_exceed_its_equal_part (without the leader's part one host gets none of 100), test_a_new_leader_grants_no_repeats_for_a_whole_window, test_a_repeat_is_taken_from_the_shared_budget.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -55,6 +55,12 @@
 # us, with an end that callers understand.
 _STOP_MARGIN_SECONDS = 0.35
 _DRAIN_POLL_SECONDS = 0.05
+# Limits how long a failed request waits for the leader to grant a repeat. The
+# leader normally answers within milliseconds.
+_REPEAT_TIMEOUT_SECONDS = 0.1
+# After a repeat was not granted, the leader is not asked again for the service
+# for so long. Otherwise every request would ask when all targets fail.
+_REPEAT_BACKOFF_SECONDS = 0.5
 # A stopping host takes no new streams once less than this part of its grace is
 # left, and no other requests in the last part: what it takes, it must finish.
 # Long streams take five seconds.
@@ -82,6 +88,7 @@
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._unnamed: dict[str, float] = {}
         self._repeats: dict[str, repeats_lib.RepeatBudget] = {}
+        self._repeat_backoff_until: dict[str, float] = {}
         self._demand = demand_lib.Meters(now=clock.now())
         self._waiting: dict[tuple[str, str, str], list[float]] = {}
         self._changed = asyncio.Event()
@@ -148,6 +155,7 @@
             pool=self._pool,
             credit=self._credit,
             repeats=self._budget,
+            ask_repeat=self._ask_repeat,
             missing=self._missing,
             changed=self._wait_for_change,
             confirm=self._freshness.confirm,
@@ -446,6 +454,21 @@
             self._repeats[service] = budget
         return budget
 
+    async def _ask_repeat(self, service: str) -> bool:
+        if self._repeat_backoff_until.get(service, 0.0) > clock.now():
+            return False
+        answer = await self._watch.ask(
+            site_messages.AskRepeat(service=service),
+            seconds=_REPEAT_TIMEOUT_SECONDS,
+        )
+        granted = (
+            isinstance(answer, site_messages.GiveRepeat) and answer.granted
+        )
+        if not granted:
+            until = clock.now() + _REPEAT_BACKOFF_SECONDS
+            self._repeat_backoff_until[service] = until
+        return granted
+
     def _count(self, work: admission.Work) -> None:
         if work.model and work.service.engine is not None:
             key = (work.service.name, work.model, work.adapter)
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -29,6 +29,7 @@
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
 from endivestream.process import table_news
+from endivestream.request import repeats as repeats_lib
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import state as state_lib
@@ -92,6 +93,7 @@
         self._sessions: dict[str, _Session] = {}
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._bank = bank_lib.Bank()
+        self._repeats: dict[str, repeats_lib.SharedRepeatBudget] = {}
         self._steward = steward_lib.Steward(
             replicator=lead.replicator,
             wanted=settings.voters,
@@ -182,6 +184,8 @@
             case site_messages.AskCredit(host=host, asked=asked):
                 grants = tuple(self._grant(host, each) for each in asked)
                 return site_messages.GiveCredit(grants=grants)
+            case site_messages.AskRepeat(service=service):
+                return self._give_repeat(service)
             case site_messages.Confirm():
                 self._note(message.host, message.version, message.position)
                 return None
@@ -219,6 +223,23 @@
                 logs.warn("unexpected", message=type(message).__name__)
         return None
 
+    def _give_repeat(
+        self, service: str
+    ) -> site_messages.GiveRepeat | messages.NotLeader:
+        if not self._replicator.leads:
+            # Another leader may already grant from the same fixed number.
+            return messages.NotLeader(address="")
+        budget = self._repeats.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            budget = self._repeats[service] = repeats_lib.SharedRepeatBudget(
+                window=bounds.repeat_window,
+                slack=bounds.repeat_slack,
+                now=self._began,
+            )
+        granted = budget.spend(clock.now(), hosts=len(self._sessions))
+        return site_messages.GiveRepeat(granted=granted)
+
     def _grant(
         self, host: str, asked: site_messages.CreditAsk
     ) -> site_messages.Grant:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -80,7 +80,9 @@
         view: Targets.
         pool: Connections to targets.
         credit: Teams' credit.
-        repeats: Returns a service's budget of repeats.
+        repeats: Returns this host's repeat budget for a service.
+        ask_repeat: Asks the leader for one repeat from a service's shared
+            repeat budget.
         missing: Tells the planner what is missing; returns what ends that.
         changed: Waits until targets change, for so many seconds at most.
         confirm: Waits until the configuration here surely is the newest, for
@@ -98,6 +100,7 @@
     pool: exchange_lib.Pool
     credit: Credit
     repeats: Callable[[str], repeats_lib.RepeatBudget]
+    ask_repeat: Callable[[str], Awaitable[bool]]
     missing: Callable[[admission.Work], Callable[[], None]]
     changed: Callable[[float], Awaitable[None]]
     confirm: Callable[[float], Awaitable[bool]]
@@ -278,7 +281,7 @@
                 target = await self._find(work, progress)
             if isinstance(target, findings.Failure):
                 return target
-            if progress.sends and not self._may_repeat(work):
+            if progress.sends and not await self._may_repeat(work):
                 return self._given_up(work, progress, "no_repeats_left")
             result = await self._sender.send(call, work, progress, target)
             match result:
@@ -297,8 +300,11 @@
             if failure is not None:
                 return failure
 
-    def _may_repeat(self, work: admission.Work) -> bool:
-        return self._parts.repeats(work.service.name).spend(clock.now())
+    async def _may_repeat(self, work: admission.Work) -> bool:
+        service = work.service.name
+        if self._parts.repeats(service).spend(clock.now()):
+            return True
+        return await self._parts.ask_repeat(service)
 
     async def _after_refusal(
         self,
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -295,6 +295,18 @@
     grants: tuple[Grant, ...]
 
 
+class AskRepeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks for one repeat from a service's shared repeat budget."""
+
+    service: str
+
+
+class GiveRepeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `AskRepeat`."""
+
+    granted: bool
+
+
 class Missing(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Requests wait for models or adapters that no target holds.
 
@@ -507,6 +519,8 @@
     | News
     | AskCredit
     | GiveCredit
+    | AskRepeat
+    | GiveRepeat
     | Missing
     | AskSeat
     | ToldSeat
--- a/tests/test_credit_portions.py
+++ b/tests/test_credit_portions.py
@@ -412,6 +412,59 @@
             budget.came(1.0)
         self.assertTrue(budget.spend(1.0))
 
+    def test_one_of_many_hosts_may_exceed_its_equal_part(self):
+        """Guards against failing while repeats of other hosts are unused."""
+        budget = repeats.RepeatBudget(
+            ratio=0.2, window=10.0, slack=422.0, now=0.0
+        )
+        budget.set_hosts(191)
+        shared = repeats.SharedRepeatBudget(window=10.0, slack=422.0, now=0.0)
+        repeated = sum(
+            budget.spend(20.0) or shared.spend(20.0, hosts=191)
+            for _ in range(100)
+        )
+        self.assertEqual(repeated, 100)
+
+    def test_a_new_leader_grants_no_repeats_for_a_whole_window(self):
+        shared = repeats.SharedRepeatBudget(window=10.0, slack=422.0, now=0.0)
+        self.assertFalse(shared.spend(9.9, hosts=191))
+        self.assertTrue(shared.spend(10.1, hosts=191))
+
+    @hypothesis.given(
+        st.integers(1, 400),
+        st.floats(0.0, 1000.0),
+        st.lists(
+            st.tuples(st.floats(0.0, 4.0), st.integers(1, 60), st.booleans()),
+            max_size=30,
+        ),
+    )
+    def test_hosts_and_successive_leaders_stay_within_slack(
+        self, hosts, slack, steps
+    ):
+        """Repeats never exceed the fixed number, even across leader changes."""
+        now, spent = 0.0, []
+        budgets = [
+            repeats.RepeatBudget(ratio=0.0, window=10.0, slack=slack, now=now)
+            for _ in range(hosts)
+        ]
+        for budget in budgets:
+            budget.set_hosts(hosts)
+        shared = repeats.SharedRepeatBudget(window=10.0, slack=slack, now=now)
+        now = 11.0
+        for pause, wanted, new_leader in steps:
+            now += pause
+            if new_leader:
+                shared = repeats.SharedRepeatBudget(
+                    window=10.0, slack=slack, now=now
+                )
+            for number in range(wanted):
+                budget = budgets[number % hosts]
+                if budget.spend(now) or shared.spend(now, hosts=hosts):
+                    spent.append(now)
+        for start in spent:
+            within = sum(start <= at <= start + 10.0 for at in spent)
+            self.assertLessEqual(within, slack)
+
     def test_all_hosts_together_stay_inside(self):
         given = 0
         for _ in range(5):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -61,6 +61,8 @@
         self.questions = 0
         self.confirms = True
         self.newer = None
+        self.repeat_asks = 0
+        self.grants_repeat = False
         self.turns = []
         self.turn_seconds = 0.0
         self.refused_kinds = set()
@@ -82,6 +84,7 @@
             pool=self.pool,
             credit=self.credit,
             repeats=lambda service: self.repeats,
+            ask_repeat=self._ask_repeat,
             missing=self._missing,
             changed=self._changed,
             confirm=self._confirm,
@@ -121,6 +124,10 @@
         self.missed.append(work.model)
         return lambda: None
 
+    async def _ask_repeat(self, service):
+        self.repeat_asks += 1
+        return self.grants_repeat
+
     async def _turn(self, target, domain, tokens, rank):
         self.turns.append((target, tokens, rank))
         return self.turn_seconds
@@ -515,6 +522,19 @@
         self.assertEqual((await self.caller.ask()).status, 502)
         self.assertEqual(sum(len(t.requests) for t in self.targets), 1)
 
+    async def test_a_repeat_is_taken_from_the_shared_budget(self):
+        """Guards against failing when only this host's budget is exhausted."""
+        self._route(IDEMPOTENT)
+        self.repeats = repeats_lib.RepeatBudget(
+            ratio=0.0, window=10.0, slack=0.0, now=clock.now()
+        )
+        self.grants_repeat = True
+        for _ in range(2):
+            await self._target(standin.resets())
+        self.assertEqual((await self.caller.ask()).status, 502)
+        self.assertEqual(sum(len(t.requests) for t in self.targets), 2)
+        self.assertEqual(self.repeat_asks, 1)
+
 
 class StreamTest(ForwardTest):
     def _events(self, first, last):
