--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -276,6 +276,7 @@
         self.wire = Wire(self)
         self.hosts = [Host(self, n, f"d{n % domains}") for n in range(hosts)]
         self.pushed_bytes = 0
+        self.pushed_frames = 0
         self.targets = [f"t{n}" for n in range(targets)]
         self.unanswered = 0
         self.questions = 0
@@ -323,6 +324,7 @@
         host = self._by_peer.get(peer)
         if _decode_id(frame) == 0:
             self.pushed_bytes += len(frame)
+            self.pushed_frames += 1
         if host is not None:
             host.heard(frame)
 
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -82,6 +82,38 @@
         ]
         self.assertLess(pushed[1], pushed[0] / 4)
 
+    def test_pushes_take_less_than_a_quarter_of_the_leaders_time(self):
+        """Frequent pushes would delay answers to renewals and heartbeats."""
+        seconds = 5.0
+
+        async def count_pushed_frames(site):
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(3.0)
+            site.pushed_frames = 0
+            site.run_targets(changes=200)
+            await asyncio.sleep(seconds)
+            return site.pushed_frames
+
+        pushed_frames = self._run(count_pushed_frames)
+        self.assertLess(pushed_frames * leader_site.SEND_SECONDS, seconds / 4)
+
+    def test_the_rate_of_pushes_to_a_relay_is_limited(self):
+        """A relay forwards each push to all followers, so pushes must batch."""
+        seconds = 5.0
+
+        async def count_relay_frames(site):
+            site.follow_relays()
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(3.0)
+            relay = next(host for host in site.hosts if host.followers)
+            frames_before = relay.frames
+            site.run_targets(changes=200)
+            await asyncio.sleep(seconds)
+            return relay.frames - frames_before
+
+        frames = self._run(count_relay_frames, hosts=191, targets=44, domains=5)
+        self.assertLess(frames, seconds * 40)
+
     def test_hosts_of_a_lost_relay_miss_no_change(self):
         """Renewals must return the changes that a relay did not forward."""
         every = 0.3
