Give a service its fixed number of repeats from its first request

In the first ten seconds after the first request for a service at a host, failed requests were not repeated and callers saw the failures.

Cause: a host's repeat budget has no fixed number for a whole window, because an earlier process may have spent it. That window was counted from the first request for the service, when the budget was created, instead of from the start of the process.

Change: count the window from the start of the process.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -29,6 +29,7 @@
 from endivestream.connection import links
 from endivestream.connection import watch as watch_lib
 from endivestream.process import entry_credit
+from endivestream.process import entry_repeats
 from endivestream.process import freshness as freshness_lib
 from endivestream.process import push_relay
 from endivestream.process import site_metrics
@@ -41,7 +42,6 @@
 from endivestream.request import demand as demand_lib
 from endivestream.request import forward as forward_lib
 from endivestream.request import names as names_lib
-from endivestream.request import repeats as repeats_lib
 from endivestream.request import routes as routes_lib
 from endivestream.version import document as document_lib
 
@@ -55,12 +55,6 @@
 # us, with an end that callers understand.
 _STOP_MARGIN_SECONDS = 0.35
 _DRAIN_POLL_SECONDS = 0.05
-# Limits how long a failed request waits for the leader to grant a repeat. The
-# leader normally answers within milliseconds.
-_REPEAT_TIMEOUT_SECONDS = 0.1
-# After a repeat was not granted, the leader is not asked again for the service
-# for so long. Otherwise every request would ask when all targets fail.
-_REPEAT_BACKOFF_SECONDS = 0.5
 # A stopping host takes no new streams once less than this part of its grace is
 # left, and no other requests in the last part: what it takes, it must finish.
 # Long streams take five seconds.
@@ -87,8 +81,6 @@
         self._position = site_messages.Position()
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._unnamed: dict[str, float] = {}
-        self._repeats: dict[str, repeats_lib.RepeatBudget] = {}
-        self._repeat_backoff_until: dict[str, float] = {}
         self._demand = demand_lib.Meters(now=clock.now())
         self._waiting: dict[tuple[str, str, str], list[float]] = {}
         self._changed = asyncio.Event()
@@ -149,13 +141,16 @@
             watch=self._watch,
             host=settings.name,
         )
+        self._repeats = entry_repeats.EntryRepeats(
+            bounds=settings.bounds, watch=self._watch
+        )
         parts = forward_lib.Parts(
             rules=rules,
             view=self._view,
             pool=self._pool,
             credit=self._credit,
-            repeats=self._budget,
-            ask_repeat=self._ask_repeat,
+            repeats=self._repeats.budget,
+            ask_repeat=self._repeats.ask,
             missing=self._missing,
             changed=self._wait_for_change,
             confirm=self._freshness.confirm,
@@ -387,8 +382,7 @@
             self._turn_desk.set_hosts(news.entries)
             self._push_relay.set_hosts(news.entries)
             self._view.set_hosts(len(news.entries))
-            for budget in self._repeats.values():
-                budget.set_hosts(len(self._entries))
+            self._repeats.set_hosts(len(news.entries))
         self._signal_change()
 
     def _reaches(self, after: site_messages.Position) -> bool:
@@ -440,35 +434,6 @@
         share = _STREAM_GRACE if is_stream else _OTHER_GRACE
         return self._ends - clock.now() > share * self._settings.bounds.grace
 
-    def _budget(self, service: str) -> repeats_lib.RepeatBudget:
-        budget = self._repeats.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = repeats_lib.RepeatBudget(
-                ratio=bounds.repeat_ratio,
-                window=bounds.repeat_window,
-                slack=bounds.repeat_slack,
-                now=clock.now(),
-            )
-            budget.set_hosts(len(self._entries))
-            self._repeats[service] = budget
-        return budget
-
-    async def _ask_repeat(self, service: str) -> bool:
-        if self._repeat_backoff_until.get(service, 0.0) > clock.now():
-            return False
-        answer = await self._watch.ask(
-            site_messages.AskRepeat(service=service),
-            seconds=_REPEAT_TIMEOUT_SECONDS,
-        )
-        granted = (
-            isinstance(answer, site_messages.GiveRepeat) and answer.granted
-        )
-        if not granted:
-            until = clock.now() + _REPEAT_BACKOFF_SECONDS
-            self._repeat_backoff_until[service] = until
-        return granted
-
     def _count(self, work: admission.Work) -> None:
         if work.model and work.service.engine is not None:
             key = (work.service.name, work.model, work.adapter)
