Keep steps and notices while a new leader's table is incomplete

Callers saw missing models and adapters for seconds after each change of leader.

A new leader's table of targets starts empty and fills as targets report, every 1.2 s. This had two effects:

The host that places models treated each such table as complete. The leader deleted the notices of targets that had not yet reported to it, right after the holder had sent it all of them. Entry hosts then did not know an engine's adapters until its next order.

While the table is incomplete, the planner now keeps the targets it knows and the leader keeps their notices. Once the table is complete, both drop what is not listed, as before.

test_a_new_leaders_incomplete_table_cancels_no_step and test_a_new_leader_keeps_notices_of_unreported_targets failed before this change. test_a_removed_target_gets_no_orders checks that a complete table still drops targets that are not listed.

--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -148,6 +148,10 @@
         """
         self._complete = complete
         self._silent = set(silent)
+        if not complete:
+            # A new leader's table lists only the targets that have reported to
+            # it. Dropping the others would cancel their running steps.
+            return
         for name in self._workers.keys() - set(names):
             worker = self._workers.pop(name)
             if worker.task is not None:
--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -105,8 +105,11 @@
             complete: Whether every sound one has been heard of.
         """
         names = self._sessions().keys()
-        for name in self._notices.keys() - names:
-            del self._notices[name]
+        if complete:
+            # Until the table is complete, a target without a session may be
+            # one that has not yet reported to this leader.
+            for name in self._notices.keys() - names:
+                del self._notices[name]
         targets = site_messages.FedTargets(
             names=tuple(sorted(names)),
             silent=tuple(sorted(silent)),
--- a/tests/test_seat.py
+++ b/tests/test_seat.py
@@ -238,6 +238,15 @@
         self.assertEqual(("m/a2",), self.desk.notice("t1").adapters)
         self.assertEqual(["t1", "t1"], self.changed)
 
+    async def test_a_new_leader_keeps_notices_of_unreported_targets(self):
+        """Guards against losing a target's adapters on a change of leader."""
+        told = await self._ask("m1")
+        self._send_notice(told.fence, 1, adapters=("m/a1",))
+        self.desk.set_targets((), complete=False)
+        self.assertEqual(("m/a1",), self.desk.notice("t1").adapters)
+        self.desk.set_targets((), complete=True)
+        self.assertEqual((), self.desk.notice("t1").adapters)
+
     def _send_notice(self, fence, number, **fields):
         notice = site_messages.Notice(target="t1", number=number, **fields)
         self.desk.told(
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -241,6 +241,26 @@
         self.assertEqual(engine.loaded, {"a", "c"})
         self.assertFalse(engine.crashed)
 
+    async def test_a_new_leaders_incomplete_table_cancels_no_step(self):
+        """Guards against cancelling running loads on a change of leader."""
+        engine = Engine("e1", "ab")
+        self._start(engine)
+        self.planner.used("h1", [site_messages.Use("e1", "b", "", 1)])
+        self._ask_for("c")
+        await self._until(lambda: self.planner.closing("e1"))
+        closing = self.planner.closing("e1")
+        self.planner.set_targets((), set(), complete=False)
+        self.assertEqual(self.planner.closing("e1"), closing)
+        self.planner.used("h1", [])
+        await self._until(lambda: "c" in engine.loaded)
+
+    async def test_a_removed_target_gets_no_orders(self):
+        """Guards against orders to an address that another target now uses."""
+        engine = Engine("e1", "ab")
+        self._start(engine)
+        self.planner.set_targets((), set(), complete=True)
+        self.assertEqual(self.planner.targets, ())
+
     async def test_entry_hosts_are_told_before_the_unload(self):
         """No request arrives for a model that is being unloaded."""
         engine = Engine("e1", "ab")
