--- a/benchmarks/daylog/tables.py
+++ b/benchmarks/daylog/tables.py
@@ -80,7 +80,11 @@
         ("worth", report["G"]),
         ("served", report["served"]),
         ("unserved", report["unserved"]),
-        *((f"price: {name}", cost) for name, _, cost in prices if (cost or 0.0) > 0.001),
+        *(
+            (f"price: {name}", cost)
+            for name, _, cost in prices
+            if (cost or 0.0) > 0.001
+        ),
     ]
     return [
         Table("totals", ("what", "value"), total),
