Log and count the models that a planning round leaves out, and why

Callers are refused with no_model while the planner's log shows only the steps that it begins.

A round now returns what requests wait for and no step loads, each with its obstacle; the host that places models logs one line a second for each such model (event=unplaced) and counts them (endivestream_unplaced_models). No decision changes.

Evidence: test_obstacles_are_named makes each of the five obstacles happen.

--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -51,6 +51,8 @@
 _FAILED_HOSTS = 2
 # What the store may be asked for, as a part of what it allows.
 _STORE_SHARE = 0.9
+# Least time between two lines about one model that is left out.
+_UNPLACED_LOG_SECONDS = 1.0
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -112,6 +114,9 @@
         self._failing: dict[str, frozenset[str]] = {}
         self._store_loads: list[float] = []
         self._begun = clock.now()
+        # Models that requests wait for and no step loads, by service.
+        self._unplaced: dict[str, list[plan_lib.Unplaced]] = {}
+        self._unplaced_logged: dict[tuple[str, str], float] = {}
         self._poked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._adapters = adapter_placer.AdapterPlacer(changed=changed)
@@ -248,6 +253,11 @@
         """All engines that are known."""
         return tuple(self._workers)
 
+    @property
+    def unplaced(self) -> int:
+        """Models that requests wait for and that no step loads."""
+        return sum(map(len, self._unplaced.values()))
+
     def closing(self, target: str) -> tuple[str, ...]:
         """Returns the models that must get no new requests at a target."""
         worker = self._workers.get(target)
@@ -306,15 +316,17 @@
                 for name, worker in self._workers.items()
                 if worker.said.service == service
             }
-            planned = plan_lib.steps(
+            planned = plan_lib.plan(
                 engine=engine,
                 places=[self._place(w) for w in workers.values()],
                 wants=self._wants(service),
                 store_loads=self._store_room(engine, now),
                 complete=self._complete,
             )
-            for step in planned:
+            for step in planned.steps:
                 self._begin(workers[step.target], step, engine)
+            self._unplaced[service] = planned.unplaced
+            self._log_unplaced(service, now)
             self._adapters.plan(
                 engine=engine,
                 workers=[
@@ -330,6 +342,25 @@
                 now=now,
             )
 
+    def _log_unplaced(self, service: str, now: float) -> None:
+        logged = self._unplaced_logged
+        for key, when in list(logged.items()):
+            if now - when >= _UNPLACED_LOG_SECONDS:
+                del logged[key]
+        for each in self._unplaced[service]:
+            key = (service, each.model)
+            if key in logged:
+                continue
+            logged[key] = now
+            logs.event(
+                "unplaced",
+                model=each.model,
+                reason=each.obstacle,
+                waiting=each.waiting,
+                gain=each.gain,
+                loss=each.loss,
+            )
+
     def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
         name = worker.said.name
         return plan_lib.Place(
--- a/packages/endivestream/src/endivestream/process/seat.py
+++ b/packages/endivestream/src/endivestream/process/seat.py
@@ -79,6 +79,14 @@
         now = clock.now()
         return self._orders_from <= now < self._lease_until
 
+    @property
+    def unplaced(self) -> int:
+        """Models that requests wait for and that are not being loaded.
+
+        0 on a host that does not place models.
+        """
+        return self._planner.unplaced if self._planner else 0
+
     def start(self) -> None:
         """Starts to ask for the seat."""
         self._task = tasks.start(self._run(), type(self).__name__)
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -80,6 +80,7 @@
             departed=lambda: len(
                 self._control.replicator.state.departures.born
             ),
+            unplaced=lambda: self._seat.unplaced,
             meter=self._meter,
         )
 
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -166,6 +166,7 @@
         index: Callable[[], float],
         version: Callable[[], float],
         departed: Callable[[], float],
+        unplaced: Callable[[], float],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Counts nothing itself; each figure is read when it is asked for.
@@ -176,6 +177,8 @@
             index: Returns the last entry that is applied.
             version: Returns the newest configuration version held.
             departed: Returns how many targets that left are remembered.
+            unplaced: Returns how many models requests wait for that this
+                host, if it places models, is not loading.
             meter: Where the event loop's time goes.
         """
         super().__init__()
@@ -184,4 +187,9 @@
         self._gauge("log_applied_index", "Last entry applied", index)
         self._gauge("configuration_version", "Newest version held", version)
         self._gauge("departed_targets", "Targets that left", departed)
+        self._gauge(
+            "unplaced_models",
+            "Models that requests wait for and that are not being loaded",
+            unplaced,
+        )
         self._loop(meter)
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+import enum
 from typing import NamedTuple
 
 from endivestream.version import document as document_lib
@@ -160,15 +161,55 @@
     loss: float
 
 
-def steps(
+class Obstacle(enum.StrEnum):
+    """Why a model that requests wait for is not loaded in a round."""
+
+    ENGINES_BUSY = "engines_busy"
+    ENGINES_KEPT = "engines_kept"
+    STORE_RATE = "store_rate"
+    HOME_BUSY = "home_busy"
+    DISPLACES_MORE = "displaces_more"
+
+
+class Unplaced(NamedTuple):
+    """A model that requests wait for and that no step loads.
+
+    Attributes:
+        model: The model.
+        obstacle: Why not.
+        waiting: Requests that wait for it.
+        gain: Requests a second that would gain by it.
+        loss: What its cheapest step's victims lose; 0 if there is no step.
+    """
+
+    model: str
+    obstacle: Obstacle
+    waiting: int
+    gain: float
+    loss: float
+
+
+class Round(NamedTuple):
+    """The result of one round of planning.
+
+    Attributes:
+        steps: What to begin now, at most one step for an engine.
+        unplaced: What requests wait for and no step loads.
+    """
+
+    steps: list[Step]
+    unplaced: list[Unplaced]
+
+
+def plan(
     *,
     engine: document_lib.Engine,
     places: Sequence[Place],
     wants: Mapping[str, Want],
     store_loads: int,
     complete: bool = True,
-) -> list[Step]:
-    """Returns what to begin now, at most one step for an engine.
+) -> Round:
+    """Plans one round.
 
     Args:
         engine: What engines of the service can hold.
@@ -184,7 +225,7 @@
     planner.add_copies(least=0.0)
     if complete:
         planner.give_homes()
-    return planner.made
+    return Round(planner.made, planner.unplaced)
 
 
 class _Planning:
@@ -225,6 +266,7 @@
                 self._holders.setdefault(model, []).append(place.target)
                 self._copies[model] = self._copies.get(model, 0) + 1
         self.made: list[Step] = []
+        self.unplaced: list[Unplaced] = []
 
     def load_missing(self) -> None:
         """Loads models that requests wait for, the most waited for first."""
@@ -239,11 +281,42 @@
         for name, want in missing:
             gain = max(want.rate, want.waiting / max(0.5, want.objective))
             if not self._may_begin(gain):
+                self._leave_out(name, want, self._obstacle(name, gain), gain)
                 continue
             step = self._best(name, "missing", gain)
-            if step is not None and step.loss < gain + _RARE_WORTH:
+            if step is None:
+                self._leave_out(name, want, self._obstacle(name, gain), gain)
+            elif step.loss >= gain + _RARE_WORTH:
+                obstacle = Obstacle.DISPLACES_MORE
+                self._leave_out(name, want, obstacle, gain, step.loss)
+            else:
                 self._make(step)
 
+    def _leave_out(
+        self,
+        model: str,
+        want: Want,
+        obstacle: Obstacle,
+        gain: float,
+        loss: float = 0.0,
+    ) -> None:
+        self.unplaced.append(
+            Unplaced(model, obstacle, want.waiting, gain, loss)
+        )
+
+    def _obstacle(self, model: str, gain: float) -> Obstacle:
+        """Returns why no engine can be ordered to load a model."""
+        if not any(
+            place.usable and self._is_free(place.target)
+            for place in self._places.values()
+        ):
+            return Obstacle.ENGINES_BUSY
+        if not self._may_begin(gain):
+            return Obstacle.ENGINES_KEPT
+        if self._homes.get(model):
+            return Obstacle.HOME_BUSY
+        return Obstacle.STORE_RATE
+
     def add_copies(self, *, least: float) -> None:
         """Gives models on full engines a further copy on empty ones.
 
--- a/tests/test_loop_meter.py
+++ b/tests/test_loop_meter.py
@@ -96,6 +96,7 @@
             index=lambda: 1,
             version=lambda: 1,
             departed=lambda: 0,
+            unplaced=lambda: 2,
             meter=self.meter,
         )
         lines = metrics.exposition().decode().splitlines()
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -46,8 +46,8 @@
     return plan.Want(rate, waiting, objective)
 
 
-def steps(places, wants, store_loads=10, **fields):
-    return plan.steps(
+def plan_round(places, wants, store_loads=10, **fields):
+    return plan.plan(
         engine=fields.pop("engine", engine()),
         places=places,
         wants=wants,
@@ -56,6 +56,48 @@
     )
 
 
+def steps(places, wants, store_loads=10, **fields):
+    return plan_round(places, wants, store_loads, **fields).steps
+
+
+class UnplacedTest(unittest.TestCase):
+    """Each obstacle to a load is named, so that logs can tell them apart."""
+
+    def _obstacle(self, places, wants, **fields):
+        left_out = plan_round(places, wants, complete=False, **fields).unplaced
+        return [(each.model, each.obstacle) for each in left_out]
+
+    def test_obstacles_are_named(self):
+        waits = {"g": want(0.2, 1, 4.0)}
+        busy = {name: want(9.0) for name in "abcdef"} | waits
+        cases = {
+            "engines_busy": ([place("t1", "abc", busy=True)], waits, {}),
+            "engines_kept": (
+                [place(f"t{n}", "abc", busy=n > 0) for n in range(4)],
+                waits,
+                {},
+            ),
+            "store_rate": ([place("t1", "abc")], waits, {"store_loads": 0}),
+            "home_busy": (
+                [
+                    place("t1", "abc"),
+                    place("t2", "def", on_disk=("g",), busy=True),
+                ],
+                waits,
+                {},
+            ),
+            "displaces_more": (
+                [place("t1", "abc", on_disk=("g",))],
+                busy,
+                {},
+            ),
+        }
+        for obstacle, (places, wants, fields) in cases.items():
+            with self.subTest(obstacle):
+                found = self._obstacle(places, wants, **fields)
+                self.assertEqual([("g", obstacle)], found)
+
+
 class MissingTest(unittest.TestCase):
     def test_a_missing_model_comes_from_a_disk_that_has_it(self):
         """A request for a rare model waits one second and not four."""
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -69,8 +69,10 @@
             index=lambda: 40,
             version=lambda: 7,
             departed=lambda: 1,
+            unplaced=lambda: 2,
             meter=loop_meter.LoopMeter(),
         )
         self.assertIn(b"endivestream_leads 0.0", metrics.exposition())
         leads[0] = True
         self.assertIn(b"endivestream_leads 1.0", metrics.exposition())
+        self.assertIn(b"endivestream_unplaced_models 2.0", metrics.exposition())
