--- /dev/null
+++ b/tests/placement_site.py
@@ -0,0 +1,465 @@
+"""Engines, a planner and callers of many models, in virtual time.
+
+Engines load one model at a time, from the store in seconds or from their own
+disk in less; an unload waits for the model's runs. Callers arrive at one entry
+host, wait as long as `request.patience` lets them, and come back once at the
+time that they are told.
+"""
+
+import asyncio
+import collections
+import math
+import random
+
+from endivestream import clock
+from endivestream import site_messages
+from endivestream.connection import engines as engines_lib
+from endivestream.connection import registry as registry_lib
+from endivestream.process import planner as planner_lib
+from endivestream.process import site_settings
+from endivestream.request import demand as demand_lib
+from endivestream.request import patience as patience_lib
+from endivestream.version import document as document_lib
+
+SERVICE = "s"
+RENEW_SECONDS = 0.3
+RUN_SECONDS = 1.5
+ADAPTER_SECONDS = 0.01
+RETRY_AFTER_SECONDS = 0.5
+# Callers honour a Retry-After up to this.
+LONGEST_RETRY_SECONDS = 5.0
+ROUTE = document_lib.Route(
+    name="r",
+    host="h",
+    prefix="/",
+    kind=document_lib.Kind.STREAM,
+    timeout=15.0,
+    objective=0.8,
+    priority=1,
+    choices=(document_lib.Choice(SERVICE, 1),),
+    attempts=2,
+    anonymous=True,
+    resumable=False,
+    gap=0.3,
+)
+
+
+def settings():
+    return site_settings.SiteSettings(
+        name="c1",
+        domain="a",
+        domains={},
+        region="",
+        callers="",
+        peers="",
+        controls=("tcp://127.0.0.1:1",),
+        data_folder="",
+        first_start=True,
+        losses=1,
+        report=1.0,
+        bounds=site_settings.Bounds(),
+    )
+
+
+def document(*, models, places, adapters=8, loads_per_second=3.0):
+    engine = document_lib.Engine(
+        slots=64,
+        cache_tokens=100_000,
+        weights_mb=70.0 * places + adapters,
+        adapter_places=adapters,
+        loads_per_second=loads_per_second,
+        models=tuple(
+            document_lib.Model(
+                name=name,
+                weights_mb=70.0,
+                load_seconds=4.0,
+                disk_seconds=0.8,
+                memory_seconds=0.6,
+                adapters=9,
+                adapter_mb=1.0,
+            )
+            for name in models
+        ),
+    )
+    service = document_lib.Service(
+        name=SERVICE, health_path="/", connections=99, engine=engine
+    )
+    return document_lib.Document(version=1, services=(service,))
+
+
+class Engine:
+    """One engine; reports to the planner whenever what it holds changes."""
+
+    def __init__(self, *, name, loaded, on_disk, places, adapter_places):
+        self.name = name
+        self.loaded = set(loaded)
+        self.on_disk = list(on_disk)
+        self.adapters = set()
+        self.running = collections.Counter()
+        self.accepted = 0
+        self.crashed = False
+        self.report = lambda: None
+        self._places = places
+        self._adapter_places = adapter_places
+        self._busy = False
+        self._numbers = 0
+        self._tasks = set()
+
+    def registration(self):
+        self._numbers += 1
+        return registry_lib.Registration(
+            name=self.name,
+            service=SERVICE,
+            address=self.name,
+            domain="a",
+            born=1,
+            number=self._numbers,
+            slots=64,
+            loaded=self.held(),
+            on_disk=tuple(self.on_disk),
+        )
+
+    def held(self):
+        return tuple(
+            registry_lib.Loaded(
+                model,
+                1,
+                tuple(
+                    sorted(
+                        name.partition("/")[2]
+                        for name in self.adapters
+                        if name.startswith(f"{model}/")
+                    )
+                ),
+            )
+            for model in sorted(self.loaded)
+        )
+
+    def take(self, order):
+        """Accepts an order and carries it out in its own time."""
+        if self._busy or order.expected != self.accepted:
+            return engines_lib.Outcome.BUSY
+        if order.adapter and order.model not in self.loaded:
+            return engines_lib.Outcome.REFUSED
+        self.accepted += 1
+        if order.adapter:
+            return self._take_adapter(order)
+        self._busy = True
+        work = self._load if order.load else self._unload
+        task = asyncio.ensure_future(work(order.model))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return engines_lib.Outcome.ACCEPTED
+
+    def _take_adapter(self, order):
+        name = f"{order.model}/{order.adapter}"
+        if order.load:
+            self.adapters.add(name)
+        elif self.running[name]:
+            # It keeps its place until its runs have ended.
+            task = asyncio.ensure_future(self._drop_adapter(name))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return engines_lib.Outcome.ACCEPTED
+        else:
+            self.adapters.discard(name)
+        self.crashed |= len(self.adapters) > self._adapter_places
+        return engines_lib.Outcome.DONE
+
+    async def _drop_adapter(self, name):
+        while self.running[name]:
+            await asyncio.sleep(0.01)
+        self.adapters.discard(name)
+
+    async def _load(self, model):
+        self.crashed |= len(self.loaded) >= self._places
+        await asyncio.sleep(0.8 if model in self.on_disk else 4.0)
+        self.loaded.add(model)
+        if model in self.on_disk:
+            self.on_disk.remove(model)
+        self.on_disk = [*self.on_disk, model][-2 * self._places :]
+        self._done()
+
+    async def _unload(self, model):
+        while self.running[model]:
+            await asyncio.sleep(0.01)
+        self.loaded.discard(model)
+        self.adapters = {
+            name for name in self.adapters if not name.startswith(f"{model}/")
+        }
+        self._done()
+
+    def _done(self):
+        self._busy = False
+        self.report()
+
+
+class Engines:
+    """Stands in for the calls over HTTP."""
+
+    def __init__(self, engines):
+        self._engines = {engine.name: engine for engine in engines}
+
+    async def order(self, address, target, order, *, seconds):
+        await asyncio.sleep(0.002)
+        return self._engines[target].take(order)
+
+    async def report(self, address, *, seconds):
+        await asyncio.sleep(0.002)
+        engine = self._engines[address]
+        return engines_lib.Report(
+            accepted=engine.accepted,
+            busy=engine._busy,
+            loaded=engine.held(),
+            coming=(),
+        )
+
+
+class Site:
+    """One entry host's callers in front of a planner and its engines.
+
+    Attributes:
+        asked: When each model or adapter was asked for.
+        served: When each was served.
+        reasons: How many callers were refused for what.
+    """
+
+    def __init__(self, *, models, engines, places, loaded, adapters=8):
+        self.asked = collections.defaultdict(list)
+        self.served = collections.defaultdict(list)
+        self.reasons = collections.Counter()
+        self.engines = [
+            Engine(
+                name=f"e{number}",
+                loaded=held,
+                on_disk=held,
+                places=places,
+                adapter_places=adapters,
+            )
+            for number, held in zip(range(engines), loaded, strict=True)
+        ]
+        self._document = document(
+            models=models, places=places, adapters=adapters
+        )
+        self._changed = asyncio.Event()
+        self._waiting = collections.defaultdict(list)
+        self._meters = demand_lib.Meters(now=clock.now())
+        self._calls = set()
+        self._tasks = []
+        self.planner = self._new_planner(fence=1)
+
+    def _new_planner(self, *, fence):
+        planner = planner_lib.Planner(
+            settings=settings(),
+            engines=Engines(self.engines),
+            fence=fence,
+            may_order=lambda: True,
+            changed=lambda names: self._signal(),
+        )
+        planner.set_document(self._document)
+        for engine in self.engines:
+            engine.report = lambda engine=engine: self._report(engine)
+            planner.reported(engine.registration())
+        planner.set_targets(
+            [engine.name for engine in self.engines], set(), complete=True
+        )
+        return planner
+
+    def start(self):
+        self.planner.start()
+        self._tasks = [
+            asyncio.ensure_future(self._renew()),
+            asyncio.ensure_future(self._report_all()),
+        ]
+
+    async def close(self):
+        for task in (*self._tasks, *self._calls):
+            task.cancel()
+        await self.planner.close()
+
+    async def replace_holder(self, *, pause):
+        """The planner's host is lost; another begins from what hosts say."""
+        before, self.planner = self.planner, None
+        await before.close()
+        await asyncio.sleep(pause)
+        self.planner = self._new_planner(fence=2)
+        self.planner.start()
+
+    def call(self, model, adapter=""):
+        """A caller asks for a model, or an adapter of it."""
+        task = asyncio.ensure_future(self._call(model, adapter))
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    def never_served(self, *, times=4, seconds=8.0):
+        """Returns what was asked for through the run, and of that what never.
+
+        Args:
+            times: Least number of requests.
+            seconds: Least time between the first and the last.
+        """
+        through = [
+            name
+            for name, when in self.asked.items()
+            if len(when) >= times and when[-1] - when[0] >= seconds
+        ]
+        return through, [name for name in through if not self.served[name]]
+
+    def _signal(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _report(self, engine):
+        if self.planner is not None:
+            self.planner.reported(engine.registration())
+        self._signal()
+
+    async def _report_all(self):
+        while True:
+            await asyncio.sleep(1.0)
+            for engine in self.engines:
+                self._report(engine)
+
+    async def _renew(self):
+        while True:
+            await asyncio.sleep(RENEW_SECONDS)
+            if self.planner is not None:
+                self.planner.demanded("h1", self._demand())
+                self.planner.used("h1", self._uses())
+
+    def _demand(self):
+        rates = self._meters.rates(clock.now())
+        return [
+            site_messages.Demand(
+                *key,
+                rates.get(key, 0.0),
+                len(self._waiting.get(key, ())),
+                min(self._waiting.get(key) or [0.0]),
+            )
+            for key in sorted({*rates, *self._waiting})
+        ]
+
+    def _uses(self):
+        return [
+            site_messages.Use(engine.name, model, "", count)
+            for engine in self.engines
+            for model, count in engine.running.items()
+            if count and "/" not in model
+        ] + [
+            site_messages.Use(engine.name, *name.split("/"), count)
+            for engine in self.engines
+            for name, count in engine.running.items()
+            if count and "/" in name
+        ]
+
+    async def _call(self, model, adapter):
+        names = [model, f"{model}/{adapter}"] if adapter else [model]
+        for name in names:
+            self.asked[name].append(clock.now())
+        first = await self._attempt(model, adapter, names)
+        if first is not None:
+            await asyncio.sleep(min(first, LONGEST_RETRY_SECONDS))
+            await self._attempt(model, adapter, names)
+
+    async def _attempt(self, model, adapter, names):
+        """Returns None if it was served, else when to come back."""
+        came = clock.now()
+        key = (SERVICE, model, adapter)
+        self._meters.count(key, came)
+        until = patience_lib.until_place(
+            route=ROUTE, came=came, heard=0.0, deadline=came + ROUTE.timeout
+        )
+        waits = False
+        try:
+            while True:
+                now = clock.now()
+                engine = self._holder(model, adapter)
+                if engine is not None:
+                    break
+                expected = self._expected(model, now)
+                if now >= until or (expected or now) > until:
+                    reason = "no_adapter" if self._holder(model) else "no_model"
+                    self.reasons[reason] += 1
+                    return patience_lib.come_back(
+                        expected=expected, now=now, usual=RETRY_AFTER_SECONDS
+                    )
+                if not waits:
+                    waits = True
+                    self._begin_to_wait(key)
+                await self._until_changed(min(until - now, 0.1))
+        finally:
+            if waits:
+                self._stop_waiting(key)
+        await self._run(engine, names)
+        return None
+
+    async def _run(self, engine, names):
+        for name in names:
+            self.served[name].append(clock.now())
+            engine.running[name] += 1
+        await asyncio.sleep(RUN_SECONDS)
+        for name in names:
+            engine.running[name] -= 1
+
+    def _holder(self, model, adapter=""):
+        holders = [
+            engine
+            for engine in self.engines
+            if model in engine.loaded
+            and self.planner is not None
+            and model not in self.planner.closing(engine.name)
+            and (
+                not adapter
+                or f"{model}/{adapter}" in self.planner.adapters(engine.name)
+            )
+        ]
+        if not holders:
+            return None
+        return min(holders, key=lambda engine: sum(engine.running.values()))
+
+    def _expected(self, model, now):
+        if self.planner is None:
+            return None
+        times = [
+            now + each.seconds
+            for engine in self.engines
+            for each in self.planner.coming(engine.name)
+            if each.model == model
+        ]
+        return min(times, default=None)
+
+    def _begin_to_wait(self, key):
+        self._waiting[key].append(ROUTE.objective)
+        if len(self._waiting[key]) == 1 and self.planner is not None:
+            rate = self._meters.rates(clock.now()).get(key, 0.0)
+            demand = site_messages.Demand(*key, rate, 1, ROUTE.objective)
+            self.planner.missing("h1", [demand])
+
+    def _stop_waiting(self, key):
+        self._waiting[key].remove(ROUTE.objective)
+        if not self._waiting[key]:
+            del self._waiting[key]
+
+    async def _until_changed(self, seconds):
+        try:
+            async with asyncio.timeout(max(0.001, seconds)):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
+
+async def ask(site, *, model, rate, seconds, seed, adapter="", burst=1):
+    """Callers of one model at random times, `burst` at once."""
+    chance = random.Random(f"{seed}/{model}/{adapter}")
+    until = clock.now() + seconds
+    while True:
+        await asyncio.sleep(chance.expovariate(rate / burst))
+        if clock.now() >= until:
+            return
+        for _ in range(burst):
+            site.call(model, adapter)
+
+
+def allowed_never(asked):
+    """Returns how many of so many may end the day unserved."""
+    return math.floor(1 + 0.1 * asked)
--- /dev/null
+++ b/tests/test_unserved_models.py
@@ -0,0 +1,114 @@
+import asyncio
+import unittest
+
+from tests import placement_site
+from tests import virtual_time
+
+
+async def _play_rare_models(seed, *, lost_holder=False):
+    """Three engines of three places; few models are busy, many are rare.
+
+    No disk has the rare ones, so each load takes longer than callers wait.
+    """
+    busy = [f"b{n}" for n in range(4)]
+    rare = [f"r{n:02}" for n in range(18)]
+    site = placement_site.Site(
+        models=busy + rare,
+        engines=3,
+        places=3,
+        loaded=[["b0", "b1", "b2"], ["b1", "b2", "b3"], ["b0", "b3"]],
+    )
+    site.start()
+    seconds = 50.0
+    asking = [
+        placement_site.ask(
+            site, model=name, rate=rate, seconds=seconds, seed=seed, burst=burst
+        )
+        for names, rate, burst in ((busy, 3.0, 2), (rare, 0.25, 1))
+        for name in names
+    ]
+    if lost_holder:
+        asking.append(_lose_holder(site))
+    await asyncio.gather(*asking)
+    await site.close()
+    return site
+
+
+async def _play_adapters(seed, *, rate):
+    """As many adapters are asked for at `rate` as there are places.
+
+    Two more are asked for now and then.
+    """
+    site = placement_site.Site(
+        models=["m"], engines=1, places=2, loaded=[["m"]], adapters=4
+    )
+    site.start()
+    seconds = 30.0
+    rates = {f"a{n}": rate for n in range(4)} | {"a4": 0.4, "a5": 0.4}
+    asking = [
+        placement_site.ask(
+            site,
+            model="m",
+            adapter=name,
+            rate=each,
+            seconds=seconds,
+            seed=seed,
+        )
+        for name, each in rates.items()
+    ]
+    await asyncio.gather(*asking)
+    await site.close()
+    return site
+
+
+async def _lose_holder(site):
+    await asyncio.sleep(20.0)
+    await site.replace_holder(pause=4.0)
+
+
+class RareModelsTest(unittest.TestCase):
+    def _check(self, seed, **fields):
+        with virtual_time.running() as runner:
+            site = runner.run(_play_rare_models(seed, **fields))
+        asked, never = site.never_served()
+        self.assertFalse(any(engine.crashed for engine in site.engines))
+        self.assertGreater(len(asked), 15)
+        self.assertLessEqual(
+            len(never),
+            placement_site.allowed_never(len(asked)),
+            f"seed {seed}: never served {never}",
+        )
+
+    def test_a_model_asked_for_all_day_gets_its_turn(self):
+        """Guards against models that are refused to every caller."""
+        for seed in range(6):
+            self._check(seed)
+
+    def test_a_lost_holder_does_not_begin_the_line_anew(self):
+        """Guards against turns that are forgotten with the placing host."""
+        for seed in range(6):
+            self._check(seed, lost_holder=True)
+
+
+class RareAdaptersTest(unittest.TestCase):
+    def _play(self, seed, rate):
+        with virtual_time.running() as runner:
+            return runner.run(_play_adapters(seed, rate=rate))
+
+    def test_adapters_in_use_do_not_keep_their_places_for_good(self):
+        """Guards against adapters that never find a place on their engine."""
+        for seed in range(6):
+            site = self._play(seed, rate=8.0)
+            _, never = site.never_served()
+            self.assertEqual([], never, f"seed {seed}")
+            self.assertFalse(site.engines[0].crashed, f"seed {seed}")
+
+    def test_an_adapter_in_use_keeps_its_place_until_its_runs_end(self):
+        """Guards against one adapter too many, at which an engine crashes."""
+        for seed in range(6):
+            site = self._play(seed, rate=3.0)
+            self.assertFalse(site.engines[0].crashed, f"seed {seed}")
+
+
+if __name__ == "__main__":
+    unittest.main()
