Count an adapter as held until its engine shows that it is gone

An engine that is ordered to unload an adapter in use accepts the order and drops the adapter when its runs have ended. The planner took the acceptance for the end and ordered the next adapter at once: one more than the engine has places for, at which engines crash with all that runs on them.

Cause: an accepted order read as a completed one. Whether an adapter is in use is known here 0.3 s late, so the pause of 0.6 s since its last use does not rule it out. Models are not concerned: their unload is over when a report no longer shows them.

The adapter now counts as held, and its successor waits, until the engine shows when asked that it is gone; if it never does, it stays counted.

--- a/packages/endivestream/src/endivestream/process/adapter_placer.py
+++ b/packages/endivestream/src/endivestream/process/adapter_placer.py
@@ -131,7 +131,7 @@
                 taken = await worker.order(
                     load=False, model=model, adapter=adapter, engine=engine
                 )
-                if not taken:
+                if not taken or not await worker.until_gone(victim):
                     return
                 worker.adapter_gone(victim)
             model, _, adapter = name.partition("/")
--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -28,6 +28,10 @@
 # A report of its own accord may be so much older than an order that took an
 # adapter off.
 REPORT_LAG_SECONDS = 3.0
+# An adapter that is unloaded while requests use it keeps its place until they
+# have ended; the engine is asked so often, for so long.
+ENDING_POLL_SECONDS = 0.3
+ENDING_SECONDS = 8.0
 
 
 class EngineWorker:
@@ -79,6 +83,8 @@
         # Orders that it has accepted; None if that is not known.
         self._accepted: int | None = None
         self._taken_at = float("-inf")
+        # Adapters whose unload was accepted while requests may use them.
+        self._ending: set[str] = set()
         # When adapters were taken off.
         self._dropped: dict[str, float] = {}
         # Models that it showed when asked, and not in a report of its own yet.
@@ -134,7 +140,8 @@
 
     def _adapters_held(self) -> set[str]:
         """Returns the adapters that it may hold now."""
-        return {*self.adapters, *(n for n in self._doubts if "/" in n)}
+        doubted = {name for name in self._doubts if "/" in name}
+        return {*self.adapters, *doubted, *self._ending}
 
     def _has_room(self, name: str, engine: document_lib.Engine) -> bool:
         """Whether a load may be ordered at this moment.
@@ -153,6 +160,23 @@
         for name in list(self.adapters):
             if name.startswith(f"{model}/"):
                 del self.adapters[name]
+        self._ending = {
+            name for name in self._ending if not name.startswith(f"{model}/")
+        }
+
+    async def until_gone(self, name: str) -> bool:
+        """Waits until an adapter whose unload was accepted is gone.
+
+        Returns:
+            Whether it is. If not, it still counts as held.
+        """
+        until = clock.now() + ENDING_SECONDS
+        while name in self._ending:
+            if clock.now() >= until:
+                return False
+            await asyncio.sleep(ENDING_POLL_SECONDS)
+            await self.ask()
+        return True
 
     def adapter_gone(self, name: str) -> None:
         """The engine has confirmed that it dropped an adapter."""
@@ -221,6 +245,10 @@
                     ):
                         self._used_up(expected)
                         self._note_taken(load, name)
+                        if outcome == engines_lib.Outcome.ACCEPTED and (
+                            adapter and not load
+                        ):
+                            self._ending.add(name)
                         return True
                     case engines_lib.Outcome.REFUSED:
                         return False
@@ -326,6 +354,7 @@
             for adapter in held.adapters
         }
         now = clock.now()
+        self._ending &= shown
         for name in self.adapters.keys() - shown - set(report.coming):
             if now - self.adapters[name] > REPORT_LAG_SECONDS:
                 del self.adapters[name]
