Give models that were not served for long their load, and keep what has come

And nothing remembered for how long a model had gone without service, so its load never outweighed what it displaced. Class: work for those who wait is judged by who waits at the moment; no aging, and a promise to callers that the planner does not know of.

Change: - hosts count since when a model or adapter has found no target, and report it with their demand, so that turns outlive a lost holder; - the planner loads what was not served for 6 s first, longest first, on at most a third of the engines at a time, whatever its victims lose; - a model that requests waited for is not displaced for 5 s, or for 1 s once a request runs.

Evidence: tests/test_unserved_models.py. LongestWaitTest holds the bound 6 s + ceil(models / loads at once) x (two steps + 5 s), across a lost holder.

--- a/packages/endivestream/src/endivestream/process/adapter_placer.py
+++ b/packages/endivestream/src/endivestream/process/adapter_placer.py
@@ -52,7 +52,7 @@
         *,
         engine: document_lib.Engine,
         workers: Collection[worker_lib.EngineWorker],
-        waited_for: Mapping[str, str],
+        waited_for: Mapping[str, float],
         now: float,
     ) -> None:
         """Begins to bring adapters that requests wait for.
@@ -60,10 +60,13 @@
         Args:
             engine: What engines of the service can hold.
             workers: The engines of the service that may be used.
-            waited_for: The model of each `MODEL/ADAPTER` waited for.
+            waited_for: Each `MODEL/ADAPTER` waited for, with the seconds for
+                which it has not been served.
             now: The time.
         """
-        for name, model in waited_for.items():
+        longest_first = sorted(waited_for.items(), key=lambda item: -item[1])
+        for name, _ in longest_first:
+            model = name.partition("/")[0]
             holders = [w for w in workers if model in w.models - w.closing]
             if any(name in w.pending for w in holders):
                 continue
--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -83,6 +83,8 @@
         # Orders that it has accepted; None if that is not known.
         self._accepted: int | None = None
         self._taken_at = float("-inf")
+        # Until when models must not be displaced.
+        self._kept: dict[str, float] = {}
         # Adapters whose unload was accepted while requests may use them.
         self._ending: set[str] = set()
         # When adapters were taken off.
@@ -108,6 +110,19 @@
         """The model of the step under way, or empty."""
         return self.step.model if self.step else ""
 
+    def kept(self, now: float) -> frozenset[str]:
+        """Returns the models that must not be displaced yet."""
+        return frozenset(m for m, until in self._kept.items() if now < until)
+
+    def keep(self, model: str, until: float) -> None:
+        """Keeps a model that has just come."""
+        self._kept[model] = until
+
+    def used(self, model: str, until: float) -> None:
+        """Notes that requests run; their model is kept no longer than this."""
+        if model in self._kept:
+            self._kept[model] = min(self._kept[model], until)
+
     def take_report(self, said: registry_lib.Registration) -> None:
         """Takes a report of its own accord in."""
         self.said = said
@@ -157,6 +172,7 @@
     def forget_adapters(self, model: str) -> None:
         """A model is gone, and its adapters with it."""
         self._shown.discard(model)
+        self._kept.pop(model, None)
         for name in list(self.adapters):
             if name.startswith(f"{model}/"):
                 del self.adapters[name]
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -43,6 +43,7 @@
 from endivestream.request import forward as forward_lib
 from endivestream.request import names as names_lib
 from endivestream.request import routes as routes_lib
+from endivestream.request import unserved as unserved_lib
 from endivestream.version import document as document_lib
 
 # What callers are told of entry hosts: at least so many, from other failure
@@ -82,6 +83,7 @@
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._unnamed: dict[str, float] = {}
         self._demand = demand_lib.Meters(now=clock.now())
+        self._unserved = unserved_lib.Unserved()
         self._waiting: dict[tuple[str, str, str], list[float]] = {}
         self._changed = asyncio.Event()
         self._draining = False
@@ -155,6 +157,7 @@
             changed=self._wait_for_change,
             confirm=self._freshness.confirm,
             asked=self._count,
+            found=self._found,
             idle=self._watch.poke,
             freed=self._signal_change,
             turn=self._turn_desk.take,
@@ -271,13 +274,15 @@
     # What the leader says.
 
     def _renewal(self) -> site_messages.Renew:
-        rates = self._demand.rates(clock.now())
+        now = clock.now()
+        rates = self._demand.rates(now)
         demand = tuple(
             site_messages.Demand(
                 *key,
                 rates.get(key, 0.0),
                 len(self._waiting.get(key, ())),
                 min(self._waiting.get(key) or [0.0]),
+                round(self._unserved.seconds(key, now), 1),
             )
             for key in {*rates, *self._waiting}
         )
@@ -294,8 +299,8 @@
             position=self._position,
             demand=demand,
             uses=self._view.uses(),
-            needs=self._allowance.needs(clock.now()),
-            failing=self._view.failing(clock.now()),
+            needs=self._allowance.needs(now),
+            failing=self._view.failing(now),
             relay=self._push_relay.relay,
             controls=self._watch.controls_digest,
         )
@@ -439,15 +444,23 @@
             key = (work.service.name, work.model, work.adapter)
             self._demand.count(key, clock.now())
 
+    def _found(self, work: admission.Work) -> None:
+        self._unserved.served((work.service.name, work.model, work.adapter))
+
     def _missing(self, work: admission.Work) -> Callable[[], None]:
         """Tells the leader that a request waits; returns what ends that."""
         key = (work.service.name, work.model, work.adapter)
+        now = clock.now()
+        self._unserved.missed(key, now)
         waiting = self._waiting.setdefault(key, [])
         waiting.append(work.route.objective)
         if len(waiting) == 1:
             # At once: the next renewal would cost a third of a second.
-            rate = self._demand.rates(clock.now()).get(key, 0.0)
-            demand = site_messages.Demand(*key, rate, 1, work.route.objective)
+            rate = self._demand.rates(now).get(key, 0.0)
+            unserved = self._unserved.seconds(key, now)
+            demand = site_messages.Demand(
+                *key, rate, 1, work.route.objective, unserved
+            )
             self._tell(
                 site_messages.Missing(
                     host=self._settings.name, demand=(demand,)
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -51,6 +51,13 @@
 _FAILED_HOSTS = 2
 # What the store may be asked for, as a part of what it allows.
 _STORE_SHARE = 0.9
+# A model that requests have waited for is not displaced for so long after it
+# has come, or, once one of them runs, for the second of these: callers were
+# told to come back for it, and loads take longer than callers wait.
+_UNUSED_SECONDS = 5.0
+_USED_SECONDS = 1.0
+# What was held is remembered for so long.
+_HELD_MEMORY_SECONDS = 60.0
 # Least time between two lines about one model that is left out.
 _UNPLACED_LOG_SECONDS = 1.0
 
@@ -62,9 +69,11 @@
     Attributes:
         rates: Requests a second, by the entry host that they come to.
         objective: Least objective seen, in seconds; 0 if none.
+        missed: Since when it has not been served, by entry host.
     """
 
     rates: dict[str, float] = dataclasses.field(default_factory=dict)
+    missed: dict[str, float] = dataclasses.field(default_factory=dict)
     objective: float = 0.0
 
     @property
@@ -114,6 +123,9 @@
         self._failing: dict[str, frozenset[str]] = {}
         self._store_loads: list[float] = []
         self._begun = clock.now()
+        # When models and adapters were last held by a usable engine, by
+        # service.
+        self._held: dict[tuple[str, str, str], float] = {}
         # Models that requests wait for and no step loads, by service.
         self._unplaced: dict[str, list[plan_lib.Unplaced]] = {}
         self._unplaced_logged: dict[tuple[str, str], float] = {}
@@ -192,6 +204,7 @@
             waiting.pop(host, None)
         for asked in self._asked.values():
             asked.rates.pop(host, None)
+            asked.missed.pop(host, None)
 
     def missing(
         self, host: str, demand: Iterable[site_messages.Demand]
@@ -205,6 +218,8 @@
         key = (each.service, each.model, each.adapter)
         asked = self._asked.setdefault(key, _Asked())
         asked.rates[host] = each.rate
+        if each.unserved:
+            asked.missed[host] = clock.now() - each.unserved
         if each.urgency:
             known = asked.objective or each.urgency
             asked.objective = min(known, each.urgency)
@@ -219,7 +234,10 @@
         for use in uses:
             worker = self._workers.get(use.target)
             name = f"{use.model}/{use.adapter}"
-            if worker is not None and use.adapter and name in worker.adapters:
+            if worker is None:
+                continue
+            worker.used(use.model, now + _USED_SECONDS)
+            if use.adapter and name in worker.adapters:
                 worker.adapters[name] = now
 
     def failed(self, host: str, targets: Iterable[str]) -> None:
@@ -316,10 +334,11 @@
                 for name, worker in self._workers.items()
                 if worker.said.service == service
             }
+            self._note_held(service, workers.values(), now)
             planned = plan_lib.plan(
                 engine=engine,
                 places=[self._place(w) for w in workers.values()],
-                wants=self._wants(service),
+                wants=self._wants(service, now),
                 store_loads=self._store_room(engine, now),
                 complete=self._complete,
             )
@@ -335,9 +354,9 @@
                     if not worker.said.draining and name not in self._silent
                 ],
                 waited_for={
-                    f"{model}/{adapter}": model
-                    for (of, model, adapter), hosts in self._waiting.items()
-                    if of == service and hosts and adapter
+                    f"{key[1]}/{key[2]}": self._unserved(key, now)
+                    for key, hosts in self._waiting.items()
+                    if key[0] == service and hosts and key[2]
                 },
                 now=now,
             )
@@ -361,6 +380,37 @@
                 loss=each.loss,
             )
 
+    def _note_held(
+        self,
+        service: str,
+        workers: Iterable[worker_lib.EngineWorker],
+        now: float,
+    ) -> None:
+        """Notes which models and adapters requests can be sent to."""
+        for worker in workers:
+            if worker.said.draining or worker.said.name in self._silent:
+                continue
+            for model in worker.models - worker.closing:
+                self._held[(service, model, "")] = now
+            for name in self.adapters(worker.said.name):
+                model, _, adapter = name.partition("/")
+                self._held[(service, model, adapter)] = now
+        for key, when in list(self._held.items()):
+            if now - when > _HELD_MEMORY_SECONDS:
+                del self._held[key]
+
+    def _unserved(self, key: tuple[str, str, str], now: float) -> float:
+        """Returns for how many seconds a model or adapter was not there.
+
+        Hosts do not hear of each other's requests; what was held meanwhile
+        may have served some of them.
+        """
+        asked = self._asked.get(key)
+        if asked is None or not asked.missed:
+            return 0.0
+        since = max(min(asked.missed.values()), self._held.get(key, -math.inf))
+        return max(0.0, now - since)
+
     def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
         name = worker.said.name
         return plan_lib.Place(
@@ -376,6 +426,9 @@
             on_disk=worker.said.on_disk,
             running=self._uses.running(name),
             is_home=worker.step is not None and worker.step.reason == "home",
+            is_overdue=worker.step is not None
+            and worker.step.reason == "overdue",
+            kept=worker.kept(clock.now()),
         )
 
     def _is_stuck(self, worker: worker_lib.EngineWorker) -> bool:
@@ -387,7 +440,7 @@
         waits = worker.step is not None and not worker.is_busy
         return waits and clock.now() - worker.step_begun > _STUCK_SECONDS
 
-    def _wants(self, service: str) -> dict[str, plan_lib.Want]:
+    def _wants(self, service: str, now: float) -> dict[str, plan_lib.Want]:
         wants: dict[str, plan_lib.Want] = {}
         for key, asked in list(self._asked.items()):
             if key[0] != service:
@@ -399,10 +452,15 @@
                 self._waiting.pop(key, None)
                 continue
             before = wants.get(key[1], plan_lib.Want(0.0, 0, math.inf))
+            unserved = 0.0
+            if waiting:
+                held = self._held.get((service, key[1], ""), -math.inf)
+                unserved = min(self._unserved(key, now), now - held)
             wants[key[1]] = plan_lib.Want(
                 before.rate + asked.rate,
                 before.waiting + waiting,
                 min(before.objective, asked.objective or 1.0),
+                max(before.unserved, unserved),
             )
         return wants
 
@@ -460,6 +518,8 @@
             worker.is_busy = False
             if not done:
                 worker.blocked_until = clock.now() + _AGAIN_SECONDS
+            elif step.reason in ("missing", "overdue"):
+                worker.keep(step.model, clock.now() + _UNUSED_SECONDS)
             logs.event(
                 "placed" if done else "placement_failed",
                 target=step.target,
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -88,6 +88,7 @@
         confirm: Waits until the configuration here surely is the newest, for
             so many seconds at most; whether it is.
         asked: Counts a request for a model.
+        found: Told of a request that has found its target.
         idle: Told when the last run of a model that is to go has ended.
         freed: Told when a place on a target may be free.
         turn: Returns seconds until an engine should get a prompt, by the
@@ -105,6 +106,7 @@
     changed: Callable[[float], Awaitable[None]]
     confirm: Callable[[float], Awaitable[bool]]
     asked: Callable[[admission.Work], None]
+    found: Callable[[admission.Work], None]
     idle: Callable[[], None]
     freed: Callable[[], None]
     turn: Callable[[str, str, float, int], Awaitable[float]]
@@ -424,6 +426,7 @@
                 ask = sending.ask(work, progress, waits=now < holds_out)
                 found = self._parts.view.pick(ask, now, limit=work.limit)
                 if isinstance(found, choice_lib.Picked):
+                    self._parts.found(work)
                     return found
                 if now >= until or (found.expected or now) > until:
                     return self._given_up(
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -46,6 +46,7 @@
         rate: Requests a second, averaged over the last seconds.
         waiting: Requests that wait because no target holds it.
         urgency: Least objective among the waiting, in seconds; 0 if none.
+        unserved: For how many seconds no request for it has found a target.
     """
 
     service: str
@@ -54,6 +55,7 @@
     rate: float
     waiting: int
     urgency: float
+    unserved: float = 0.0
 
 
 class Use(NamedTuple):
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -72,6 +72,12 @@
 # gains: rare models must come to their turn. Without a limit one waiting
 # caller took a model off that was just loaded and asked for more and more.
 _RARE_WORTH = 0.3
+# A model that has not been served for so many seconds is loaded
+# whatever its victims lose.
+_OVERDUE_SECONDS = 6.0
+# One engine of so many may load such a model at a time; the others go on with
+# what most requests wait for.
+_OVERDUE_SHARE = 3
 # One engine of so many is kept free for steps that gain as much as that. All
 # would be busy with models that one caller each waits for, from the store for
 # four seconds, when one that thirty wait for is missing.
@@ -95,11 +101,18 @@
         rate: Requests a second lately.
         waiting: Requests that wait for it.
         objective: Least objective of its requests, in seconds.
+        unserved: For how long it has not been served, in seconds.
     """
 
     rate: float
     waiting: int
     objective: float
+    unserved: float = 0.0
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether it is loaded whatever its victims lose."""
+        return self.waiting > 0 and self.unserved >= _OVERDUE_SECONDS
 
 
 class Place(NamedTuple):
@@ -116,6 +129,9 @@
         on_disk: Models on its disk, least recently used first.
         running: Requests that run there, by model.
         is_home: Whether a load is under way that only gives a model a home.
+        is_overdue: Whether a load is under way of a model that was overdue.
+        kept: Models that must not be displaced yet: they have just come, and
+            those that were told to come back for them have not been served.
     """
 
     target: str
@@ -128,6 +144,8 @@
     on_disk: tuple[str, ...]
     running: Mapping[str, int]
     is_home: bool = False
+    is_overdue: bool = False
+    kept: frozenset[str] = frozenset()
 
     @property
     def holds(self) -> tuple[str, ...]:
@@ -143,7 +161,7 @@
         model: The model to load.
         victims: Models to unload first.
         from_store: Whether the weights come from the store.
-        reason: `missing`, `copy` or `home`, for the log.
+        reason: `overdue`, `missing`, `copy` or `home`, for the log.
         seconds: How long the load takes.
         wait: How long the victims' runs will still take, about.
         gain: Requests a second that gain by it.
@@ -220,6 +238,7 @@
             has on its disk is then on no disk.
     """
     planner = _Planning(engine, places, wants, store_loads)
+    planner.load_overdue()
     planner.add_copies(least=_PRESSING)
     planner.load_missing()
     planner.add_copies(least=0.0)
@@ -252,12 +271,14 @@
         # Usable engines that hold a model or will shortly, by model.
         self._holders: dict[str, list[str]] = {}
         self._home_loads = 0
+        self._overdue_loads = 0
         # Requests a second by engine, counted anew after each step.
         self._known_loads: dict[str, float] | None = None
         # The answers of `_has_free_home`, likewise.
         self._free_homes: dict[str, bool] = {}
         for place in places:
             self._home_loads += place.is_home
+            self._overdue_loads += place.is_overdue
             if not place.usable:
                 continue
             for model in place.on_disk:
@@ -268,18 +289,45 @@
         self.made: list[Step] = []
         self.unplaced: list[Unplaced] = []
 
-    def load_missing(self) -> None:
-        """Loads models that requests wait for, the most waited for first."""
-        missing = [
+    def load_overdue(self) -> None:
+        """Loads models that have not been served for long, longest first.
+
+        Under load each victim loses more than a rare model gains, so without
+        this it need never be loaded (symptom: every caller of a model is
+        refused, all day).
+        """
+        usable = sum(place.usable for place in self._places.values())
+        most = max(1, usable // _OVERDUE_SHARE)
+        overdue = [item for item in self._missing() if item[1].is_overdue]
+        overdue.sort(key=lambda item: -item[1].unserved)
+        for name, want in overdue:
+            if self._overdue_loads >= most:
+                return
+            step = self._best(name, "overdue", self._gain(want))
+            if step is not None:
+                self._make(step)
+                self._overdue_loads += 1
+
+    def _missing(self) -> list[tuple[str, Want]]:
+        """Returns what requests wait for and no engine holds or loads."""
+        return [
             (name, want)
             for name, want in self._wants.items()
             if want.waiting
             and name in self._models
             and not self._copies.get(name)
         ]
+
+    def _gain(self, want: Want) -> float:
+        """Returns the requests a second that gain by a missing model."""
+        return max(want.rate, want.waiting / max(0.5, want.objective))
+
+    def load_missing(self) -> None:
+        """Loads models that requests wait for, the most waited for first."""
+        missing = self._missing()
         missing.sort(key=lambda item: -item[1].waiting / item[1].objective)
         for name, want in missing:
-            gain = max(want.rate, want.waiting / max(0.5, want.objective))
+            gain = self._gain(want)
             if not self._may_begin(gain):
                 self._leave_out(name, want, self._obstacle(name, gain), gain)
                 continue
@@ -509,7 +557,7 @@
         loss = 0.0
         hurry = max(1.0, gain)
         by_loss = sorted(
-            place.loaded,
+            (name for name in place.loaded if name not in place.kept),
             key=lambda name: (
                 self._loss(place, name)
                 + _SECOND_COSTS * hurry * _run_seconds(place, name)
--- a/tests/placement_site.py
+++ b/tests/placement_site.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import itertools
 import math
 import random
 
@@ -19,6 +20,7 @@
 from endivestream.process import site_settings
 from endivestream.request import demand as demand_lib
 from endivestream.request import patience as patience_lib
+from endivestream.request import unserved as unserved_lib
 from endivestream.version import document as document_lib
 
 SERVICE = "s"
@@ -243,6 +245,7 @@
         )
         self._changed = asyncio.Event()
         self._waiting = collections.defaultdict(list)
+        self._unserved = unserved_lib.Unserved()
         self._meters = demand_lib.Meters(now=clock.now())
         self._calls = set()
         self._tasks = []
@@ -305,6 +308,14 @@
         ]
         return through, [name for name in through if not self.served[name]]
 
+    def longest_unserved(self, name, now):
+        """Returns the longest time without service from the first request."""
+        asked = self.asked[name]
+        if not asked:
+            return 0.0
+        times = [asked[0], *self.served[name], now]
+        return max(b - a for a, b in itertools.pairwise(times))
+
     def _signal(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -335,6 +346,7 @@
                 rates.get(key, 0.0),
                 len(self._waiting.get(key, ())),
                 min(self._waiting.get(key) or [0.0]),
+                self._unserved.seconds(key, clock.now()),
             )
             for key in sorted({*rates, *self._waiting})
         ]
@@ -375,6 +387,7 @@
                 now = clock.now()
                 engine = self._holder(model, adapter)
                 if engine is not None:
+                    self._unserved.served(key)
                     break
                 expected = self._expected(model, now)
                 if now >= until or (expected or now) > until:
@@ -429,10 +442,14 @@
         return min(times, default=None)
 
     def _begin_to_wait(self, key):
+        self._unserved.missed(key, clock.now())
         self._waiting[key].append(ROUTE.objective)
         if len(self._waiting[key]) == 1 and self.planner is not None:
             rate = self._meters.rates(clock.now()).get(key, 0.0)
-            demand = site_messages.Demand(*key, rate, 1, ROUTE.objective)
+            unserved = self._unserved.seconds(key, clock.now())
+            demand = site_messages.Demand(
+                *key, rate, 1, ROUTE.objective, unserved
+            )
             self.planner.missing("h1", [demand])
 
     def _stop_waiting(self, key):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -89,6 +89,7 @@
             changed=self._changed,
             confirm=self._confirm,
             asked=lambda work: None,
+            found=lambda work: None,
             idle=lambda: None,
             freed=lambda: None,
             turn=self._turn,
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -42,8 +42,8 @@
     return plan.Place(target=target, loaded=tuple(loaded), **given)
 
 
-def want(rate=0.0, waiting=0, objective=0.8):
-    return plan.Want(rate, waiting, objective)
+def want(rate=0.0, waiting=0, objective=0.8, unserved=0.0):
+    return plan.Want(rate, waiting, objective, unserved)
 
 
 def plan_round(places, wants, store_loads=10, **fields):
@@ -158,6 +158,57 @@
         self.assertEqual(sum(s.from_store for s in made), 2)
 
 
+class OverdueTest(unittest.TestCase):
+    """A rare model under load: each victim loses more than it gains."""
+
+    def setUp(self):
+        self.busy = {name: want(9.0) for name in "abcdef"}
+
+    def _reasons(self, places, wants, **fields):
+        made = steps(places, self.busy | wants, complete=False, **fields)
+        return [(step.model, step.reason) for step in made]
+
+    def test_a_model_that_was_not_served_for_long_displaces_busy_ones(self):
+        """Guards against rare models that are never worth their place."""
+        places = [place("t1", "abc", on_disk=("g",))]
+        young = {"g": want(0.2, 1, 4.0, 1.0)}
+        old = {"g": want(0.2, 1, 4.0, 30.0)}
+        self.assertEqual([], self._reasons(places, young))
+        self.assertEqual([("g", "overdue")], self._reasons(places, old))
+
+    def test_who_was_not_served_longest_comes_first(self):
+        places = [place("t1", "abc", on_disk=("g", "h"))]
+        wants = {
+            "g": want(0.2, 1, 4.0, 20.0),
+            "h": want(2.0, 9, 0.8, 10.0),
+        }
+        self.assertEqual("g", self._reasons(places, wants)[0][0])
+
+    def test_overdue_models_leave_most_engines_to_others(self):
+        """Guards against many rare models that take all engines at once."""
+        places = [
+            place(f"t{n}", "abc", on_disk=tuple("defgh")) for n in range(6)
+        ]
+        wants = {name: want(0.2, 1, 4.0, 20.0) for name in "gh"}
+        wants |= {name: want(0.2, 1, 4.0, 20.0) for name in "def"}
+        made = self._reasons(places, wants)
+        self.assertEqual(2, sum(reason == "overdue" for _, reason in made))
+        busy = [place("t1", "abc", busy=True, is_overdue=True), *places[1:3]]
+        made = self._reasons(busy, wants)
+        self.assertEqual(0, sum(reason == "overdue" for _, reason in made))
+
+    def test_a_model_that_has_just_come_is_not_displaced(self):
+        """Guards against loads that are undone before callers come back."""
+        kept = frozenset("a")
+        places = [place("t1", "abc", on_disk=("g",), kept=kept)]
+        wants = {"a": want(0.0), "b": want(9.0), "c": want(9.0)}
+        wants |= {"g": want(9.0, 9, 0.8, 30.0)}
+        made = steps(places, wants, complete=False)
+        self.assertNotIn("a", made[0].victims)
+        all_kept = [place("t1", "abc", on_disk=("g",), kept=frozenset("abc"))]
+        self.assertEqual([], steps(all_kept, wants, complete=False))
+
+
 class HurryTest(unittest.TestCase):
     """Demand moves to a model at sixteen requests a second."""
 
--- a/tests/test_unserved_models.py
+++ b/tests/test_unserved_models.py
@@ -1,9 +1,32 @@
 import asyncio
+import math
 import unittest
 
+from endivestream import clock
+from endivestream.process import planner as planner_lib
+from endivestream.version import plan as plan_lib
+import hypothesis
+from hypothesis import strategies as st
+
 from tests import placement_site
 from tests import virtual_time
 
+# A load from the store, the runs that hold up an unload, and what orders and
+# reports take.
+STEP_SECONDS = 4.0 + placement_site.RUN_SECONDS + 1.0
+HOLDER_PAUSE_SECONDS = 4.0
+
+
+def longest_bound(*, models, engines):
+    """Returns the longest time for which a model in demand is not served.
+
+    A turn waits for an engine that is free of other steps, and for the end of
+    the protection of what has just come.
+    """
+    at_once = max(1, engines // plan_lib._OVERDUE_SHARE)
+    load = 2 * STEP_SECONDS + planner_lib._UNUSED_SECONDS
+    return plan_lib._OVERDUE_SECONDS + math.ceil(models / at_once) * load
+
 
 async def _play_rare_models(seed, *, lost_holder=False):
     """Three engines of three places; few models are busy, many are rare.
@@ -90,6 +113,54 @@
             self._check(seed, lost_holder=True)
 
 
+async def _play_steady(models, engines, places, seed, lost_at, seconds):
+    names = [f"m{n:02}" for n in range(models)]
+    site = placement_site.Site(
+        models=names, engines=engines, places=places, loaded=[[]] * engines
+    )
+    site.start()
+    asking = [
+        placement_site.ask(
+            site, model=name, rate=1.0, seconds=seconds, seed=seed
+        )
+        for name in names
+    ]
+
+    async def lose_holder():
+        await asyncio.sleep(lost_at)
+        await site.replace_holder(pause=HOLDER_PAUSE_SECONDS)
+
+    await asyncio.gather(*asking, lose_holder())
+    longest = max(site.longest_unserved(name, clock.now()) for name in names)
+    await site.close()
+    return site, longest
+
+
+class LongestWaitTest(unittest.TestCase):
+    @hypothesis.given(
+        models=st.integers(4, 10),
+        engines=st.integers(1, 4),
+        places=st.integers(1, 3),
+        seed=st.integers(0, 99),
+        lost_at=st.floats(1.0, 60.0),
+    )
+    @hypothesis.settings(max_examples=8)
+    def test_no_model_in_demand_waits_beyond_the_bound(
+        self, models, engines, places, seed, lost_at
+    ):
+        """Guards against turns that never come, also across a lost holder."""
+        bound = longest_bound(models=models, engines=engines)
+        bound += HOLDER_PAUSE_SECONDS
+        with virtual_time.running() as runner:
+            site, longest = runner.run(
+                _play_steady(
+                    models, engines, places, seed, lost_at, 1.5 * bound
+                )
+            )
+        self.assertLessEqual(longest, bound)
+        self.assertFalse(any(engine.crashed for engine in site.engines))
+
+
 class RareAdaptersTest(unittest.TestCase):
     def _play(self, seed, rate):
         with virtual_time.running() as runner:
