Let an adapter that was not served for long take the place of one in use

An adapter not served for 3 s displaces the one that has been there longest: entry hosts are told to leave that one alone, its runs end, then it goes. An engine that refused an adapter is left out for 0.3 s.

--- a/packages/endivestream/src/endivestream/process/adapter_placer.py
+++ b/packages/endivestream/src/endivestream/process/adapter_placer.py
@@ -2,6 +2,8 @@
 
 An adapter takes milliseconds and needs no pause of its engine, so each is
 loaded when it is waited for; the one that was not asked for longest makes room.
+Where all places are in use for good, the one that has been there longest makes
+room for an adapter that has not been served for long.
 """
 
 from __future__ import annotations
@@ -12,7 +14,9 @@
 from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 
+from endivestream import clock
 from endivestream import tasks
 from endivestream.process import engine_worker as worker_lib
 from endivestream.version import document as document_lib
@@ -27,6 +31,13 @@
 _ADAPTERS_AT_ONCE = 4
 # An adapter that was asked for within this time is not taken off.
 _KEEP_SECONDS = 0.6
+# An adapter that has not been served for so long displaces one in use.
+_OVERDUE_SECONDS = 3.0
+# Before an engine that refused an adapter is asked to take another.
+_REFUSED_SECONDS = 0.3
+# One in use that is to go gets no new requests and ends within this time.
+_RUNS_SECONDS = 8.0
+_RUNS_POLL_SECONDS = 0.05
 # An engine is asked what it holds at most so often.
 _ASK_SECONDS = 1.0
 
@@ -65,7 +76,7 @@
             now: The time.
         """
         longest_first = sorted(waited_for.items(), key=lambda item: -item[1])
-        for name, _ in longest_first:
+        for name, unserved in longest_first:
             model = name.partition("/")[0]
             holders = [w for w in workers if model in w.models - w.closing]
             if any(name in w.pending for w in holders):
@@ -74,7 +85,8 @@
             if known:
                 self._check(known, now)
             else:
-                self._bring(name, holders, engine, now)
+                is_overdue = unserved >= _OVERDUE_SECONDS
+                self._bring(name, holders, engine, now, is_overdue=is_overdue)
 
     def _bring(
         self,
@@ -82,16 +94,22 @@
         holders: list[worker_lib.EngineWorker],
         engine: document_lib.Engine,
         now: float,
+        *,
+        is_overdue: bool,
     ) -> None:
         free = [
             w
             for w in holders
-            if not w.is_busy and len(w.pending) < _ADAPTERS_AT_ONCE
+            if not w.is_busy
+            and len(w.pending) < _ADAPTERS_AT_ONCE
+            and now >= w.adapters_blocked_until
         ]
         if not free:
             return
         worker = min(free, key=lambda w: len(w.adapters) + len(w.pending))
         victim = _victim(worker, engine, now)
+        if victim is None and is_overdue and not worker.leaving:
+            victim = _longest_held(worker)
         if victim is None:
             return
         worker.pending.add(name)
@@ -131,10 +149,15 @@
             if victim:
                 model, _, adapter = victim.partition("/")
                 await asyncio.sleep(_CLOSE_SECONDS)
+                if not await _until_unused(worker, victim):
+                    return
                 taken = await worker.order(
                     load=False, model=model, adapter=adapter, engine=engine
                 )
                 if not taken or not await worker.until_gone(victim):
+                    worker.adapters_blocked_until = (
+                        clock.now() + _REFUSED_SECONDS
+                    )
                     return
                 worker.adapter_gone(victim)
             model, _, adapter = name.partition("/")
@@ -142,6 +165,8 @@
                 load=True, model=model, adapter=adapter, engine=engine
             ):
                 await asyncio.sleep(_ADAPTER_SECONDS)
+            else:
+                worker.adapters_blocked_until = clock.now() + _REFUSED_SECONDS
         finally:
             worker.pending.discard(name)
             worker.leaving.discard(victim)
@@ -160,3 +185,23 @@
         if now - used > _KEEP_SECONDS and name not in worker.leaving
     ]
     return min(old)[1] if old else None
+
+
+def _longest_held(worker: worker_lib.EngineWorker) -> str | None:
+    """Returns the adapter in use that has been there longest, or None."""
+    held = [name for name in worker.adapters if name not in worker.leaving]
+    # Adapters are listed in the order in which they came.
+    return held[0] if held else None
+
+
+async def _until_unused(worker: worker_lib.EngineWorker, name: str) -> bool:
+    """Waits until no request has used an adapter for a while.
+
+    Entry hosts have been told to send it no more.
+    """
+    until = clock.now() + _RUNS_SECONDS
+    while clock.now() - worker.adapters.get(name, -math.inf) <= _KEEP_SECONDS:
+        if clock.now() >= until:
+            return False
+        await asyncio.sleep(_RUNS_POLL_SECONDS)
+    return True
--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -49,6 +49,8 @@
         task: What carries it out.
         is_busy: Whether it carries out an order for a model, and takes none.
         blocked_until: When it may be tried again after a step that failed.
+        adapters_blocked_until: When it may be ordered to take an adapter
+            again, after it refused one.
         asked_at: When it was last asked what it holds.
         reported: Set with each report.
     """
@@ -73,6 +75,7 @@
         self.task: asyncio.Task[None] | None = None
         self.is_busy = False
         self.blocked_until = float("-inf")
+        self.adapters_blocked_until = float("-inf")
         self.asked_at = float("-inf")
         self.reported = asyncio.Event()
         self._engines = engines
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -414,6 +414,16 @@
             self.planner.demanded("h1", ())
         self.assertFalse(engine.crashed)
 
+    async def test_an_engine_that_refuses_adapters_is_not_asked_for_ever(self):
+        """Guards against an adapter that another engine could have taken."""
+        busy, free = Engine("e1", "a"), Engine("e2", "a")
+        busy.busy = True
+        free.adapters = {"a/x1"}
+        self._start(busy, free)
+        self._ask_for("a", "x2")
+        await self._until(lambda: "a/x2" in free.adapters)
+        self.assertFalse(free.crashed)
+
     async def test_an_adapter_whose_unload_was_refused_still_counts(self):
         """An engine is never ordered above its places.
 
