Note the limits that targets name, in the log and as a metric

A target in need names in its answers the requests a second that it takes from all hosts together.

Entry hosts now parse the header of each answer that is theirs, keep the newest word of each start of a target (request/rate_limits.py), log event=rate_limit when it changes and rate_limit_unreadable when it is no number, and count limited targets (endivestream_rate_limited_targets). An answer without the header ends a limit, but for a 421, which may come from another target at the address. No decision changes.

Evidence: tests/test_rate_limits.py (any order of word from several hosts ends in the same limits; late word does not bring a limit back); test_limits_that_targets_name_are_noted.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -29,6 +29,7 @@
 from endivestream.connection import links
 from endivestream.connection import watch as watch_lib
 from endivestream.process import entry_credit
+from endivestream.process import entry_rate_limits
 from endivestream.process import entry_repeats
 from endivestream.process import freshness as freshness_lib
 from endivestream.process import push_relay
@@ -124,6 +125,7 @@
             version=lambda: self.version,
             lease=lambda: max(0.0, self._watch.lease_until - clock.now()),
             targets=lambda: len(self._view.targets),
+            rate_limited=lambda: self._rate_limits.limits.count,
             meter=self._meter,
         )
         rules = admission.Rules(
@@ -146,6 +148,7 @@
         self._repeats = entry_repeats.EntryRepeats(
             bounds=settings.bounds, watch=self._watch
         )
+        self._rate_limits = entry_rate_limits.EntryRateLimits()
         parts = forward_lib.Parts(
             rules=rules,
             view=self._view,
@@ -160,6 +163,7 @@
             found=self._found,
             idle=self._watch.poke,
             freed=self._signal_change,
+            heard_limit=self._rate_limits.heard,
             turn=self._turn_desk.take,
             observe=self._metrics.observe,
         )
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -100,6 +100,7 @@
         version: Callable[[], float],
         lease: Callable[[], float],
         targets: Callable[[], float],
+        rate_limited: Callable[[], float],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Counts nothing yet.
@@ -109,6 +110,7 @@
             version: Returns the configuration version in force.
             lease: Returns seconds left of the lease.
             targets: Returns how many targets are known.
+            rate_limited: Returns how many of them name a limit.
             meter: Where the event loop's time goes.
         """
         super().__init__()
@@ -140,6 +142,9 @@
         self._gauge("configuration_version", "Version in force", version)
         self._gauge("lease_left_seconds", "Left of the lease", lease)
         self._gauge("targets", "Targets that are known", targets)
+        self._gauge(
+            "rate_limited_targets", "Targets that name a limit", rate_limited
+        )
         self._loop(meter)
 
     def observe(self, ended: forward_lib.Ended) -> None:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -21,6 +21,7 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
@@ -91,6 +92,8 @@
         found: Told of a request that has found its target.
         idle: Told when the last run of a model that is to go has ended.
         freed: Told when a place on a target may be free.
+        heard_limit: Told what each answer of a target says of the requests
+            that it takes; None if it says nothing.
         turn: Returns seconds until an engine should get a prompt, by the
             engine, its failure domain, the prompt's tokens, its rank.
         observe: Takes a finished request's figures.
@@ -109,6 +112,7 @@
     found: Callable[[admission.Work], None]
     idle: Callable[[], None]
     freed: Callable[[], None]
+    heard_limit: Callable[[registry_lib.Registration, str | None], None]
     turn: Callable[[str, str, float, int], Awaitable[float]]
     observe: Callable[[Ended], None]
 
@@ -156,6 +160,7 @@
             pool=parts.pool,
             idle=parts.idle,
             freed=parts.freed,
+            heard_limit=parts.heard_limit,
         )
         self._lease_queue = lease_queue.LeaseQueue(
             rules=parts.rules, changed=parts.changed, confirm=parts.confirm
--- a/packages/endivestream/src/endivestream/request/names.py
+++ b/packages/endivestream/src/endivestream/request/names.py
@@ -21,6 +21,8 @@
         last_event: The last event that a resumed stream's caller has.
         retry_after: Seconds after which to come back.
         key_scheme: The word before the key in `Authorization`.
+        rate_limit: In a target's answer: the requests a second that it takes
+            from all hosts together, for as long as it says so.
         reserved: Further headers that only this system may set.
     """
 
@@ -36,4 +38,5 @@
     last_event: str = "Last-Event-ID"
     retry_after: str = "Retry-After"
     key_scheme: str = "Bearer"
+    rate_limit: str = "X-Rate-Limit"
     reserved: tuple[str, ...] = ()
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -127,6 +127,7 @@
         pool: exchange_lib.Pool,
         idle: Callable[[], None],
         freed: Callable[[], None],
+        heard_limit: Callable[[registry_lib.Registration, str | None], None],
     ) -> None:
         """Opens nothing yet.
 
@@ -136,12 +137,15 @@
             pool: Connections to targets.
             idle: Told when the last run of a model that is to go has ended.
             freed: Told when a place on a target may be free.
+            heard_limit: Told what each answer of a target says of the
+                requests that it takes; None if it says nothing.
         """
         self._names = names
         self._view = view
         self._pool = pool
         self._idle = idle
         self._freed = freed
+        self._heard_limit = heard_limit
 
     async def send(
         self,
@@ -197,6 +201,7 @@
                     connect_seconds=min(_CONNECT_SECONDS, max(0.01, left)),
                 )
                 head = await exchange.head(seconds=work.route.timeout)
+                self._note_limit(work, said, head)
                 return await self._answer(call, work, progress, exchange, head)
         except TimeoutError:
             progress.may_have_run = progress.may_have_run or exchange.sent
@@ -208,6 +213,21 @@
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
+    def _note_limit(
+        self,
+        work: admission.Work,
+        said: registry_lib.Registration,
+        head: exchange_lib.Head,
+    ) -> None:
+        names = self._names
+        if head.headers.get(names.request, "") != work.request:
+            return
+        text = head.headers.get(names.rate_limit)
+        # A refusal may come from another target that has taken the address
+        # over, so it does not end a limit.
+        if text is not None or head.status != 421:
+            self._heard_limit(said, text)
+
     def _started(self, progress: Progress) -> None:
         """Notes once for each attempt that its prompt has been read."""
         if progress.starting is not None:
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -146,6 +146,23 @@
     coming: tuple[Coming, ...] = ()
 
 
+class RateLimit(NamedTuple):
+    """What a target has said of the requests that it takes.
+
+    Attributes:
+        target: The target's id.
+        born: The start of the target that said it.
+        rate: Requests a second from all hosts together; None if it names no
+            limit any more.
+        age: Seconds since it said so.
+    """
+
+    target: str
+    born: int
+    rate: float | None
+    age: float
+
+
 class Position(NamedTuple):
     """Which state of a leader's table a host has.
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -64,6 +64,7 @@
         self.repeat_asks = 0
         self.grants_repeat = False
         self.turns = []
+        self.limits = []
         self.turn_seconds = 0.0
         self.refused_kinds = set()
         self.pool = exchange_lib.Pool()
@@ -92,6 +93,7 @@
             found=lambda work: None,
             idle=lambda: None,
             freed=lambda: None,
+            heard_limit=lambda said, text: self.limits.append(text),
             turn=self._turn,
             observe=self.ended.append,
         )
@@ -165,6 +167,20 @@
         self.table = routes_lib.Table(document=document)
 
 
+class RateLimitTest(ForwardTest):
+    async def test_limits_that_targets_name_are_noted(self):
+        """An answer without one ends a limit; a refusal does not."""
+        self._route(ONCE)
+        await self._target(
+            standin.says(standin.answer(X_Rate_Limit="1.5")),
+            standin.says(standin.answer(500)),
+            standin.says(standin.answer(421)),
+        )
+        for _ in range(3):
+            await self.caller.ask(X_Deadline_Ms=200)
+        self.assertEqual(["1.5", None], self.limits)
+
+
 class AdmissionTest(ForwardTest):
     async def test_without_a_lease_nothing_runs(self):
         """A host that was cut off refuses and says that nothing has run."""
--- /dev/null
+++ b/tests/test_rate_limits.py
@@ -0,0 +1,94 @@
+import unittest
+
+from endivestream import site_messages
+from endivestream.request import rate_limits
+import hypothesis
+from hypothesis import strategies as st
+
+
+def said(rate, age=0.0, born=1, target="t1"):
+    return site_messages.RateLimit(target, born, rate, age)
+
+
+class ParseTest(unittest.TestCase):
+    def test_numbers(self):
+        for text, rate in (("1.5", 1.5), ("0", 0.0), ("1e9", 1e9), (" 2 ", 2)):
+            self.assertEqual(rate_limits.parse(text), rate, text)
+
+    def test_what_is_no_number_of_requests(self):
+        """Guards against limits of nan or below zero, which bound nothing."""
+        texts = ("", "soon", "nan", "inf", "-1", "1,5", "1e999", "1" * 40)
+        for text in texts:
+            self.assertIsNone(rate_limits.parse(text), text)
+
+    @hypothesis.given(st.text(max_size=40))
+    def test_any_text(self, text):
+        rate = rate_limits.parse(text)
+        self.assertTrue(rate is None or 0 <= rate < float("inf"))
+
+
+class RateLimitsTest(unittest.TestCase):
+    def setUp(self):
+        self.limits = rate_limits.RateLimits()
+
+    def test_a_limit_rises_falls_and_ends(self):
+        for now, rate in ((1.0, 1.5), (2.0, 3.0), (3.0, 0.0), (4.0, None)):
+            self.assertTrue(self.limits.heard("t1", 1, rate, now))
+            self.assertEqual(self.limits.rate("t1", 1), rate)
+        self.assertFalse(self.limits.heard("t1", 1, None, 5.0))
+
+    def test_another_start_of_a_target_has_no_limit_of_the_one_before(self):
+        """Guards against limits that outlive the process that named them."""
+        self.limits.heard("t1", 1, 1.5, 1.0)
+        self.assertIsNone(self.limits.rate("t1", 2))
+        self.limits.heard("t1", 2, 4.0, 2.0)
+        self.assertFalse(self.limits.merge([said(1.5)], 3.0))
+        self.assertEqual(self.limits.rate("t1", 2), 4.0)
+
+    def test_late_word_of_a_limit_does_not_bring_it_back(self):
+        self.limits.heard("t1", 1, 1.5, 1.0)
+        self.limits.heard("t1", 1, None, 5.0)
+        self.assertEqual([], self.limits.merge([said(1.5, age=2.0)], 6.0))
+        self.assertIsNone(self.limits.rate("t1", 1))
+
+    def test_targets_without_a_limit_take_no_memory(self):
+        for number in range(100):
+            self.limits.heard(f"t{number}", 1, None, 1.0)
+        self.assertEqual((), self.limits.records(2.0))
+
+    def test_what_is_gone_is_forgotten(self):
+        self.limits.heard("t1", 1, 1.5, 1.0)
+        self.limits.heard("t2", 1, 1.5, 1.0)
+        self.limits.forget({"t1"}, 100.0)
+        self.assertEqual({"t1": 1.5}, self.limits.rates)
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 2),
+                st.sampled_from([None, 0.0, 1.5, 7.0]),
+                st.floats(0.0, 50.0),
+            ),
+            min_size=1,
+            max_size=8,
+            unique_by=lambda each: each[2],
+        ),
+        st.randoms(use_true_random=False),
+    )
+    def test_hosts_agree_whatever_the_order(self, records, chance):
+        """Guards against hosts that keep different limits for good."""
+        now = 50.0
+        limits = [said(rate, now - at, born) for born, rate, at in records]
+        views = []
+        for _ in range(3):
+            chance.shuffle(limits)
+            view = rate_limits.RateLimits()
+            for each in limits:
+                view.merge([each], now)
+            views.append(view.rates)
+        _, rate, _ = max(records, key=lambda each: (each[0], each[2]))
+        self.assertEqual([{"t1": rate} if rate is not None else {}] * 3, views)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -28,6 +28,7 @@
             version=lambda: 7,
             lease=lambda: 4.2,
             targets=lambda: 12,
+            rate_limited=lambda: 1,
             meter=loop_meter.LoopMeter(),
         )
 
@@ -48,6 +49,7 @@
             " 2.0",
             "endivestream_running 3.0",
             "endivestream_lease_left_seconds 4.2",
+            "endivestream_rate_limited_targets 1.0",
         ):
             self.assertIn(line, lines)
 
