--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from endivestream import clock
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import entry as entry_lib
@@ -202,6 +203,37 @@
         reply = await self._ask(sound, path="/never/1")
         self.assertEqual(reply.status, 404)
 
+    async def test_a_target_gets_no_more_than_the_limit_it_names(self):
+        """Guards against hosts that send on as if nothing had been said."""
+        rate = 1.5
+        named = standin.answer(body=b"done", X_Rate_Limit=str(rate))
+        limited = await standin.Target(standin.says(named)).start()
+        self.addAsyncCleanup(limited.close)
+        self.target, unlimited = limited, self.target
+        self.addAsyncCleanup(unlimited.close)
+        await self._apply(test_document.document(1))
+        await self._register()
+        await self._in_force(1)
+        for entry in self.entries:
+            await self._until(lambda entry=entry: "t1" in entry._view.targets)
+            self.assertEqual((await self._ask(entry)).status, 200)
+        await asyncio.sleep(0.5)
+        before, begun = len(limited.requests), clock.now()
+        statuses = set()
+        while clock.now() < begun + 4.0:
+            replies = await asyncio.gather(
+                *(self._ask(e, X_Deadline_Ms=300) for e in self.entries)
+            )
+            statuses |= {reply.status for reply in replies}
+            for reply in replies:
+                if reply.status != 200:
+                    self.assertIn("Retry-After", reply.headers)
+        arrived = len(limited.requests) - before
+        seconds = clock.now() - begun
+        self.assertLessEqual(arrived, 1.5 * rate * seconds + 5)
+        self.assertGreaterEqual(arrived, 3)
+        self.assertLessEqual(statuses, {200, 503})
+
     async def _cut_off(self, entry):
         """Leaves an entry host without a way to any control host."""
         nowhere = f"tcp://{free_address()}"
