Test frames with every field of a demand

Seconds without service are finite and not negative; the strategy now says so, as it does for the other figures.

--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -18,6 +18,7 @@
     rate=st.floats(0.0, 1e3),
     waiting=st.integers(0, 99),
     urgency=st.floats(0.0, 9.0),
+    unserved=st.floats(0.0, 99.0),
 )
 
 
