Keep the limits that targets name, over all entry hosts

Class: a contract that no code reads, between parties of which each sees only its own part.

The newest word of each start of a target holds, in whatever order it arrives. A host tells a new leader all that it knows before anything is pushed to it, so that no empty table is taken for no limits; - the leader grants sends to limited targets one by one, each for its own moment up to 1 s ahead, and tells those that are refused different times to ask again. A new leader grants nothing for 1 s, while sends granted by the one before are used. Without a leader nothing is granted; - where a limit is at least twice the number of hosts, each keeps its part of half of it by itself: limits that bind nobody cost no message; - all that goes through the forwarder needs a send (first tries, repeats, resumed streams); orders and questions of placement are counted; - requests go to targets without a limit first; what surely cannot be sent in time is refused at once, with the time at which it can; - the planner sees limits: a busy model comes to no limited engine, and one whose engines are limited gets another.

A limit of zero is tried every eight seconds, as only answers tell its end.

It found two faults while this was written: sends granted before a limit fell were still made, and hosts refused together were told times hundreds of seconds ahead.

--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -42,7 +42,7 @@
         controls: Sequence[str],
         context: zmq.asyncio.Context,
         every: float,
-        renewal: Callable[[], site_messages.Renew],
+        renewal: Callable[[bool], site_messages.Renew],
         on_renewed: Callable[[site_messages.Renewed], None],
         on_push: Callable[[messages.Message], None],
         meter: loop_meter.LoopMeter | None = None,
@@ -53,7 +53,8 @@
             controls: `tcp://IP:PORT` of some control hosts.
             context: The process's zmq context.
             every: Seconds between renewals.
-            renewal: Makes the next renewal.
+            renewal: Makes the next renewal; told whether it goes to a host
+                that was not the leader so far.
             on_renewed: Takes an answer.
             on_push: Called with each message that the leader pushes.
             meter: Counts what messages cost.
@@ -177,7 +178,8 @@
         sent = clock.now()
         try:
             answer = await self._link(address).request(
-                self._renewal(), seconds=_ANSWER_SECONDS
+                self._renewal(address != self._leader),
+                seconds=_ANSWER_SECONDS,
             )
         except links.LinkDownError:
             return ""
--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -63,6 +63,7 @@
         holder: str,
         fence: int,
         may_order: Callable[[], bool],
+        sent: Callable[[str], None] = lambda target: None,
     ) -> None:
         self.said = said
         self.closing: set[str] = set()
@@ -82,6 +83,7 @@
         self._holder = holder
         self._fence = fence
         self._may_order = may_order
+        self._sent = sent
         self._lock = asyncio.Lock()
         # Orders that it has accepted; None if that is not known.
         self._accepted: int | None = None
@@ -309,6 +311,7 @@
             holder=self._holder,
             fence=self._fence,
         )
+        self._sent(self.said.name)
         outcome = await self._engines.order(
             self.said.address, self.said.name, order, seconds=ORDER_SECONDS
         )
@@ -339,6 +342,7 @@
         wait = self._taken_at + REPORT_OLD_SECONDS - clock.now()
         await asyncio.sleep(max(0.0, wait))
         self.asked_at = clock.now()
+        self._sent(self.said.name)
         report = await self._engines.report(
             self.said.address, seconds=ORDER_SECONDS
         )
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -43,6 +43,7 @@
 from endivestream.request import demand as demand_lib
 from endivestream.request import forward as forward_lib
 from endivestream.request import names as names_lib
+from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import routes as routes_lib
 from endivestream.request import unserved as unserved_lib
 from endivestream.version import document as document_lib
@@ -77,7 +78,10 @@
         self._context = zmq.asyncio.Context()
         self._meter = loop_meter.LoopMeter()
         self._pool = exchange_lib.Pool()
-        self._view = choice_lib.View(domain=settings.domain)
+        self._limits = rate_limits_lib.RateLimits()
+        self._view = choice_lib.View(
+            domain=settings.domain, limits=self._limits
+        )
         self._allowance = allowance_lib.Allowance()
         self._table: routes_lib.Table | None = None
         self._position = site_messages.Position()
@@ -120,12 +124,16 @@
                 handle=self._answer_peer,
                 meter=self._meter,
             )
+        self._rate_limits = entry_rate_limits.EntryRateLimits(
+            limits=self._limits, watch=self._watch, changed=self._watch.poke
+        )
         self._metrics = site_metrics.EntryMetrics(
             running=lambda: self.running,
             version=lambda: self.version,
             lease=lambda: max(0.0, self._watch.lease_until - clock.now()),
             targets=lambda: len(self._view.targets),
-            rate_limited=lambda: self._rate_limits.limits.count,
+            rate_limited=lambda: self._limits.count,
+            limited_sends=lambda: self._rate_limits.outcomes,
             meter=self._meter,
         )
         rules = admission.Rules(
@@ -148,7 +156,6 @@
         self._repeats = entry_repeats.EntryRepeats(
             bounds=settings.bounds, watch=self._watch
         )
-        self._rate_limits = entry_rate_limits.EntryRateLimits()
         parts = forward_lib.Parts(
             rules=rules,
             view=self._view,
@@ -164,6 +171,7 @@
             idle=self._watch.poke,
             freed=self._signal_change,
             heard_limit=self._rate_limits.heard,
+            permit=self._rate_limits.permit,
             turn=self._turn_desk.take,
             observe=self._metrics.observe,
         )
@@ -277,7 +285,7 @@
 
     # What the leader says.
 
-    def _renewal(self) -> site_messages.Renew:
+    def _renewal(self, is_new_leader: bool) -> site_messages.Renew:
         now = clock.now()
         rates = self._demand.rates(now)
         demand = tuple(
@@ -307,6 +315,7 @@
             failing=self._view.failing(now),
             relay=self._push_relay.relay,
             controls=self._watch.controls_digest,
+            limits=self._rate_limits.report(everything=is_new_leader),
         )
 
     def _take_leader_push(self, message: messages.Message) -> None:
@@ -337,6 +346,7 @@
     def _renewed(self, renewed: site_messages.Renewed) -> None:
         now = clock.now()
         self._allowance.heard_leader(now)
+        self._rate_limits.reported()
         for grant in renewed.grants:
             self._allowance.take(grant, now)
         if renewed.news is not None:
@@ -350,6 +360,7 @@
         self._leased_until = self._watch.lease_until
 
     def _take_news(self, news: site_messages.News) -> None:
+        self._rate_limits.merge(news.limits)
         before = self.version, self._position
         if news.document is not None:
             self._take_document(news.document)
@@ -386,11 +397,13 @@
         for target in news.targets:
             self._unnamed.pop(target.said.name, None)
         self._view.set_targets(news.targets, gone, clock.now())
+        self._limits.forget(self._view.targets.keys(), clock.now())
         if news.entries is not None:
             self._entries = news.entries
             self._turn_desk.set_hosts(news.entries)
             self._push_relay.set_hosts(news.entries)
             self._view.set_hosts(len(news.entries))
+            self._rate_limits.set_hosts(len(news.entries))
             self._repeats.set_hosts(len(news.entries))
         self._signal_change()
 
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -93,6 +93,7 @@
         fence: int,
         may_order: Callable[[], bool],
         changed: Callable[[Iterable[str]], None],
+        sent: Callable[[str], None] = lambda target: None,
         meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Orders nothing before `start`.
@@ -104,6 +105,8 @@
             may_order: Whether this host surely is the only one that orders,
                 asked before each order.
             changed: Told of targets whose closing models or adapters changed.
+            sent: Told of each order or question to a target that names a
+                limit.
             meter: Counts what planning costs.
         """
         self._meter = meter or loop_meter.LoopMeter()
@@ -112,6 +115,9 @@
         self._fence = fence
         self._may_order = may_order
         self._changed = changed
+        self._sent = sent
+        # Requests a second that targets take, where they name a limit.
+        self._limits: dict[str, float] = {}
         self._services: dict[str, document_lib.Engine] = {}
         self._workers: dict[str, worker_lib.EngineWorker] = {}
         self._silent: set[str] = set()
@@ -174,6 +180,14 @@
             if worker.task is not None:
                 worker.task.cancel()
 
+    def set_limits(self, rates: dict[str, float]) -> None:
+        """Takes over the limits that targets name, in requests a second."""
+        self._limits = dict(rates)
+
+    def _count_send(self, target: str) -> None:
+        if target in self._limits:
+            self._sent(target)
+
     def reported(self, said: registry_lib.Registration) -> None:
         """Takes a target's own report in."""
         worker = self._workers.get(said.name)
@@ -186,6 +200,7 @@
                 holder=self._settings.name,
                 fence=self._fence,
                 may_order=self._may_order,
+                sent=self._count_send,
             )
             self._workers[said.name] = worker
         worker.take_report(said)
@@ -429,6 +444,7 @@
             is_overdue=worker.step is not None
             and worker.step.reason == "overdue",
             kept=worker.kept(clock.now()),
+            rate_limit=self._limits.get(name),
         )
 
     def _is_stuck(self, worker: worker_lib.EngineWorker) -> bool:
--- a/packages/endivestream/src/endivestream/process/seat.py
+++ b/packages/endivestream/src/endivestream/process/seat.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterable
 
 from endivestream import clock
@@ -156,6 +157,7 @@
             fence=self._fence,
             may_order=lambda: self.holds,
             changed=self._tell,
+            sent=self._count_send,
             meter=self._meter,
         )
 
@@ -190,11 +192,21 @@
                 planner.forget_host(host)
             case site_messages.FedReport(said=said):
                 planner.reported(said)
+            case site_messages.FedLimits(rates=rates):
+                planner.set_limits(rates)
             case site_messages.FedTargets():
                 planner.set_targets(
                     item.names, set(item.silent), complete=item.complete
                 )
 
+    def _count_send(self, target: str) -> None:
+        """Has an order or question to a target count against its limit."""
+        self._run_in_background(
+            self._call(
+                site_messages.CountSend(target=target), seconds=_NOTICE_SECONDS
+            )
+        )
+
     def _tell(self, targets: Iterable[str]) -> None:
         """Tells the leader what was decided about targets."""
         planner = self._planner
@@ -212,7 +224,12 @@
             for target in targets
         )
         message = site_messages.TellNotices(fence=self._fence, notices=notices)
-        task = tasks.start(self._send(message), "notices")
+        self._run_in_background(self._send(message))
+
+    def _run_in_background(
+        self, work: Coroutine[object, object, object]
+    ) -> None:
+        task = tasks.start(work, "notices")
         self._telling.add(task)
         task.add_done_callback(self._telling.discard)
 
--- a/packages/endivestream/src/endivestream/process/seat_desk.py
+++ b/packages/endivestream/src/endivestream/process/seat_desk.py
@@ -70,6 +70,7 @@
         self._notices: dict[str, tuple[int, site_messages.Notice]] = {}
         self._demand: dict[str, site_messages.FedDemand] = {}
         self._targets = site_messages.FedTargets()
+        self._limits = site_messages.FedLimits(rates={})
         self._items: list[site_messages.Fed] = []
         # The number of the first item that is kept.
         self._first = 1
@@ -119,6 +120,11 @@
             self._targets = targets
             self._feed(targets)
 
+    def set_limits(self, rates: dict[str, float]) -> None:
+        """Passes on the limits that targets name."""
+        self._limits = site_messages.FedLimits(rates=rates)
+        self._feed(self._limits)
+
     def renewed(self, message: site_messages.Renew) -> None:
         """Passes on what an entry host counts."""
         host = message.host.name
@@ -224,7 +230,12 @@
             site_messages.FedReport(said=session.said)
             for session in self._sessions().values()
         ]
-        return [*reports, self._targets, *self._demand.values()]
+        return [
+            *reports,
+            self._targets,
+            self._limits,
+            *self._demand.values(),
+        ]
 
     async def _wait_for_news(self) -> None:
         self._news.clear()
--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -29,7 +29,9 @@
 from endivestream.process import site_settings
 from endivestream.process import steward as steward_lib
 from endivestream.process import table_news
+from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import send_slots
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import state as state_lib
@@ -94,6 +96,8 @@
         self._entries: tuple[site_messages.EntryHost, ...] = ()
         self._bank = bank_lib.Bank()
         self._repeats: dict[str, repeats_lib.SharedRepeatBudget] = {}
+        self._limits = rate_limits_lib.RateLimits()
+        self._send_slots = send_slots.SendSlots(now=self._began)
         self._steward = steward_lib.Steward(
             replicator=lead.replicator,
             wanted=settings.voters,
@@ -120,6 +124,7 @@
             ],
             target=self._target,
             whole=self._whole_table,
+            limits=lambda names: self._limits.records(clock.now(), names),
         )
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
@@ -186,6 +191,11 @@
                 return site_messages.GiveCredit(grants=grants)
             case site_messages.AskRepeat(service=service):
                 return self._give_repeat(service)
+            case site_messages.AskSend():
+                return self._give_send(message)
+            case site_messages.CountSend(target=target):
+                self._count_send(target)
+                return None
             case site_messages.Confirm():
                 self._note(message.host, message.version, message.position)
                 return None
@@ -240,6 +250,59 @@
         granted = budget.spend(clock.now(), hosts=len(self._sessions))
         return site_messages.GiveRepeat(granted=granted)
 
+    def _give_send(
+        self, message: site_messages.AskSend
+    ) -> site_messages.GiveSend | messages.NotLeader:
+        if not self._replicator.leads:
+            # Another leader may already grant sends to the same target.
+            return messages.NotLeader(address="")
+        now = clock.now()
+        asked = message.limit
+        self._merge_limits([asked])
+        rate = self._limits.rate(asked.target, asked.born)
+        if rate is None:
+            # It has ended, or is of another start; the push is on its way.
+            return site_messages.GiveSend(wait=0.0)
+        given = self._send_slots.take(
+            asked.target,
+            asked.born,
+            rate,
+            hosts=len(self._sessions),
+            patience=message.patience,
+            now=now,
+        )
+        match given:
+            case send_slots.Granted(wait=wait):
+                return site_messages.GiveSend(wait=wait)
+            case send_slots.Denied(seconds=seconds):
+                return site_messages.GiveSend(again=seconds)
+
+    def _count_send(self, target: str) -> None:
+        born = self._registry.born(target)
+        rate = None if born is None else self._limits.rate(target, born)
+        if rate is not None:
+            self._send_slots.spent(target, born, rate, clock.now())
+
+    def _merge_limits(self, limits: Iterable[site_messages.RateLimit]) -> None:
+        """Takes in what entry hosts know of targets' limits."""
+        changed = self._limits.merge(limits, clock.now())
+        if not changed:
+            return
+        for name in changed:
+            rate = self._limits.rates.get(name)
+            logs.event(
+                "rate_limit",
+                target=name,
+                rate="none" if rate is None else rate,
+                told_by="host",
+            )
+        self._seat.set_limits(self._limits.rates)
+        # A target that has not reported to this leader yet would be told as
+        # gone.
+        known = [name for name in changed if self._registry.find(name)]
+        if known:
+            self._news.note_targets(known)
+
     def _grant(
         self, host: str, asked: site_messages.CreditAsk
     ) -> site_messages.Grant:
@@ -381,6 +444,9 @@
             reported_teams=reported_teams,
         )
         self._note(host.name, message.version, message.position)
+        # Before anything is pushed to this host: it may know of limits that
+        # only the leader before was told of.
+        self._merge_limits(message.limits)
         self._seat.renewed(message)
         grants = [
             self._bank.report(host.name, need, now) for need in message.needs
@@ -508,6 +574,8 @@
         known = {*sessions, *self._registry.departed}
         self._news.forget_all_but(known)
         self._confirmations.forget_all_but(known)
+        self._limits.forget(sessions.keys(), now)
+        self._send_slots.forget(self._limits.rates)
         for name, session in sessions.items():
             if now - session.heard > silence and name not in self._silent:
                 logs.warn("target_silent", target=name)
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 import prometheus_client
 from prometheus_client import core
@@ -90,6 +91,24 @@
         yield from (count, size, seconds, longest)
 
 
+class _LimitedSends:
+    """Sends to targets that name a limit, by what became of them."""
+
+    def __init__(self, *, outcomes: Callable[[], Mapping[str, int]]) -> None:
+        self._outcomes = outcomes
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yields the figures as they are now."""
+        sends = core.CounterMetricFamily(
+            "endivestream_limited_sends",
+            "Sends to targets that name a limit",
+            labels=["outcome"],
+        )
+        for outcome, count in self._outcomes().items():
+            sends.add_metric([outcome], count)
+        yield sends
+
+
 class EntryMetrics(_Metrics):
     """What an entry host counts."""
 
@@ -101,6 +120,7 @@
         lease: Callable[[], float],
         targets: Callable[[], float],
         rate_limited: Callable[[], float],
+        limited_sends: Callable[[], Mapping[str, int]],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Counts nothing yet.
@@ -111,6 +131,7 @@
             lease: Returns seconds left of the lease.
             targets: Returns how many targets are known.
             rate_limited: Returns how many of them name a limit.
+            limited_sends: Returns how many sends to these ended in what.
             meter: Where the event loop's time goes.
         """
         super().__init__()
@@ -145,6 +166,7 @@
         self._gauge(
             "rate_limited_targets", "Targets that name a limit", rate_limited
         )
+        self._registry.register(_LimitedSends(outcomes=limited_sends))
         self._loop(meter)
 
     def observe(self, ended: forward_lib.Ended) -> None:
--- a/packages/endivestream/src/endivestream/process/table_news.py
+++ b/packages/endivestream/src/endivestream/process/table_news.py
@@ -70,6 +70,9 @@
         direct_peers: Callable[[], Sequence[bytes]],
         target: Callable[[str], site_messages.Target | None],
         whole: Callable[[], Table],
+        limits: Callable[
+            [Collection[str] | None], tuple[site_messages.RateLimit, ...]
+        ],
     ) -> None:
         """Tells nothing before `start`.
 
@@ -81,6 +84,7 @@
                 follow a relay.
             target: Returns a target as it is now; None if it is gone.
             whole: Returns the whole table.
+            limits: Returns the limits of some targets, or of all.
         """
         self._term = term
         self._push = push
@@ -88,6 +92,7 @@
         self._direct_peers = direct_peers
         self._target = target
         self._whole = whole
+        self._limits = limits
         self._number = 0
         self._told = 0
         # The number of the last change of each target, also of those gone.
@@ -166,6 +171,7 @@
             targets=tuple(t for t in targets.values() if t is not None),
             gone=tuple(name for name, t in targets.items() if t is None),
             entries=None if has_entries else self._entries,
+            limits=self._limits(targets.keys()),
         )
 
     def _whole_news(self) -> site_messages.News:
@@ -177,6 +183,7 @@
             targets=whole.targets,
             gone=whole.gone,
             entries=self._entries,
+            limits=self._limits(None),
         )
 
     def tell_at_once(self, document: document_lib.Document) -> None:
--- a/packages/endivestream/src/endivestream/request/choice.py
+++ b/packages/endivestream/src/endivestream/request/choice.py
@@ -15,6 +15,8 @@
 from typing import NamedTuple
 
 from endivestream import site_messages
+from endivestream.connection import registry as registry_lib
+from endivestream.request import rate_limits as rate_limits_lib
 
 # A target of another failure domain counts as if so many more requests ran
 # there, or so much of its slots were taken, whichever is less: the way there
@@ -28,6 +30,10 @@
 _KNOWN_SESSION = 2.0
 # A second until the next turn at an engine counts as so many requests there.
 _TURN_REQUESTS = 10.0
+# A target that names a limit takes few requests, so it comes after all others;
+# one that has long said nothing may have none any more.
+_LIMITED_REQUESTS = 20.0
+_LIMIT_SECONDS = 10.0
 # A target that misses its reports counts as so many requests fuller.
 _SILENT_REQUESTS = 20.0
 # Requests that an engine gets from all hosts, as a part of its slots: less by
@@ -85,7 +91,8 @@
     """No target can take it now.
 
     Attributes:
-        reason: `no_target`, `no_model`, `no_adapter`, `all_failing`, `full`.
+        reason: `no_target`, `no_model`, `no_adapter`, `all_failing`, `full`,
+            `rate_limited`.
         expected: When there will be one, if that is known.
     """
 
@@ -129,8 +136,22 @@
 class View:
     """All targets, as one entry host sees them."""
 
-    def __init__(self, *, domain: str) -> None:
+    def __init__(
+        self,
+        *,
+        domain: str,
+        limits: rate_limits_lib.RateLimits | None = None,
+    ) -> None:
+        """Knows no target yet.
+
+        Args:
+            domain: The failure domain of this host.
+            limits: Limits that targets name.
+        """
         self._domain = domain
+        self._limits = limits or rate_limits_lib.RateLimits()
+        # Until when targets take nothing because of their limits.
+        self._blocked: dict[str, float] = {}
         self._targets: dict[str, site_messages.Target] = {}
         self._by_service: dict[str, list[str]] = {}
         self._seen: dict[str, _Seen] = {}
@@ -190,6 +211,7 @@
         for name in gone:
             self._targets.pop(name, None)
             self._coming.pop(name, None)
+            self._blocked.pop(name, None)
             if name in self._seen and not self._seen[name].running:
                 del self._seen[name]
         self._by_service = {}
@@ -225,6 +247,22 @@
         """Sets how many entry hosts there are, this one included."""
         self._hosts = max(1, hosts)
 
+    def is_rate_limited(self, said: registry_lib.Registration) -> bool:
+        """Whether a target names a limit."""
+        return self._limits.rate(said.name, said.born) is not None
+
+    def block(self, target: str, until: float) -> None:
+        """Leaves a target alone for some time because of its limit."""
+        self._blocked[target] = until
+
+    def still_takes(self, said: registry_lib.Registration, ask: Ask) -> bool:
+        """Whether a target that was picked earlier may still be sent to."""
+        target = self._targets.get(said.name)
+        if target is None or target.said.born != said.born:
+            return False
+        holds = not ask.model or self._holds(said.name, ask.model)
+        return holds and not target.said.draining
+
     def pick(self, ask: Ask, now: float, *, limit: int) -> Picked | NotThere:
         """Chooses a target.
 
@@ -259,7 +297,20 @@
             names = [n for n in names if self._has_place(n, ask, now)]
         if not names:
             return NotThere(reason="full")
-        return self._least_loaded(ask, names, now)
+        free = [n for n in names if not self._is_blocked(n, now)]
+        if not free:
+            again = min(self._blocked[name] for name in names)
+            return NotThere(reason="rate_limited", expected=again)
+        return self._least_loaded(ask, free, now)
+
+    def _is_blocked(self, name: str, now: float) -> bool:
+        until = self._blocked.get(name)
+        if until is None:
+            return False
+        if until <= now or not self.is_rate_limited(self._targets[name].said):
+            del self._blocked[name]
+            return False
+        return True
 
     def _expected(
         self, names: Collection[str], model: str, now: float
@@ -336,6 +387,9 @@
                 why = "session"
             if target.said.warm_in > 0:
                 load *= 2
+            fresh = self._limits.age(name, now) < _LIMIT_SECONDS
+            if fresh and self.is_rate_limited(target.said):
+                load += _LIMITED_REQUESTS
             if target.silent:
                 load += _SILENT_REQUESTS
             # Between equals the session decides, so that its requests meet
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -92,6 +92,9 @@
         found: Told of a request that has found its target.
         idle: Told when the last run of a model that is to go has ended.
         freed: Told when a place on a target may be free.
+        permit: Waits until a request may be sent to a target that names a
+            limit, for so many seconds at most. Returns None if it may, else
+            the seconds after which the target may be tried again.
         heard_limit: Told what each answer of a target says of the requests
             that it takes; None if it says nothing.
         turn: Returns seconds until an engine should get a prompt, by the
@@ -112,6 +115,9 @@
     found: Callable[[admission.Work], None]
     idle: Callable[[], None]
     freed: Callable[[], None]
+    permit: Callable[
+        [registry_lib.Registration, float], Awaitable[float | None]
+    ]
     heard_limit: Callable[[registry_lib.Registration, str | None], None]
     turn: Callable[[str, str, float, int], Awaitable[float]]
     observe: Callable[[Ended], None]
@@ -288,6 +294,8 @@
                 target = await self._find(work, progress)
             if isinstance(target, findings.Failure):
                 return target
+            if not await self._permitted(work, progress, target):
+                continue
             if progress.sends and not await self._may_repeat(work):
                 return self._given_up(work, progress, "no_repeats_left")
             result = await self._sender.send(call, work, progress, target)
@@ -307,6 +315,26 @@
             if failure is not None:
                 return failure
 
+    async def _permitted(
+        self,
+        work: admission.Work,
+        progress: sending.Progress,
+        picked: choice_lib.Picked,
+    ) -> bool:
+        """Whether a target that names a limit takes this request now."""
+        said = picked.target.said
+        view = self._parts.view
+        if not view.is_rate_limited(said):
+            return True
+        now = clock.now()
+        until = self._until_place(work, progress)
+        again = await self._parts.permit(said, max(0.0, until - now))
+        if again is not None:
+            view.block(said.name, clock.now() + again)
+            return False
+        # It may have begun to leave, or to unload the model, meanwhile.
+        return view.still_takes(said, sending.ask(work, progress))
+
     async def _may_repeat(self, work: admission.Work) -> bool:
         service = work.service.name
         if self._parts.repeats(service).spend(clock.now()):
@@ -415,12 +443,7 @@
     ) -> choice_lib.Picked | findings.Failure:
         """Returns a target, after waiting for one if that pays."""
         holds_out = work.came + work.route.objective * _PLACE_OBJECTIVES
-        until = patience_lib.until_place(
-            route=work.route,
-            came=work.came,
-            heard=progress.last,
-            deadline=work.deadline,
-        )
+        until = self._until_place(work, progress)
         until = min(work.deadline, max(until, clock.now() + _LEAST_WAIT))
         stop_missing = None
         try:
@@ -451,6 +474,16 @@
             if stop_missing is not None:
                 stop_missing()
 
+    def _until_place(
+        self, work: admission.Work, progress: sending.Progress
+    ) -> float:
+        return patience_lib.until_place(
+            route=work.route,
+            came=work.came,
+            heard=progress.last,
+            deadline=work.deadline,
+        )
+
     async def _waited_for_turn(
         self,
         work: admission.Work,
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -187,6 +187,7 @@
         gone: Targets that are gone.
         entries: All entry hosts, or None if they are the same.
         document: The configuration, or None if it is the same.
+        limits: What is known of the limits of these targets.
     """
 
     position: Position
@@ -196,6 +197,7 @@
     gone: tuple[str, ...] = ()
     entries: tuple[EntryHost, ...] | None = None
     document: document_lib.Document | None = None
+    limits: tuple[RateLimit, ...] = ()
 
 
 class Renew(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -213,6 +215,8 @@
         relay: Name of the relay that this host follows; empty if the leader
             pushes to it directly.
         controls: Digest of the control hosts that a leader last named to it.
+        limits: Limits of targets that the leader may not know: all that this
+            host knows, if it has just found the leader.
     """
 
     host: EntryHost
@@ -224,6 +228,7 @@
     failing: tuple[str, ...] = ()
     relay: str = ""
     controls: int = 0
+    limits: tuple[RateLimit, ...] = ()
 
 
 class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -326,6 +331,36 @@
     granted: bool
 
 
+class AskSend(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks for one send to a target that names a limit.
+
+    Attributes:
+        limit: The target's limit, as the asking host knows it.
+        patience: Seconds for which the request can wait.
+    """
+
+    limit: RateLimit
+    patience: float
+
+
+class GiveSend(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answers `AskSend`.
+
+    Attributes:
+        wait: Seconds after which the request may be sent; None if it may not.
+        again: If not, seconds after which to ask again.
+    """
+
+    wait: float | None = None
+    again: float = 0.0
+
+
+class CountSend(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Tells of an order or question that was sent to a target with a limit."""
+
+    target: str
+
+
 class Missing(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Requests wait for models or adapters that no target holds.
 
@@ -380,7 +415,13 @@
     complete: bool = False
 
 
-Fed = FedDemand | FedGone | FedReport | FedTargets | Missing
+class FedLimits(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Requests a second of all targets that name a limit."""
+
+    rates: dict[str, float]
+
+
+Fed = FedDemand | FedGone | FedReport | FedTargets | FedLimits | Missing
 
 
 class AskSeat(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -540,6 +581,9 @@
     | GiveCredit
     | AskRepeat
     | GiveRepeat
+    | AskSend
+    | GiveSend
+    | CountSend
     | Missing
     | AskSeat
     | ToldSeat
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -132,6 +132,7 @@
         is_overdue: Whether a load is under way of a model that was overdue.
         kept: Models that must not be displaced yet: they have just come, and
             those that were told to come back for them have not been served.
+        rate_limit: Requests a second that it takes, if it names a limit.
     """
 
     target: str
@@ -146,6 +147,7 @@
     is_home: bool = False
     is_overdue: bool = False
     kept: frozenset[str] = frozenset()
+    rate_limit: float | None = None
 
     @property
     def holds(self) -> tuple[str, ...]:
@@ -403,7 +405,10 @@
         holders = self._holders.get(name, [])
         rate = self._rate(name)
         less = rate / copies - rate / (copies + 1)
-        relief = sum(_lost(loads[t]) - _lost(loads[t] - less) for t in holders)
+        relief = sum(
+            self._lost(t, loads[t]) - self._lost(t, loads[t] - less)
+            for t in holders
+        )
         domains = {self._places[target].domain for target in holders}
         best, most = None, float("-inf")
         for target in empty:
@@ -411,7 +416,8 @@
             if target in self._taken or name in place.holds:
                 continue
             more = rate / (copies + 1)
-            gain = relief + _lost(loads[target]) - _lost(loads[target] + more)
+            gain = relief + self._lost(target, loads[target])
+            gain -= self._lost(target, loads[target] + more)
             if place.domain not in domains:
                 # It saves the way for callers there, and is a spare.
                 gain += rate * _AWAY_LOSS / self._domains
@@ -610,7 +616,8 @@
         more = rate / (copies - 1) - rate / copies
         loads = self._loads()
         return sum(
-            _lost(loads[target] + more) - _lost(loads[target])
+            self._lost(target, loads[target] + more)
+            - self._lost(target, loads[target])
             for target in self._holders.get(model, ())
             if target != place.target
         )
@@ -622,7 +629,15 @@
             for name in place.loaded
             if name not in step.victims
         )
-        return _lost(there + self._copy_rate(step.model, 1)) - _lost(there)
+        more = self._copy_rate(step.model, 1)
+        return self._lost(place.target, there + more) - self._lost(
+            place.target, there
+        )
+
+    def _lost(self, target: str, rate: float) -> float:
+        """Returns what a rate at an engine costs, in requests a second."""
+        limit = self._places[target].rate_limit
+        return _lost(rate) if limit is None else _lost_above(rate, limit)
 
     def _copy_rate(self, model: str, more: int) -> float:
         """Returns the requests a second at one of a model's copies."""
@@ -669,3 +684,8 @@
     share = max(0.0, below - _EASY_RATE) / (_FULL_RATE - _EASY_RATE)
     over = max(0.0, rate - _FULL_RATE)
     return _LATE_LOSS * below * share + _OVER_LOSS * over
+
+
+def _lost_above(rate: float, limit: float) -> float:
+    """Returns what a rate costs at an engine that takes only so many."""
+    return _lost(min(rate, limit)) + _OVER_LOSS * max(0.0, rate - limit)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -209,6 +209,31 @@
         self.assertEqual([], steps(all_kept, wants, complete=False))
 
 
+class RateLimitTest(unittest.TestCase):
+    """Engines that name the requests a second that they take."""
+
+    def test_a_busy_model_does_not_come_to_a_limited_engine(self):
+        places = [
+            place("t1", "ab", on_disk=tuple("abg"), rate_limit=1.5),
+            place("t2", "cd", on_disk=tuple("cdg")),
+        ]
+        made = steps(places, {"g": want(6.0, 5)}, complete=False)
+        self.assertEqual("t2", made[0].target)
+
+    def test_a_model_whose_only_engine_is_limited_gets_another(self):
+        """Guards against callers refused while other engines are idle."""
+        wants = {"a": want(3.0)}
+        disk = tuple("abcd")
+        for limit, copies in ((None, 0), (1.5, 1)):
+            places = [
+                place("t1", "ab", on_disk=disk, rate_limit=limit),
+                place("t2", "cd", on_disk=disk),
+            ]
+            made = steps(places, wants, complete=False)
+            copied = [s for s in made if (s.model, s.target) == ("a", "t2")]
+            self.assertEqual(copies, len(copied), limit)
+
+
 class HurryTest(unittest.TestCase):
     """Demand moves to a model at sixteen requests a second."""
 
--- /dev/null
+++ b/tests/test_send_slots.py
@@ -0,0 +1,134 @@
+import unittest
+
+from endivestream.request import send_slots
+import hypothesis
+from hypothesis import strategies as st
+
+
+def take(slots, now, *, rate=1.5, hosts=8, patience=1.0, born=1):
+    return slots.take("t1", born, rate, hosts=hosts, patience=patience, now=now)
+
+
+def granted(slots, now, **fields):
+    """Returns when a send may be made, or None."""
+    match take(slots, now, **fields):
+        case send_slots.Granted(wait=wait):
+            return now + wait
+    return None
+
+
+def most_in_window(times, seconds=4.0):
+    times = sorted(times)
+    return max(
+        (
+            sum(start <= time < start + seconds for time in times)
+            for start in times
+        ),
+        default=0,
+    )
+
+
+class SendSlotsTest(unittest.TestCase):
+    def test_sends_are_granted_at_the_rate(self):
+        slots = send_slots.SendSlots(now=0.0)
+        times = [granted(slots, 10.0 + n / 50) for n in range(1000)]
+        times = [time for time in times if time is not None]
+        self.assertLessEqual(len(times), 1.5 * 21 + 2)
+        self.assertGreaterEqual(len(times), 1.5 * 20)
+
+    def test_who_is_refused_is_told_when_to_ask_again(self):
+        slots = send_slots.SendSlots(now=0.0)
+        while granted(slots, 10.0) is not None:
+            pass
+        seconds = take(slots, 10.0).seconds
+        self.assertIsNotNone(granted(slots, 10.0 + seconds))
+
+    def test_hosts_refused_together_do_not_come_back_together(self):
+        """Guards against hundreds of hosts that ask in the same instant."""
+        slots = send_slots.SendSlots(now=0.0)
+        told = [
+            denied.seconds
+            for denied in (take(slots, 10.0, patience=0.1) for _ in range(8))
+            if isinstance(denied, send_slots.Denied)
+        ]
+        self.assertEqual(len(told), len(set(told)))
+
+    def test_a_new_leader_grants_nothing_that_the_one_before_has_granted(self):
+        """Guards against two leaders' sends in the same second."""
+        slots = send_slots.SendSlots(now=10.0)
+        self.assertIsNone(granted(slots, 10.1, patience=0.5))
+        first = granted(slots, 10.5)
+        self.assertGreaterEqual(first, 10.0 + send_slots.AHEAD_SECONDS)
+
+    def test_a_target_that_takes_nothing_is_still_tried(self):
+        """Guards against a limit of zero that nobody sees end."""
+        slots = send_slots.SendSlots(now=0.0)
+        times = [granted(slots, 10.0 + n / 10, rate=0.0) for n in range(600)]
+        count = sum(time is not None for time in times)
+        self.assertTrue(5 <= count <= 11, count)
+
+    def test_a_limit_that_rises_is_used_at_once(self):
+        slots = send_slots.SendSlots(now=0.0)
+        for n in range(10):
+            granted(slots, 10.0 + n / 10, rate=0.0)
+        self.assertIsNotNone(granted(slots, 11.1, rate=50.0))
+
+    def test_another_start_begins_anew(self):
+        slots = send_slots.SendSlots(now=0.0)
+        while granted(slots, 10.0) is not None:
+            pass
+        self.assertIsNotNone(granted(slots, 10.0, born=2))
+
+    def test_orders_count(self):
+        """Guards against placement that spends what requests are granted."""
+        slots = send_slots.SendSlots(now=0.0)
+        for _ in range(8):
+            slots.spent("t1", 1, 1.5, 10.0)
+        self.assertIsNone(granted(slots, 10.0))
+
+    def test_a_huge_limit_costs_no_message(self):
+        """Guards against a leader that is asked for each request."""
+        share = send_slots.HostShare()
+        sent = sum(share.spend(1e6, 390, n / 100) for n in range(1000))
+        self.assertEqual(sent, 1000)
+
+    def test_hosts_that_know_no_others_keep_no_share(self):
+        """Guards against hosts that each take themselves for the only one."""
+        self.assertFalse(send_slots.HostShare().spend(1e6, 0, 1.0))
+
+    def test_many_hosts_keep_no_share_of_a_small_limit(self):
+        """Guards against hundreds of hosts that each send their first."""
+        for rate, hosts in ((1.5, 2), (7.0, 4), (100.0, 390)):
+            self.assertFalse(send_slots.HostShare().spend(rate, hosts, 1.0))
+
+    @hypothesis.given(
+        rate=st.sampled_from([0.0, 0.3, 1.5, 2.7, 12.0, 60.0, 400.0]),
+        hosts=st.integers(1, 120),
+        asks=st.lists(st.floats(0.0, 12.0), max_size=600),
+        lost=st.lists(st.floats(1.0, 12.0), max_size=3),
+        late=st.lists(st.floats(0.0, 0.45), min_size=1, max_size=7),
+    )
+    @hypothesis.settings(max_examples=150)
+    def test_no_window_holds_more_than_promised(
+        self, rate, hosts, asks, lost, late
+    ):
+        """Hosts ask at any time, leaders are lost, and sends are late."""
+        shares = [send_slots.HostShare() for _ in range(hosts)]
+        slots = send_slots.SendSlots(now=0.0)
+        losses = sorted(lost)
+        sent = []
+        for number, now in enumerate(sorted(asks)):
+            while losses and losses[0] <= now:
+                slots = send_slots.SendSlots(now=losses.pop(0))
+            delay = late[number % len(late)]
+            if shares[number % hosts].spend(rate, hosts, now):
+                sent.append(now + delay)
+                continue
+            when = granted(slots, now, rate=rate, hosts=hosts)
+            if when is not None:
+                sent.append(when + delay)
+        self.assertLessEqual(most_in_window(sent), 1.5 * rate * 4 + 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -29,6 +29,7 @@
             lease=lambda: 4.2,
             targets=lambda: 12,
             rate_limited=lambda: 1,
+            limited_sends=lambda: {"granted": 4},
             meter=loop_meter.LoopMeter(),
         )
 
@@ -50,6 +51,7 @@
             "endivestream_running 3.0",
             "endivestream_lease_left_seconds 4.2",
             "endivestream_rate_limited_targets 1.0",
+            'endivestream_limited_sends_total{outcome="granted"} 4.0',
         ):
             self.assertIn(line, lines)
 
--- a/tests/test_table_news.py
+++ b/tests/test_table_news.py
@@ -49,6 +49,7 @@
             whole=lambda: table_news.Table(
                 targets=tuple(self.held.values()), gone=(), complete=True
             ),
+            limits=lambda names: (),
         )
 
     async def _push(self, peers, message):
