--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -279,6 +279,7 @@
         self.pushed_frames = 0
         self.targets = [f"t{n}" for n in range(targets)]
         self.unanswered = 0
+        self.granted = 0
         self.questions = 0
         self.latest = 0.0
         self.log = Log()
@@ -377,6 +378,17 @@
         team = document_lib.Team(name="band", keys=("k",), rate=9e9, burst=9e9)
         await host.credit.take(team, 1.0, soon=0.5, patience=0.5)
 
+    async def ask_send(self, host, target, rate):
+        """A request for a target that names a limit."""
+        answer = await host.ask(
+            site_messages.AskSend(
+                limit=site_messages.RateLimit(target, 1, rate, 0.0),
+                patience=1.0,
+            ),
+            seconds=0.15,
+        )
+        self.granted += getattr(answer, "wait", None) is not None
+
     async def leave(self, target):
         """A target says that it leaves; returns when that was confirmed."""
         self._leaving.add(target)
@@ -428,6 +440,17 @@
                 1.0, lambda h=host: self.ask_credit(h), first=number / credit
             )
 
+    def run_limits(self, *, rate, asks):
+        """Has all targets name a limit, and hosts ask for sends."""
+        for number in range(asks):
+            host = self.hosts[number % len(self.hosts)]
+            target = self.targets[number % len(self.targets)]
+            self.repeat(
+                1.0,
+                lambda h=host, t=target: self.ask_send(h, t, rate),
+                first=number / asks,
+            )
+
     def run_targets(self, *, changes):
         """Has targets report, and change so often a second together."""
         for number, target in enumerate(self.targets):
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -58,6 +58,21 @@
                 self.assertLess(site.latest, SILENCE_SECONDS)
                 self.assertEqual(site.unanswered, 0)
 
+    def test_questions_about_limited_targets_do_not_silence_the_leader(self):
+        """A tenth of 650 targets in need must not cost the leader its lead."""
+
+        async def busy(site):
+            site.follow_relays()
+            site.run_hosts(every=0.7, credit=0)
+            site.run_limits(rate=4.0, asks=520)
+            await asyncio.sleep(5.0)
+            return site
+
+        site = self._run(busy, hosts=390, targets=65, domains=5)
+        self.assertLess(site.latest, SILENCE_SECONDS)
+        self.assertEqual(site.unanswered, 0)
+        self.assertGreater(site.granted, 4 * 65 * 4.0 * 0.9)
+
     def test_the_leader_writes_a_push_to_few_hosts_of_each_domain(self):
         """Traffic between domains must not grow with hosts times changes."""
 
