Give each request on a stopping host its final answer

By reading, the wait for credit heeds no stop, and neither does a target that does not answer.

Class: an end that each wait has to heed by itself. Now the forwarder knows its requests and what each waits for. While the host stops, requests that wait and that it cannot finish any more are refused at once (503, not run); at the end all that have had no answer get theirs: 503 if nothing was sent, else 502 or 504. Answers on their way out go on while the process runs. event=request_stopped names the stage; requests_total{reason="stopping"} counts.

Evidence: StopTest, a request in each of seven waits; before, none was answered (there was no way to end them). test_a_stopping_host_answers_what_ a_target_leaves_unanswered: no answer before, 502 after.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -58,6 +58,8 @@
 # us, with an end that callers understand.
 _STOP_MARGIN_SECONDS = 0.35
 _DRAIN_POLL_SECONDS = 0.05
+# Of that margin, for the final answers of what still runs then to leave.
+_LAST_ANSWERS_SECONDS = 0.15
 # A stopping host takes no new streams once less than this part of its grace is
 # left, and no other requests in the last part: what it takes, it must finish.
 # Long streams take five seconds.
@@ -259,8 +261,13 @@
         stale = min(until, begun + 3 * self._settings.address_seconds)
         while clock.now() < until:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
+            self._forwarder.stop_waiting()
             if clock.now() >= stale and not self._front.running:
                 break
+        self._forwarder.stop_all()
+        answered = clock.now() + _LAST_ANSWERS_SECONDS
+        while self._front.running and clock.now() < answered:
+            await asyncio.sleep(_DRAIN_POLL_SECONDS / 5)
         logs.event(
             "drained",
             seconds=clock.now() - begun,
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import math
 from typing import NamedTuple
 
@@ -151,6 +152,23 @@
     tries: int
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Active:
+    """A request under way.
+
+    Attributes:
+        call: The caller's side of it.
+        progress: What has happened to it.
+        work: The admitted request; None until it is.
+        is_stopped: Whether it is ended because the host stops.
+    """
+
+    call: call_lib.Call
+    progress: sending.Progress
+    work: admission.Work | None = None
+    is_stopped: bool = False
+
+
 class _Over(NamedTuple):
     """The caller has had all that it will get."""
 
@@ -168,6 +186,7 @@
             freed=parts.freed,
             heard_limit=parts.heard_limit,
         )
+        self._active: dict[asyncio.Task[None], _Active] = {}
         self._lease_queue = lease_queue.LeaseQueue(
             rules=parts.rules, changed=parts.changed, confirm=parts.confirm
         )
@@ -175,34 +194,87 @@
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request to its end."""
         progress = sending.Progress()
-        work: admission.Work | findings.Failure = admission.no_lease()
+        active = _Active(call=call, progress=progress)
+        task = asyncio.current_task()
+        assert task is not None
+        self._active[task] = active
         try:
-            work = await self._lease_queue.admit(call)
-            if isinstance(work, findings.Failure):
-                progress.reason = work.reason
-                await self._fail(call, progress, work)
-                return
-            self._parts.asked(work)
-            failure = await self._run(call, work, progress)
-            if failure is not None:
-                progress.reason = failure.reason
-                await self._fail(call, progress, failure)
+            await self._serve(active)
         except call_lib.GoneError:
             progress.reason = "caller_gone"
         except asyncio.CancelledError:
             progress.reason = "caller_gone"
-            raise
+            if not active.is_stopped:
+                raise
+            task.uncancel()
+            await self._answer_stopped(active)
         finally:
-            self._log(call, work, progress)
+            del self._active[task]
+            self._log(call, active.work, progress)
+
+    async def _serve(self, active: _Active) -> None:
+        call, progress = active.call, active.progress
+        failure: findings.Failure | None
+        admitted = await self._lease_queue.admit(call)
+        if isinstance(admitted, findings.Failure):
+            failure = admitted
+        else:
+            active.work = admitted
+            self._parts.asked(admitted)
+            failure = await self._run(call, admitted, progress)
+        if failure is not None:
+            progress.reason = failure.reason
+            await self._fail(call, progress, failure)
+
+    def stop_waiting(self) -> None:
+        """Refuses requests that wait and that a stopping host cannot finish."""
+        for task, active in list(self._active.items()):
+            kind = document_lib.Kind.STREAM
+            if active.work is not None:
+                kind = active.work.route.kind
+            if not active.progress.is_sent and not self._parts.rules.takes(
+                kind
+            ):
+                self._stop(task, active)
+
+    def stop_all(self) -> None:
+        """Gives all requests that have had no answer their final one."""
+        for task, active in list(self._active.items()):
+            self._stop(task, active)
+
+    def _stop(self, task: asyncio.Task[None], active: _Active) -> None:
+        if active.is_stopped or active.call.begun:
+            # An answer on its way out goes on while the process runs.
+            return
+        active.is_stopped = True
+        logs.event(
+            "request_stopped",
+            request=active.call.headers.get(
+                self._parts.rules.names.request, ""
+            ),
+            stage=active.progress.stage,
+        )
+        task.cancel()
+
+    async def _answer_stopped(self, active: _Active) -> None:
+        call, progress, work = active.call, active.progress, active.work
+        failure = admission.stopping()
+        if work is not None:
+            failure = self._stopped(work, progress)
+        progress.reason = "stopping"
+        try:
+            await self._fail(call, progress, failure)
+        except call_lib.GoneError:
+            progress.reason = "caller_gone"
 
     def _log(
         self,
         call: call_lib.Call,
-        work: admission.Work | findings.Failure,
+        work: admission.Work | None,
         progress: sending.Progress,
     ) -> None:
         now = clock.now()
-        known = isinstance(work, admission.Work)
+        known = work is not None
         ended = Ended(
             route=work.route.name if known else "",
             kind=work.route.kind if known else "",
@@ -248,6 +320,7 @@
         progress: sending.Progress,
     ) -> findings.Failure | None:
         """Returns None once a whole answer has been passed on."""
+        progress.stage = "credit"
         refused = await self._charge(work)
         if refused is not None:
             return refused
@@ -286,6 +359,7 @@
         progress: sending.Progress,
     ) -> findings.Failure | None:
         while True:
+            progress.stage = "place"
             target = await self._find(work, progress)
             if isinstance(target, choice_lib.Picked) and (
                 await self._waited_for_turn(work, progress, target)
@@ -296,6 +370,7 @@
                 return target
             if not await self._permitted(work, progress, target):
                 continue
+            progress.stage = "repeat"
             if progress.sends and not await self._may_repeat(work):
                 return self._given_up(work, progress, "no_repeats_left")
             result = await self._sender.send(call, work, progress, target)
@@ -326,6 +401,7 @@
         view = self._parts.view
         if not view.is_rate_limited(said):
             return True
+        progress.stage = "limit"
         now = clock.now()
         until = self._until_place(work, progress)
         again = await self._parts.permit(said, max(0.0, until - now))
@@ -505,6 +581,7 @@
         if wait <= 0:
             return False
         progress.turn = wait
+        progress.stage = "turn"
         await asyncio.sleep(wait)
         return True
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -55,6 +55,8 @@
         reason: Why it ended.
         target: The last target.
         starting: What the attempt under way needs, until its first event.
+        stage: What it waits for: `lease`, `credit`, `place`, `turn`, `limit`,
+            `repeat` or `target`.
     """
 
     tried: list[str] = dataclasses.field(default_factory=list)
@@ -71,6 +73,12 @@
     reason: str = ""
     target: str = ""
     starting: choice_lib.Ask | None = None
+    stage: str = "lease"
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether an attempt with a target is under way."""
+        return self.stage == "target"
 
 
 class Refused(NamedTuple):
@@ -158,6 +166,7 @@
         said = picked.target.said
         view = self._view
         progress.target = said.name
+        progress.stage = "target"
         progress.sends += 1
         progress.waited = progress.waited or clock.now()
         exchange = exchange_lib.Exchange(
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -236,6 +236,27 @@
         self.assertGreaterEqual(arrived, 3)
         self.assertLessEqual(statuses, {200, 503})
 
+    async def test_a_stopping_host_answers_what_a_target_leaves_unanswered(
+        self,
+    ):
+        """Guards against connections closed with no answer at a stop."""
+        silent = await standin.Target(standin.hangs).start()
+        self.addAsyncCleanup(silent.close)
+        self.target, other = silent, self.target
+        self.addAsyncCleanup(other.close)
+        route = test_document.route(timeout=60.0)
+        await self._apply(test_document.document(1, routes=[route]))
+        await self._register()
+        await self._in_force(1)
+        entry = self.entries[0]
+        await self._until(lambda: "t1" in entry._view.targets)
+        asking = asyncio.create_task(self._ask(entry, X_Deadline_Ms=60_000))
+        await self._until(lambda: silent.requests)
+        await entry.drain()
+        async with asyncio.timeout(5.0):
+            reply = await asking
+        self.assertEqual((reply.status, reply.whole), (502, True))
+
     async def _cut_off(self, entry):
         """Leaves an entry host without a way to any control host."""
         nowhere = f"tcp://{free_address()}"
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -24,6 +24,7 @@
 
 from tests import standin
 from tests import test_document
+from tests import test_plan
 
 ONCE = test_document.route(timeout=5.0)
 IDEMPOTENT = test_document.route(
@@ -69,6 +70,8 @@
         self.limits = []
         self.permits = []
         self.permitted = []
+        self.permit_waits = False
+        self.repeat_waits = False
         self.leaves = ""
         self.turn_seconds = 0.0
         self.refused_kinds = set()
@@ -103,8 +106,8 @@
             turn=self._turn,
             observe=self.ended.append,
         )
-        forwarder = forward_lib.Forwarder(parts=parts)
-        front = call_lib.Front(serve=forwarder.serve, now=clock.now)
+        self.forwarder = forward_lib.Forwarder(parts=parts)
+        front = call_lib.Front(serve=self.forwarder.serve, now=clock.now)
         self.server = httpserver.HTTPServer(front)
         sockets = netutil.bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
@@ -135,10 +138,14 @@
 
     async def _ask_repeat(self, service):
         self.repeat_asks += 1
+        if self.repeat_waits:
+            await asyncio.Event().wait()
         return self.grants_repeat
 
     async def _permit(self, said, patience):
         self.permitted.append(said.name)
+        if self.permit_waits:
+            await asyncio.Event().wait()
         if self.leaves:
             self.view.set_targets([], [self.leaves])
         return self.permits.pop(0) if self.permits else None
@@ -179,6 +186,130 @@
         self.table = routes_lib.Table(document=document)
 
 
+class StopTest(ForwardTest):
+    """Guards against connections closed without an answer by a stop."""
+
+    async def _stage(self, stage):
+        """Brings a request to where it waits; returns its status at the end."""
+        self.caller.send(X_Deadline_Ms=60_000, X_Tokens="1000,10")
+        while self._stages() != [stage]:
+            await asyncio.sleep(0.001)
+
+    def _stages(self):
+        active = self.forwarder._active.values()
+        return [each.progress.stage for each in active]
+
+    async def _check(self, stage, statuses):
+        await self._stage(stage)
+        self.forwarder.stop_all()
+        async with asyncio.timeout(5.0):
+            reply = await self.caller.reply()
+        self.assertIn(reply.status, statuses)
+        self.assertTrue(reply.whole)
+        self.assertEqual("stopping", self.ended[0].reason)
+        self.assertEqual({}, self.forwarder._active)
+        return reply
+
+    async def _never(self, *args, **kwargs):
+        await asyncio.Event().wait()
+
+    async def test_one_that_waits_for_the_lease(self):
+        self.lease = -math.inf
+        await self._check("lease", [503])
+
+    async def test_one_that_waits_for_credit(self):
+        team = document_lib.Team(
+            name="band", keys=("k",), rate=1.0, burst=9.0, plain_cost=1
+        )
+        self._route(ONCE, teams=(team,))
+        self.credit.take = self._never
+        self.caller.send(X_Deadline_Ms=60_000, Authorization="Bearer k")
+        while self._stages() != ["credit"]:
+            await asyncio.sleep(0.001)
+        self.forwarder.stop_all()
+        reply = await self.caller.reply()
+        self.assertEqual((reply.status, reply.whole), (503, True))
+        self.assertIn("Retry-After", reply.headers)
+
+    async def test_one_that_waits_for_a_place(self):
+        self._route(ONCE)
+        await self._check("place", [503])
+
+    async def test_one_that_waits_for_its_turn(self):
+        models = (registry_lib.Loaded("a"),)
+        self._route(ONCE, engine=test_plan.engine())
+        await self._target(standin.says(standin.answer()), loaded=models)
+        self.turn_seconds = 60.0
+        self.caller.send(X_Deadline_Ms=60_000, X_Tokens="1000,10", X_Model="a")
+        with mock.patch.object(
+            forward_lib.patience_lib, "until_turn", lambda **fields: math.inf
+        ):
+            while self._stages() != ["turn"]:
+                await asyncio.sleep(0.001)
+        self.forwarder.stop_all()
+        self.assertEqual(503, (await self.caller.reply()).status)
+
+    async def test_one_that_waits_for_a_limited_target(self):
+        self._route(ONCE)
+        await self._target(standin.says(standin.answer()))
+        self.known_limits.heard("t1", 1, 1.5, clock.now())
+        self.permit_waits = True
+        await self._check("limit", [503])
+
+    async def test_one_that_waits_for_a_repeat(self):
+        """It has run once, so its answer does not say that it has not."""
+        self._route(IDEMPOTENT)
+        self.repeats = repeats_lib.RepeatBudget(
+            ratio=0.0, window=10.0, slack=0.0, now=clock.now() - 60.0
+        )
+        self.repeat_waits = True
+        for _ in range(2):
+            await self._target(standin.resets())
+        await self._check("repeat", [502])
+
+    async def test_one_at_a_target_that_does_not_answer(self):
+        """It may have run, so its answer does not say that it has not."""
+        self._route(ONCE)
+        target = await self._target(standin.hangs)
+        await self._stage("target")
+        while not target.requests:
+            await asyncio.sleep(0.001)
+        self.forwarder.stop_all()
+        reply = await self.caller.reply()
+        self.assertEqual((reply.status, reply.whole), (502, True))
+
+    async def test_what_cannot_be_finished_is_refused_when_the_stop_begins(
+        self,
+    ):
+        """Guards against callers held until the process ends."""
+        self._route(ONCE)
+        await self._stage("place")
+        self.forwarder.stop_waiting()
+        self.assertEqual(["place"], self._stages())
+        self.refused_kinds.add(ONCE.kind)
+        self.forwarder.stop_waiting()
+        reply = await self.caller.reply()
+        self.assertEqual((reply.status, reply.whole), (503, True))
+
+    async def test_a_stream_that_has_begun_goes_on(self):
+        self._route(STREAM)
+
+        async def begins(request, writer):
+            writer.write(standin.stream_head())
+            writer.write(standin.chunk(standin.event(1)))
+            await asyncio.Event().wait()
+
+        await self._target(begins)
+        self.caller.send(X_Deadline_Ms=60_000)
+        while not self.forwarder._active or not any(
+            each.call.begun for each in self.forwarder._active.values()
+        ):
+            await asyncio.sleep(0.001)
+        self.forwarder.stop_all()
+        await asyncio.sleep(0.01)
+        self.assertEqual(["target"], self._stages())
+
+
 class RateLimitTest(ForwardTest):
     def _limit(self, target, rate=1.5):
         self.known_limits.heard(target, 1, rate, clock.now())
