Split the planner's records and costs from its rounds

plan.py had 691 lines: what planning goes by and results in (plan_types), what placement costs (plan_costs), and the rounds (plan, 525 lines). The two functions for engines with and without a limit are one. No decision changes: tests/test_plan.py passes as before, with its names of the moved records.

--- a/packages/endivestream/src/endivestream/process/engine_worker.py
+++ b/packages/endivestream/src/endivestream/process/engine_worker.py
@@ -16,7 +16,7 @@
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.version import document as document_lib
-from endivestream.version import plan as plan_lib
+from endivestream.version import plan_types
 
 # An engine answers an order within a few milliseconds.
 ORDER_SECONDS = 0.5
@@ -70,7 +70,7 @@
         self.adapters: dict[str, float] = {}
         self.leaving: set[str] = set()
         self.pending: set[str] = set()
-        self.step: plan_lib.Step | None = None
+        self.step: plan_types.Step | None = None
         self.step_begun = 0.0
         self.there_at = 0.0
         self.task: asyncio.Task[None] | None = None
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -27,6 +27,7 @@
 from endivestream.process import use_table
 from endivestream.version import document as document_lib
 from endivestream.version import plan as plan_lib
+from endivestream.version import plan_types
 
 _PLAN_SECONDS = 0.05
 # After a victim is announced to entry hosts, until its unload is ordered: the
@@ -133,7 +134,7 @@
         # service.
         self._held: dict[tuple[str, str, str], float] = {}
         # Models that requests wait for and no step loads, by service.
-        self._unplaced: dict[str, list[plan_lib.Unplaced]] = {}
+        self._unplaced: dict[str, list[plan_types.Unplaced]] = {}
         self._unplaced_logged: dict[tuple[str, str], float] = {}
         self._poked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -426,9 +427,9 @@
         since = max(min(asked.missed.values()), self._held.get(key, -math.inf))
         return max(0.0, now - since)
 
-    def _place(self, worker: worker_lib.EngineWorker) -> plan_lib.Place:
+    def _place(self, worker: worker_lib.EngineWorker) -> plan_types.Place:
         name = worker.said.name
-        return plan_lib.Place(
+        return plan_types.Place(
             target=name,
             domain=worker.said.domain,
             loaded=tuple(sorted(worker.models - worker.closing)),
@@ -456,8 +457,8 @@
         waits = worker.step is not None and not worker.is_busy
         return waits and clock.now() - worker.step_begun > _STUCK_SECONDS
 
-    def _wants(self, service: str, now: float) -> dict[str, plan_lib.Want]:
-        wants: dict[str, plan_lib.Want] = {}
+    def _wants(self, service: str, now: float) -> dict[str, plan_types.Want]:
+        wants: dict[str, plan_types.Want] = {}
         for key, asked in list(self._asked.items()):
             if key[0] != service:
                 continue
@@ -467,12 +468,12 @@
                 del self._asked[key]
                 self._waiting.pop(key, None)
                 continue
-            before = wants.get(key[1], plan_lib.Want(0.0, 0, math.inf))
+            before = wants.get(key[1], plan_types.Want(0.0, 0, math.inf))
             unserved = 0.0
             if waiting:
                 held = self._held.get((service, key[1], ""), -math.inf)
                 unserved = min(self._unserved(key, now), now - held)
-            wants[key[1]] = plan_lib.Want(
+            wants[key[1]] = plan_types.Want(
                 before.rate + asked.rate,
                 before.waiting + waiting,
                 min(before.objective, asked.objective or 1.0),
@@ -492,7 +493,7 @@
     def _begin(
         self,
         worker: worker_lib.EngineWorker,
-        step: plan_lib.Step,
+        step: plan_types.Step,
         engine: document_lib.Engine,
     ) -> None:
         logs.event(
@@ -521,7 +522,7 @@
     async def _carry_out(
         self,
         worker: worker_lib.EngineWorker,
-        step: plan_lib.Step,
+        step: plan_types.Step,
         engine: document_lib.Engine,
     ) -> None:
         begun = clock.now()
@@ -549,7 +550,7 @@
     async def _swap(
         self,
         worker: worker_lib.EngineWorker,
-        step: plan_lib.Step,
+        step: plan_types.Step,
         engine: document_lib.Engine,
     ) -> bool:
         if step.victims:
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -10,10 +10,10 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
-import enum
-from typing import NamedTuple
 
 from endivestream.version import document as document_lib
+from endivestream.version import plan_costs
+from endivestream.version import plan_types
 
 # What the loss of one copy of a model costs, as a share of the model's
 # requests, by how many copies it has. The last copy costs all of them; with
@@ -30,10 +30,6 @@
 # A swap takes this long on top of the load: the push to entry hosts, two
 # orders and a report.
 _SWAP_SECONDS = 0.25
-# Requests that still run for a victim hold its unload up by about so long.
-_RUNNING_SECONDS = 1.5
-# Seconds of loading weigh as much as this loss of requests a second.
-_SECOND_COSTS = 0.3
 # A further copy must gain this multiple of what it displaces.
 _HYSTERESIS = 3.0
 # Demand is taken to last so long when a gain is weighed against its cost.
@@ -53,18 +49,6 @@
 # than an empty home is worth: models come back into demand, and then take
 # several times as long to be there.
 _EVICTION_COSTS = 1.0
-# Requests a second at one engine. Prompts are read between the tokens of
-# running requests (1,460 tokens take 66 ms); up to the first figure pauses stay
-# short, at the second every answer has a long one.
-_EASY_RATE = 4.0
-_FULL_RATE = 14.0
-# What a late answer loses of its worth.
-_LATE_LOSS = 0.7
-# What each request a second above the full rate costs: it makes all that wait
-# behind it later still, until they give up. Steeper than the cost below the
-# full rate ever is, or a third copy would look useless where a fourth is
-# needed too (symptom: two engines drown, others stay idle).
-_OVER_LOSS = 2.0
 # A further copy that saves so many requests a second comes before models that
 # few requests wait for: else every free engine is busy with those.
 _PRESSING = 4.0
@@ -72,9 +56,6 @@
 # gains: rare models must come to their turn. Without a limit one waiting
 # caller took a model off that was just loaded and asked for more and more.
 _RARE_WORTH = 0.3
-# A model that has not been served for so many seconds is loaded
-# whatever its victims lose.
-_OVERDUE_SECONDS = 6.0
 # One engine of so many may load such a model at a time; the others go on with
 # what most requests wait for.
 _OVERDUE_SHARE = 3
@@ -82,9 +63,6 @@
 # would be busy with models that one caller each waits for, from the store for
 # four seconds, when one that thirty wait for is missing.
 _KEPT_FREE = 4
-# Running requests of a victim that hold its unload up by another 1.5 s: an
-# engine that runs many is slow with each.
-_RUNNING_STEP = 8.0
 # Models and engines that are looked at for a further copy in one round: the
 # fullest engines' busiest models, and the emptiest engines.
 _COPY_MODELS = 4
@@ -94,141 +72,14 @@
 _HOME_LOADS = 1
 
 
-class Want(NamedTuple):
-    """How much a model is asked for.
-
-    Attributes:
-        rate: Requests a second lately.
-        waiting: Requests that wait for it.
-        objective: Least objective of its requests, in seconds.
-        unserved: For how long it has not been served, in seconds.
-    """
-
-    rate: float
-    waiting: int
-    objective: float
-    unserved: float = 0.0
-
-    @property
-    def is_overdue(self) -> bool:
-        """Whether it is loaded whatever its victims lose."""
-        return self.waiting > 0 and self.unserved >= _OVERDUE_SECONDS
-
-
-class Place(NamedTuple):
-    """One engine, as far as planning goes.
-
-    Attributes:
-        target: Its name.
-        domain: Its failure domain.
-        loaded: Models that it holds, without those being unloaded.
-        coming: A model that is being loaded, or empty.
-        busy: Whether an order is under way or in doubt.
-        usable: Whether it may be given orders.
-        in_memory: Models in its host memory, least recently used first.
-        on_disk: Models on its disk, least recently used first.
-        running: Requests that run there, by model.
-        is_home: Whether a load is under way that only gives a model a home.
-        is_overdue: Whether a load is under way of a model that was overdue.
-        kept: Models that must not be displaced yet: they have just come, and
-            those that were told to come back for them have not been served.
-        rate_limit: Requests a second that it takes, if it names a limit.
-    """
-
-    target: str
-    domain: str
-    loaded: tuple[str, ...]
-    coming: str
-    busy: bool
-    usable: bool
-    in_memory: tuple[str, ...]
-    on_disk: tuple[str, ...]
-    running: Mapping[str, int]
-    is_home: bool = False
-    is_overdue: bool = False
-    kept: frozenset[str] = frozenset()
-    rate_limit: float | None = None
-
-    @property
-    def holds(self) -> tuple[str, ...]:
-        """Models that it holds or will hold shortly."""
-        return (*self.loaded, self.coming) if self.coming else self.loaded
-
-
-class Step(NamedTuple):
-    """Put a model on an engine, after taking others off.
-
-    Attributes:
-        target: The engine.
-        model: The model to load.
-        victims: Models to unload first.
-        from_store: Whether the weights come from the store.
-        reason: `overdue`, `missing`, `copy` or `home`, for the log.
-        seconds: How long the load takes.
-        wait: How long the victims' runs will still take, about.
-        gain: Requests a second that gain by it.
-        loss: Requests a second that the victims lose.
-    """
-
-    target: str
-    model: str
-    victims: tuple[str, ...]
-    from_store: bool
-    reason: str
-    seconds: float
-    wait: float
-    gain: float
-    loss: float
-
-
-class Obstacle(enum.StrEnum):
-    """Why a model that requests wait for is not loaded in a round."""
-
-    ENGINES_BUSY = "engines_busy"
-    ENGINES_KEPT = "engines_kept"
-    STORE_RATE = "store_rate"
-    HOME_BUSY = "home_busy"
-    DISPLACES_MORE = "displaces_more"
-
-
-class Unplaced(NamedTuple):
-    """A model that requests wait for and that no step loads.
-
-    Attributes:
-        model: The model.
-        obstacle: Why not.
-        waiting: Requests that wait for it.
-        gain: Requests a second that would gain by it.
-        loss: What its cheapest step's victims lose; 0 if there is no step.
-    """
-
-    model: str
-    obstacle: Obstacle
-    waiting: int
-    gain: float
-    loss: float
-
-
-class Round(NamedTuple):
-    """The result of one round of planning.
-
-    Attributes:
-        steps: What to begin now, at most one step for an engine.
-        unplaced: What requests wait for and no step loads.
-    """
-
-    steps: list[Step]
-    unplaced: list[Unplaced]
-
-
 def plan(
     *,
     engine: document_lib.Engine,
-    places: Sequence[Place],
-    wants: Mapping[str, Want],
+    places: Sequence[plan_types.Place],
+    wants: Mapping[str, plan_types.Want],
     store_loads: int,
     complete: bool = True,
-) -> Round:
+) -> plan_types.Round:
     """Plans one round.
 
     Args:
@@ -246,7 +97,7 @@
     planner.add_copies(least=0.0)
     if complete:
         planner.give_homes()
-    return Round(planner.made, planner.unplaced)
+    return plan_types.Round(planner.made, planner.unplaced)
 
 
 class _Planning:
@@ -255,8 +106,8 @@
     def __init__(
         self,
         engine: document_lib.Engine,
-        places: Sequence[Place],
-        wants: Mapping[str, Want],
+        places: Sequence[plan_types.Place],
+        wants: Mapping[str, plan_types.Want],
         store_loads: int,
     ) -> None:
         self._models = {model.name: model for model in engine.models}
@@ -288,8 +139,8 @@
             for model in place.holds:
                 self._holders.setdefault(model, []).append(place.target)
                 self._copies[model] = self._copies.get(model, 0) + 1
-        self.made: list[Step] = []
-        self.unplaced: list[Unplaced] = []
+        self.made: list[plan_types.Step] = []
+        self.unplaced: list[plan_types.Unplaced] = []
 
     def load_overdue(self) -> None:
         """Loads models that have not been served for long, longest first.
@@ -310,7 +161,7 @@
                 self._make(step)
                 self._overdue_loads += 1
 
-    def _missing(self) -> list[tuple[str, Want]]:
+    def _missing(self) -> list[tuple[str, plan_types.Want]]:
         """Returns what requests wait for and no engine holds or loads."""
         return [
             (name, want)
@@ -320,7 +171,7 @@
             and not self._copies.get(name)
         ]
 
-    def _gain(self, want: Want) -> float:
+    def _gain(self, want: plan_types.Want) -> float:
         """Returns the requests a second that gain by a missing model."""
         return max(want.rate, want.waiting / max(0.5, want.objective))
 
@@ -337,7 +188,7 @@
             if step is None:
                 self._leave_out(name, want, self._obstacle(name, gain), gain)
             elif step.loss >= gain + _RARE_WORTH:
-                obstacle = Obstacle.DISPLACES_MORE
+                obstacle = plan_types.Obstacle.DISPLACES_MORE
                 self._leave_out(name, want, obstacle, gain, step.loss)
             else:
                 self._make(step)
@@ -345,27 +196,27 @@
     def _leave_out(
         self,
         model: str,
-        want: Want,
-        obstacle: Obstacle,
+        want: plan_types.Want,
+        obstacle: plan_types.Obstacle,
         gain: float,
         loss: float = 0.0,
     ) -> None:
         self.unplaced.append(
-            Unplaced(model, obstacle, want.waiting, gain, loss)
+            plan_types.Unplaced(model, obstacle, want.waiting, gain, loss)
         )
 
-    def _obstacle(self, model: str, gain: float) -> Obstacle:
+    def _obstacle(self, model: str, gain: float) -> plan_types.Obstacle:
         """Returns why no engine can be ordered to load a model."""
         if not any(
             place.usable and self._is_free(place.target)
             for place in self._places.values()
         ):
-            return Obstacle.ENGINES_BUSY
+            return plan_types.Obstacle.ENGINES_BUSY
         if not self._may_begin(gain):
-            return Obstacle.ENGINES_KEPT
+            return plan_types.Obstacle.ENGINES_KEPT
         if self._homes.get(model):
-            return Obstacle.HOME_BUSY
-        return Obstacle.STORE_RATE
+            return plan_types.Obstacle.HOME_BUSY
+        return plan_types.Obstacle.STORE_RATE
 
     def add_copies(self, *, least: float) -> None:
         """Gives models on full engines a further copy on empty ones.
@@ -503,7 +354,7 @@
                 self._make(step)
                 left -= 1
 
-    def _make(self, step: Step) -> None:
+    def _make(self, step: plan_types.Step) -> None:
         self.made.append(step)
         self._taken.add(step.target)
         self._store_loads -= step.from_store
@@ -513,7 +364,9 @@
         for victim in step.victims:
             self._copies[victim] -= 1
 
-    def _best(self, model: str, reason: str, gain: float) -> Step | None:
+    def _best(
+        self, model: str, reason: str, gain: float
+    ) -> plan_types.Step | None:
         """Returns the cheapest way to load a model, or None."""
         found, least = None, float("inf")
         domains = {
@@ -529,7 +382,7 @@
             step = self._step(place, model, reason, gain)
             if step is None:
                 continue
-            cost = step.loss + _delay_costs(step)
+            cost = step.loss + plan_costs.delay_costs(step)
             cost += self._eviction(place, step)
             if place.domain in domains:
                 cost += gain / 4
@@ -539,8 +392,8 @@
         return found
 
     def _step(
-        self, place: Place, model: str, reason: str, gain: float
-    ) -> Step | None:
+        self, place: plan_types.Place, model: str, reason: str, gain: float
+    ) -> plan_types.Step | None:
         from_store = model not in place.in_memory + place.on_disk
         # Where an engine has it on its disk, the store is not asked, even if
         # that engine is busy for a second: the copy would push another
@@ -566,7 +419,9 @@
             (name for name in place.loaded if name not in place.kept),
             key=lambda name: (
                 self._loss(place, name)
-                + _SECOND_COSTS * hurry * _run_seconds(place, name)
+                + plan_costs.SECOND_COSTS
+                * hurry
+                * plan_costs.run_seconds(place, name)
             ),
         )
         for name in by_loss:
@@ -577,33 +432,39 @@
             loss += self._loss(place, name)
         if room < self._models[model].weights_mb:
             return None
-        return Step(
+        return plan_types.Step(
             target=place.target,
             model=model,
             victims=tuple(victims),
             from_store=from_store,
             reason=reason,
             seconds=self._seconds(place, model),
-            wait=max((_run_seconds(place, v) for v in victims), default=0.0),
+            wait=max(
+                (plan_costs.run_seconds(place, v) for v in victims), default=0.0
+            ),
             gain=gain,
             loss=loss,
         )
 
-    def _loss(self, place: Place, model: str) -> float:
+    def _loss(self, place: plan_types.Place, model: str) -> float:
         """Returns what a model's requests lose with its copy at a place."""
         copies = max(1, self._copies.get(model, 1))
         want = self._wants.get(model)
         if want is None or want.rate < _UNKNOWN_RATE:
-            want = Want(_UNKNOWN_RATE, 0, _UNKNOWN_OBJECTIVE)
+            want = plan_types.Want(_UNKNOWN_RATE, 0, _UNKNOWN_OBJECTIVE)
         share = _LOSS.get(copies, _LOSS_MORE)
         if copies == 1:
             again = _SWAP_SECONDS + self._models[model].disk_seconds
             in_time = want.objective > 2 * again
             share = _IN_TIME if in_time else _LATE
         loss = want.rate * share + self._burden(place, model, copies)
-        return loss + _SECOND_COSTS * _run_seconds(place, model)
+        return loss + plan_costs.SECOND_COSTS * plan_costs.run_seconds(
+            place, model
+        )
 
-    def _burden(self, place: Place, model: str, copies: int) -> float:
+    def _burden(
+        self, place: plan_types.Place, model: str, copies: int
+    ) -> float:
         """Returns what a copy's requests cost on the engines they go to.
 
         Without it the copies of a model that many ask for look idle as soon as
@@ -622,7 +483,9 @@
             if target != place.target
         )
 
-    def _crowding(self, place: Place, step: Step) -> float:
+    def _crowding(
+        self, place: plan_types.Place, step: plan_types.Step
+    ) -> float:
         """Returns what a model costs others by coming."""
         there = sum(
             self._copy_rate(name, 0)
@@ -636,14 +499,15 @@
 
     def _lost(self, target: str, rate: float) -> float:
         """Returns what a rate at an engine costs, in requests a second."""
-        limit = self._places[target].rate_limit
-        return _lost(rate) if limit is None else _lost_above(rate, limit)
+        return plan_costs.lost(rate, self._places[target].rate_limit)
 
     def _copy_rate(self, model: str, more: int) -> float:
         """Returns the requests a second at one of a model's copies."""
         return self._rate(model) / max(1, self._copies.get(model, 0) + more)
 
-    def _eviction(self, place: Place, step: Step) -> float:
+    def _eviction(
+        self, place: plan_types.Place, step: plan_types.Step
+    ) -> float:
         """Returns what it costs that a load pushes a copy off the disk."""
         if not step.from_store or not place.on_disk:
             return 0.0
@@ -651,7 +515,7 @@
         last = self._homes.get(oldest, 0) <= 1 and oldest not in place.loaded
         return _EVICTION_COSTS if last else 0.0
 
-    def _seconds(self, place: Place, name: str) -> float:
+    def _seconds(self, place: plan_types.Place, name: str) -> float:
         """Returns how long an engine takes to load a model."""
         model = self._models[name]
         if name in place.in_memory:
@@ -659,33 +523,3 @@
         if name in place.on_disk:
             return model.disk_seconds
         return model.load_seconds
-
-
-def _run_seconds(place: Place, model: str) -> float:
-    """Returns how long a model's runs on an engine will still take, about."""
-    running = place.running.get(model, 0)
-    if not running:
-        return 0.0
-    return _RUNNING_SECONDS * (1.0 + running / _RUNNING_STEP)
-
-
-def _delay_costs(step: Step) -> float:
-    """Returns what it costs until a step has its effect.
-
-    What many wait for goes where it is soonest there, not where the fewest
-    are displaced: a victim's streams may run for as long as a load takes.
-    """
-    return _SECOND_COSTS * max(1.0, step.gain) * (step.seconds + step.wait)
-
-
-def _lost(rate: float) -> float:
-    """Returns what an engine's rate costs, in whole requests a second."""
-    below = min(max(0.0, rate), _FULL_RATE)
-    share = max(0.0, below - _EASY_RATE) / (_FULL_RATE - _EASY_RATE)
-    over = max(0.0, rate - _FULL_RATE)
-    return _LATE_LOSS * below * share + _OVER_LOSS * over
-
-
-def _lost_above(rate: float, limit: float) -> float:
-    """Returns what a rate costs at an engine that takes only so many."""
-    return _lost(min(rate, limit)) + _OVER_LOSS * max(0.0, rate - limit)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -2,6 +2,7 @@
 
 from endivestream.version import document as document_lib
 from endivestream.version import plan
+from endivestream.version import plan_types
 import hypothesis
 from hypothesis import strategies as st
 
@@ -39,11 +40,11 @@
         "on_disk": tuple(loaded),
         "running": {},
     } | fields
-    return plan.Place(target=target, loaded=tuple(loaded), **given)
+    return plan_types.Place(target=target, loaded=tuple(loaded), **given)
 
 
 def want(rate=0.0, waiting=0, objective=0.8, unserved=0.0):
-    return plan.Want(rate, waiting, objective, unserved)
+    return plan_types.Want(rate, waiting, objective, unserved)
 
 
 def plan_round(places, wants, store_loads=10, **fields):
