--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -42,6 +42,7 @@
 from endivestream.request import choice as choice_lib
 from endivestream.request import demand as demand_lib
 from endivestream.request import forward as forward_lib
+from endivestream.request import forward_parts
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import routes as routes_lib
@@ -158,7 +159,7 @@
         self._repeats = entry_repeats.EntryRepeats(
             bounds=settings.bounds, watch=self._watch
         )
-        parts = forward_lib.Parts(
+        parts = forward_parts.Parts(
             rules=rules,
             view=self._view,
             pool=self._pool,
--- a/packages/endivestream/src/endivestream/process/entry_credit.py
+++ b/packages/endivestream/src/endivestream/process/entry_credit.py
@@ -9,7 +9,7 @@
 from endivestream.connection import watch as watch_lib
 from endivestream.process import credit_questions
 from endivestream.request import allowance as allowance_lib
-from endivestream.request import forward as forward_lib
+from endivestream.request import forward_parts
 from endivestream.version import document as document_lib
 
 # A caller that nobody answered about credit comes back after so long.
@@ -22,7 +22,7 @@
 _PROMISE_SECONDS = 0.6
 
 
-class EntryCredit(forward_lib.Credit):
+class EntryCredit(forward_parts.Credit):
     """Teams' credit on one entry host. Lives as long as the process."""
 
     def __init__(
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -11,8 +11,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
-import math
+from collections.abc import Iterator
 
 from endivestream import clock
 from endivestream import logs
@@ -22,6 +21,7 @@
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import adapter_placer
+from endivestream.process import demand_table
 from endivestream.process import engine_worker as worker_lib
 from endivestream.process import site_settings
 from endivestream.process import use_table
@@ -57,32 +57,10 @@
 # told to come back for it, and loads take longer than callers wait.
 _UNUSED_SECONDS = 5.0
 _USED_SECONDS = 1.0
-# What was held is remembered for so long.
-_HELD_MEMORY_SECONDS = 60.0
 # Least time between two lines about one model that is left out.
 _UNPLACED_LOG_SECONDS = 1.0
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Asked:
-    """How much one model or adapter is asked for.
-
-    Attributes:
-        rates: Requests a second, by the entry host that they come to.
-        objective: Least objective seen, in seconds; 0 if none.
-        missed: Since when it has not been served, by entry host.
-    """
-
-    rates: dict[str, float] = dataclasses.field(default_factory=dict)
-    missed: dict[str, float] = dataclasses.field(default_factory=dict)
-    objective: float = 0.0
-
-    @property
-    def rate(self) -> float:
-        """Requests a second at all hosts."""
-        return sum(self.rates.values())
-
-
 class Planner:
     """Placement of models and adapters while this host holds the seat."""
 
@@ -123,16 +101,12 @@
         self._workers: dict[str, worker_lib.EngineWorker] = {}
         self._silent: set[str] = set()
         self._complete = False
-        self._asked: dict[tuple[str, str, str], _Asked] = {}
-        self._waiting: dict[tuple[str, str, str], dict[str, int]] = {}
+        self._demand = demand_table.DemandTable()
         self._uses = use_table.UseTable()
         # Targets that fail entry hosts, by host.
         self._failing: dict[str, frozenset[str]] = {}
         self._store_loads: list[float] = []
         self._begun = clock.now()
-        # When models and adapters were last held by a usable engine, by
-        # service.
-        self._held: dict[tuple[str, str, str], float] = {}
         # Models that requests wait for and no step loads, by service.
         self._unplaced: dict[str, list[plan_types.Unplaced]] = {}
         self._unplaced_logged: dict[tuple[str, str], float] = {}
@@ -211,37 +185,18 @@
         self, host: str, demand: Iterable[site_messages.Demand]
     ) -> None:
         """Takes an entry host's counts in."""
-        self._forget_demand(host)
+        self._demand.forget(host)
         for each in demand:
-            self._note(host, each)
-
-    def _forget_demand(self, host: str) -> None:
-        for waiting in self._waiting.values():
-            waiting.pop(host, None)
-        for asked in self._asked.values():
-            asked.rates.pop(host, None)
-            asked.missed.pop(host, None)
+            self._demand.note(host, each, clock.now())
 
     def missing(
         self, host: str, demand: Iterable[site_messages.Demand]
     ) -> None:
         """Takes in at once what requests wait for."""
         for each in demand:
-            self._note(host, each)
+            self._demand.note(host, each, clock.now())
         self._poked.set()
 
-    def _note(self, host: str, each: site_messages.Demand) -> None:
-        key = (each.service, each.model, each.adapter)
-        asked = self._asked.setdefault(key, _Asked())
-        asked.rates[host] = each.rate
-        if each.unserved:
-            asked.missed[host] = clock.now() - each.unserved
-        if each.urgency:
-            known = asked.objective or each.urgency
-            asked.objective = min(known, each.urgency)
-        if each.waiting:
-            self._waiting.setdefault(key, {})[host] = each.waiting
-
     def used(self, host: str, uses: Iterable[site_messages.Use]) -> None:
         """Takes in what runs where for an entry host."""
         uses = tuple(uses)
@@ -278,7 +233,7 @@
         """An entry host is gone, and with it what waited there."""
         self._failing.pop(host, None)
         self._uses.forget(host)
-        self._forget_demand(host)
+        self._demand.forget(host)
 
     # What others ask.
 
@@ -350,11 +305,11 @@
                 for name, worker in self._workers.items()
                 if worker.said.service == service
             }
-            self._note_held(service, workers.values(), now)
+            self._demand.note_held(self._held(service, workers.values()), now)
             planned = plan_lib.plan(
                 engine=engine,
                 places=[self._place(w) for w in workers.values()],
-                wants=self._wants(service, now),
+                wants=self._demand.wants(service, now),
                 store_loads=self._store_room(engine, now),
                 complete=self._complete,
             )
@@ -369,11 +324,7 @@
                     for name, worker in workers.items()
                     if not worker.said.draining and name not in self._silent
                 ],
-                waited_for={
-                    f"{key[1]}/{key[2]}": self._unserved(key, now)
-                    for key, hosts in self._waiting.items()
-                    if key[0] == service and hosts and key[2]
-                },
+                waited_for=self._demand.adapters(service, now),
                 now=now,
             )
 
@@ -396,36 +347,18 @@
                 loss=each.loss,
             )
 
-    def _note_held(
-        self,
-        service: str,
-        workers: Iterable[worker_lib.EngineWorker],
-        now: float,
-    ) -> None:
-        """Notes which models and adapters requests can be sent to."""
+    def _held(
+        self, service: str, workers: Iterable[worker_lib.EngineWorker]
+    ) -> Iterator[demand_table.Key]:
+        """Yields the models and adapters that requests can be sent to."""
         for worker in workers:
             if worker.said.draining or worker.said.name in self._silent:
                 continue
             for model in worker.models - worker.closing:
-                self._held[(service, model, "")] = now
+                yield (service, model, "")
             for name in self.adapters(worker.said.name):
                 model, _, adapter = name.partition("/")
-                self._held[(service, model, adapter)] = now
-        for key, when in list(self._held.items()):
-            if now - when > _HELD_MEMORY_SECONDS:
-                del self._held[key]
-
-    def _unserved(self, key: tuple[str, str, str], now: float) -> float:
-        """Returns for how many seconds a model or adapter was not there.
-
-        Hosts do not hear of each other's requests; what was held meanwhile
-        may have served some of them.
-        """
-        asked = self._asked.get(key)
-        if asked is None or not asked.missed:
-            return 0.0
-        since = max(min(asked.missed.values()), self._held.get(key, -math.inf))
-        return max(0.0, now - since)
+                yield (service, model, adapter)
 
     def _place(self, worker: worker_lib.EngineWorker) -> plan_types.Place:
         name = worker.said.name
@@ -457,30 +390,6 @@
         waits = worker.step is not None and not worker.is_busy
         return waits and clock.now() - worker.step_begun > _STUCK_SECONDS
 
-    def _wants(self, service: str, now: float) -> dict[str, plan_types.Want]:
-        wants: dict[str, plan_types.Want] = {}
-        for key, asked in list(self._asked.items()):
-            if key[0] != service:
-                continue
-            waiting = sum(self._waiting.get(key, {}).values())
-            if not waiting and not asked.rates:
-                # Callers can name any model; what they no longer name goes.
-                del self._asked[key]
-                self._waiting.pop(key, None)
-                continue
-            before = wants.get(key[1], plan_types.Want(0.0, 0, math.inf))
-            unserved = 0.0
-            if waiting:
-                held = self._held.get((service, key[1], ""), -math.inf)
-                unserved = min(self._unserved(key, now), now - held)
-            wants[key[1]] = plan_types.Want(
-                before.rate + asked.rate,
-                before.waiting + waiting,
-                min(before.objective, asked.objective or 1.0),
-                max(before.unserved, unserved),
-            )
-        return wants
-
     def _store_room(self, engine: document_lib.Engine, now: float) -> int:
         """Returns how many loads from the store may begin now."""
         window = self._settings.bounds.store_window
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -14,7 +14,7 @@
 from prometheus_client import core
 
 from endivestream import loop_meter
-from endivestream.request import forward as forward_lib
+from endivestream.request import forward_parts
 
 _SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.1, 2.0, 4.0, 8.0, 16.0)
 _PAUSES = (0.01, 0.02, 0.034, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0)
@@ -169,7 +169,7 @@
         self._registry.register(_LimitedSends(outcomes=limited_sends))
         self._loop(meter)
 
-    def observe(self, ended: forward_lib.Ended) -> None:
+    def observe(self, ended: forward_parts.Ended) -> None:
         """Counts a finished request."""
         kind = ended.kind or "none"
         self._requests.labels(kind, ended.status, ended.reason).inc()
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -13,6 +13,7 @@
 from endivestream.request import call as call_lib
 from endivestream.request import choice as choice_lib
 from endivestream.request import forward as forward_lib
+from endivestream.request import forward_parts
 from endivestream.request import lease_queue
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
@@ -36,7 +37,7 @@
 )
 
 
-class FakeCredit(forward_lib.Credit):
+class FakeCredit(forward_parts.Credit):
     def __init__(self):
         self.short = None
         self.taken = []
@@ -87,7 +88,7 @@
             share=lambda: 1.0,
             takes=lambda kind: kind not in self.refused_kinds,
         )
-        parts = forward_lib.Parts(
+        parts = forward_parts.Parts(
             rules=rules,
             view=self.view,
             pool=self.pool,
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -2,7 +2,7 @@
 
 from endivestream import loop_meter
 from endivestream.process import site_metrics
-from endivestream.request import forward as forward_lib
+from endivestream.request import forward_parts
 
 
 def ended(**fields):
@@ -18,7 +18,7 @@
         "gap": 0.25,
         "tries": 1,
     } | fields
-    return forward_lib.Ended(**given)
+    return forward_parts.Ended(**given)
 
 
 class EntryMetricsTest(unittest.TestCase):
