Leave hosts their part of a limit before they take it

Found by reading. Hosts keep their part of half of a limit from twice the number of hosts on; the leader then grants the other half. While both count the hosts differently (hosts that join, or stop and are still remembered), the leader could grant the whole beside the hosts' half: 1.5 times the limit and the first send of each host.

The leader now leaves the half from 1.5 times the hosts on. Between the two a quarter of the range uses half of its limit.

Evidence: test_hosts_and_leader_that_count_differently_keep_the_limit, ten hosts, the leader counts 13, failed before.

--- a/packages/endivestream/src/endivestream/request/send_slots.py
+++ b/packages/endivestream/src/endivestream/request/send_slots.py
@@ -21,8 +21,14 @@
 # A target that takes nothing gets a request so often all the same: its answers
 # alone say when the limit ends.
 _LEAST_RATE = 0.125
-# The part of a limit that hosts keep by themselves, where it is large.
+# The part of a limit that hosts keep by themselves, where it is at least so
+# many times the number of hosts.
 _HOST_SHARE = 0.5
+_HOST_LIMITS = 2.0
+# Hosts and leader may count the hosts differently for a while. The leader
+# leaves hosts their part already from this part of the limit on at which they
+# take it.
+_COUNT_MARGIN = 0.75
 # Longest time until a host asks again.
 _LONGEST_WAIT_SECONDS = 5.0
 
@@ -44,21 +50,21 @@
 def host_rate(rate: float, hosts: int) -> float:
     """Returns the sends a second that each host may make without asking.
 
-    Each may send its first at any moment, so there is none unless the limit is
-    at least twice the number of hosts.
+    Each may send its first at any moment, so there is none for small limits.
 
     Args:
         rate: The target's limit.
         hosts: How many entry hosts there are; 0 if that is not known.
     """
-    if hosts < 1 or rate < 2 * hosts:
+    if hosts < 1 or rate < _HOST_LIMITS * hosts:
         return 0.0
     return _HOST_SHARE * rate / hosts
 
 
 def _leader_rate(rate: float, hosts: int) -> float:
     """Returns the sends a second that the leader grants."""
-    kept = _HOST_SHARE if host_rate(rate, hosts) else 0.0
+    may_keep = rate >= _COUNT_MARGIN * _HOST_LIMITS * hosts
+    kept = _HOST_SHARE if may_keep else 0.0
     return max(_LEAST_RATE, rate * (1 - kept))
 
 
--- a/tests/test_send_slots.py
+++ b/tests/test_send_slots.py
@@ -96,6 +96,18 @@
         """Guards against hosts that each take themselves for the only one."""
         self.assertFalse(send_slots.HostShare().spend(1e6, 0, 1.0))
 
+    def test_hosts_and_leader_that_count_differently_keep_the_limit(self):
+        """Guards against a leader that grants what hosts send by themselves."""
+        rate, seconds = 20.0, 4.0
+        slots = send_slots.SendSlots(now=0.0)
+        shares = [send_slots.HostShare() for _ in range(10)]
+        sent = 0
+        for step in range(int(seconds * 500)):
+            now = 10.0 + step / 500
+            sent += sum(share.spend(rate, 10, now) for share in shares)
+            sent += granted(slots, now, rate=rate, hosts=13) is not None
+        self.assertLessEqual(sent, 1.5 * rate * seconds + 5)
+
     def test_many_hosts_keep_no_share_of_a_small_limit(self):
         """Guards against hundreds of hosts that each send their first."""
         for rate, hosts in ((1.5, 2), (7.0, 4), (100.0, 390)):
