Forget at the leader what an earlier start of a target said of its limit

Found by reading. Sends are kept by the start of a target, but the planner is told limits by its name: an engine that was restarted counted as limited for up to a minute, and a busy model got another copy for nothing. A host that still told of the start before brought the limit back.

Evidence: test_a_target_that_returns_has_no_limit_for_placement failed before.

--- a/packages/endivestream/src/endivestream/process/site_leading.py
+++ b/packages/endivestream/src/endivestream/process/site_leading.py
@@ -285,7 +285,12 @@
 
     def _merge_limits(self, limits: Iterable[site_messages.RateLimit]) -> None:
         """Takes in what entry hosts know of targets' limits."""
-        changed = self._limits.merge(limits, clock.now())
+        current = [
+            limit
+            for limit in limits
+            if limit.born >= (self._registry.born(limit.target) or 0)
+        ]
+        changed = self._limits.merge(current, clock.now())
         if not changed:
             return
         for name in changed:
@@ -365,6 +370,8 @@
         if not changed:
             return
         self._seat.reported(said)
+        if self._limits.forget_before(said.name, said.born):
+            self._seat.set_limits(self._limits.rates)
         if said.name in self._silent:
             self._silent.discard(said.name)
         elif known is not None and _same(known.said, said):
--- a/packages/endivestream/src/endivestream/request/rate_limits.py
+++ b/packages/endivestream/src/endivestream/request/rate_limits.py
@@ -144,6 +144,18 @@
             if targets is None or name in targets
         )
 
+    def forget_before(self, target: str, born: int) -> bool:
+        """Forgets what starts of a target before this one have said.
+
+        Returns:
+            Whether a limit was forgotten.
+        """
+        known = self._known.get(target)
+        if known is None or known.born >= born:
+            return False
+        del self._known[target]
+        return known.rate is not None
+
     def forget(self, targets: Collection[str], now: float) -> None:
         """Forgets limits that ended long ago and targets that are gone.
 
--- a/tests/test_limited_hosts.py
+++ b/tests/test_limited_hosts.py
@@ -315,6 +315,34 @@
         ]
         self.assertLessEqual(len(times), 1.5 * 1.0 * 4.5 + 5)
 
+    def test_a_target_that_returns_has_no_limit_for_placement(self):
+        """Guards against an engine that counts as slow after it was restarted.
+
+        A host still tells of the start before.
+        """
+
+        async def play_return():
+            site = Site(hosts=2, rate=1.5)
+            await site.lead()
+            for host in site.hosts:
+                site.run(site.renew(host))
+            await asyncio.sleep(1.0)
+            await site.hosts[0].send()
+            await asyncio.sleep(1.0)
+            before = dict(site.leading._limits.rates)
+            site.target.born += 1
+            await site.report()
+            late = site_messages.RateLimit("t1", 1, 1.5, 0.0)
+            site.leading._merge_limits([late])
+            after = dict(site.leading._limits.rates)
+            fed = site.leading._seat._limits.rates
+            await site.close()
+            return before, after, fed
+
+        with virtual_time.running() as runner:
+            before, after, fed = runner.run(play_return())
+        self.assertEqual(({"t1": 1.5}, {}, {}), (before, after, fed))
+
     def test_a_new_leader_drops_no_limit(self):
         """Guards against an empty table that is read as no limits."""
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -45,6 +45,12 @@
         self.assertFalse(self.limits.merge([said(1.5)], 3.0))
         self.assertEqual(self.limits.rate("t1", 2), 4.0)
 
+    def test_what_an_earlier_start_said_is_forgotten(self):
+        self.limits.heard("t1", 1, 1.5, 1.0)
+        self.assertFalse(self.limits.forget_before("t1", 1))
+        self.assertTrue(self.limits.forget_before("t1", 2))
+        self.assertEqual({}, self.limits.rates)
+
     def test_late_word_of_a_limit_does_not_bring_it_back(self):
         self.limits.heard("t1", 1, 1.5, 1.0)
         self.limits.heard("t1", 1, None, 5.0)
