Tell the leader at once of a limit at most ten times a second

A target that names a limit in every other answer changes it with each answer; each change had each host renew at once. Found by reading; no test: the host keeps the limit itself from the first answer on, and the next renewal tells the rest.

--- a/packages/endivestream/src/endivestream/process/entry_rate_limits.py
+++ b/packages/endivestream/src/endivestream/process/entry_rate_limits.py
@@ -22,8 +22,10 @@
 # A send that is made so much later than granted may fall together with those
 # granted after it, and is asked for anew. The host was suspended meanwhile.
 _LATE_SECONDS = 0.3
-# A limit that changes by less than this part is told with the next renewal.
+# A limit that changes by less than this part is told with the next renewal, as
+# are changes that follow another one within this time.
 _SMALL_CHANGE = 0.1
+_TELL_SECONDS = 0.1
 
 
 class EntryRateLimits:
@@ -56,6 +58,7 @@
         self._unreported: set[str] = set()
         # Those of them that the renewal under way names.
         self._reporting: set[str] = set()
+        self._told_at = float("-inf")
         self._outcomes = dict.fromkeys(
             ("own", "granted", "denied", "unanswered"), 0
         )
@@ -85,12 +88,15 @@
                 # Its author meant some limit, so the last one stays.
                 logs.warn("rate_limit_unreadable", target=said.name, text=text)
                 return
+        now = clock.now()
         before = self._limits.rate(said.name, said.born)
-        if not self._limits.heard(said.name, said.born, rate, clock.now()):
+        if not self._limits.heard(said.name, said.born, rate, now):
             return
         _log(said.name, rate, "target")
         self._unreported.add(said.name)
-        if _is_large_change(before, rate):
+        is_due = now >= self._told_at + _TELL_SECONDS
+        if is_due and _is_large_change(before, rate):
+            self._told_at = now
             self._changed()
 
     def merge(self, limits: Iterable[site_messages.RateLimit]) -> None:
