Test a stop of the entry program with a request that gets no answer

The program itself, with a control host beside it, SIGTERM, and SIGHUP and a second SIGTERM around it: the caller gets 502 and a whole answer, and the process ends with 0.

--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,181 @@
+"""The platform's programs as real processes that are stopped by signals."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import unittest
+
+from tests import standin
+from tests import test_entry_site
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_LONGEST_SECONDS = 60.0
+GRACE_SECONDS = 3
+
+
+def two_free_ports():
+    """Returns a port of which the next one is free too."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except (OSError, OverflowError):
+                continue
+            return port
+
+
+def config(*, timeout_ms):
+    return {
+        "version": 1,
+        "routes": [
+            {
+                "name": "r",
+                "host": "a.example",
+                "pathPrefix": "/x/",
+                "routeKind": "non_idempotent",
+                "timeoutMs": timeout_ms,
+                "objectiveMs": 400,
+                "service": "desk",
+                "anonymous": True,
+            }
+        ],
+        "services": [{"name": "desk", "healthPath": "/healthz", "maxConns": 9}],
+    }
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.port = two_free_ports()
+        self.control = test_entry_site.free_address()
+        self.front = test_entry_site.free_address()
+        self.ready = test_entry_site.free_address()
+        await self._start("control", listen={"control": self.control})
+        self.edge = await self._start(
+            "edge", listen={"front": self.front, "ready": self.ready}
+        )
+        self.target = await standin.Target(standin.hangs).start()
+        self.addAsyncCleanup(self.target.close)
+        await self._until_served()
+
+    async def _start(self, role, *, listen):
+        data = self.folder / role
+        settings = {
+            "node": f"{role}-1",
+            "ip": "127.0.0.1",
+            "zone": "a",
+            "listen": listen,
+            "internalPorts": [self.port, self.port + 15],
+            "seeds": [f"127.0.0.1:{self.control.rsplit(':', 1)[1]}"],
+            "bootstrap": True,
+            "dataDir": str(data) if role == "control" else None,
+            "faultTolerance": {"machines": 0},
+            "bounds": {"graceS": GRACE_SECONDS},
+        }
+        file = self.folder / f"{role}.json"
+        file.write_text(json.dumps(settings))
+        paths = (
+            _ROOT / "platform",
+            _ROOT / "packages" / "endivestream" / "src",
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(_ROOT / "platform" / "main.py"),
+            role,
+            env=os.environ
+            | {
+                "ENDIVESTREAM_CONFIG": str(file),
+                "PYTHONPATH": os.pathsep.join(map(str, paths)),
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        self.addAsyncCleanup(self._kill, process)
+        return process
+
+    async def _kill(self, process):
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def _call(self, address, method, path, body=None):
+        """Returns the status of a call, or 0 without an answer."""
+        try:
+            caller = await standin.Caller(address).start()
+        except OSError:
+            return 0
+        try:
+            data = b"" if body is None else json.dumps(body).encode()
+            reply = await caller.ask(
+                method=method,
+                path=path,
+                body=data,
+                Content_Type="application/json",
+            )
+            return reply.status
+        except (OSError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            caller.close()
+
+    async def _until(self, *call):
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            while await self._call(*call) != 200:
+                await asyncio.sleep(0.05)
+
+    async def _until_served(self):
+        beat = {
+            "service": "desk",
+            "address": self.target.address,
+            "zone": "a",
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+            "born": 1,
+        }
+        document = config(timeout_ms=60_000)
+        await self._until(self.control, "PUT", "/config", document)
+        await self._until(self.control, "PUT", "/instances/t1", beat)
+        await self._until(self.ready, "GET", "/readyz")
+
+    async def _ask_until_sent(self):
+        """Returns a request that hangs at the target."""
+        caller = await standin.Caller(self.front).start()
+        self.addCleanup(caller.close)
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            while not self.target.requests:
+                caller.send(Deadline_Ms=60_000)
+                reply = asyncio.create_task(caller.reply())
+                while not reply.done() and not self.target.requests:
+                    await asyncio.sleep(0.01)
+        return reply
+
+    async def _check_stop(self, *signals):
+        reply = await self._ask_until_sent()
+        for number in signals:
+            self.edge.send_signal(number)
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(_LONGEST_SECONDS):
+            answer = await reply
+            self.assertEqual(0, await self.edge.wait())
+        self.assertEqual((502, True), (answer.status, answer.whole))
+
+    async def test_sigterm_leaves_no_request_without_an_answer(self):
+        """Guards against connections closed with no answer at a stop."""
+        await self._check_stop(signal.SIGTERM)
+
+    async def test_a_second_sigterm_and_a_reload_change_nothing(self):
+        await self._check_stop(signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)
+
+
+if __name__ == "__main__":
+    unittest.main()
