Displace the adapter with the fewest requests, not the oldest

An adapter that was not served for long took the place of the one that had been there longest, which is often the busiest: its callers are held until its runs end. Now the one with the fewest requests makes room; what runs is counted by adapter (process/use_table.py).

--- a/packages/endivestream/src/endivestream/process/adapter_placer.py
+++ b/packages/endivestream/src/endivestream/process/adapter_placer.py
@@ -2,7 +2,7 @@
 
 An adapter takes milliseconds and needs no pause of its engine, so each is
 loaded when it is waited for; the one that was not asked for longest makes room.
-Where all places are in use for good, the one that has been there longest makes
+Where all places are in use for good, the one with the fewest requests makes
 room for an adapter that has not been served for long.
 """
 
@@ -45,12 +45,20 @@
 class AdapterPlacer:
     """Orders for adapters under way. Lives as long as its planner."""
 
-    def __init__(self, *, changed: Callable[[Iterable[str]], None]) -> None:
+    def __init__(
+        self,
+        *,
+        changed: Callable[[Iterable[str]], None],
+        running: Callable[[str], Mapping[str, int]],
+    ) -> None:
         """Orders nothing yet.
 
         Args:
             changed: Told of engines whose adapters changed.
+            running: Returns the requests that run on an engine, by
+                `MODEL/ADAPTER`.
         """
+        self._running = running
         self._changed = changed
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -109,7 +117,7 @@
         worker = min(free, key=lambda w: len(w.adapters) + len(w.pending))
         victim = _victim(worker, engine, now)
         if victim is None and is_overdue and not worker.leaving:
-            victim = _longest_held(worker)
+            victim = _least_used(worker, self._running(worker.said.name))
         if victim is None:
             return
         worker.pending.add(name)
@@ -187,11 +195,16 @@
     return min(old)[1] if old else None
 
 
-def _longest_held(worker: worker_lib.EngineWorker) -> str | None:
-    """Returns the adapter in use that has been there longest, or None."""
+def _least_used(
+    worker: worker_lib.EngineWorker, running: Mapping[str, int]
+) -> str | None:
+    """Returns the adapter with the fewest requests, or None.
+
+    Of several the one that has been there longest: adapters are listed in the
+    order in which they came.
+    """
     held = [name for name in worker.adapters if name not in worker.leaving]
-    # Adapters are listed in the order in which they came.
-    return held[0] if held else None
+    return min(held, key=lambda name: running.get(name, 0), default=None)
 
 
 async def _until_unused(worker: worker_lib.EngineWorker, name: str) -> bool:
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -112,7 +112,9 @@
         self._unplaced_logged: dict[tuple[str, str], float] = {}
         self._poked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._adapters = adapter_placer.AdapterPlacer(changed=changed)
+        self._adapters = adapter_placer.AdapterPlacer(
+            changed=changed, running=self._uses.adapters
+        )
 
     def start(self) -> None:
         """Starts to plan."""
--- a/packages/endivestream/src/endivestream/process/use_table.py
+++ b/packages/endivestream/src/endivestream/process/use_table.py
@@ -21,6 +21,8 @@
         self._loads: dict[str, int] = {}
         # Requests by target and model.
         self._running: dict[str, dict[str, int]] = {}
+        # Requests by target and `MODEL/ADAPTER`.
+        self._adapters: dict[str, dict[str, int]] = {}
 
     def __repr__(self) -> str:
         return f"<UseTable of {len(self._uses)} hosts>"
@@ -46,11 +48,21 @@
             _add(models, use.model, sign * use.running)
             if not models:
                 del self._running[use.target]
+            if not use.adapter:
+                continue
+            adapters = self._adapters.setdefault(use.target, {})
+            _add(adapters, f"{use.model}/{use.adapter}", sign * use.running)
+            if not adapters:
+                del self._adapters[use.target]
 
     def running(self, target: str) -> dict[str, int]:
         """Returns the requests that run on a target, by model."""
         return dict(self._running.get(target, {}))
 
+    def adapters(self, target: str) -> dict[str, int]:
+        """Returns the requests that run on a target, by `MODEL/ADAPTER`."""
+        return dict(self._adapters.get(target, {}))
+
     def all_loads(self) -> dict[str, int]:
         """Returns the load of each target from all entry hosts.
 
