Let overdue models wait for the engine that has their weights

An overdue model now waits for that engine until it was not served for 12 s.

Evidence: test_an_overdue_model_waits_for_the_engine_that_has_it failed before.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -59,6 +59,10 @@
 # One engine of so many may load such a model at a time; the others go on with
 # what most requests wait for.
 _OVERDUE_SHARE = 3
+# An overdue model that an engine has on its disk waits for that engine until it
+# has not been served for so long. A load from the store takes several times as
+# long, and keeps its engine from others.
+_HOME_PATIENCE_SECONDS = 2 * plan_types.OVERDUE_SECONDS
 # One engine of so many is kept free for steps that gain as much as that. All
 # would be busy with models that one caller each waits for, from the store for
 # four seconds, when one that thirty wait for is missing.
@@ -156,7 +160,12 @@
         for name, want in overdue:
             if self._overdue_loads >= most:
                 return
-            step = self._best(name, "overdue", self._gain(want))
+            step = self._best(
+                name,
+                "overdue",
+                self._gain(want),
+                any_home=want.unserved >= _HOME_PATIENCE_SECONDS,
+            )
             if step is not None:
                 self._make(step)
                 self._overdue_loads += 1
@@ -365,9 +374,17 @@
             self._copies[victim] -= 1
 
     def _best(
-        self, model: str, reason: str, gain: float
+        self, model: str, reason: str, gain: float, *, any_home: bool = False
     ) -> plan_types.Step | None:
-        """Returns the cheapest way to load a model, or None."""
+        """Returns the cheapest way to load a model, or None.
+
+        Args:
+            model: The model.
+            reason: Why it is loaded.
+            gain: Requests a second that gain by it.
+            any_home: Whether it may come from the store although an engine
+                that takes no order now has it on its disk.
+        """
         found, least = None, float("inf")
         domains = {
             place.domain
@@ -379,7 +396,7 @@
                 continue
             if model in place.holds:
                 continue
-            step = self._step(place, model, reason, gain)
+            step = self._step(place, model, reason, gain, any_home=any_home)
             if step is None:
                 continue
             cost = step.loss + plan_costs.delay_costs(step)
@@ -392,7 +409,13 @@
         return found
 
     def _step(
-        self, place: plan_types.Place, model: str, reason: str, gain: float
+        self,
+        place: plan_types.Place,
+        model: str,
+        reason: str,
+        gain: float,
+        *,
+        any_home: bool = False,
     ) -> plan_types.Step | None:
         from_store = model not in place.in_memory + place.on_disk
         # Where an engine has it on its disk, the store is not asked, even if
@@ -402,8 +425,8 @@
         # busy with them).
         # A further copy may come from there, where it gains enough, and so may
         # what many wait for while no engine that has it can take an order.
-        has_home = reason == "missing" and self._homes.get(model)
-        if from_store and has_home and gain >= _PRESSING:
+        has_home = reason in ("missing", "overdue") and self._homes.get(model)
+        if from_store and has_home and (any_home or gain >= _PRESSING):
             has_home = self._has_free_home(model)
         if from_store and (self._store_loads <= 0 or has_home):
             return None
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -198,6 +198,16 @@
         made = self._reasons(busy, wants)
         self.assertEqual(0, sum(reason == "overdue" for _, reason in made))
 
+    def test_an_overdue_model_waits_for_the_engine_that_has_it(self):
+        """Guards against engines that all load from the store for seconds."""
+        places = [
+            place("t1", "abc"),
+            place("t2", "def", on_disk=("g",), busy=True),
+        ]
+        for unserved, reasons in ((8.0, []), (13.0, [("g", "overdue")])):
+            wants = {"g": want(0.2, 1, 4.0, unserved)}
+            self.assertEqual(reasons, self._reasons(places, wants))
+
     def test_a_model_that_has_just_come_is_not_displaced(self):
         """Guards against loads that are undone before callers come back."""
         kept = frozenset("a")
