Give the test of a target's limit callers that outlast a busy machine

Its body had 34 bytes, which of our reasons only no_way gives: the connection to the target took longer than the 300 ms that the caller gave, and who is past its deadline is told no time to come back. That is allowed; the check is on callers with time left. They now give two seconds; checks and bounds are as they were.

The failing run's log is not kept beyond its output; that it was no_way is inferred from the length.

--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -224,7 +224,7 @@
         statuses = set()
         while clock.now() < begun + 4.0:
             replies = await asyncio.gather(
-                *(self._ask(e, X_Deadline_Ms=300) for e in self.entries)
+                *(self._ask(e, X_Deadline_Ms=2000) for e in self.entries)
             )
             statuses |= {reply.status for reply in replies}
             for reply in replies:
