Evacuate failure domains

Cause: operators had no way to stop requests to a failure domain; a call of the platform for it was answered with 404.

Change: the log records the evacuated domains with a revision. A change names the revision that its author read, so an order that a partition delayed for seconds is refused instead of undoing a later one. The leader pushes the record ahead of table updates and adds it to the answer of each renewal whose host has another revision, so no host has a lease without knowing the evacuations. An order is confirmed when all hosts have it, or after 0.7 s if the remaining leases end within the bound. Target selection leaves out evacuated domains in one place, which all first attempts, retries, hedges, resumed streams and limited sends pass; a request that was assigned a target earlier checks again before it is sent. If all domains of a service are evacuated, requests are refused at once. Placement neither uses evacuated engines nor loads models there, so models that only they hold are loaded elsewhere on demand.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -20,13 +20,19 @@
 from endivestream import logs
 from endivestream import site_messages
 
+# Minimum time for which a confirmation waits for hosts that have not received
+# an evacuation. Their leases may end within the bound anyway, but an operator
+# may shut down the domain as soon as the evacuation is confirmed.
+_EVACUATION_WAIT_SECONDS = 0.7
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Rollout:
-    """Distribution of the newest configuration to entry hosts.
+    """Distribution of a replicated change to entry hosts.
 
     Attributes:
-        version: The version of the configuration.
+        version: The version of the configuration, or the revision of the
+            evacuations.
         started_at: When it was committed, or found by a new leader.
         pending_hosts: Hosts that may act on an older version.
     """
@@ -56,6 +62,7 @@
         *,
         lease: float,
         version: int,
+        evacuations: int,
         positions: Callable[[], Iterable[site_messages.Position]],
     ) -> None:
         """Starts without waiting changes.
@@ -63,6 +70,7 @@
         Args:
             lease: Duration of the entry hosts' leases.
             version: Configuration version at the start of the term.
+            evacuations: Revision of the evacuations at the start of the term.
             positions: Returns the table position of each host with a lease.
         """
         self._lease = lease
@@ -73,6 +81,11 @@
             started_at=self._term_started_at,
             pending_hosts=set(),
         )
+        self._evacuations = _Rollout(
+            version=evacuations,
+            started_at=self._term_started_at,
+            pending_hosts=set(),
+        )
         self._departures: dict[str, _Departure] = {}
         self._state_changed = asyncio.Event()
 
@@ -89,8 +102,18 @@
             version=version, started_at=clock.now(), pending_hosts=set(hosts)
         )
 
-    def note_acknowledged(self, host: str, version: int) -> None:
-        """Records that a host acts on a configuration or a newer table."""
+    def note_evacuations(self, revision: int, hosts: Iterable[str]) -> None:
+        """Records changed evacuations that none of these hosts has yet."""
+        self._evacuations = _Rollout(
+            version=revision, started_at=clock.now(), pending_hosts=set(hosts)
+        )
+
+    def note_acknowledged(
+        self, host: str, version: int, evacuations: int
+    ) -> None:
+        """Records what a host acts on; it may also have a newer table."""
+        if evacuations >= self._evacuations.version:
+            self._evacuations.pending_hosts.discard(host)
         rollout = self._rollout
         if version >= rollout.version and host in rollout.pending_hosts:
             rollout.pending_hosts.discard(host)
@@ -105,6 +128,7 @@
     def remove_host(self, host: str) -> None:
         """Records that a host's lease has expired."""
         self._rollout.pending_hosts.discard(host)
+        self._evacuations.pending_hosts.discard(host)
         self._state_changed.set()
 
     def cancel_departure(self, target: str) -> None:
@@ -137,6 +161,26 @@
                 lacking=len(self._rollout.pending_hosts),
             )
 
+    async def wait_for_evacuations(self, *, bound: float) -> None:
+        """Waits until the newest evacuations may be confirmed.
+
+        Args:
+            bound: Seconds after the confirmation within which no host sends to
+                an evacuated domain.
+        """
+        rollout = self._evacuations
+        everywhere = await self._wait_for_hosts(
+            lambda: not rollout.pending_hosts,
+            started_at=rollout.started_at,
+            bound=min(bound, self._lease - _EVACUATION_WAIT_SECONDS),
+        )
+        if not everywhere:
+            logs.warn(
+                "evacuations_not_everywhere",
+                revision=rollout.version,
+                lacking=len(rollout.pending_hosts),
+            )
+
     async def wait_for_departure(
         self,
         target: str,
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -49,6 +49,7 @@
 from endivestream.request import target_selection
 from endivestream.request import unserved as unserved_lib
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 
 # Minimum number of entry hosts in an address list. Hosts of other failure
 # domains are added if needed, so that callers have another one when one fails.
@@ -91,6 +92,8 @@
         self._credit_shares = credit_shares_lib.CreditShares()
         self._table: routes_lib.Table | None = None
         self._position = site_messages.Position()
+        # Revision of the evacuations in force here; -1 before the first lease.
+        self._evacuations_revision = -1
         self._entry_hosts: tuple[site_messages.EntryHost, ...] = ()
         self._unlisted_since: dict[str, float] = {}
         self._demand = demand_lib.RequestRates(now=clock.now())
@@ -340,6 +343,7 @@
             relay=self._push_relay.relay,
             controls=self._watch.controls_digest,
             limits=self._rate_limits.report(everything=is_new_leader),
+            evacuations=self._evacuations_revision,
         )
 
     def _on_leader_push(self, message: messages.Message) -> None:
@@ -389,15 +393,24 @@
 
     def _take_news(self, news: site_messages.News) -> None:
         self._rate_limits.merge(news.limits)
-        before = self.version, self._position
+        before = self.version, self._position, self._evacuations_revision
         if news.document is not None:
             self._apply_document(news.document)
+        had_evacuations = self._evacuations_revision >= 0
+        if news.evacuations is not None:
+            self._apply_evacuations(news.evacuations)
         self._apply_table(news)
         has_departures = news.removed_targets or any(
             t.registration.draining for t in news.targets
         )
-        needs_confirmation = has_departures or news.document is not None
-        if needs_confirmation and before != (self.version, self._position):
+        needs_confirmation = (
+            has_departures
+            or news.document is not None
+            # A host that had no lease before has not sent anything yet.
+            or (news.evacuations is not None and had_evacuations)
+        )
+        after = self.version, self._position, self._evacuations_revision
+        if needs_confirmation and before != after:
             # The change is acknowledged to its author or target only after
             # all hosts have confirmed it.
             self._send_to_leader(
@@ -405,6 +418,7 @@
                     host=self._settings.name,
                     version=self.version,
                     position=self._position,
+                    evacuations=self._evacuations_revision,
                 )
             )
 
@@ -464,6 +478,20 @@
             params.header_timeout = limits.idle_seconds
         self._signal_change()
 
+    def _apply_evacuations(
+        self, record: evacuations_lib.EvacuationRecord
+    ) -> None:
+        if record.revision <= self._evacuations_revision:
+            return
+        self._evacuations_revision = record.revision
+        self._view.set_evacuated_domains(record.domains)
+        logs.event(
+            "evacuations",
+            revision=record.revision,
+            domains=",".join(record.domains),
+        )
+        self._signal_change()
+
     def _drop_unlisted(self, now: float) -> None:
         expired = [
             n
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
 
@@ -75,6 +76,7 @@
         may_order: Callable[[], bool],
         on_targets_changed: Callable[[Iterable[str]], None],
         on_request_sent: Callable[[str], None] = lambda target: None,
+        evacuated_domains: Callable[[], Collection[str]] = frozenset,
         meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Sends no orders before `start`.
@@ -89,6 +91,8 @@
                 adapters changed.
             on_request_sent: Called for each order or query to a target that
                 names a rate limit.
+            evacuated_domains: Returns the failure domains whose engines get
+                neither requests nor models.
             meter: Records the time spent on planning.
         """
         self._meter = meter or loop_meter.LoopMeter()
@@ -98,6 +102,7 @@
         self._may_order = may_order
         self._on_targets_changed = on_targets_changed
         self._on_request_sent = on_request_sent
+        self._evacuated_domains = evacuated_domains
         # Rate limits named by targets, in requests per second.
         self._rate_limits: dict[str, float] = {}
         self._services: dict[str, document_lib.EngineCapacity] = {}
@@ -342,9 +347,8 @@
                 engine=engine,
                 workers=[
                     worker
-                    for name, worker in workers.items()
-                    if not worker.registration.draining
-                    and name not in self._silent_targets
+                    for worker in workers.values()
+                    if self._accepts_requests(worker)
                 ],
                 requested=self._demand.waiting_adapters(service, now),
                 now=now,
@@ -374,10 +378,7 @@
     ) -> Iterator[demand_table.Key]:
         """Yields keys of the models and adapters that can serve requests."""
         for worker in workers:
-            if (
-                worker.registration.draining
-                or worker.registration.name in self._silent_targets
-            ):
+            if not self._accepts_requests(worker):
                 continue
             for model in worker.models - worker.closing:
                 yield (service, model, "")
@@ -385,6 +386,15 @@
                 model, _, adapter = name.partition("/")
                 yield (service, model, adapter)
 
+    def _accepts_requests(self, worker: worker_lib.EngineWorker) -> bool:
+        """Returns whether entry hosts send requests to an engine."""
+        registration = worker.registration
+        return (
+            not registration.draining
+            and registration.name not in self._silent_targets
+            and registration.domain not in self._evacuated_domains()
+        )
+
     def _describe_engine(
         self, worker: worker_lib.EngineWorker
     ) -> plan_types.EngineState:
@@ -395,8 +405,7 @@
             loaded=tuple(sorted(worker.models - worker.closing)),
             loading="" if self._is_stuck(worker) else worker.loading,
             busy=worker.step is not None or clock.now() < worker.blocked_until,
-            usable=not worker.registration.draining
-            and name not in self._silent_targets
+            usable=self._accepts_requests(worker)
             and not (self._failing_targets and self._is_failing(name)),
             in_memory=worker.registration.in_memory,
             on_disk=worker.registration.on_disk,
--- a/packages/endivestream/src/endivestream/process/planner_lease_holder.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_holder.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterable
 
@@ -45,6 +46,7 @@
         engines: engines_lib.Engines,
         call: Call,
         document: Callable[[], document_lib.Document | None],
+        evacuated_domains: Callable[[], Collection[str]],
         meter: loop_meter.LoopMeter | None = None,
     ) -> None:
         """Sends no requests before `start`.
@@ -57,6 +59,8 @@
             call: Sends a message to the leader and returns the answer, or None
                 if there is none within `seconds`.
             document: Returns the newest configuration of this host.
+            evacuated_domains: Returns the evacuated failure domains, as known
+                to this host.
             meter: Measures the event loop time spent here.
         """
         self._meter = meter or loop_meter.LoopMeter()
@@ -65,6 +69,7 @@
         self._engines = engines
         self._call = call
         self._document = document
+        self._evacuated_domains = evacuated_domains
         self._document_version = 0
         self._position = site_messages.Position()
         self._fence = 0
@@ -167,6 +172,7 @@
             may_order=lambda: self.has_lease,
             on_targets_changed=self._send_placement_updates,
             on_request_sent=self._report_send,
+            evacuated_domains=self._evacuated_domains,
             meter=self._meter,
         )
 
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -14,6 +14,8 @@
 
 import zmq.asyncio
 
+from endivestream import clock
+from endivestream import findings
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import site_messages
@@ -27,6 +29,7 @@
 from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import members as members_lib
 from endivestream.version import storage as storage_lib
 
@@ -38,6 +41,28 @@
 _DISK_CHECK_INTERVAL_SECONDS = 0.3
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EvacuationConfirmed:
+    """The change is committed, and in force within the promised bound."""
+
+    record: evacuations_lib.EvacuationRecord
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnknownDomain:
+    """No such failure domain exists; nothing was changed."""
+
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EvacuationUncertain:
+    """No leader confirmed the change, which may or may not be committed."""
+
+
+EvacuationAnswer = EvacuationConfirmed | UnknownDomain | EvacuationUncertain
+
+
 class SiteControl:
     """One control host. Lives as long as the process."""
 
@@ -70,6 +95,9 @@
             engines=self._engines,
             call=self._control.call,
             document=lambda: self._control.replicator.state.document.current,
+            evacuated_domains=lambda: (
+                self._control.replicator.state.evacuations.record.domains
+            ),
             meter=self._meter,
         )
         self._metrics = site_metrics.ControlMetrics(
@@ -171,6 +199,58 @@
             return answer.source
         return None
 
+    async def set_evacuation(
+        self, domain: str, *, evacuated: bool
+    ) -> EvacuationAnswer:
+        """Starts or ends the evacuation of a failure domain.
+
+        Idempotent: a domain that is in the requested state already is left as
+        it is.
+
+        Args:
+            domain: The failure domain.
+            evacuated: Whether its targets get no more requests.
+        """
+        if domain not in self._settings.domains:
+            message = findings.unknown_word(
+                "failure domain", domain, self._settings.domains
+            )
+            return UnknownDomain(message=message)
+        deadline = clock.now() + _APPLY_TIMEOUT_SECONDS
+        while (remaining := deadline - clock.now()) > 0:
+            # The leader refuses the change if another one was made since its
+            # revision was read, so a delayed message cannot undo that one.
+            current = await self._control.call(
+                site_messages.ReadEvacuations(), seconds=remaining
+            )
+            if not isinstance(current, site_messages.EvacuationsRead):
+                break
+            command = evacuations_lib.SetEvacuation(
+                domain=domain,
+                evacuated=evacuated,
+                expected_revision=current.record.revision,
+            )
+            answer = await self._control.call(
+                site_messages.Evacuate(command=command),
+                seconds=max(0.0, deadline - clock.now()),
+            )
+            if not isinstance(answer, site_messages.EvacuationsRead):
+                break
+            if (domain in answer.record.domains) == evacuated:
+                return EvacuationConfirmed(record=answer.record)
+        return EvacuationUncertain()
+
+    async def read_evacuations(
+        self,
+    ) -> evacuations_lib.EvacuationRecord | None:
+        """Returns the evacuated failure domains; None if uncertain."""
+        answer = await self._control.call(
+            site_messages.ReadEvacuations(), seconds=_ANSWER_TIMEOUT_SECONDS
+        )
+        if isinstance(answer, site_messages.EvacuationsRead):
+            return answer.record
+        return None
+
     async def register(self, registration: registry_lib.Registration) -> bool:
         """Forwards a target's report; returns whether the leader has it."""
         answer = await self._control.call(
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -35,6 +35,7 @@
 from endivestream.request import send_slots
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import state as state_lib
 
 _SWEEP_INTERVAL_SECONDS = 0.1
@@ -138,6 +139,7 @@
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
             version=leader_context.replicator.state.document.version,
+            evacuations=self._evacuations.revision,
             positions=lambda: [s.position for s in self._sessions.values()],
         )
 
@@ -150,6 +152,10 @@
     def _document(self) -> document_lib.Document | None:
         return self._replicator.state.document.current
 
+    @property
+    def _evacuations(self) -> evacuations_lib.EvacuationRecord:
+        return self._replicator.state.evacuations.record
+
     def start(self) -> None:
         """Starts leading with the replicated state as it is now."""
         if self._document is not None:
@@ -167,7 +173,7 @@
     def applied(
         self, command: state_lib.Command, result: state_lib.Result
     ) -> None:
-        """Applies a committed configuration and pushes it to entry hosts."""
+        """Pushes a committed configuration or evacuation to entry hosts."""
         match command, result:
             case (
                 document_lib.ApplyDocument(document=document),
@@ -184,6 +190,20 @@
                     document.version, self._sessions
                 )
                 self._table_updates.push_document(document)
+            case (
+                evacuations_lib.SetEvacuation(domain=domain),
+                evacuations_lib.EvacuationSet(changed=True, record=record),
+            ):
+                logs.event(
+                    "evacuation",
+                    domain=domain,
+                    evacuated=domain in record.domains,
+                    revision=record.revision,
+                )
+                self._confirmations.note_evacuations(
+                    record.revision, self._sessions
+                )
+                self._table_updates.push_evacuations(record)
 
     def _set_teams(
         self, document: document_lib.Document, *, start_full: bool
@@ -213,7 +233,10 @@
                 return None
             case site_messages.Confirm():
                 self._record_host_state(
-                    message.host, message.version, message.position
+                    message.host,
+                    message.version,
+                    message.position,
+                    message.evacuations,
                 )
                 return None
             case site_messages.Missing():
@@ -233,6 +256,10 @@
                 current = self._document
                 source = current.source if current else b""
                 return site_messages.DocumentRead(source=source)
+            case site_messages.Evacuate(command=command):
+                return await self._evacuate(command)
+            case site_messages.ReadEvacuations():
+                return site_messages.EvacuationsRead(record=self._evacuations)
             case site_messages.Register(registration=registration):
                 self._register(registration)
                 if registration.draining:
@@ -368,6 +395,17 @@
         )
         return site_messages.Applied(version=version)
 
+    async def _evacuate(
+        self, command: evacuations_lib.SetEvacuation
+    ) -> site_messages.EvacuationsRead:
+        result = await self._replicator.propose(command)
+        assert isinstance(result, evacuations_lib.EvacuationSet), result
+        if command.domain in result.record.domains:
+            await self._confirmations.wait_for_evacuations(
+                bound=self._settings.bounds.evacuation
+            )
+        return site_messages.EvacuationsRead(record=result.record)
+
     # Targets.
 
     async def _deregister(self, name: str) -> None:
@@ -499,7 +537,9 @@
             relay=message.relay,
             reported_teams=reported_teams,
         )
-        self._record_host_state(host.name, message.version, message.position)
+        self._record_host_state(
+            host.name, message.version, message.position, message.evacuations
+        )
         # Before anything is pushed to this host: it may have limits that were
         # reported only to the previous leader.
         self._merge_rate_limits(message.limits)
@@ -523,15 +563,21 @@
             return messages.NotLeader(address="")
         document = self._document
         version = document.version if document else 0
-        update = self._table_updates.update_since(message.position)
+        position = message.position
+        update = self._table_updates.update_since(position)
+        empty_update = site_messages.News(
+            position=position, base_position=position
+        )
+        if message.evacuations != self._evacuations.revision:
+            update = msgspec.structs.replace(
+                update or empty_update, evacuations=self._evacuations
+            )
         since_push = clock.now() - self._confirmations.rollout_started_at
         is_push_in_flight = had_session and since_push < _PUSH_IN_FLIGHT_SECONDS
         if message.version < version and not is_push_in_flight:
-            position = message.position
-            update = update or site_messages.News(
-                position=position, base_position=position
+            update = msgspec.structs.replace(
+                update or empty_update, document=document
             )
-            update = msgspec.structs.replace(update, document=document)
         members = self._replicator.replica.members.all
         controls = tuple(member.address for member in members)
         if addresses.digest(controls) == message.controls:
@@ -565,13 +611,17 @@
         )
 
     def _record_host_state(
-        self, host: str, version: int, position: site_messages.Position
+        self,
+        host: str,
+        version: int,
+        position: site_messages.Position,
+        evacuations: int,
     ) -> None:
-        """Records the configuration and table position that a host uses."""
+        """Records which configuration, table and evacuations a host uses."""
         session = self._sessions.get(host)
         if session is not None:
             session.position = max(session.position, position)
-        self._confirmations.note_acknowledged(host, version)
+        self._confirmations.note_acknowledged(host, version, evacuations)
 
     def _update_live_hosts(self, now: float) -> None:
         """Records a table change if the set of live entry hosts changed."""
--- a/packages/endivestream/src/endivestream/process/site_settings.py
+++ b/packages/endivestream/src/endivestream/process/site_settings.py
@@ -40,6 +40,8 @@
         store_window: Seconds over which loads from the store are counted.
         store_excess: Loads allowed, as a multiple of the store's rate.
         address_lifetime: Maximum time for which callers keep an address list.
+        evacuation: Time after which the targets of an evacuated domain get no
+            requests.
         fenced: Whether targets refuse orders with an old fencing token.
     """
 
@@ -54,6 +56,7 @@
     store_window: float = 5.0
     store_excess: float = 1.1
     address_lifetime: float = 5.0
+    evacuation: float = 5.0
     fenced: bool = False
 
 
--- a/packages/endivestream/src/endivestream/process/table_updates.py
+++ b/packages/endivestream/src/endivestream/process/table_updates.py
@@ -35,6 +35,7 @@
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 
 # After each push the event loop is free for other work for this multiple of the
 # time that the push took.
@@ -200,11 +201,26 @@
 
     def push_document(self, document: document_lib.Document) -> None:
         """Pushes a configuration to direct peers, ahead of batched changes."""
+        self._push_ahead(document=document)
+
+    def push_evacuations(
+        self, record: evacuations_lib.EvacuationRecord
+    ) -> None:
+        """Pushes evacuations to direct peers, ahead of batched changes."""
+        self._push_ahead(evacuations=record)
+
+    def _push_ahead(
+        self,
+        *,
+        document: document_lib.Document | None = None,
+        evacuations: evacuations_lib.EvacuationRecord | None = None,
+    ) -> None:
         pushed_position = site_messages.Position(self._term, self._last_pushed)
         update = site_messages.News(
             position=pushed_position,
             base_position=pushed_position,
             document=document,
+            evacuations=evacuations,
         )
         task = tasks.start(self._push(self._direct_peers(), update), "push")
         self._push_tasks.add(task)
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -462,6 +462,7 @@
                     return pick
                 if (
                     now >= wait_deadline
+                    or pick.is_lasting
                     or (pick.expected or now) > wait_deadline
                 ):
                     return self._not_served(
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -96,14 +96,19 @@
     """No target can take the request now.
 
     Attributes:
-        reason: `no_target`, `no_model`, `no_adapter`, `all_failing`, `full`,
-            `rate_limited`.
+        reason: `no_target`, `evacuated`, `no_model`, `no_adapter`,
+            `all_failing`, `full`, `rate_limited`.
         expected: Time at which a target can be expected to take it, if known.
     """
 
     reason: str
     expected: float | None = None
 
+    @property
+    def is_lasting(self) -> bool:
+        """Whether waiting is useless: only an operator can change it."""
+        return self.reason == "evacuated"
+
 
 @dataclasses.dataclass(kw_only=True)
 class _TargetState:
@@ -169,6 +174,7 @@
         self._other_loads: dict[str, int] = {}
         self._other_loads_at = float("-inf")
         self._hosts = 1
+        self._evacuated_domains: frozenset[str] = frozenset()
 
     def __repr__(self) -> str:
         return f"<TargetView of {len(self._targets)} targets>"
@@ -233,6 +239,13 @@
                 name
             )
 
+    def set_evacuated_domains(self, domains: Collection[str]) -> None:
+        """Sets the failure domains whose targets get no requests."""
+        self._evacuated_domains = frozenset(domains)
+
+    def _is_evacuated(self, registration: registry_lib.Registration) -> bool:
+        return registration.domain in self._evacuated_domains
+
     def set_turn(self, target: str, when: float) -> None:
         """Records when an engine's turn owner grants the next prefill turn."""
         if target in self._states:
@@ -288,7 +301,11 @@
         has_model = not requirements.model or self._has_model(
             registration.name, requirements.model
         )
-        return has_model and not target.registration.draining
+        return (
+            has_model
+            and not target.registration.draining
+            and not self._is_evacuated(target.registration)
+        )
 
     def pick(
         self, requirements: TargetRequirements, now: float, *, limit: int
@@ -311,6 +328,13 @@
         ]
         if not names:
             return Unavailable(reason="no_target")
+        names = [
+            name
+            for name in names
+            if not self._is_evacuated(self._targets[name].registration)
+        ]
+        if not names:
+            return Unavailable(reason="evacuated")
         if requirements.model:
             candidates = names
             names = [
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -15,6 +15,7 @@
 
 from endivestream.connection import registry as registry_lib
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 
 
 class EntryHost(NamedTuple):
@@ -199,6 +200,7 @@
         entries: All entry hosts, or None if unchanged.
         document: The configuration, or None if unchanged.
         limits: Known rate limits of the targets in this update.
+        evacuations: The evacuated failure domains, or None if unchanged.
     """
 
     position: Position
@@ -209,6 +211,7 @@
     entries: tuple[EntryHost, ...] | None = None
     document: document_lib.Document | None = None
     limits: tuple[RateLimit, ...] = ()
+    evacuations: evacuations_lib.EvacuationRecord | None = None
 
 
 class Renew(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -229,6 +232,8 @@
             received from a leader.
         limits: Rate limits that the leader may lack: all that this host has, if
             it has just found the leader.
+        evacuations: Revision of the evacuations that the host applies; -1 if it
+            has received none yet.
     """
 
     host: EntryHost
@@ -241,6 +246,7 @@
     relay: str = ""
     controls: int = 0
     limits: tuple[RateLimit, ...] = ()
+    evacuations: int = -1
 
 
 class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -592,6 +598,32 @@
     version: int
 
 
+class ReadEvacuations(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Requests the evacuated failure domains."""
+
+
+class Evacuate(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Forwards an operator's evacuation from a control host to the leader.
+
+    Attributes:
+        command: The start or end of an evacuation.
+    """
+
+    command: evacuations_lib.SetEvacuation
+
+
+class EvacuationsRead(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answer to `ReadEvacuations` and `Evacuate`.
+
+    To an `Evacuate` it is sent once the change may be confirmed.
+
+    Attributes:
+        record: The evacuated failure domains.
+    """
+
+    record: evacuations_lib.EvacuationRecord
+
+
 class Register(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Forwards a target's report from a control host to the leader.
 
@@ -641,11 +673,13 @@
         host: Name of the entry host.
         version: Version of the configuration in force on it.
         position: Version of its table of targets.
+        evacuations: Revision of the evacuations that it applies.
     """
 
     host: str
     version: int
     position: Position
+    evacuations: int = -1
 
 
 class ReadDocument(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -692,4 +726,7 @@
     | Confirm
     | ReadDocument
     | DocumentRead
+    | ReadEvacuations
+    | Evacuate
+    | EvacuationsRead
 )
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -14,6 +14,7 @@
 from endivestream.version import credit as credit_lib
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import ledger as ledger_lib
 from endivestream.version import planner_lease as planner_lease_lib
 
@@ -31,6 +32,7 @@
     | credit_lib.ReserveCredit
     | document_lib.ApplyDocument
     | departures_lib.Depart
+    | evacuations_lib.SetEvacuation
     | planner_lease_lib.GrantPlannerLease
     | planner_lease_lib.ConfirmPlannerLease
 )
@@ -48,6 +50,7 @@
     | credit_lib.CreditReserved
     | document_lib.DocumentApplied
     | departures_lib.Departed
+    | evacuations_lib.EvacuationSet
     | planner_lease_lib.PlannerLeaseGranted
 )
 
@@ -65,6 +68,9 @@
     seat: planner_lease_lib.PlannerLeaseRecord = (
         planner_lease_lib.PlannerLeaseRecord()
     )
+    evacuations: evacuations_lib.EvacuationRecord = (
+        evacuations_lib.EvacuationRecord()
+    )
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -91,6 +97,7 @@
         document: The configuration document, which is replaced as a unit.
         departures: Targets that have deregistered.
         planner_lease: Planner lease: the host that places models.
+        evacuations: Failure domains whose targets get no requests.
     """
 
     def __init__(self) -> None:
@@ -101,6 +108,7 @@
         self.document = document_lib.DocumentState()
         self.departures = departures_lib.Departures()
         self.planner_lease = planner_lease_lib.PlannerLease()
+        self.evacuations = evacuations_lib.Evacuations()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -138,6 +146,8 @@
                 | planner_lease_lib.ConfirmPlannerLease()
             ):
                 return self.planner_lease.apply(command)
+            case evacuations_lib.SetEvacuation():
+                return self.evacuations.apply(command)
 
     def snapshot(self) -> bytes:
         """Encodes the complete state."""
@@ -150,6 +160,7 @@
                 document=self.document.current,
                 departures=self.departures.start_times_ms,
                 seat=self.planner_lease.record,
+                evacuations=self.evacuations.record,
             )
         )
 
@@ -163,3 +174,4 @@
         self.document.current = snapshot.document
         self.departures.restore(snapshot.departures)
         self.planner_lease.record = snapshot.seat
+        self.evacuations.record = snapshot.evacuations
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -23,6 +23,7 @@
 from endivestream.process import site_settings
 from endivestream.request import credit_shares as credit_shares_lib
 from endivestream.version import document as document_lib
+from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import members as members_lib
 from endivestream.version import state as state_lib
 import zmq
@@ -155,6 +156,7 @@
         self.targets = {}
         self.version = 0
         self.version_at = {}
+        self.evacuations = evacuations_lib.EvacuationRecord(-1)
         self.documents = 0
         self.position = site_messages.Position()
         self.frames = 0
@@ -211,16 +213,29 @@
         ):
             self.version = update.document.version
             self.version_at[self.version] = clock.now()
+        had_evacuations = self.evacuations.revision >= 0
+        if (
+            update.evacuations is not None
+            and update.evacuations.revision > self.evacuations.revision
+        ):
+            self.evacuations = update.evacuations
         self._apply_table(update)
         has_departures = update.removed_targets or any(
             t.registration.draining for t in update.targets
         )
-        if update.document is None and not has_departures:
+        if (
+            update.document is None
+            and not (update.evacuations and had_evacuations)
+            and not has_departures
+        ):
             return
         self._site.wire.deliver(
             self.peer,
             site_messages.Confirm(
-                host=self.name, version=self.version, position=self.position
+                host=self.name,
+                version=self.version,
+                position=self.position,
+                evacuations=self.evacuations.revision,
             ),
             0,
         )
@@ -266,6 +281,7 @@
                 version=self.version,
                 position=self.position,
                 relay=self.relay,
+                evacuations=self.evacuations.revision,
             )
         )
         if isinstance(answer, site_messages.Renewed):
@@ -407,6 +423,18 @@
         )
         return clock.now()
 
+    async def evacuate(self, domain):
+        """Evacuates a domain; returns the time at which that was confirmed."""
+        command = evacuations_lib.SetEvacuation(
+            domain=domain,
+            evacuated=True,
+            expected_revision=self.log.state.evacuations.record.revision,
+        )
+        await self.leader_role.handle(
+            b"c1", site_messages.Evacuate(command=command)
+        )
+        return clock.now()
+
     async def report(self, target, *, loaded=()):
         registration = self._registration(target, loaded=loaded)
         self.wire.deliver(
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -422,6 +422,60 @@
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.target.requests, [])
 
+    async def _evacuate(self, domain="a", *, evacuated=True):
+        control = next(iter(self.controls.values()))
+        async with asyncio.timeout(30):
+            while isinstance(
+                answer := await control.set_evacuation(
+                    domain, evacuated=evacuated
+                ),
+                site_control.EvacuationUncertain,
+            ):
+                await asyncio.sleep(0.005)
+        return answer
+
+    async def test_evacuated_domain_gets_no_requests_until_its_end(self):
+        """Guards against sends after a confirmed evacuation, at any leader."""
+        await self._apply(test_document.document(1))
+        await self._register()
+        await self._wait_in_force(1)
+        await self._wait_until(
+            lambda: all("t1" in e._view.targets for e in self.entries)
+        )
+        await self._evacuate()
+        for entry in self.entries:
+            reply = await self._send_request(entry)
+            self.assertEqual((reply.status, self.target.requests), (503, []))
+        await self._replace_leader()
+        self.entries.append(self._start_entry("e2"))
+        await self._wait_in_force(1)
+        await self._register(number=2)
+        await self._wait_until(
+            lambda: all("t1" in e._view.targets for e in self.entries)
+        )
+        reply = await self._send_request(self.entries[-1])
+        self.assertEqual((reply.status, self.target.requests), (503, []))
+        answer = await self._evacuate(evacuated=False)
+        self.assertEqual((), answer.record.domains)
+        revision = answer.record.revision
+        await self._wait_until(
+            lambda: all(
+                e._evacuations_revision == revision for e in self.entries
+            )
+        )
+        reply = await self._send_request(self.entries[-1])
+        self.assertEqual(reply.status, 200)
+
+    async def test_evacuation_of_an_unknown_domain_changes_nothing(self):
+        """Guards against an evacuation that no operator can see or end."""
+        control = next(iter(self.controls.values()))
+        for domain in ("b", "", "a/b", "x" * 300):
+            answer = await control.set_evacuation(domain, evacuated=True)
+            self.assertIsInstance(answer, site_control.UnknownDomain)
+        self.assertEqual(
+            control._control.replicator.state.evacuations.record.revision, 0
+        )
+
     async def _replace_leader(self):
         """Stops the leader; waits until both entry hosts follow another."""
         peer = next(
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -351,6 +351,54 @@
         self.assertGreaterEqual(after_last, 0.0)
         self.assertLess(waited, leader_site.SETTINGS.renew_seconds)
 
+    def test_no_host_sends_to_an_evacuated_domain_past_the_bound(self):
+        """Guards against confirming an evacuation while a lease lacks it."""
+
+        async def isolate_host(site):
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(5.0)
+            isolated = site.hosts[7]
+            isolated.is_cut_off = True
+            confirmed_at = await site.evacuate("a")
+            self.assertEqual((), isolated.evacuations.domains)
+            return isolated.lease_until - confirmed_at
+
+        bounds = leader_site.SETTINGS.bounds
+        self.assertLessEqual(self._run(isolate_host), bounds.evacuation)
+
+    def test_an_evacuation_is_confirmed_once_all_hosts_have_it(self):
+        """Guards against operators who wait longer than hosts need."""
+
+        async def apply_load(site):
+            site.follow_relays()
+            site.run_hosts(every=0.3, credit=150)
+            site.run_targets(changes=40)
+            await asyncio.sleep(5.0)
+            started_at = site.loop.time()
+            confirmed_at = await site.evacuate("a")
+            self.assertEqual(
+                {("a",)}, {host.evacuations.domains for host in site.hosts}
+            )
+            return confirmed_at - started_at
+
+        self.assertLess(self._run(apply_load), leader_site.SETTINGS.report)
+
+    def test_a_host_that_joins_receives_the_evacuations_with_its_lease(self):
+        """Guards against a new host that sends to an evacuated domain."""
+
+        async def join(site):
+            site.run_hosts(every=0.3, credit=0)
+            await asyncio.sleep(2.0)
+            await site.evacuate("a")
+            host = leader_site.Host(site, 99, "d0")
+            site._by_peer[host.peer] = host
+            await host.renew()
+            return host.lease_until, host.evacuations.domains
+
+        lease_until, domains = self._run(join)
+        self.assertGreater(lease_until, 0.0)
+        self.assertEqual(("a",), domains)
+
     def test_no_host_sends_to_a_draining_target_past_the_bound(self):
         """Guards against confirming a drain while a lease lacks it.
 
--- a/tests/test_planner_lease.py
+++ b/tests/test_planner_lease.py
@@ -500,6 +500,7 @@
             engines=test_site_planner.FakeEngines(()),
             call=self._call,
             document=lambda: test_site_planner.document(),
+            evacuated_domains=frozenset,
         )
         self.lease_holder.start()
         self.addAsyncCleanup(self.lease_holder.close)
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,79 @@
+"""Tests of the platform's calls that operators make."""
+
+import json
+import pathlib
+import sys
+import unittest
+import urllib.parse
+
+_FOLDER = pathlib.Path(__file__).parent.parent / "platform"
+sys.path.insert(0, str(_FOLDER))
+
+import calls  # noqa: E402
+from endivestream.process import site_control  # noqa: E402
+from endivestream.version import evacuations as evacuations_lib  # noqa: E402
+from tornado import testing  # noqa: E402
+
+
+class Control:
+    """Control host that knows the domains `a` and `b`."""
+
+    def __init__(self):
+        self.evacuated = set()
+        self.has_quorum = True
+
+    def _record(self):
+        return evacuations_lib.EvacuationRecord(1, tuple(self.evacuated))
+
+    async def set_evacuation(self, domain, *, evacuated):
+        if domain not in ("a", "b"):
+            return site_control.UnknownDomain(message="unknown")
+        if not self.has_quorum:
+            return site_control.EvacuationUncertain()
+        self.evacuated -= {domain}
+        self.evacuated |= {domain} if evacuated else set()
+        return site_control.EvacuationConfirmed(record=self._record())
+
+    async def read_evacuations(self):
+        return self._record() if self.has_quorum else None
+
+
+class EvacuationCallsTest(testing.AsyncHTTPTestCase):
+    def get_app(self):
+        self.control = Control()
+        return calls.control_application(self.control)
+
+    def _call(self, method, name, body=None):
+        path = "/evacuations/" + urllib.parse.quote(name, safe="")
+        return self.fetch(
+            path, method=method, body=body, allow_nonstandard_methods=True
+        )
+
+    def test_start_and_end_are_answered_with_success(self):
+        """Guards against orders that an operator has to send again."""
+        for _ in range(2):
+            self.assertEqual(200, self._call("POST", "a").code)
+            self.assertEqual({"a"}, self.control.evacuated)
+        answer = self.fetch("/evacuations")
+        self.assertEqual({"evacuated": ["a"]}, json.loads(answer.body))
+        for _ in range(2):
+            self.assertEqual(200, self._call("DELETE", "a").code)
+            self.assertEqual(set(), self.control.evacuated)
+
+    def test_malformed_orders_change_nothing(self):
+        """Guards against failures that an operator cannot interpret."""
+        for name in ("c", "a/b", "x" * 300, " ", "a%2fb"):
+            self.assertEqual(404, self._call("POST", name).code, name)
+        self.assertEqual(200, self._call("POST", "b", b"ignored").code)
+        self.assertEqual({"b"}, self.control.evacuated)
+
+    def test_without_a_quorum_the_order_is_to_be_sent_again(self):
+        """Guards against acknowledging what is not committed."""
+        self.control.has_quorum = False
+        for answer in (self._call("POST", "a"), self.fetch("/evacuations")):
+            self.assertEqual(503, answer.code)
+            self.assertIn("Retry-After", answer.headers)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -69,8 +69,9 @@
 class Engine:
     """Fake engine with its loaded models and its handling of orders."""
 
-    def __init__(self, name, loaded):
+    def __init__(self, name, loaded, *, domain="a"):
         self.name = name
+        self.domain = domain
         self.loaded = set(loaded)
         self.adapters = set()
         self.accepted = 0
@@ -191,7 +192,7 @@
         for module, name, value in self._constants:
             setattr(module, name, value)
 
-    def _start(self, *engines, may_order=lambda: True):
+    def _start(self, *engines, may_order=lambda: True, evacuated=()):
         self.engines = engines
         self.changes = []
         self.fake = FakeEngines(engines)
@@ -201,6 +202,7 @@
             fence=7,
             may_order=may_order,
             on_targets_changed=lambda names: self.changes.extend(names),
+            evacuated_domains=lambda: evacuated,
         )
         self.planner.set_document(document())
         self.numbers = dict.fromkeys((e.name for e in engines), 0)
@@ -217,7 +219,7 @@
                 name=engine.name,
                 service="s",
                 address=engine.name,
-                domain="a",
+                domain=engine.domain,
                 started_at_ms=1,
                 report_number=self.numbers[engine.name],
                 loaded=held(engine),
@@ -362,6 +364,16 @@
         self._request("a")
         await self._until(lambda: "a" in healthy.loaded)
 
+    async def test_models_of_an_evacuated_domain_are_loaded_elsewhere(self):
+        """Guards against models that only an evacuated domain holds."""
+        evacuated = Engine("e1", "a", domain="x")
+        remaining = Engine("e2", "b", domain="y")
+        self._start(evacuated, remaining, evacuated=("x",))
+        self._request("a")
+        self._request("c")
+        await self._until(lambda: {"a", "c"} <= set(remaining.loaded))
+        self.assertEqual(["a"], list(evacuated.loaded))
+
     async def test_stuck_step_does_not_block_load_elsewhere(self):
         """Guards against callers that wait for long streams of a victim.
 
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -131,6 +131,27 @@
         self.view.set_targets([target("t1", draining=True)], [])
         self.assertEqual(self._pick(), "no_target")
 
+    def test_targets_of_an_evacuated_domain_get_no_requests(self):
+        """Guards against sends to a domain that operators will turn off."""
+        near, far = target("t1", domain="a"), target("t2", domain="b")
+        self.view.set_targets([near, far], [])
+        self.view.set_evacuated_domains(["a"])
+        self.assertEqual(self._pick(), "t2")
+        requirements = target_selection.TargetRequirements(service="s")
+        self.assertFalse(self.view.is_usable(near.registration, requirements))
+        self.assertTrue(self.view.is_usable(far.registration, requirements))
+        self.view.set_evacuated_domains(["a", "b"])
+        self.assertEqual(self._pick(), "evacuated")
+        self.view.set_evacuated_domains([])
+        self.assertEqual(self._pick(), "t1")
+
+    def test_requests_do_not_wait_for_the_end_of_an_evacuation(self):
+        """Guards against holding requests that no target can take."""
+        self.assertTrue(
+            target_selection.Unavailable(reason="evacuated").is_lasting
+        )
+        self.assertFalse(target_selection.Unavailable(reason="full").is_lasting)
+
     def test_older_table_update_is_ignored(self):
         """Guards against sending requests to a departing target.
 
