Limit requests to cold targets

Cause: a target that has just started was only given half of a share in the selection. When the engines of a domain return together, callers of all hosts wait for them; nothing kept the sum within what a cold target accepts.

Change: services name the cold rate and duration. Hosts and leader record how long each target is cold, counted from the arrival of its report, so that no estimate ends too early; the end of an evacuation makes the domain's targets cold on each host and at the leader, because their newest reports may be older. A cold target is one more reason for a limit: its sends are granted by the leader like those to a target that reports a limit (request/send_slots.py). A cold period that ends later than known is pushed to hosts at once. Schedules of targets are kept for a minute instead of as long as a limit is reported.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -465,6 +465,7 @@
         if document.version <= self.version:
             return
         self._table = routes_lib.Table(document=document)
+        self._view.set_services(document.services)
         logs.event(
             "configuration",
             version=document.version,
@@ -484,7 +485,7 @@
         if record.revision <= self._evacuations_revision:
             return
         self._evacuations_revision = record.revision
-        self._view.set_evacuated_domains(record.domains)
+        self._view.set_evacuated_domains(record.domains, clock.now())
         logs.event(
             "evacuations",
             revision=record.revision,
--- a/packages/endivestream/src/endivestream/process/entry_rate_limits.py
+++ b/packages/endivestream/src/endivestream/process/entry_rate_limits.py
@@ -1,4 +1,4 @@
-"""Keeps an entry host's sends within the rate limits that targets name."""
+"""Keeps an entry host's sends within the limits of rate-limited targets."""
 
 from __future__ import annotations
 
@@ -138,20 +138,28 @@
     # Sends.
 
     async def acquire_send(
-        self, registration: registry_lib.Registration, patience: float
+        self,
+        registration: registry_lib.Registration,
+        patience: float,
+        cold_rate: float | None = None,
     ) -> float | None:
         """Waits until a request may be sent to a target.
 
         Args:
             registration: The target's registration.
             patience: Seconds for which the request can wait.
+            cold_rate: Requests a second that the target accepts because it is
+                cold; None if it is not.
 
         Returns:
             None if it may be sent now, else the seconds after which the target
             may be tried again.
         """
         now = clock.now()
-        rate = self._limits.rate(registration.name, registration.started_at_ms)
+        reported_rate = self._limits.rate(
+            registration.name, registration.started_at_ms
+        )
+        rate = rate_limits_lib.lowest(reported_rate, cold_rate)
         if rate is None:
             return None
         share = self._shares.setdefault(
@@ -164,9 +172,13 @@
         answer = await self._watch.request(
             site_messages.AskSend(
                 limit=site_messages.RateLimit(
-                    registration.name, registration.started_at_ms, rate, age
+                    registration.name,
+                    registration.started_at_ms,
+                    reported_rate,
+                    age,
                 ),
                 max_wait_seconds=patience,
+                cold_rate=cold_rate,
             ),
             seconds=_TIMEOUT_SECONDS,
         )
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -30,6 +30,7 @@
 from endivestream.process import planner_lease_manager
 from endivestream.process import site_settings
 from endivestream.process import table_updates
+from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import send_slots
@@ -105,6 +106,7 @@
         self._credit_allocator = credit_allocator_lib.CreditAllocator()
         self._retry_budgets: dict[str, repeats_lib.SharedRepeatBudget] = {}
         self._rate_limits = rate_limits_lib.RateLimits()
+        self._cold_targets = cold_targets.ColdTargets()
         self._send_slots = send_slots.SendSlots(now=self._started_at)
         self._membership_manager = membership_manager_lib.MembershipManager(
             replicator=leader_context.replicator,
@@ -159,7 +161,7 @@
     def start(self) -> None:
         """Starts leading with the replicated state as it is now."""
         if self._document is not None:
-            self._set_teams(self._document, start_full=False)
+            self._set_document(self._document, start_full=False)
         self._membership_manager.start()
         self._table_updates.start()
         self._tasks = [tasks.start(self._sweep(), "sweep")]
@@ -185,7 +187,7 @@
                     routes=len(document.routes),
                     teams=len(document.teams),
                 )
-                self._set_teams(document, start_full=True)
+                self._set_document(document, start_full=True)
                 self._confirmations.note_committed(
                     document.version, self._sessions
                 )
@@ -203,11 +205,23 @@
                 self._confirmations.note_evacuations(
                     record.revision, self._sessions
                 )
+                if domain not in record.domains:
+                    self._assume_cold(domain)
                 self._table_updates.push_evacuations(record)
 
-    def _set_teams(
+    def _assume_cold(self, domain: str) -> None:
+        """Treats the targets of a domain whose evacuation ended as cold."""
+        registrations = [
+            session.registration
+            for session in self._registry.sessions.values()
+            if session.registration.domain == domain
+        ]
+        self._cold_targets.assume_cold(registrations, clock.now())
+
+    def _set_document(
         self, document: document_lib.Document, *, start_full: bool
     ) -> None:
+        self._cold_targets.set_services(document.services)
         self._credit_allocator.set_teams(
             document.teams, clock.now(), start_full=start_full
         )
@@ -304,8 +318,12 @@
             return messages.NotLeader(address="")
         now = clock.now()
         limit = message.limit
-        self._merge_rate_limits([limit])
-        rate = self._rate_limits.rate(limit.target, limit.started_at_ms)
+        if limit.rate is not None:
+            self._merge_rate_limits([limit])
+        rate = rate_limits_lib.lowest(
+            self._rate_limits.rate(limit.target, limit.started_at_ms),
+            message.cold_rate,
+        )
         if rate is None:
             # The limit has ended, or belongs to another start of the target;
             # the table update with this change is already in flight.
@@ -442,14 +460,17 @@
         if not changed:
             return
         self._lease_manager.forward_report(registration)
+        is_colder = self._cold_targets.record(registration, now)
         if self._rate_limits.remove_older_starts(
             registration.name, registration.started_at_ms
         ):
             self._lease_manager.set_rate_limits(self._rate_limits.rates)
         if registration.name in self._silent_targets:
             self._silent_targets.discard(registration.name)
-        elif previous is not None and _is_same_for_hosts(
-            previous.registration, registration
+        elif (
+            previous is not None
+            and not is_colder
+            and _is_same_for_hosts(previous.registration, registration)
         ):
             changed.remove(registration.name)
         if (
@@ -476,7 +497,12 @@
         # Only placement uses the location of weights; leaving it out makes
         # pushes smaller.
         registration = msgspec.structs.replace(
-            session.registration, in_memory=(), on_disk=()
+            session.registration,
+            in_memory=(),
+            on_disk=(),
+            warmup_seconds=self._cold_targets.remaining(
+                session.registration, clock.now()
+            ),
         )
         placement_update = self._lease_manager.placement_update(
             registration.name
@@ -691,7 +717,8 @@
         self._table_updates.retain_targets(known_names)
         self._confirmations.retain_targets(known_names)
         self._rate_limits.remove_stale(sessions.keys(), now)
-        self._send_slots.forget(self._rate_limits.rates)
+        self._send_slots.remove_idle(now)
+        self._cold_targets.retain(sessions.keys())
         for name, session in sessions.items():
             if (
                 now - session.received_at > silence
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -305,13 +305,15 @@
         """Waits for a rate-limited target; returns whether to send now."""
         registration = picked.target.registration
         view = self._parts.view
-        if not view.is_rate_limited(registration):
+        now = clock.now()
+        if not view.is_rate_limited(registration, now):
             return True
         progress.stage = "limit"
-        now = clock.now()
         wait_deadline = self._target_wait_deadline(work, progress)
         retry_seconds = await self._parts.acquire_send(
-            registration, max(0.0, wait_deadline - now)
+            registration,
+            max(0.0, wait_deadline - now),
+            view.cold_rate(registration, now),
         )
         if retry_seconds is not None:
             view.block(registration.name, clock.now() + retry_seconds)
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -68,8 +68,9 @@
             has ended.
         slot_freed: Called when a slot on a target may be free.
         acquire_send: Waits until a request may be sent to a rate-limited
-            target, up to the given seconds. Returns None if it may, else the
-            seconds after which the target may be tried again.
+            target, up to the given seconds, with its cold rate if it is cold.
+            Returns None if it may, else the seconds after which the target may
+            be tried again.
         rate_limit_reported: Called for each answer of a target with the text of
             its rate limit header; None without the header.
         prefill_delay: Returns seconds until the prefill turn of a prompt, by
@@ -91,7 +92,8 @@
     model_idle: Callable[[], None]
     slot_freed: Callable[[], None]
     acquire_send: Callable[
-        [registry_lib.Registration, float], Awaitable[float | None]
+        [registry_lib.Registration, float, float | None],
+        Awaitable[float | None],
     ]
     rate_limit_reported: Callable[[registry_lib.Registration, str | None], None]
     prefill_delay: Callable[[str, str, float, int], Awaitable[float]]
--- a/packages/endivestream/src/endivestream/request/rate_limits.py
+++ b/packages/endivestream/src/endivestream/request/rate_limits.py
@@ -37,6 +37,11 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def lowest(*rates: float | None) -> float | None:
+    """Returns the lowest of some limits; None if there is none."""
+    return min((rate for rate in rates if rate is not None), default=None)
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Report:
     """Latest report of one target.
--- a/packages/endivestream/src/endivestream/request/send_slots.py
+++ b/packages/endivestream/src/endivestream/request/send_slots.py
@@ -1,8 +1,10 @@
 """Scheduling of requests to rate-limited targets. Pure, with time given.
 
-All hosts together must keep a target's limit, which may be less than one
-request a second and host. The leader therefore grants sends one by one, each
-for its own time, and returns the time of the next request to those it denies.
+A target has a limit because it reports one or because it is cold
+(`request/cold_targets.py`). All hosts together must keep it, and it may be less
+than one request a second and host. The leader therefore grants sends one by
+one, each for its own time, and returns the time of the next request to those it
+denies.
 If a limit is large relative to the number of hosts, each host uses a share of
 it without a request to the leader, so that limits above the load cost no
 messages.
@@ -30,6 +32,8 @@
 # therefore reserves the hosts' fraction from this share of the limit at which
 # hosts begin to use it.
 _HOST_COUNT_MARGIN = 0.75
+# Time without sends after which a target's schedule is removed.
+_IDLE_RETENTION_SECONDS = 60.0
 # Maximum time after which a denied host requests again.
 _MAX_RETRY_SECONDS = 5.0
 
@@ -163,10 +167,11 @@
             + 1 / schedule.rate
         )
 
-    def forget(self, targets: dict[str, float]) -> None:
-        """Removes all targets without a limit."""
-        for name in self._schedules.keys() - targets.keys():
-            del self._schedules[name]
+    def remove_idle(self, now: float) -> None:
+        """Removes targets that have long had no send."""
+        for name, schedule in list(self._schedules.items()):
+            if now - schedule.next_send_at > _IDLE_RETENTION_SECONDS:
+                del self._schedules[name]
 
     def _earliest_send(self, schedule: _SendSchedule, now: float) -> float:
         """Returns the earliest time whose unused sends may still be made."""
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -16,7 +16,9 @@
 
 from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
+from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.version import document as document_lib
 
 # Penalty of a target in another failure domain, in running requests: this
 # number or this share of its slots, whichever is smaller. Traffic between
@@ -36,6 +38,8 @@
 # longer ago than this may no longer apply and is not penalized.
 _RATE_LIMITED_REQUESTS = 20.0
 _RATE_LIMIT_FRESH_SECONDS = 10.0
+# Factor on the load of a cold target, which is slow.
+_COLD_LOAD_FACTOR = 2.0
 # Penalty, in running requests, of a target that misses its reports.
 _SILENT_TARGET_REQUESTS = 20.0
 # Maximum number of requests that all hosts together send to an engine, as a
@@ -173,6 +177,7 @@
         self._session_targets: dict[tuple[str, str], str] = {}
         self._other_loads: dict[str, int] = {}
         self._other_loads_at = float("-inf")
+        self._cold_targets = cold_targets.ColdTargets()
         self._hosts = 1
         self._evacuated_domains: frozenset[str] = frozenset()
 
@@ -223,6 +228,7 @@
             if current != target:
                 self._states[name].denied_names.clear()
             self._targets[name] = target
+            self._cold_targets.record(target.registration, now)
             self._loads_expected_at[name] = {
                 loading.model: now + loading.seconds
                 for loading in target.loading
@@ -233,15 +239,38 @@
             self._blocked_until.pop(name, None)
             if name in self._states and not self._states[name].running:
                 del self._states[name]
+        self._cold_targets.retain(self._targets.keys())
         self._by_service = {}
         for name, target in self._targets.items():
             self._by_service.setdefault(target.registration.service, []).append(
                 name
             )
 
-    def set_evacuated_domains(self, domains: Collection[str]) -> None:
-        """Sets the failure domains whose targets get no requests."""
+    def set_services(self, services: Collection[document_lib.Service]) -> None:
+        """Sets the services of the configuration."""
+        self._cold_targets.set_services(services)
+
+    def set_evacuated_domains(
+        self, domains: Collection[str], now: float = 0.0
+    ) -> None:
+        """Sets the failure domains whose targets get no requests.
+
+        Targets may be cold when the evacuation of their domain ends.
+
+        Args:
+            domains: The evacuated domains.
+            now: Current time.
+        """
+        ended = self._evacuated_domains - frozenset(domains)
         self._evacuated_domains = frozenset(domains)
+        self._cold_targets.assume_cold(
+            (
+                target.registration
+                for target in self._targets.values()
+                if target.registration.domain in ended
+            ),
+            now,
+        )
 
     def _is_evacuated(self, registration: registry_lib.Registration) -> bool:
         return registration.domain in self._evacuated_domains
@@ -275,13 +304,32 @@
         """Sets how many entry hosts there are, this one included."""
         self._hosts = max(1, hosts)
 
-    def is_rate_limited(self, registration: registry_lib.Registration) -> bool:
-        """Returns whether a target reports a rate limit."""
+    def is_rate_limited(
+        self, registration: registry_lib.Registration, now: float
+    ) -> bool:
+        """Returns whether a target reports a rate limit or has a cold one."""
+        return (
+            self._reports_rate_limit(registration)
+            or self.cold_rate(registration, now) is not None
+        )
+
+    def _reports_rate_limit(
+        self, registration: registry_lib.Registration
+    ) -> bool:
         return (
             self._limits.rate(registration.name, registration.started_at_ms)
             is not None
         )
 
+    def cold_rate(
+        self, registration: registry_lib.Registration, now: float
+    ) -> float | None:
+        """Returns the requests a second that a cold target accepts.
+
+        None if the target is not cold or its service sets no cold rate.
+        """
+        return self._cold_targets.rate(registration, now)
+
     def block(self, target: str, until: float) -> None:
         """Sends no requests to a target until a time because of its limit."""
         self._blocked_until[target] = until
@@ -371,7 +419,7 @@
         if until is None:
             return False
         if until <= now or not self.is_rate_limited(
-            self._targets[name].registration
+            self._targets[name].registration, now
         ):
             del self._blocked_until[name]
             return False
@@ -463,10 +511,10 @@
             if requirements.session and name == last_target:
                 load -= _SESSION_AFFINITY_REQUESTS
                 candidate_reason = "session"
-            if target.registration.warmup_seconds > 0:
-                load *= 2
+            if self._cold_targets.remaining(target.registration, now):
+                load *= _COLD_LOAD_FACTOR
             is_recent = self._limits.age(name, now) < _RATE_LIMIT_FRESH_SECONDS
-            if is_recent and self.is_rate_limited(target.registration):
+            if is_recent and self._reports_rate_limit(target.registration):
                 load += _RATE_LIMITED_REQUESTS
             if target.reports_overdue:
                 load += _SILENT_TARGET_REQUESTS
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -365,16 +365,19 @@
 
 
 class AskSend(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Requests permission for one send to a target with a rate limit.
+    """Requests permission for one send to a target that accepts few.
 
     Attributes:
         limit: Rate limit of the target, as last received by the requesting
-            host.
+            host; without a rate if it has reported none.
         max_wait_seconds: Seconds that the caller's request can wait.
+        cold_rate: Requests a second that the target accepts because it is cold;
+            None if it is not.
     """
 
     limit: RateLimit
     max_wait_seconds: float = msgspec.field(name="patience")
+    cold_rate: float | None = None
 
 
 class GiveSend(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/version/document.py
+++ b/packages/endivestream/src/endivestream/version/document.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import NamedTuple
 
 import msgspec
@@ -131,12 +132,18 @@
         health_path: Path of the targets' health check.
         connections: Maximum of connections to one target from all hosts.
         engine: Capacity of its engines; None for a plain service.
+        cold_seconds: Seconds for which a target is cold after its start; 0 if
+            it never is.
+        cold_rate: Requests a second that a cold target accepts; None for no
+            limit.
     """
 
     name: str
     health_path: str
     connections: int
     engine: EngineCapacity | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float | None = None
 
 
 class Team(msgspec.Struct, frozen=True, kw_only=True):
@@ -264,9 +271,26 @@
                 f"{other.name!r}"
             )
             errors.append(findings.Finding(place, message))
+    for service in document.services:
+        place = findings.Place(f"service {service.name}")
+        errors += [
+            findings.Finding(place, message)
+            for message in _check_cold_start(service)
+        ]
     return errors + _check_keys(document.teams)
 
 
+def _check_cold_start(service: Service) -> list[str]:
+    return [
+        f"{name} is {value:g}; it must be a finite number of at least 0"
+        for name, value in (
+            ("cold_seconds", service.cold_seconds),
+            ("cold_rate", service.cold_rate),
+        )
+        if value is not None and not 0 <= value < math.inf
+    ]
+
+
 def _check_route(route: Route, services: set[str]) -> list[str]:
     errors = [
         findings.unknown_word("service", weighted_service.service, services)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -149,7 +149,7 @@
             await asyncio.Event().wait()
         return self.grants_repeat
 
-    async def _permit(self, registration, patience):
+    async def _permit(self, registration, patience, cold_rate):
         self.permit_requests.append(registration.name)
         if self.permit_waits:
             await asyncio.Event().wait()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -56,6 +56,8 @@
             "name": "llm",
             "healthPath": "/h",
             "maxConns": 360,
+            "coldStartS": 3.0,
+            "coldPerS": 13.0,
             "engine": {
                 "slots": 64,
                 "kvCapacity": 1000,
@@ -169,6 +171,10 @@
         self.assertEqual(once.objective, 1.5)
         self.assertEqual([c.weight for c in once.services], [9, 1])
         self.assertEqual(read.services[0].engine.models[0].disk_seconds, 0.78)
+        self.assertEqual(
+            [(s.cold_seconds, s.cold_rate) for s in read.services],
+            [(3.0, 13.0), (0.0, None)],
+        )
         self.assertTrue(read.teams[0].by_tokens)
         self.assertEqual(read.source, body)
 
@@ -187,6 +193,9 @@
             ),
             (lambda c: c["routes"][0].update(routeKind="odd"), "routeKind"),
             (lambda c: c.pop("version"), "version"),
+            (lambda c: c["services"][0].update(coldPerS=-1), "cold_rate"),
+            (lambda c: c["services"][0].update(coldStartS=-1), "cold_seconds"),
+            (lambda c: c["services"][0].update(coldPerS="many"), "coldPerS"),
         ):
             config = json.loads(json.dumps(CONFIG))
             invalidate(config)
