Keep requests in the home regions of their route and team

Cause: home regions in a configuration were skipped, so requests could reach targets in any region.

Change: routes and teams have home regions; both apply where both are set. If no failure domain is in an allowed region, the request is refused at once. Address lists name only hosts in a home region of the host name's routes or in the caller's own region.

An unknown region is accepted: the platform's list of invalid configurations does not contain it, and refusing a valid configuration is worse than refusing its requests.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -43,6 +43,7 @@
 from endivestream.request import demand as demand_lib
 from endivestream.request import forward as forward_lib
 from endivestream.request import forward_parts
+from endivestream.request import homes
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import routes as routes_lib
@@ -51,9 +52,6 @@
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 
-# Minimum number of entry hosts in an address list. Hosts of other failure
-# domains are added if needed, so that callers have another one when one fails.
-_MIN_ADDRESSES = 2
 # How long a target is kept after a complete table no longer lists it: its
 # connection to the control hosts may be cut while the one to this host works.
 _UNLISTED_TARGET_SECONDS = 20.0
@@ -87,7 +85,9 @@
         self._pool = exchange_lib.Pool()
         self._limits = rate_limits_lib.RateLimits()
         self._view = target_selection.TargetView(
-            domain=settings.domain, limits=self._limits
+            domain=settings.domain,
+            regions=settings.domains,
+            limits=self._limits,
         )
         self._credit_shares = credit_shares_lib.CreditShares()
         self._table: routes_lib.Table | None = None
@@ -217,19 +217,27 @@
         """The configuration version in force on this host; 0 before any."""
         return self._table.document.version if self._table else 0
 
-    def addresses(self, domain: str) -> list[str]:
-        """Returns the addresses to which callers of a failure domain connect.
+    def addresses(
+        self, domain: str, *, region: str = "", hostname: str = ""
+    ) -> list[str]:
+        """Returns the addresses to which callers connect.
 
-        These are the hosts of their own domain, or all hosts if there are too
-        few of these. Draining hosts are left out.
+        Args:
+            domain: The callers' failure domain.
+            region: The callers' region; that of the domain if empty.
+            hostname: Host name of their requests, whose routes may have home
+                regions.
         """
-        available = [host for host in self._entry_hosts if not host.draining]
-        same_domain = [
-            host.address for host in available if host.domain == domain
-        ]
-        if len(same_domain) >= _MIN_ADDRESSES:
-            return same_domain
-        return [host.address for host in available]
+        region_by_domain = self._settings.domains
+        routes = self._table.routes(hostname) if self._table else ()
+        return homes.select_addresses(
+            self._entry_hosts,
+            domain=domain,
+            regions=homes.caller_regions(
+                routes, region or region_by_domain.get(domain, "")
+            ),
+            region_by_domain=region_by_domain,
+        )
 
     def start(self) -> None:
         """Starts to listen for callers and to search for the leader.
--- a/packages/endivestream/src/endivestream/request/routes.py
+++ b/packages/endivestream/src/endivestream/request/routes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import hashlib
 from typing import NamedTuple
 
@@ -36,6 +37,11 @@
     def __repr__(self) -> str:
         return f"<Table version {self.document.version}>"
 
+    def routes(self, host: str) -> Sequence[document_lib.Route]:
+        """Returns all routes of a host name, with or without a port."""
+        hostname = host.rsplit(":", 1)[0] if ":" in host else host
+        return self._routes_by_host.get(hostname.lower(), ())
+
     def route(self, host: str, path: str) -> document_lib.Route | None:
         """Returns the route with the longest prefix of a path, or None.
 
@@ -43,8 +49,7 @@
             host: The request's host name, with or without a port.
             path: The path without the query.
         """
-        hostname = host.rsplit(":", 1)[0] if ":" in host else host
-        for route in self._routes_by_host.get(hostname.lower(), ()):
+        for route in self.routes(host):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -20,6 +20,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import call as call_lib
+from endivestream.request import homes
 from endivestream.request import names as names_lib
 from endivestream.request import sse
 from endivestream.request import target_selection
@@ -456,6 +457,7 @@
         tried=tuple(progress.attempted_targets),
         rank=priority(work),
         can_wait=can_wait,
+        regions=homes.allowed_regions(work.route, work.team),
     )
 
 
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -76,6 +76,7 @@
         rank: Urgency; 0 is the most urgent.
         can_wait: Whether the request can still wait for a slot if the engines
             are full.
+        regions: Regions whose targets may get the request; None for all.
     """
 
     service: str
@@ -85,6 +86,7 @@
     tried: Collection[str] = ()
     rank: int = 0
     can_wait: bool = False
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -100,7 +102,7 @@
     """No target can take the request now.
 
     Attributes:
-        reason: `no_target`, `evacuated`, `no_model`, `no_adapter`,
+        reason: `no_target`, `no_home`, `evacuated`, `no_model`, `no_adapter`,
             `all_failing`, `full`, `rate_limited`.
         expected: Time at which a target can be expected to take it, if known.
     """
@@ -111,7 +113,7 @@
     @property
     def is_lasting(self) -> bool:
         """Whether waiting is useless: only an operator can change it."""
-        return self.reason == "evacuated"
+        return self.reason in ("evacuated", "no_home")
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -157,15 +159,18 @@
         self,
         *,
         domain: str,
+        regions: Mapping[str, str] | None = None,
         limits: rate_limits_lib.RateLimits | None = None,
     ) -> None:
         """Initializes a view without targets.
 
         Args:
             domain: Failure domain of this host.
+            regions: Region of each failure domain.
             limits: Rate limits that targets reported.
         """
         self._domain = domain
+        self._region_by_domain = dict(regions or {})
         self._limits = limits or rate_limits_lib.RateLimits()
         # Time until which a target takes no requests because of its limit.
         self._blocked_until: dict[str, float] = {}
@@ -368,11 +373,17 @@
         Returns:
             The target, or the reason why there is none.
         """
+        regions = requirements.regions
+        if regions is not None and regions.isdisjoint(
+            self._region_by_domain.values()
+        ):
+            return Unavailable(reason="no_home")
         names = [
             name
             for name in self._by_service.get(requirements.service, ())
             if not self._targets[name].registration.draining
             and name not in requirements.tried
+            and (regions is None or self._region(name) in regions)
         ]
         if not names:
             return Unavailable(reason="no_target")
@@ -414,6 +425,10 @@
             return Unavailable(reason="rate_limited", expected=unblocked_at)
         return self._least_loaded(requirements, unblocked, now)
 
+    def _region(self, name: str) -> str:
+        domain = self._targets[name].registration.domain
+        return self._region_by_domain.get(domain, "")
+
     def _is_blocked(self, name: str, now: float) -> bool:
         until = self._blocked_until.get(name)
         if until is None:
--- a/packages/endivestream/src/endivestream/version/document.py
+++ b/packages/endivestream/src/endivestream/version/document.py
@@ -61,6 +61,7 @@
             event.
         max_event_gap: Maximum pause between events that counts as in time, in
             seconds; 0 if none is set.
+        home_regions: Regions whose targets may get the requests; empty for all.
     """
 
     name: str
@@ -75,6 +76,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_event_gap: float = msgspec.field(name="gap", default=0.0)
+    home_regions: tuple[str, ...] = ()
 
     @property
     def is_repeatable(self) -> bool:
@@ -158,6 +160,7 @@
         burst: Maximum of unspent credit.
         by_tokens: Whether credit is counted in tokens instead of requests.
         plain_cost: Cost of a request without a number of tokens.
+        home_regions: Regions whose targets may get its requests; empty for all.
     """
 
     name: str
@@ -167,6 +170,7 @@
     burst: float = 0.0
     by_tokens: bool = False
     plain_cost: float = 1.0
+    home_regions: tuple[str, ...] = ()
 
 
 class Limits(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -38,6 +38,7 @@
             "sticky": True,
             "resumable": True,
             "gapObjectiveMs": 300,
+            "homeRegions": ["north"],
         },
         {
             "name": "r2",
@@ -167,6 +168,7 @@
         self.assertEqual(stream.timeout, 20.0)
         self.assertEqual(stream.max_event_gap, 0.3)
         self.assertTrue(stream.is_repeatable)
+        self.assertEqual(stream.home_regions, ("north",))
         self.assertFalse(once.is_repeatable)
         self.assertEqual(once.objective, 1.5)
         self.assertEqual([c.weight for c in once.services], [9, 1])
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -145,6 +145,20 @@
         self.view.set_evacuated_domains([])
         self.assertEqual(self._pick(), "t1")
 
+    def test_targets_outside_the_home_regions_get_no_requests(self):
+        """Guards against requests that leave the regions set for them."""
+        self.view = target_selection.TargetView(
+            domain="a", regions={"a": "north", "b": "south"}
+        )
+        near, far = target("t1", domain="a"), target("t2", domain="b")
+        self.view.set_targets([near, far], [])
+        south = frozenset({"south"})
+        self.assertEqual(self._pick(), "t1")
+        self.assertEqual(self._pick(regions=south), "t2")
+        self.assertEqual(self._pick(regions=south, tried=("t2",)), "no_target")
+        for unknown in (frozenset(), frozenset({"east"})):
+            self.assertEqual(self._pick(regions=unknown), "no_home")
+
     def test_requests_do_not_wait_for_the_end_of_an_evacuation(self):
         """Guards against holding requests that no target can take."""
         self.assertTrue(
