Replay load patterns against the deciders in virtual time

The rig drives the product's target selection, prefill turns, demand averages and planner with a model of engines (steps, prompts in chunks, slots) and callers.

--- /dev/null
+++ b/benchmarks/replay/__main__.py
@@ -0,0 +1,105 @@
+"""Compares policies on load patterns in virtual time.
+
+    python -m replay PATTERN [--seeds 5] [--seconds 24] [--policies a,b]
+
+A policy is a version of the deciders; see `POLICIES`. For each policy it prints
+means over the seeds: the share of value that callers got (0.3 of an answer's
+value if it was late), the shares of answers in time, with a late first event,
+with a pause above the bound, and unserved, and the model loads.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+from typing import NamedTuple
+
+from endivestream.version import plan as plan_lib
+
+from replay import engine as engine_lib
+from replay import patterns
+from replay import site as site_lib
+
+_MAX_GAP_SECONDS = 0.3
+_LATE_VALUE = 0.3
+_EXTRA_SECONDS = 8.0
+
+POLICIES = {"current": plan_lib.plan}
+
+
+class Result(NamedTuple):
+    """Result of one run, as shares of all requests."""
+
+    value: float
+    in_time: float
+    late_first: float
+    paused: float
+    unserved: float
+    loads: float
+
+
+def replay(pattern: str, policy: str, seed: int, seconds: float) -> Result:
+    """Replays one pattern once."""
+    requests = patterns.draw(
+        patterns.PATTERNS[pattern], seed, seconds, site_lib.HOSTS
+    )
+    site = site_lib.Site(seed=seed, plan=POLICIES[policy])
+    site.run(requests, seconds + _EXTRA_SECONDS)
+    return _result(requests, site.loads)
+
+
+def _result(requests: list[engine_lib.Request], loads: int) -> Result:
+    got = in_time = late_first = paused = unserved = 0.0
+    for request in requests:
+        if request.ended_at is None or request.first_event_at is None:
+            unserved += 1
+            continue
+        wait = request.first_event_at - request.arrived_at
+        has_pause = request.longest_gap > _MAX_GAP_SECONDS
+        is_late_first = wait > request.objective
+        paused += has_pause
+        late_first += is_late_first
+        is_in_time = not has_pause and not is_late_first
+        in_time += is_in_time
+        got += request.value * (1.0 if is_in_time else _LATE_VALUE)
+    total = len(requests)
+    return Result(
+        got / max(1.0, sum(request.value for request in requests)),
+        in_time / total,
+        late_first / total,
+        paused / total,
+        unserved / total,
+        loads,
+    )
+
+
+def main() -> None:
+    """Prints a table of policies."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("pattern", choices=patterns.PATTERNS, nargs="+")
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--seconds", type=float, default=24.0)
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    options = parser.parse_args()
+    print("pattern policy " + " ".join(Result._fields))
+    for pattern in options.pattern:
+        for policy in options.policies.split(","):
+            results = [
+                replay(pattern, policy, seed, options.seconds)
+                for seed in range(options.seeds)
+            ]
+            means = [statistics.mean(c) for c in zip(*results, strict=True)]
+            errors = [
+                statistics.stdev(c) / len(results) ** 0.5
+                if len(results) > 1
+                else 0.0
+                for c in zip(*results, strict=True)
+            ]
+            cells = [
+                f"{m:.3f}±{e:.3f}" for m, e in zip(means, errors, strict=True)
+            ]
+            print(pattern, policy, *cells, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/replay/site.py
@@ -0,0 +1,385 @@
+"""Model of a site: entry hosts and a planner with the product's deciders.
+
+Entry hosts pick targets with `request.target_selection`, wait for prefill turns
+of `request.turns` and report demand; the planner runs `version.plan`. Messages
+take no time, but reports and loads of other hosts are as old as renewals make
+them. Times are seconds.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import random
+
+from endivestream import site_messages
+from endivestream.connection import registry as registry_lib
+from endivestream.process import demand_table
+from endivestream.request import demand as demand_lib
+from endivestream.request import target_selection
+from endivestream.request import turns as turns_lib
+from endivestream.version import document as document_lib
+from endivestream.version import plan_types
+
+from replay import clock as clock_lib
+from replay import engine as engine_lib
+from replay import patterns
+
+_ENGINES = 30
+_DOMAINS = 3
+_RESIDENT = 3
+_DISK_MODELS = 6
+_HOST_MODELS = 2
+HOSTS = 12
+_RENEW_SECONDS = 0.3
+_PLAN_SECONDS = 0.05
+_POLL_SECONDS = 0.05
+_TURN_OBJECTIVE_SHARE = 0.6
+_FREE_SLOT_OBJECTIVES = 0.3
+_WAIT_SHARE = 0.85
+_REPORT_DELAY_SECONDS = 0.1
+_MAX_VICTIM_RUN_SECONDS = 5.0
+_UNUSED_PIN_SECONDS = 5.0
+_USED_PIN_SECONDS = 1.0
+_STORE_WINDOW_SECONDS = 5.0
+_LOADS_PER_SECOND = 9.0
+_STORE_RATE_SHARE = 0.9
+_WEIGHTS_MB = 72_700.0
+_SLOWDOWNS = (1.0, 1.0, 1.3)
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _Placed:
+    """Placement state of one engine.
+
+    Attributes:
+        engine: The engine.
+        loaded: Its loaded models.
+        in_memory: Models in its host memory, least recently used first.
+        on_disk: Models on its disk, least recently used first.
+        step: The step in progress.
+        pinned_until: Until when a model loaded for waiting requests is kept.
+    """
+
+    engine: engine_lib.Engine
+    loaded: list[str]
+    in_memory: list[str]
+    on_disk: list[str]
+    step: plan_types.Step | None = None
+    pinned_until: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def running(self) -> collections.Counter[str]:
+        """Returns the running requests by model."""
+        return collections.Counter(r.model for r in self.engine.running)
+
+
+class Site:
+    """A site that replays one list of requests."""
+
+    def __init__(
+        self, *, seed: int, plan: Callable[..., plan_types.PlanResult]
+    ) -> None:
+        """Initializes a site with models placed at random.
+
+        Args:
+            seed: Seed of the initial placement.
+            plan: Plans one round, as `version.plan.plan` does.
+        """
+        self.clock = clock_lib.VirtualClock()
+        self._plan_round = plan
+        self._source = random.Random(seed)
+        self._capacity = document_lib.EngineCapacity(
+            slots=64,
+            cache_tokens=103_909,
+            weights_mb=230_000.0,
+            adapter_places=8,
+            loads_per_second=_LOADS_PER_SECOND,
+            models=tuple(
+                document_lib.Model(
+                    name=name,
+                    weights_mb=_WEIGHTS_MB,
+                    load_seconds=5.8,
+                    disk_seconds=1.2,
+                    memory_seconds=0.63,
+                )
+                for name in patterns.MODELS
+            ),
+        )
+        self._placed: dict[str, _Placed] = {}
+        self._create_engines()
+        self._hosts = [_EntryHost(f"d{n % _DOMAINS}") for n in range(HOSTS)]
+        self._demand = demand_table.DemandTable()
+        self._turns = turns_lib.PrefillTurns()
+        self._store_loads: list[float] = []
+        self._waiting: list[engine_lib.Request] = []
+        self.loads = 0
+        self._numbers = 0
+
+    def _create_engines(self) -> None:
+        models = list(patterns.MODELS)
+        self._source.shuffle(models)
+        names = [f"t{n}" for n in range(_ENGINES)]
+        for number, name in enumerate(names):
+            speed = engine_lib.EngineSpeed()
+            engine = engine_lib.Engine(
+                name,
+                f"d{number % _DOMAINS}",
+                speed.scaled(_SLOWDOWNS[number // _DOMAINS % 3]),
+                self.clock,
+                self._on_start,
+                self._on_end,
+            )
+            on_disk = models[number::_ENGINES] + self._source.sample(models, 2)
+            loaded = list(dict.fromkeys(on_disk))[:_RESIDENT]
+            self._placed[name] = _Placed(
+                engine=engine,
+                loaded=loaded,
+                in_memory=loaded[:_HOST_MODELS],
+                on_disk=on_disk[:_DISK_MODELS],
+            )
+
+    def run(self, requests: list[engine_lib.Request], seconds: float) -> None:
+        """Replays requests, and some seconds more for their answers."""
+        for request in requests:
+            self.clock.call_in(
+                request.arrived_at, lambda r=request: self._arrive(r)
+            )
+        self._push_table()
+        self.clock.call_every(_RENEW_SECONDS, self._renew)
+        self.clock.call_every(_PLAN_SECONDS, self._plan)
+        self.clock.run(seconds)
+
+    # Requests.
+
+    def _arrive(self, request: engine_lib.Request) -> None:
+        host = self._hosts[request.host % HOSTS]
+        key = ("s", request.model, "")
+        host.rates.count(key, self.clock.now)
+        self._try_send(request, has_turn=False)
+
+    def _requirements(
+        self, request: engine_lib.Request
+    ) -> target_selection.TargetRequirements:
+        waited = self.clock.now - request.arrived_at
+        return target_selection.TargetRequirements(
+            service="s",
+            model=request.model,
+            rank=request.rank,
+            can_wait=waited < _FREE_SLOT_OBJECTIVES * request.objective,
+        )
+
+    def _try_send(self, request: engine_lib.Request, *, has_turn: bool) -> None:
+        now = self.clock.now
+        host = self._hosts[request.host % HOSTS]
+        pick = host.view.pick(self._requirements(request), now, limit=64)
+        if isinstance(pick, target_selection.Unavailable):
+            self._wait_or_refuse(request, pick, has_turn=has_turn)
+            return
+        self._stop_waiting(request)
+        name = pick.target.registration.name
+        if not has_turn:
+            wait = self._turns.take(name, request.prompt, request.rank, now)
+            host.view.set_turn(name, now + wait)
+            latest = (
+                request.arrived_at + _TURN_OBJECTIVE_SHARE * request.objective
+            )
+            if now >= latest:
+                latest = request.arrived_at + _WAIT_SHARE * request.silence
+            wait = min(wait, latest - now)
+            if wait > 0:
+                self.clock.call_in(
+                    wait, lambda: self._try_send(request, has_turn=True)
+                )
+                return
+        request.sent_at = now
+        request.engine = name
+        host.view.record_sent(name, self._requirements(request), now)
+        placed = self._placed[name]
+        if request.model in placed.pinned_until:
+            placed.pinned_until[request.model] = min(
+                placed.pinned_until[request.model], now + _USED_PIN_SECONDS
+            )
+        placed.engine.send(request)
+
+    def _wait_or_refuse(
+        self,
+        request: engine_lib.Request,
+        pick: target_selection.Unavailable,
+        *,
+        has_turn: bool,
+    ) -> None:
+        latest = request.arrived_at + _WAIT_SHARE * request.silence
+        if self.clock.now >= latest or (pick.expected or 0.0) > latest:
+            request.is_refused = True
+            self._stop_waiting(request)
+            return
+        if pick.reason == "no_model" and request not in self._waiting:
+            self._waiting.append(request)
+        self.clock.call_in(
+            _POLL_SECONDS, lambda: self._try_send(request, has_turn=has_turn)
+        )
+
+    def _stop_waiting(self, request: engine_lib.Request) -> None:
+        if request in self._waiting:
+            self._waiting.remove(request)
+
+    def _on_start(self, request: engine_lib.Request) -> None:
+        host = self._hosts[request.host % HOSTS]
+        host.view.record_started(request.engine, self._requirements(request))
+        host.view.record_bytes(request.engine, self.clock.now)
+
+    def _on_end(self, request: engine_lib.Request) -> None:
+        host = self._hosts[request.host % HOSTS]
+        host.view.record_result(
+            request.engine,
+            self._requirements(request),
+            self.clock.now,
+            failed=False,
+        )
+
+    # Reports.
+
+    def _renew(self) -> None:
+        now = self.clock.now
+        loads: collections.Counter[str] = collections.Counter()
+        for host in self._hosts:
+            for use in host.view.uses():
+                loads[use.target] += use.running + use.starting
+        waiting: dict[tuple[int, str], list[float]] = {}
+        for request in self._waiting:
+            key = (request.host % HOSTS, request.model)
+            waiting.setdefault(key, []).append(request.objective)
+        for number, host in enumerate(self._hosts):
+            host.view.set_all_loads(loads, now)
+            for name, placed in self._placed.items():
+                if placed.engine.running:
+                    host.view.record_bytes(name, now)
+            self._demand.remove_host(str(number))
+            rates = host.rates.rates(now)
+            models = {key[1] for key in rates}
+            models |= {model for n, model in waiting if n == number}
+            for model in models:
+                objectives = waiting.get((number, model), [])
+                self._demand.record_demand(
+                    str(number),
+                    site_messages.Demand(
+                        "s",
+                        model,
+                        "",
+                        rates.get(("s", model, ""), 0.0),
+                        len(objectives),
+                        min(objectives, default=0.0),
+                    ),
+                    now,
+                )
+
+    def _push_table(self) -> None:
+        self._numbers += 1
+        targets = [
+            site_messages.Target(
+                registration=registry_lib.Registration(
+                    name=name,
+                    service="s",
+                    address=name,
+                    domain=placed.engine.domain,
+                    report_number=self._numbers,
+                    slots=placed.engine.speed.slots,
+                    loaded=tuple(map(registry_lib.Loaded, placed.loaded)),
+                ),
+                unloading=placed.step.victims if placed.step else (),
+            )
+            for name, placed in self._placed.items()
+        ]
+        for host in self._hosts:
+            host.view.set_targets(targets, [], self.clock.now)
+
+    # Placement.
+
+    def _plan(self) -> None:
+        now = self.clock.now
+        self._store_loads = [
+            at for at in self._store_loads if now - at < _STORE_WINDOW_SECONDS
+        ]
+        allowed = int(
+            _LOADS_PER_SECOND * _STORE_WINDOW_SECONDS * _STORE_RATE_SHARE
+        )
+        result = self._plan_round(
+            capacity=self._capacity,
+            engines=[self._describe(p) for p in self._placed.values()],
+            demands=self._demand.demands("s", now),
+            store_loads=allowed - len(self._store_loads),
+        )
+        for step in result.steps:
+            self._start_step(step)
+
+    def _describe(self, placed: _Placed) -> plan_types.EngineState:
+        step = placed.step
+        victims = step.victims if step else ()
+        return plan_types.EngineState(
+            target=placed.engine.name,
+            domain=placed.engine.domain,
+            loaded=tuple(m for m in placed.loaded if m not in victims),
+            loading=step.model if step else "",
+            busy=step is not None,
+            usable=True,
+            in_memory=tuple(placed.in_memory),
+            on_disk=tuple(placed.on_disk),
+            running=placed.running(),
+            is_disk_copy_load=step is not None and step.reason == "home",
+            is_overdue=step is not None and step.reason == "overdue",
+            protected=frozenset(
+                model
+                for model, until in placed.pinned_until.items()
+                if until > self.clock.now
+            ),
+        )
+
+    def _start_step(self, step: plan_types.Step) -> None:
+        placed = self._placed[step.target]
+        placed.step = step
+        self.loads += 1
+        if step.from_store:
+            self._store_loads.append(self.clock.now)
+        self._push_table()
+        started_at = self.clock.now
+
+        def unload() -> None:
+            running = placed.running()
+            is_late = self.clock.now - started_at > _MAX_VICTIM_RUN_SECONDS
+            if not is_late and any(running[v] for v in step.victims):
+                self.clock.call_in(0.02, unload)
+                return
+            for victim in step.victims:
+                placed.loaded.remove(victim)
+            self.clock.call_in(
+                step.load_seconds + _REPORT_DELAY_SECONDS, finish
+            )
+
+        def finish() -> None:
+            placed.step = None
+            placed.loaded.append(step.model)
+            if step.reason in ("missing", "overdue"):
+                placed.pinned_until[step.model] = (
+                    self.clock.now + _UNUSED_PIN_SECONDS
+                )
+            for kept, most in (
+                (placed.in_memory, _HOST_MODELS),
+                (placed.on_disk, _DISK_MODELS),
+            ):
+                if step.model in kept:
+                    kept.remove(step.model)
+                kept.append(step.model)
+                del kept[:-most]
+            self._push_table()
+
+        self.clock.call_in(_REPORT_DELAY_SECONDS, unload)
+
+
+class _EntryHost:
+    """State of one entry host."""
+
+    def __init__(self, domain: str) -> None:
+        self.view = target_selection.TargetView(domain=domain)
+        self.view.set_hosts(HOSTS)
+        self.rates = demand_lib.RequestRates(now=0.0)
