Send a prompt to the engine of its turn, at a pace that its answers show

Load pattern: the prompts of a busy model come to its few engines together.

A request that had waited for its turn was then given to another engine if that had less load by then, where it came beside the prompts that had the turns; and every engine got 14,000 prompt tokens a second whatever its speed.

Change: after its wait a request goes to the engine whose turn it has, unless that cannot take it any more. The turn owner learns each engine's prefill rate from the time between sending a prompt and its first event (upper quantile of the last 40 samples, which hosts send with their requests for turns) and gives turns at a share of that rate, within bounds; an engine without samples gets the median of the others.

Feedback lost: under overload it lowers the pace of engines that pause for another reason, and it reacts to single streams.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -184,6 +184,7 @@
             rate_limit_reported=self._rate_limits.record_answer,
             acquire_send=self._rate_limits.acquire_send,
             prefill_delay=self._prefill_turn_service.request_turn,
+            prefill_observed=self._prefill_turn_service.record_start,
             record_metrics=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
--- a/packages/endivestream/src/endivestream/process/prefill_turn_service.py
+++ b/packages/endivestream/src/endivestream/process/prefill_turn_service.py
@@ -27,6 +27,8 @@
 _ANSWER_TIMEOUT_SECONDS = 0.04
 # A turn owner that did not answer receives no requests for this long.
 _SKIP_OWNER_SECONDS = 1.0
+# Samples of one engine that are kept for its turn owner.
+_MAX_UNSENT_SAMPLES = 8
 # A link without received bytes for this long is reopened.
 _LINK_SILENCE_SECONDS = 3.0
 
@@ -55,6 +57,8 @@
         self._hosts: tuple[site_messages.EntryHost, ...] = ()
         self._links: dict[str, links.Link] = {}
         self._skip_owner_until: dict[str, float] = {}
+        # Samples of engines owned by other hosts, for the next request there.
+        self._unsent_samples: dict[str, list[site_messages.PrefillSample]] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -87,6 +91,17 @@
         )
         return "" if owner_host.name == self._name else owner_host.peers
 
+    def record_start(
+        self, target: str, domain: str, tokens: float, seconds: float
+    ) -> None:
+        """Records how long an engine took until a prompt's first event."""
+        if not self.turn_owner(target, domain):
+            self._turns.record_start(target, tokens, seconds)
+            return
+        samples = self._unsent_samples.setdefault(target, [])
+        samples.append(site_messages.PrefillSample(tokens, seconds))
+        del samples[:-_MAX_UNSENT_SAMPLES]
+
     async def request_turn(
         self, target: str, domain: str, tokens: float, rank: int
     ) -> float:
@@ -97,7 +112,12 @@
             return self._turns.take(target, tokens, rank, now)
         if self._skip_owner_until.get(owner, now) > now:
             return 0.0
-        request = site_messages.AskTurn(target=target, tokens=tokens, rank=rank)
+        request = site_messages.AskTurn(
+            target=target,
+            tokens=tokens,
+            rank=rank,
+            samples=tuple(self._unsent_samples.pop(target, ())),
+        )
         try:
             answer = await self._link(owner).request(
                 request, seconds=_ANSWER_TIMEOUT_SECONDS
@@ -116,6 +136,10 @@
         self, message: site_messages.AskTurn
     ) -> site_messages.GiveTurn:
         """Answers a request for a prefill turn at an engine owned here."""
+        for sample in message.samples:
+            self._turns.record_start(
+                message.target, sample.tokens, sample.seconds
+            )
         wait = self._turns.take(
             message.target, message.tokens, message.rank, clock.now()
         )
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -77,6 +77,7 @@
             model_idle=parts.model_idle,
             slot_freed=parts.slot_freed,
             rate_limit_reported=parts.rate_limit_reported,
+            prefill_observed=parts.prefill_observed,
         )
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
         self._lease_queue = lease_queue.LeaseQueue(
@@ -263,13 +264,7 @@
         progress: sending.Progress,
     ) -> findings.Failure | None:
         while True:
-            progress.stage = "place"
-            target = await self._wait_for_target(work, progress)
-            if isinstance(target, target_selection.Selected) and (
-                await self._wait_for_prefill_turn(work, progress, target)
-            ):
-                # Targets may have changed during the wait.
-                target = await self._wait_for_target(work, progress)
+            target = await self._select_target(work, progress)
             if isinstance(target, findings.Failure):
                 return target
             if not await self._acquire_send_permit(work, progress, target):
@@ -296,6 +291,29 @@
             if failure is not None:
                 return failure
 
+    async def _select_target(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> target_selection.Selected | findings.Failure:
+        """Waits for a target and for the prefill turn at it."""
+        progress.stage = "place"
+        selected = await self._wait_for_target(work, progress)
+        if isinstance(
+            selected, findings.Failure
+        ) or not await self._wait_for_prefill_turn(work, progress, selected):
+            return selected
+        now = clock.now()
+        # The turn is for this engine. Another one would get the prompt beside
+        # those that have turns there.
+        has_lease = self._parts.rules.lease_until() >= now
+        if has_lease and self._parts.view.is_usable(
+            selected.target.registration,
+            sending.target_requirements(work, progress),
+            now,
+        ):
+            return selected
+        progress.stage = "place"
+        return await self._wait_for_target(work, progress)
+
     async def _acquire_send_permit(
         self,
         work: admission.AdmittedRequest,
@@ -320,7 +338,9 @@
             return False
         # The target may have begun to drain or to unload the model meanwhile.
         return view.is_usable(
-            registration, sending.target_requirements(work, progress)
+            registration,
+            sending.target_requirements(work, progress),
+            clock.now(),
         )
 
     async def _acquire_repeat(self, work: admission.AdmittedRequest) -> bool:
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -75,6 +75,9 @@
             its rate limit header; None without the header.
         prefill_delay: Returns seconds until the prefill turn of a prompt, by
             the engine, its failure domain, the prompt's tokens and rank.
+        prefill_observed: Records how long an engine took until the first event
+            of an answer, by the engine, its failure domain, the prompt's tokens
+            and the seconds.
         record_metrics: Records the metrics of a finished request.
     """
 
@@ -97,6 +100,7 @@
     ]
     rate_limit_reported: Callable[[registry_lib.Registration, str | None], None]
     prefill_delay: Callable[[str, str, float, int], Awaitable[float]]
+    prefill_observed: Callable[[str, str, float, float], None]
     record_metrics: Callable[[RequestSummary], None]
 
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -145,6 +145,7 @@
         rate_limit_reported: Callable[
             [registry_lib.Registration, str | None], None
         ],
+        prefill_observed: Callable[[str, str, float, float], None],
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -157,7 +158,10 @@
             slot_freed: Called when a slot on a target may be free.
             rate_limit_reported: Called for each answer of a target with the
                 text of its rate limit header; None without the header.
+            prefill_observed: Called with an engine, its failure domain, the
+                tokens of a prompt and the seconds until its first event.
         """
+        self._prefill_observed = prefill_observed
         self._names = names
         self._view = view
         self._pool = pool
@@ -193,6 +197,7 @@
                 call, work, progress, exchange, registration
             )
             failed = _is_target_failure(result)
+            self._record_prefill(work, progress, registration)
             return result
         finally:
             exchange.close()
@@ -263,6 +268,22 @@
             self._view.record_started(progress.target, progress.starting)
             progress.starting = None
 
+    def _record_prefill(
+        self,
+        work: admission.AdmittedRequest,
+        progress: Progress,
+        registration: registry_lib.Registration,
+    ) -> None:
+        """Records how long an engine took until the first event."""
+        is_first_attempt = progress.request_attempts == 1
+        if work.service.engine and is_first_attempt and progress.first_byte_at:
+            self._prefill_observed(
+                registration.name,
+                registration.domain,
+                work.prompt,
+                progress.first_byte_at - progress.first_sent_at,
+            )
+
     def _attempt_deadline(
         self, work: admission.AdmittedRequest, progress: Progress
     ) -> float:
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -343,6 +343,7 @@
         self,
         registration: registry_lib.Registration,
         requirements: TargetRequirements,
+        now: float,
     ) -> bool:
         """Returns whether a target selected earlier can still be used."""
         target = self._targets.get(registration.name)
@@ -351,11 +352,17 @@
             or target.registration.started_at_ms != registration.started_at_ms
         ):
             return False
+        name = registration.name
         has_model = not requirements.model or self._has_model(
-            registration.name, requirements.model
+            name, requirements.model
+        )
+        has_adapter = not requirements.adapter or self._has_adapter(
+            name, f"{requirements.model}/{requirements.adapter}"
         )
         return (
             has_model
+            and has_adapter
+            and self._is_healthy(name, now)
             and not target.registration.draining
             and not self._is_evacuated(target.registration)
         )
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -557,6 +557,18 @@
     )
 
 
+class PrefillSample(NamedTuple):
+    """How long an engine took until the first event of an answer.
+
+    Attributes:
+        tokens: Length of the prompt in tokens.
+        seconds: Seconds from sending the request to the first event.
+    """
+
+    tokens: float
+    seconds: float
+
+
 class AskTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Requests a prefill turn from an engine's turn owner.
 
@@ -564,11 +576,13 @@
         target: Id of the engine.
         tokens: Length of the prompt in tokens.
         rank: Urgency of the request; 0 is the most urgent.
+        samples: What the host has seen of the engine since its last request.
     """
 
     target: str
     tokens: float
     rank: int
+    samples: tuple[PrefillSample, ...] = ()
 
 
 class GiveTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -71,12 +71,15 @@
         self.grants_repeat = False
         self.turns = []
         self.limits = []
+        self.samples = []
         self.permit_results = []
         self.permit_requests = []
         self.permit_waits = False
         self.repeat_waits = False
         self.leaves = ""
         self.turn_seconds = 0.0
+        self.load_during_turn = 0
+        self.fails_during_turn = False
         self.refused_kinds = set()
         self.pool = exchange_lib.Pool()
         self.repeats = repeats_lib.RepeatBudget(
@@ -109,6 +112,7 @@
                 text
             ),
             prefill_delay=self._turn,
+            prefill_observed=lambda *sample: self.samples.append(sample),
             record_metrics=self.ended.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
@@ -159,6 +163,16 @@
 
     async def _turn(self, target, domain, tokens, rank):
         self.turns.append((target, tokens, rank))
+        requirements = target_selection.TargetRequirements(
+            service="llm", model="m"
+        )
+        for _ in range(self.load_during_turn):
+            self.view.record_sent(target, requirements, clock.now())
+        if self.fails_during_turn:
+            for _ in range(2):
+                self.view.record_result(
+                    target, requirements, clock.now(), failed=True
+                )
         return self.turn_seconds
 
     async def _start_target(self, *scripts, name="", **fields):
@@ -1027,6 +1041,54 @@
         self.assertEqual([t[:2] for t in self.turns], [("t1", 1460.0)])
         self.assertEqual(len(target.requests), 1)
 
+    async def test_a_prompt_is_sent_to_the_engine_of_its_turn(self):
+        """Guards against prompts at an engine where others have the turns.
+
+        During the wait the engine becomes the one with more load.
+        """
+        self._serve_model(objective=2.0)
+        loaded = (registry_lib.Loaded("m"),)
+        targets = [
+            await self._start_target(
+                standin.says(standin.answer()), loaded=loaded
+            )
+            for _ in range(2)
+        ]
+        self.turn_seconds = 0.01
+        self.load_during_turn = 3
+        reply = await self.caller.ask(X_Model="m", X_Tokens="1460,80")
+        self.assertEqual(reply.status, 200)
+        [(name, _, _)] = self.turns
+        numbers = [len(target.requests) for target in targets]
+        self.assertEqual(numbers, [1, 0] if name == "t1" else [0, 1])
+
+    async def test_a_prompt_leaves_an_engine_that_fails_during_its_turn(self):
+        """Guards against sends to an engine that was lost meanwhile."""
+        self._serve_model(objective=2.0)
+        loaded = (registry_lib.Loaded("m"),)
+        targets = [
+            await self._start_target(
+                standin.says(standin.answer()), loaded=loaded
+            )
+            for _ in range(2)
+        ]
+        self.turn_seconds = 0.01
+        self.fails_during_turn = True
+        reply = await self.caller.ask(X_Model="m", X_Tokens="1460,80")
+        self.assertEqual(reply.status, 200)
+        [(name, _, _)] = self.turns
+        numbers = [len(target.requests) for target in targets]
+        self.assertEqual(numbers, [0, 1] if name == "t1" else [1, 0])
+
+    async def test_the_time_to_the_first_event_is_observed(self):
+        self._serve_model(objective=2.0)
+        loaded = (registry_lib.Loaded("m"),)
+        await self._start_target(standin.says(standin.answer()), loaded=loaded)
+        await self.caller.ask(X_Model="m", X_Tokens="1460,80")
+        [(name, domain, tokens, seconds)] = self.samples
+        self.assertEqual((name, domain, tokens), ("t1", "a", 1460.0))
+        self.assertGreater(seconds, 0.0)
+
     async def test_the_wait_for_a_prefill_turn_is_bounded(self):
         """Guards against callers that wait for a turn an hour away."""
         self._serve_model(objective=0.05)
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -138,8 +138,12 @@
         self.view.set_evacuated_domains(["a"])
         self.assertEqual(self._pick(), "t2")
         requirements = target_selection.TargetRequirements(service="s")
-        self.assertFalse(self.view.is_usable(near.registration, requirements))
-        self.assertTrue(self.view.is_usable(far.registration, requirements))
+        self.assertFalse(
+            self.view.is_usable(near.registration, requirements, 0.0)
+        )
+        self.assertTrue(
+            self.view.is_usable(far.registration, requirements, 0.0)
+        )
         self.view.set_evacuated_domains(["a", "b"])
         self.assertEqual(self._pick(), "evacuated")
         self.view.set_evacuated_domains([])
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -9,6 +9,8 @@
 from endivestream.version import document as document_lib
 import hypothesis
 from hypothesis import strategies as st
+from replay import clock as replay_clock
+from replay import engine as replay_engine
 import zmq.asyncio
 
 from tests import test_document
@@ -42,7 +44,7 @@
             (now + turns.take("t", tokens, 2, now), tokens)
             for now, tokens in arrived
         ]
-        pace = turns_lib.PACE_TOKENS
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + 3000.0
         self.assertGreater(_most(arrived), bound)
         self.assertLessEqual(_most(sent), bound)
@@ -63,7 +65,7 @@
             now += pause
             sent.append((now + turns.take("t", tokens, 0, now), tokens))
         largest = max(tokens for _, tokens in steps)
-        pace = turns_lib.PACE_TOKENS
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + largest
         self.assertLessEqual(_most(sent), bound * (1 + 1e-9))
 
@@ -92,7 +94,7 @@
             wait = turns.take("t", 1500.0, 2, loaded_at)
             wait = max(0.0, min(wait, latest_turn - loaded_at))
             sent.append((loaded_at + wait, 1500.0))
-        pace = turns_lib.PACE_TOKENS
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + 1500.0
         self.assertLessEqual(_most(sent), bound)
 
@@ -106,6 +108,84 @@
         turns.take("t", 1500.0, 0, 0.0)
         self.assertGreater(turns.take("t", 1500.0, 2, 0.0), before)
 
+    def _replay(self, slowdown, *, cached=0.0, seed=1):
+        """Returns the learned pace of an engine with the given slowdown.
+
+        Prompts arrive at random at half of the engine's rate.
+
+        Args:
+            slowdown: Factor on the times of the engine.
+            cached: Share of prompts that the engine finds in its cache.
+            seed: Seed of the arrivals.
+        """
+        rng = random.Random(seed)
+        clock, turns = replay_clock.VirtualClock(), turns_lib.PrefillTurns()
+        stated = {}
+
+        def record(request):
+            seconds = clock.now - request.sent_at
+            turns.record_start("t", stated[request], seconds)
+
+        speed = replay_engine.EngineSpeed().scaled(slowdown)
+        engine = replay_engine.Engine(
+            "t", "a", speed, clock, record, lambda request: None
+        )
+
+        def send():
+            tokens = rng.choice([700.0, 1500.0, 3000.0])
+            request = replay_engine.Request(
+                arrived_at=clock.now,
+                model="m",
+                prompt=1.0 if rng.random() < cached else tokens,
+                output=100,
+                objective=1.0,
+                silence=4.0,
+                value=1.0,
+                rank=0,
+                sent_at=clock.now,
+            )
+            stated[request] = tokens
+            engine.send(request)
+            pause = 2.0 * tokens / speed.prefill_rate
+            clock.call_in(rng.expovariate(1 / pause), send)
+
+        send()
+        clock.run(60.0 * slowdown)
+        return turns.pace("t"), speed.prefill_rate
+
+    def test_the_pace_follows_the_speed_of_the_engine(self):
+        """Guards against prompts at a pace that suits other engines.
+
+        Of what the engine can process, prompts may take a part that leaves
+        time for the tokens of running requests.
+        """
+        for slowdown in (1 / 3, 1.0, 3.0):
+            pace, prefill_rate = self._replay(slowdown)
+            with self.subTest(slowdown=slowdown):
+                self.assertLess(pace, prefill_rate)
+                self.assertGreater(pace, prefill_rate / 4)
+
+    def test_cached_prompts_do_not_raise_the_pace(self):
+        """Guards against a pace learned from prompts that took no time."""
+        pace, prefill_rate = self._replay(1.0, cached=0.1)
+        self.assertLess(pace, prefill_rate)
+
+    def test_the_pace_is_bounded_whatever_engines_answer(self):
+        """Guards against an engine that reports impossible times."""
+        for seconds in (0.0, -1.0, 1e-9, 1e9):
+            turns = turns_lib.PrefillTurns()
+            for _ in range(50):
+                turns.record_start("t", 1500.0, seconds)
+            self.assertGreater(turns.pace("t"), 1000.0)
+            self.assertLess(turns.pace("t"), 100_000.0)
+
+    def test_an_unknown_engine_gets_the_pace_of_the_others(self):
+        turns = turns_lib.PrefillTurns()
+        self.assertEqual(turns.pace("t1"), turns_lib.START_PACE_TOKENS)
+        for _ in range(10):
+            turns.record_start("t2", 1500.0, 0.3)
+        self.assertAlmostEqual(turns.pace("t1"), 0.8 * 5000.0)
+
     def test_departed_engines_take_no_memory(self):
         turns = turns_lib.PrefillTurns()
         for number in range(100):
