Weigh all free engines when a model gets a further copy

Load pattern: models that rise to several times the requests that one engine can answer in time.

Cause: only the four engines with the lowest load were considered, and those rarely have the weights on their disk, so copies came from the store (5.8 s, on an engine that takes no other order meanwhile) though 1.2 s were possible.

Change: all free engines are weighed; the cost of a load from the store already decides among them.

--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -77,9 +77,8 @@
 # that thirty callers wait for is missing.
 _RESERVED_ENGINES_DIVISOR = 4
 # Candidates for a further copy in one round: the busiest models of the engines
-# with the highest load, and the engines with the lowest load.
+# with the highest load.
 _COPY_CANDIDATE_MODELS = 4
-_COPY_CANDIDATE_ENGINES = 4
 # Concurrent loads, over all engines, that only put a model on a disk. Each
 # blocks swaps on its engine for four seconds.
 _MAX_DISK_COPY_LOADS = 1
@@ -281,11 +280,7 @@
             copies = self._copy_counts.get(name, 0)
             if copies:
                 self._add_copy(
-                    name,
-                    copies,
-                    engine_rates,
-                    candidates[:_COPY_CANDIDATE_ENGINES],
-                    min_net_gain,
+                    name, copies, engine_rates, candidates, min_net_gain
                 )
 
     def _add_copy(
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -364,6 +364,23 @@
         copies = [s for s in plan_steps(engines, demands) if s.model == "a"]
         self.assertEqual([s.target for s in copies], ["t3"])
 
+    def test_a_copy_goes_to_an_engine_that_has_the_weights(self):
+        """Guards against copies that come from the store and are late.
+
+        Several engines have slightly less load than the one with the weights
+        on its disk, which is ready in a fifth of the time.
+        """
+        engines = [
+            engine_state("busy", "abc"),
+            *(engine_state(f"t{n}", "fgh", domain="b") for n in range(5)),
+            engine_state("near", "deh", domain="b", on_disk=("a",)),
+        ]
+        demands = {"a": demand(13.0)} | {n: demand(0.4) for n in "de"}
+        step = plan_steps(engines, demands)[0]
+        self.assertEqual(
+            ("near", "a", False), (step.target, step.model, step.from_store)
+        )
+
     def test_a_copy_on_a_draining_engine_does_not_count(self):
         """Placement continues while an engine with a busy model drains."""
         engines = [
