--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -26,14 +26,12 @@
 from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
+from endivestream.process import limited_sends
 from endivestream.process import membership_manager as membership_manager_lib
 from endivestream.process import planner_lease_manager
 from endivestream.process import site_settings
 from endivestream.process import table_updates
-from endivestream.request import cold_targets
-from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import repeats as repeats_lib
-from endivestream.request import send_slots
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
@@ -105,9 +103,11 @@
         self._live_hosts: tuple[site_messages.EntryHost, ...] = ()
         self._credit_allocator = credit_allocator_lib.CreditAllocator()
         self._retry_budgets: dict[str, repeats_lib.SharedRepeatBudget] = {}
-        self._rate_limits = rate_limits_lib.RateLimits()
-        self._cold_targets = cold_targets.ColdTargets()
-        self._send_slots = send_slots.SendSlots(now=self._started_at)
+        self._limited_sends = limited_sends.LimitedSends(
+            now=self._started_at,
+            registry=self._registry,
+            on_limits_changed=self._limits_changed,
+        )
         self._membership_manager = membership_manager_lib.MembershipManager(
             replicator=leader_context.replicator,
             wanted=settings.voters,
@@ -134,7 +134,7 @@
             ],
             table_entry=self._table_entry,
             full_table=self._full_table,
-            rate_limits=lambda names: self._rate_limits.records(
+            rate_limits=lambda names: self._limited_sends.records(
                 clock.now(), names
             ),
         )
@@ -206,22 +206,13 @@
                     record.revision, self._sessions
                 )
                 if domain not in record.domains:
-                    self._assume_cold(domain)
+                    self._limited_sends.assume_cold(domain, clock.now())
                 self._table_updates.push_evacuations(record)
 
-    def _assume_cold(self, domain: str) -> None:
-        """Treats the targets of a domain whose evacuation ended as cold."""
-        registrations = [
-            session.registration
-            for session in self._registry.sessions.values()
-            if session.registration.domain == domain
-        ]
-        self._cold_targets.assume_cold(registrations, clock.now())
-
     def _set_document(
         self, document: document_lib.Document, *, start_full: bool
     ) -> None:
-        self._cold_targets.set_services(document.services)
+        self._limited_sends.set_services(document.services)
         self._credit_allocator.set_teams(
             document.teams, clock.now(), start_full=start_full
         )
@@ -243,7 +234,7 @@
             case site_messages.AskSend():
                 return self._grant_send(message)
             case site_messages.CountSend(target=target):
-                self._record_send(target)
+                self._limited_sends.count_send(target, clock.now())
                 return None
             case site_messages.Confirm():
                 self._record_host_state(
@@ -316,67 +307,18 @@
         if not self._replicator.is_leader:
             # Another leader may already grant sends to the same target.
             return messages.NotLeader(address="")
-        now = clock.now()
-        limit = message.limit
-        if limit.rate is not None:
-            self._merge_rate_limits([limit])
-        rate = rate_limits_lib.lowest(
-            self._rate_limits.rate(limit.target, limit.started_at_ms),
-            message.cold_rate,
-        )
-        if rate is None:
-            # The limit has ended, or belongs to another start of the target;
-            # the table update with this change is already in flight.
-            return site_messages.GiveSend(send_in=0.0)
-        decision = self._send_slots.take(
-            limit.target,
-            limit.started_at_ms,
-            rate,
-            hosts=len(self._sessions),
-            patience=message.max_wait_seconds,
-            now=now,
-        )
-        match decision:
-            case send_slots.Granted(wait=wait):
-                return site_messages.GiveSend(send_in=wait)
-            case send_slots.Denied(seconds=seconds):
-                return site_messages.GiveSend(retry_in=seconds)
-
-    def _record_send(self, target: str) -> None:
-        started_at = self._registry.started_at_ms(target)
-        rate = (
-            None
-            if started_at is None
-            else self._rate_limits.rate(target, started_at)
+        return self._limited_sends.grant(
+            message, hosts=len(self._sessions), now=clock.now()
         )
-        if rate is not None:
-            self._send_slots.count_send(target, started_at, rate, clock.now())
 
-    def _merge_rate_limits(
-        self, limits: Iterable[site_messages.RateLimit]
+    def _limits_changed(
+        self, targets: Iterable[str], rates: dict[str, float]
     ) -> None:
-        """Merges targets' rate limits as reported by entry hosts."""
-        current = [
-            limit
-            for limit in limits
-            if limit.started_at_ms
-            >= (self._registry.started_at_ms(limit.target) or 0)
-        ]
-        changed = self._rate_limits.merge(current, clock.now())
-        if not changed:
-            return
-        for name in changed:
-            rate = self._rate_limits.rates.get(name)
-            logs.event(
-                "rate_limit",
-                target=name,
-                rate="none" if rate is None else rate,
-                told_by="host",
-            )
-        self._lease_manager.set_rate_limits(self._rate_limits.rates)
+        """Forwards changed rate limits to the planner and entry hosts."""
+        self._lease_manager.set_rate_limits(rates)
         # For a target that has not reported to this leader yet, the update
         # would list it as removed.
-        reported = [name for name in changed if self._registry.find(name)]
+        reported = [name for name in targets if self._registry.find(name)]
         if reported:
             self._table_updates.record_targets(reported)
 
@@ -460,11 +402,7 @@
         if not changed:
             return
         self._lease_manager.forward_report(registration)
-        is_colder = self._cold_targets.record(registration, now)
-        if self._rate_limits.remove_older_starts(
-            registration.name, registration.started_at_ms
-        ):
-            self._lease_manager.set_rate_limits(self._rate_limits.rates)
+        is_colder = self._limited_sends.record_report(registration, now)
         if registration.name in self._silent_targets:
             self._silent_targets.discard(registration.name)
         elif (
@@ -500,7 +438,7 @@
             session.registration,
             in_memory=(),
             on_disk=(),
-            warmup_seconds=self._cold_targets.remaining(
+            warmup_seconds=self._limited_sends.cold_seconds(
                 session.registration, clock.now()
             ),
         )
@@ -568,7 +506,7 @@
         )
         # Before anything is pushed to this host: it may have limits that were
         # reported only to the previous leader.
-        self._merge_rate_limits(message.limits)
+        self._limited_sends.merge(message.limits, now)
         self._lease_manager.forward_demand(message)
         grants = [
             self._credit_allocator.handle_report(host.name, need, now)
@@ -716,9 +654,7 @@
         known_names = {*sessions, *self._registry.departed}
         self._table_updates.retain_targets(known_names)
         self._confirmations.retain_targets(known_names)
-        self._rate_limits.remove_stale(sessions.keys(), now)
-        self._send_slots.remove_idle(now)
-        self._cold_targets.retain(sessions.keys())
+        self._limited_sends.retain(sessions.keys(), now)
         for name, session in sessions.items():
             if (
                 now - session.received_at > silence
--- a/tests/test_limited_hosts.py
+++ b/tests/test_limited_hosts.py
@@ -352,12 +352,12 @@
             await asyncio.sleep(1.0)
             await site.hosts[0].send()
             await asyncio.sleep(1.0)
-            before = dict(site.leader_role._rate_limits.rates)
+            before = dict(site.leader_role._limited_sends.rates)
             site.target.started_at_ms += 1
             await site.report()
             outdated = site_messages.RateLimit("t1", 1, 1.5, 0.0)
-            site.leader_role._merge_rate_limits([outdated])
-            limits_after = dict(site.leader_role._rate_limits.rates)
+            site.leader_role._limited_sends.merge([outdated], clock.now())
+            limits_after = dict(site.leader_role._limited_sends.rates)
             planner_rates = site.leader_role._lease_manager._rate_limits.rates
             await site.close()
             return before, limits_after, planner_rates
@@ -383,7 +383,7 @@
             await site.replace_leader(0.5)
             await asyncio.sleep(6.0)
             limits_after = [host.limits.rate("t1", 1) for host in site.hosts]
-            table = site.leader_role._rate_limits.rates
+            table = site.leader_role._limited_sends.rates
             await site.close()
             return limits_before, limits_after, table
 
