--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -18,6 +18,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.request import target_state
 from endivestream.version import document as document_lib
 
 # Penalty of a target in another failure domain, in running requests: this
@@ -53,15 +54,6 @@
 _MAX_RANK_STEPS = 3
 # Age at which the load of other hosts is ignored: three lost lease renewals.
 _LOADS_STALE_SECONDS = 1.0
-# Consecutive failures after which a target gets one trial request at a time.
-_EJECTION_FAILURES = 2
-# Duration of a failing target's first ejection; doubled with each further
-# failure up to the maximum.
-_FIRST_EJECTION_SECONDS = 0.5
-_MAX_EJECTION_SECONDS = 4.0
-# A target that runs requests of this host sends bytes many times a second. If
-# none arrives for this time, the target hangs or is unreachable.
-_SILENCE_SECONDS = 1.2
 
 
 class TargetRequirements(NamedTuple):
@@ -116,42 +108,6 @@
         return self.reason in ("evacuated", "no_home")
 
 
-@dataclasses.dataclass(kw_only=True)
-class _TargetState:
-    """State of one target as observed by this host.
-
-    Attributes:
-        running: Number of this host's requests that run on the target.
-        models: Number of these requests by model and adapter.
-        starting: Number of requests whose answer has not started, by model
-            and adapter.
-        last_byte_at: Time at which the last byte arrived from the target.
-        waiting_since: Start of the current wait for bytes: time of the last
-            byte, or of the first request sent since the target had none
-            running. None if no request runs.
-        failures: Number of consecutive failures.
-        next_turn_at: Time of the next prefill turn that the engine's turn
-            owner would grant.
-        retry_at: Time from which the target may get a trial request.
-        trial_running: Whether a trial request is running.
-        denied_names: Models and adapters that the target reported as missing.
-            Cleared when the leader sends a changed entry for the target.
-    """
-
-    running: int = 0
-    models: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
-    starting: dict[tuple[str, str], int] = dataclasses.field(
-        default_factory=dict
-    )
-    last_byte_at: float = float("-inf")
-    waiting_since: float | None = None
-    failures: int = 0
-    next_turn_at: float = float("-inf")
-    retry_at: float = float("-inf")
-    trial_running: bool = False
-    denied_names: set[str] = dataclasses.field(default_factory=set)
-
-
 class TargetView:
     """All targets and their state as observed by one entry host."""
 
@@ -176,7 +132,7 @@
         self._blocked_until: dict[str, float] = {}
         self._targets: dict[str, site_messages.Target] = {}
         self._by_service: dict[str, list[str]] = {}
-        self._states: dict[str, _TargetState] = {}
+        self._states: dict[str, target_state.TargetState] = {}
         # Expected completion time of model loads, by target and model.
         self._loads_expected_at: dict[str, dict[str, float]] = {}
         self._session_targets: dict[tuple[str, str], str] = {}
@@ -224,12 +180,8 @@
                 != target.registration.started_at_ms
             )
             if restarted or name not in self._states:
-                previous = self._states.get(name, _TargetState())
-                self._states[name] = _TargetState(
-                    running=previous.running,
-                    models=previous.models,
-                    starting=previous.starting,
-                )
+                previous = self._states.get(name, target_state.TargetState())
+                self._states[name] = previous.restarted()
             if current != target:
                 self._states[name].denied_names.clear()
             self._targets[name] = target
@@ -300,7 +252,7 @@
         for name, load in loads.items():
             state = self._states.get(name)
             if state is not None:
-                load -= state.running + sum(state.starting.values())
+                load -= state.load
             if load > 0:
                 others[name] = load
         self.set_loads(others, now)
@@ -362,7 +314,7 @@
         return (
             has_model
             and has_adapter
-            and self._is_healthy(name, now)
+            and self._states[name].is_healthy(now)
             and not target.registration.draining
             and not self._is_evacuated(target.registration)
         )
@@ -416,7 +368,7 @@
             names = [n for n in names if self._has_adapter(n, adapter_name)]
             if not names:
                 return Unavailable(reason="no_adapter")
-        healthy = [n for n in names if self._is_healthy(n, now)]
+        healthy = [n for n in names if self._states[n].is_healthy(now)]
         if not healthy:
             return Unavailable(reason="all_failing")
         names = [n for n in healthy if self._states[n].running < limit]
@@ -493,19 +445,6 @@
             running += self._other_loads.get(name, 0)
         return running < max(1.0, slots * share)
 
-    def _is_healthy(self, name: str, now: float) -> bool:
-        """Returns whether a target may get a request now."""
-        state = self._states[name]
-        if state.failures >= _EJECTION_FAILURES:
-            return now >= state.retry_at and not state.trial_running
-        if state.waiting_since is not None and state.running:
-            # No bytes received although requests run: the target hangs or is
-            # unreachable, and further requests would hang as well.
-            silence = now - max(state.last_byte_at, state.waiting_since)
-            if silence > _SILENCE_SECONDS:
-                return False
-        return now >= state.retry_at
-
     def _least_loaded(
         self, requirements: TargetRequirements, names: list[str], now: float
     ) -> Selected:
@@ -516,9 +455,7 @@
         for name in names:
             target, state = self._targets[name], self._states[name]
             slots = max(1, target.registration.slots)
-            # Requests whose prompt is not processed yet count twice: they
-            # delay the others.
-            load = state.running + sum(state.starting.values()) + 1.0
+            load = state.load + 1.0
             load += self._other_loads.get(name, 0)
             load += _REQUESTS_PER_TURN_SECOND * max(
                 0.0, state.next_turn_at - now
@@ -564,33 +501,22 @@
         self, target: str, requirements: TargetRequirements, now: float
     ) -> None:
         """Records that a request is sent to a target."""
-        state = self._states.setdefault(target, _TargetState())
-        state.running += 1
-        key = (requirements.model, requirements.adapter)
-        state.models[key] = state.models.get(key, 0) + 1
-        state.starting[key] = state.starting.get(key, 0) + 1
-        if state.waiting_since is None:
-            state.waiting_since = now
-        if state.failures >= _EJECTION_FAILURES:
-            state.trial_running = True
+        state = self._states.setdefault(target, target_state.TargetState())
+        state.record_sent((requirements.model, requirements.adapter), now)
 
     def record_started(
         self, target: str, requirements: TargetRequirements
     ) -> None:
         """Records that the first event or the end of an answer arrived."""
         state = self._states.get(target)
-        key = (requirements.model, requirements.adapter)
-        if state is not None and state.starting.get(key):
-            state.starting[key] -= 1
-            if not state.starting[key]:
-                del state.starting[key]
+        if state is not None:
+            state.record_started((requirements.model, requirements.adapter))
 
     def record_bytes(self, target: str, now: float) -> None:
         """Records that bytes of an answer arrived from a target."""
         state = self._states.get(target)
         if state is not None:
-            state.last_byte_at = now
-            state.waiting_since = now
+            state.record_bytes(now)
 
     def record_result(
         self,
@@ -599,7 +525,7 @@
         now: float,
         *,
         failed: bool,
-    ) -> None:
+    ) -> bool:
         """Records the result of a request on a target.
 
         Args:
@@ -615,33 +541,17 @@
         state = self._states.get(target)
         if state is None:
             return False
-        state.running = max(0, state.running - 1)
-        key = (requirements.model, requirements.adapter)
-        state.models[key] = state.models.get(key, 1) - 1
-        if state.models[key] <= 0:
-            del state.models[key]
-        state.trial_running = False
-        if not state.running:
-            state.waiting_since = None
-            if target not in self._targets:
-                del self._states[target]
-                return False
+        state.record_end((requirements.model, requirements.adapter))
+        if not state.running and target not in self._targets:
+            del self._states[target]
+            return False
         closing = (
             self._targets[target].unloading if target in self._targets else ()
         )
         is_last_use = requirements.model in closing and not any(
             model == requirements.model for model, _ in state.models
         )
-        if not failed:
-            state.failures = 0
-            state.retry_at = float("-inf")
-            return is_last_use
-        state.failures += 1
-        if state.failures >= _EJECTION_FAILURES:
-            ejection_seconds = _FIRST_EJECTION_SECONDS * 2 ** (
-                state.failures - _EJECTION_FAILURES
-            )
-            state.retry_at = now + min(_MAX_EJECTION_SECONDS, ejection_seconds)
+        state.record_outcome(now, failed=failed)
         return is_last_use
 
     def record_denied(self, target: str, name: str) -> None:
@@ -661,8 +571,8 @@
         return tuple(
             name
             for name in sorted(self._targets)
-            if self._states[name].failures >= _EJECTION_FAILURES
-            or not self._is_healthy(name, now)
+            if self._states[name].is_ejected
+            or not self._states[name].is_healthy(now)
         )
 
     def uses(self) -> tuple[site_messages.Use, ...]:
