--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -184,11 +184,17 @@
 
     async def apply(self, document: document_lib.Document) -> bool:
         """Commits a document through the leader; False if uncertain."""
+        received_at = clock.now()
         answer = await self._control.call(
             site_messages.Apply(document=document),
             seconds=_APPLY_TIMEOUT_SECONDS,
         )
-        return isinstance(answer, site_messages.Applied)
+        is_applied = isinstance(answer, site_messages.Applied)
+        if is_applied:
+            self._metrics.observe_acknowledgement(
+                "configuration", clock.now() - received_at
+            )
+        return is_applied
 
     async def read(self) -> bytes | None:
         """Returns the source of the newest document; None if uncertain."""
@@ -216,7 +222,8 @@
                 "failure domain", domain, self._settings.domains
             )
             return UnknownDomain(message=message)
-        deadline = clock.now() + _APPLY_TIMEOUT_SECONDS
+        received_at = clock.now()
+        deadline = received_at + _APPLY_TIMEOUT_SECONDS
         while (remaining := deadline - clock.now()) > 0:
             # The leader refuses the change if another one was made since its
             # revision was read, so a delayed message cannot undo that one.
@@ -237,6 +244,9 @@
             if not isinstance(answer, site_messages.EvacuationsRead):
                 break
             if (domain in answer.record.domains) == evacuated:
+                self._metrics.observe_acknowledgement(
+                    "evacuation", clock.now() - received_at
+                )
                 return EvacuationConfirmed(record=answer.record)
         return EvacuationUncertain()
 
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -253,4 +253,18 @@
             "Models that requests wait for and that are not being loaded",
             unplaced,
         )
+        self._acknowledgements = self._histogram(
+            "acknowledgement_seconds",
+            "Time until an operator's change was acknowledged",
+            _BUCKETS,
+        )
         self._add_loop_metrics(meter)
+
+    def observe_acknowledgement(self, kind: str, seconds: float) -> None:
+        """Records that an operator's change was acknowledged.
+
+        Args:
+            kind: `configuration` or `evacuation`.
+            seconds: Time since this host received the change.
+        """
+        self._acknowledgements.labels(kind).observe(seconds)
