Give whole requests turns at the pace that their targets show

Load pattern: bursts of many hosts, and callers who return after an outage.

Hosts do not know each other's requests at plain targets. Once queues are long, targets are slower, so they stay long although half of the slots would do; what is refused comes back within 20 ms.

A request whose turn comes later than it can wait takes none and is refused at once with that time.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -183,8 +183,9 @@
             slot_freed=self._signal_change,
             rate_limit_reported=self._rate_limits.record_answer,
             acquire_send=self._rate_limits.acquire_send,
-            prefill_delay=self._prefill_turn_service.request_turn,
-            prefill_observed=self._prefill_turn_service.record_start,
+            prefill_delay=self._prefill_turn_service.request_prefill_turn,
+            slot_delay=self._prefill_turn_service.request_slot_turn,
+            duration_observed=self._prefill_turn_service.record_duration,
             record_metrics=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
--- a/packages/endivestream/src/endivestream/process/prefill_turn_service.py
+++ b/packages/endivestream/src/endivestream/process/prefill_turn_service.py
@@ -1,8 +1,8 @@
-"""Requests prefill turns from turn owners; grants those of engines owned here.
+"""Requests turns from turn owners; grants those of targets owned here.
 
-The turn owner of an engine is computed from the list of entry hosts alone, so
+The turn owner of a target is computed from the list of entry hosts alone, so
 hosts with the same list agree without messages. While their lists differ, two
-hosts may grant turns for an engine independently, and prompts reach it slightly
+hosts may grant turns for a target independently, and requests reach it slightly
 faster.
 """
 
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Sequence
 
+import msgspec
 import zmq.asyncio
 
 from endivestream import clock
@@ -53,12 +54,12 @@
         self._meter = meter or loop_meter.LoopMeter()
         self._name = name
         self._context = context
-        self._turns = turns_lib.PrefillTurns()
+        self._turns = turns_lib.Turns()
         self._hosts: tuple[site_messages.EntryHost, ...] = ()
         self._links: dict[str, links.Link] = {}
         self._skip_owner_until: dict[str, float] = {}
-        # Samples of engines owned by other hosts, for the next request there.
-        self._unsent_samples: dict[str, list[site_messages.PrefillSample]] = {}
+        # Samples of targets owned by other hosts, for the next request there.
+        self._unsent_samples: dict[str, list[site_messages.TurnSample]] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -91,33 +92,68 @@
         )
         return "" if owner_host.name == self._name else owner_host.peers
 
-    def record_start(
+    def record_duration(
         self, target: str, domain: str, tokens: float, seconds: float
     ) -> None:
-        """Records how long an engine took until a prompt's first event."""
+        """Records how long a target took for a request.
+
+        Args:
+            target: The target.
+            domain: Its failure domain.
+            tokens: Length of the prompt, or 0 for a whole request.
+            seconds: Seconds until the first event, or of the whole request.
+        """
+        sample = site_messages.TurnSample(tokens, seconds)
         if not self.turn_owner(target, domain):
-            self._turns.record_start(target, tokens, seconds)
+            self._record(target, sample)
             return
         samples = self._unsent_samples.setdefault(target, [])
-        samples.append(site_messages.PrefillSample(tokens, seconds))
+        samples.append(sample)
         del samples[:-_MAX_UNSENT_SAMPLES]
 
-    async def request_turn(
+    def _record(self, target: str, sample: site_messages.TurnSample) -> None:
+        if sample.tokens:
+            self._turns.record_start(target, sample.tokens, sample.seconds)
+        else:
+            self._turns.record_service(target, sample.seconds)
+
+    async def request_prefill_turn(
         self, target: str, domain: str, tokens: float, rank: int
     ) -> float:
         """Returns the seconds that a prompt should wait; 0 if no answer."""
-        owner = self.turn_owner(target, domain)
-        now = clock.now()
+        return await self._request_turn(
+            domain,
+            site_messages.AskTurn(target=target, tokens=tokens, rank=rank),
+        )
+
+    async def request_slot_turn(
+        self, target: str, domain: str, slots: int, rank: int, max_wait: float
+    ) -> float:
+        """Returns the seconds that a whole request should wait.
+
+        0 without an answer; more than `max_wait` if it has no turn until then.
+        """
+        return await self._request_turn(
+            domain,
+            site_messages.AskTurn(
+                target=target,
+                tokens=0.0,
+                rank=rank,
+                slots=slots,
+                max_wait_seconds=max_wait,
+            ),
+        )
+
+    async def _request_turn(
+        self, domain: str, request: site_messages.AskTurn
+    ) -> float:
+        owner = self.turn_owner(request.target, domain)
         if not owner:
-            return self._turns.take(target, tokens, rank, now)
-        if self._skip_owner_until.get(owner, now) > now:
+            return self._grant(request)
+        if self._skip_owner_until.get(owner, 0.0) > clock.now():
             return 0.0
-        request = site_messages.AskTurn(
-            target=target,
-            tokens=tokens,
-            rank=rank,
-            samples=tuple(self._unsent_samples.pop(target, ())),
-        )
+        samples = tuple(self._unsent_samples.pop(request.target, ()))
+        request = msgspec.structs.replace(request, samples=samples)
         try:
             answer = await self._link(owner).request(
                 request, seconds=_ANSWER_TIMEOUT_SECONDS
@@ -135,15 +171,24 @@
     def grant_turn(
         self, message: site_messages.AskTurn
     ) -> site_messages.GiveTurn:
-        """Answers a request for a prefill turn at an engine owned here."""
+        """Answers a request for a turn at a target owned here."""
         for sample in message.samples:
-            self._turns.record_start(
-                message.target, sample.tokens, sample.seconds
+            self._record(message.target, sample)
+        return site_messages.GiveTurn(seconds=self._grant(message))
+
+    def _grant(self, request: site_messages.AskTurn) -> float:
+        now = clock.now()
+        if request.slots:
+            return self._turns.take_slot(
+                request.target,
+                request.slots,
+                request.rank,
+                now,
+                request.max_wait_seconds,
             )
-        wait = self._turns.take(
-            message.target, message.tokens, message.rank, clock.now()
+        return self._turns.take_prefill(
+            request.target, request.tokens, request.rank, now
         )
-        return site_messages.GiveTurn(seconds=wait)
 
     def _link(self, address: str) -> links.Link:
         link = self._links.get(address)
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -77,7 +77,7 @@
             model_idle=parts.model_idle,
             slot_freed=parts.slot_freed,
             rate_limit_reported=parts.rate_limit_reported,
-            prefill_observed=parts.prefill_observed,
+            duration_observed=parts.duration_observed,
         )
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
         self._lease_queue = lease_queue.LeaseQueue(
@@ -294,15 +294,21 @@
     async def _select_target(
         self, work: admission.AdmittedRequest, progress: sending.Progress
     ) -> target_selection.Selected | findings.Failure:
-        """Waits for a target and for the prefill turn at it."""
+        """Waits for a target and for the turn at it."""
         progress.stage = "place"
         selected = await self._wait_for_target(work, progress)
-        if isinstance(
-            selected, findings.Failure
-        ) or not await self._wait_for_prefill_turn(work, progress, selected):
+        if isinstance(selected, findings.Failure):
+            return selected
+        if work.service.engine is None:
+            waited = await self._wait_for_slot_turn(work, progress, selected)
+        else:
+            waited = await self._wait_for_prefill_turn(work, progress, selected)
+        if isinstance(waited, findings.Failure):
+            return waited
+        if not waited:
             return selected
         now = clock.now()
-        # The turn is for this engine. Another one would get the prompt beside
+        # The turn is for this target. Another one would get the request beside
         # those that have turns there.
         has_lease = self._parts.rules.lease_until() >= now
         if has_lease and self._parts.view.is_usable(
@@ -521,11 +527,7 @@
         picked: target_selection.Selected,
     ) -> bool:
         """Waits for the prefill turn; returns whether it waited."""
-        if (
-            progress.request_attempts
-            or not work.prompt
-            or work.service.engine is None
-        ):
+        if progress.request_attempts or not work.prompt:
             return False
         registration = picked.target.registration
         rank = sending.priority(work)
@@ -548,6 +550,37 @@
         await asyncio.sleep(wait)
         return True
 
+    async def _wait_for_slot_turn(
+        self,
+        work: admission.AdmittedRequest,
+        progress: sending.Progress,
+        picked: target_selection.Selected,
+    ) -> bool | findings.Failure:
+        """Waits for the turn of a whole request; returns whether it waited.
+
+        A request whose turn comes too late is refused immediately.
+        """
+        registration = picked.target.registration
+        max_wait = self._target_wait_deadline(work, progress) - clock.now()
+        max_wait = max(_MIN_TARGET_WAIT_SECONDS, max_wait)
+        wait = await self._parts.slot_delay(
+            registration.name,
+            registration.domain,
+            registration.slots,
+            sending.priority(work),
+            max_wait,
+        )
+        now = clock.now()
+        self._parts.view.set_turn(registration.name, now + wait)
+        if wait > max_wait:
+            return self._not_served(work, progress, "full", now + wait)
+        if wait <= 0:
+            return False
+        progress.turn_seconds = wait
+        progress.stage = "turn"
+        await asyncio.sleep(wait)
+        return True
+
     # Answers to callers.
 
     async def _answer_failure(
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -145,7 +145,7 @@
         rate_limit_reported: Callable[
             [registry_lib.Registration, str | None], None
         ],
-        prefill_observed: Callable[[str, str, float, float], None],
+        duration_observed: Callable[[str, str, float, float], None],
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -158,10 +158,11 @@
             slot_freed: Called when a slot on a target may be free.
             rate_limit_reported: Called for each answer of a target with the
                 text of its rate limit header; None without the header.
-            prefill_observed: Called with an engine, its failure domain, the
-                tokens of a prompt and the seconds until its first event.
+            duration_observed: Called with a target, its failure domain, the
+                tokens of a prompt and the seconds until its first event; for
+                a whole request with 0 and its duration.
         """
-        self._prefill_observed = prefill_observed
+        self._duration_observed = duration_observed
         self._names = names
         self._view = view
         self._pool = pool
@@ -187,7 +188,8 @@
             pool=self._pool, url=f"http://{registration.address}/"
         )
         requirements = target_requirements(work, progress)
-        view.record_sent(registration.name, requirements, clock.now())
+        sent_at = clock.now()
+        view.record_sent(registration.name, requirements, sent_at)
         progress.starting = requirements
         # Stays False if the caller disconnects before the attempt has a
         # result: that is no evidence of a fault of the target.
@@ -197,7 +199,9 @@
                 call, work, progress, exchange, registration
             )
             failed = _is_target_failure(result)
-            self._record_prefill(work, progress, registration)
+            if isinstance(result, Passed):
+                seconds = clock.now() - sent_at
+                self._record_duration(work, progress, registration, seconds)
             return result
         finally:
             exchange.close()
@@ -268,20 +272,23 @@
             self._view.record_started(progress.target, progress.starting)
             progress.starting = None
 
-    def _record_prefill(
+    def _record_duration(
         self,
         work: admission.AdmittedRequest,
         progress: Progress,
         registration: registry_lib.Registration,
+        seconds: float,
     ) -> None:
-        """Records how long an engine took until the first event."""
+        """Records how long a target took for a request that it served."""
+        name, domain = registration.name, registration.domain
+        if work.service.engine is None:
+            self._duration_observed(name, domain, 0.0, seconds)
+            return
         is_first_attempt = progress.request_attempts == 1
-        if work.service.engine and is_first_attempt and progress.first_byte_at:
-            self._prefill_observed(
-                registration.name,
-                registration.domain,
-                work.prompt,
-                progress.first_byte_at - progress.first_sent_at,
+        if work.prompt and is_first_attempt and progress.first_byte_at:
+            until_first_event = progress.first_byte_at - progress.first_sent_at
+            self._duration_observed(
+                name, domain, work.prompt, until_first_event
             )
 
     def _attempt_deadline(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -78,6 +78,8 @@
         self.repeat_waits = False
         self.leaves = ""
         self.turn_seconds = 0.0
+        self.slot_turns = []
+        self.slot_turn_seconds = 0.0
         self.load_during_turn = 0
         self.fails_during_turn = False
         self.refused_kinds = set()
@@ -112,7 +114,8 @@
                 text
             ),
             prefill_delay=self._turn,
-            prefill_observed=lambda *sample: self.samples.append(sample),
+            slot_delay=self._slot_turn,
+            duration_observed=lambda *sample: self.samples.append(sample),
             record_metrics=self.ended.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
@@ -161,6 +164,10 @@
             self.view.set_targets([], [self.leaves])
         return self.permit_results.pop(0) if self.permit_results else None
 
+    async def _slot_turn(self, target, domain, slots, rank, max_wait):
+        self.slot_turns.append((target, slots))
+        return self.slot_turn_seconds
+
     async def _turn(self, target, domain, tokens, rank):
         self.turns.append((target, tokens, rank))
         requirements = target_selection.TargetRequirements(
@@ -337,6 +344,30 @@
         self.assertEqual(["target"], self._current_stages())
 
 
+class SlotTurnTest(ForwardTest):
+    async def test_a_whole_request_waits_for_its_turn(self):
+        """Guards against bursts of many hosts that fill a target's queue."""
+        self._route(ONCE)
+        target = await self._start_target(standin.says(standin.answer()))
+        self.slot_turn_seconds = 0.01
+        reply = await self.caller.ask()
+        self.assertEqual(reply.status, 200)
+        self.assertEqual([name for name, _ in self.slot_turns], ["t1"])
+        self.assertEqual(len(target.requests), 1)
+        [(name, _, tokens, _)] = self.samples
+        self.assertEqual((name, tokens), ("t1", 0.0))
+
+    async def test_a_request_whose_turn_comes_too_late_is_refused(self):
+        """Guards against holding a request that cannot be served in time."""
+        self._route(ONCE)
+        target = await self._start_target(standin.says(standin.answer()))
+        self.slot_turn_seconds = 60.0
+        reply = await self.caller.ask(X_Deadline_Ms=3000)
+        self.assertEqual((reply.status, target.requests), (503, []))
+        retry_after = float(reply.headers["Retry-After"])
+        self.assertAlmostEqual(60.0, retry_after, delta=5.0)
+
+
 class RateLimitTest(ForwardTest):
     def _limit(self, target, rate=1.5):
         self.known_limits.record_answer(target, 1, rate, clock.now())
