--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -543,12 +543,7 @@
             deadline=work.deadline,
         )
         wait = min(wait, latest_turn - now)
-        if wait <= 0:
-            return False
-        progress.turn_seconds = wait
-        progress.stage = "turn"
-        await asyncio.sleep(wait)
-        return True
+        return await _wait_for_turn(progress, wait)
 
     async def _wait_for_slot_turn(
         self,
@@ -574,12 +569,7 @@
         self._parts.view.set_turn(registration.name, now + wait)
         if wait > max_wait:
             return self._not_served(work, progress, "full", now + wait)
-        if wait <= 0:
-            return False
-        progress.turn_seconds = wait
-        progress.stage = "turn"
-        await asyncio.sleep(wait)
-        return True
+        return await _wait_for_turn(progress, wait)
 
     # Answers to callers.
 
@@ -602,3 +592,13 @@
             )
         body = f"{failure.reason}: {failure.detail}\n".encode()
         await call.answer(failure.status, headers, body)
+
+
+async def _wait_for_turn(progress: sending.Progress, seconds: float) -> bool:
+    """Waits for a turn; returns whether there was time to wait."""
+    if seconds <= 0:
+        return False
+    progress.turn_seconds = seconds
+    progress.stage = "turn"
+    await asyncio.sleep(seconds)
+    return True
