Ask other targets before waiting for a far turn

Cause: one target that hangs has turns far ahead; hosts of its domain would wait for them, or be refused, while other targets have free slots.

Change: a whole request first takes a turn only within a quarter of its objective; else the targets are weighed again with the answer, and only a target that is picked twice is waited for, or refused if its turn comes too late.

--- a/benchmarks/replay/services.py
+++ b/benchmarks/replay/services.py
@@ -29,6 +29,7 @@
 _DEADLINE_SECONDS = 3.0
 _WAIT_SHARE = 0.7
 _OBJECTIVE_SECONDS = 0.4
+_FIRST_TURN_SECONDS = 0.25 * _OBJECTIVE_SECONDS
 _REFUSAL_PAUSE_SECONDS = 0.02
 _MAX_REFUSALS = 6
 _REQUIREMENTS = target_selection.TargetRequirements(service="s")
@@ -190,19 +191,24 @@
         self.requests.append(request)
         self._select(request)
 
-    def _select(self, request: _Request) -> None:
+    def _select(self, request: _Request, asked: tuple[str, ...] = ()) -> None:
         now = self._clock.now
         max_wait = request.arrived_at + _WAIT_SHARE * _DEADLINE_SECONDS - now
         pick = request.view.pick(_REQUIREMENTS, now, limit=7)
         if max_wait <= 0 or isinstance(pick, target_selection.Unavailable):
             return
         name = pick.target.registration.name
-        wait = 0.0
-        if self._has_turns:
-            wait = self._turns.take_slot(name, _SLOTS, 0, now, max_wait)
-            request.view.set_turn(name, now + wait)
+        if not self._has_turns:
+            self._send(request, name)
+            return
+        if name not in asked:
+            max_wait = min(max_wait, _FIRST_TURN_SECONDS)
+        wait = self._turns.take_slot(name, _SLOTS, 0, now, max_wait)
+        request.view.set_turn(name, now + wait)
         if wait <= max_wait:
             self._clock.call_in(wait, lambda: self._send(request, name))
+        elif name not in asked:
+            self._select(request, (*asked, name))
 
     def _send(self, request: _Request, name: str) -> None:
         sent_at = self._clock.now
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -80,6 +80,7 @@
         self.turn_seconds = 0.0
         self.slot_turns = []
         self.slot_turn_seconds = 0.0
+        self.late_slot_turns = 0
         self.load_during_turn = 0
         self.fails_during_turn = False
         self.refused_kinds = set()
@@ -166,6 +167,8 @@
 
     async def _slot_turn(self, target, domain, slots, rank, max_wait):
         self.slot_turns.append((target, slots))
+        if len(self.slot_turns) <= self.late_slot_turns:
+            return 60.0
         return self.slot_turn_seconds
 
     async def _turn(self, target, domain, tokens, rank):
@@ -357,6 +360,17 @@
         [(name, _, tokens, _)] = self.samples
         self.assertEqual((name, tokens), ("t1", 0.0))
 
+    async def test_a_target_without_a_turn_is_left_for_another(self):
+        """Guards against refusals while another target has free slots."""
+        self._route(ONCE)
+        for _ in range(2):
+            await self._start_target(standin.says(standin.answer()))
+        self.late_slot_turns = 1
+        reply = await self.caller.ask()
+        self.assertEqual(reply.status, 200)
+        names = [name for name, _ in self.slot_turns]
+        self.assertEqual(sorted(names), ["t1", "t2"])
+
     async def test_a_request_whose_turn_comes_too_late_is_refused(self):
         """Guards against holding a request that cannot be served in time."""
         self._route(ONCE)
