Rename the service of turns; bound what it keeps of departed targets

It grants turns of prompts and of whole requests. Samples of targets that have departed were kept for good; the oldest are dropped beyond 256 targets on a host and 1,024 at a turn owner.

--- a/packages/endivestream/src/endivestream/process/prefill_turn_service.py
+++ b/packages/endivestream/src/endivestream/process/turn_service.py
@@ -28,13 +28,15 @@
 _ANSWER_TIMEOUT_SECONDS = 0.04
 # A turn owner that did not answer receives no requests for this long.
 _SKIP_OWNER_SECONDS = 1.0
-# Samples of one engine that are kept for its turn owner.
+# Samples of one target that are kept for its turn owner, and targets that have
+# any; those of departed targets are dropped as the oldest.
 _MAX_UNSENT_SAMPLES = 8
+_MAX_SAMPLED_TARGETS = 256
 # A link without received bytes for this long is reopened.
 _LINK_SILENCE_SECONDS = 3.0
 
 
-class PrefillTurnService:
+class TurnService:
     """Requests and grants prefill turns on one entry host."""
 
     def __init__(
@@ -78,10 +80,10 @@
             close_task.add_done_callback(self._close_tasks.discard)
 
     def turn_owner(self, target: str, domain: str) -> str:
-        """Returns the address of an engine's turn owner; empty for this host.
+        """Returns the address of a target's turn owner; empty for this host.
 
-        The turn owner is in the engine's failure domain if any host is, because
-        most of the engine's requests come from there.
+        The turn owner is in the target's failure domain if any host is, because
+        most of the target's requests come from there.
         """
         local_hosts = [host for host in self._hosts if host.domain == domain]
         hosts = local_hosts or self._hosts
@@ -107,9 +109,11 @@
         if not self.turn_owner(target, domain):
             self._record(target, sample)
             return
-        samples = self._unsent_samples.setdefault(target, [])
-        samples.append(sample)
-        del samples[:-_MAX_UNSENT_SAMPLES]
+        unsent = self._unsent_samples
+        unsent[target] = [*unsent.pop(target, ()), sample]
+        del unsent[target][:-_MAX_UNSENT_SAMPLES]
+        if len(unsent) > _MAX_SAMPLED_TARGETS:
+            del unsent[next(iter(unsent))]
 
     def _record(self, target: str, sample: site_messages.TurnSample) -> None:
         if sample.tokens:
--- a/packages/endivestream/src/endivestream/request/turns.py
+++ b/packages/endivestream/src/endivestream/request/turns.py
@@ -22,6 +22,8 @@
 MAX_BURST_SECONDS = 0.15
 # 0 is the most urgent rank, this the least urgent one.
 _LEAST_URGENT_RANK = 9
+# Targets of which samples are kept; departed ones are removed as the oldest.
+_MAX_SAMPLED_TARGETS = 1024
 # Targets that have been idle for this time are removed.
 _IDLE_RETENTION_SECONDS = 60.0
 
@@ -59,13 +61,17 @@
 
     def record_start(self, target: str, tokens: float, seconds: float) -> None:
         """Records how long an engine took until a prompt's first event."""
-        self._prefill_paces.setdefault(target, pace_lib.PrefillPace()).record(
-            tokens, seconds
-        )
+        pace = self._prefill_paces.pop(target, None) or pace_lib.PrefillPace()
+        pace.record(tokens, seconds)
+        self._prefill_paces[target] = pace
+        _remove_oldest(self._prefill_paces)
 
     def record_service(self, target: str, seconds: float) -> None:
         """Records the duration of a whole request that a target served."""
-        self._slot_paces.setdefault(target, pace_lib.SlotPace()).record(seconds)
+        pace = self._slot_paces.pop(target, None) or pace_lib.SlotPace()
+        pace.record(seconds)
+        self._slot_paces[target] = pace
+        _remove_oldest(self._slot_paces)
 
     def take_prefill(
         self, target: str, tokens: float, rank: int, now: float
@@ -105,8 +111,8 @@
             max_wait: Seconds that the request can wait. If its turn comes
                 later, it takes none.
         """
-        pace = self._slot_paces.setdefault(target, pace_lib.SlotPace())
-        seconds = pace.seconds_per_request(slots)
+        pace = self._slot_paces.get(target)
+        seconds = pace.seconds_per_request(slots) if pace else 0.0
         return self._take(
             target,
             seconds,
@@ -151,3 +157,9 @@
             del self._busy_until[oldest]
             self._prefill_paces.pop(oldest, None)
             self._slot_paces.pop(oldest, None)
+
+
+def _remove_oldest(paces: dict[str, object]) -> None:
+    """Keeps the paces of the targets that had the latest samples."""
+    if len(paces) > _MAX_SAMPLED_TARGETS:
+        del paces[next(iter(paces))]
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,7 +3,7 @@
 
 from endivestream import site_messages
 from endivestream.connection import links
-from endivestream.process import prefill_turn_service
+from endivestream.process import turn_service
 from endivestream.request import pace as pace_lib
 from endivestream.request import queue_deadlines
 from endivestream.request import turns as turns_lib
@@ -195,6 +195,11 @@
         for number in range(100):
             turns.take_prefill(f"t{number}", 100.0, 0, 100.0 * number)
         self.assertLess(len(turns._busy_until), 5)
+        for number in range(5000):
+            turns.record_start(f"t{number}", 1500.0, 0.1)
+            turns.record_service(f"t{number}", 0.1)
+        self.assertLess(len(turns._prefill_paces), 2000)
+        self.assertLess(len(turns._slot_paces), 2000)
 
 
 class SlotTurnsTest(unittest.TestCase):
@@ -259,7 +264,7 @@
     )
 
 
-class PrefillTurnServiceTest(unittest.IsolatedAsyncioTestCase):
+class TurnServiceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.context = zmq.asyncio.Context()
         self.services = []
@@ -273,9 +278,7 @@
         self.context.destroy(linger=0)
 
     def _create_service(self, name, hosts=()):
-        service = prefill_turn_service.PrefillTurnService(
-            name=name, context=self.context
-        )
+        service = turn_service.TurnService(name=name, context=self.context)
         service.set_hosts(hosts)
         self.services.append(service)
         return service
