--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -20,9 +20,9 @@
 from endivestream import logs
 from endivestream import site_messages
 
-# Minimum time for which a confirmation waits for hosts that have not received
-# an evacuation. Their leases may end within the bound anyway, but an operator
-# may shut down the domain as soon as the evacuation is confirmed.
+# Minimum time for which an acknowledgement waits for hosts that have not
+# received an evacuation. Their leases may end within the bound anyway, but an
+# operator may shut down the domain as soon as it is acknowledged.
 _EVACUATION_WAIT_SECONDS = 0.7
 
 
@@ -146,7 +146,7 @@
         """Waits until the newest configuration may be confirmed.
 
         Args:
-            bound: Seconds after the confirmation within which it must be in
+            bound: Seconds after the acknowledgement within which it must be in
                 force.
         """
         everywhere = await self._wait_for_hosts(
@@ -165,8 +165,8 @@
         """Waits until the newest evacuations may be confirmed.
 
         Args:
-            bound: Seconds after the confirmation within which no host sends to
-                an evacuated domain.
+            bound: Seconds after the acknowledgement within which no host sends
+                to an evacuated domain.
         """
         rollout = self._evacuations
         everywhere = await self._wait_for_hosts(
@@ -193,8 +193,8 @@
         Args:
             target: The target's name.
             position: First position of the table without the target.
-            bound: Seconds after the confirmation within which the target must
-                receive no new requests.
+            bound: Seconds after the acknowledgement within which the target
+                must receive no new requests.
         """
         departure = self._departures.setdefault(
             target, _Departure(clock.now(), position)
@@ -221,8 +221,8 @@
         Args:
             is_everywhere: Returns whether all hosts have received the change.
             started_at: When the change was made.
-            bound: Seconds after the confirmation within which the change must
-                be in force.
+            bound: Seconds after the acknowledgement within which the change
+                must be in force.
 
         Returns:
             True if all hosts have received the change; False if the change may
