Withdraw turns for whole requests

Withdrawn with the mechanism: its tests, its model in the rig, the module of waits (request/target_wait.py) and the renaming of the service of turns, which rest on it.

--- a/benchmarks/replay/site.py
+++ b/benchmarks/replay/site.py
@@ -110,7 +110,7 @@
         self._create_engines()
         self._hosts = [_EntryHost(f"d{n % _DOMAINS}") for n in range(HOSTS)]
         self._demand = demand_table.DemandTable()
-        self._turns = turns_lib.Turns()
+        self._turns = turns_lib.PrefillTurns()
         self._store_loads: list[float] = []
         self._waiting: list[engine_lib.Request] = []
         self.loads = 0
@@ -179,7 +179,7 @@
         self._stop_waiting(request)
         registration = pick.target.registration
         name = registration.name
-        wait = self._turns.take_prefill(name, request.prompt, request.rank, now)
+        wait = self._turns.take(name, request.prompt, request.rank, now)
         host.view.set_turn(name, now + wait)
         latest = request.arrived_at + _TURN_OBJECTIVE_SHARE * request.objective
         if now >= latest:
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -33,10 +33,10 @@
 from endivestream.process import entry_credit
 from endivestream.process import entry_rate_limits
 from endivestream.process import entry_repeats
+from endivestream.process import prefill_turn_service
 from endivestream.process import push_relay
 from endivestream.process import site_metrics
 from endivestream.process import site_settings
-from endivestream.process import turn_service
 from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import credit_shares as credit_shares_lib
@@ -113,7 +113,7 @@
             on_push=self._on_leader_push,
             meter=self._meter,
         )
-        self._turn_service = turn_service.TurnService(
+        self._prefill_turn_service = prefill_turn_service.PrefillTurnService(
             name=settings.name, context=self._context, meter=self._meter
         )
         self._push_relay = push_relay.PushRelay(
@@ -183,9 +183,8 @@
             slot_freed=self._signal_change,
             rate_limit_reported=self._rate_limits.record_answer,
             acquire_send=self._rate_limits.acquire_send,
-            prefill_delay=self._turn_service.request_prefill_turn,
-            slot_delay=self._turn_service.request_slot_turn,
-            duration_observed=self._turn_service.record_duration,
+            prefill_delay=self._prefill_turn_service.request_turn,
+            prefill_observed=self._prefill_turn_service.record_start,
             record_metrics=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
@@ -311,7 +310,7 @@
         await self._freshness.close()
         await self._credit.close()
         await self._watch.close()
-        await self._turn_service.close()
+        await self._prefill_turn_service.close()
         await self._push_relay.close()
         if self._peer_server is not None:
             await self._peer_server.close()
@@ -375,7 +374,7 @@
     ) -> messages.Message | None:
         match message:
             case site_messages.AskTurn():
-                return self._turn_service.grant_turn(message)
+                return self._prefill_turn_service.grant_turn(message)
             case site_messages.Follow():
                 return self._push_relay.handle_follow(peer, message)
         logs.warn(
@@ -457,7 +456,7 @@
         self._limits.remove_stale(self._view.targets.keys(), clock.now())
         if news.entries is not None:
             self._entry_hosts = news.entries
-            self._turn_service.set_hosts(news.entries)
+            self._prefill_turn_service.set_hosts(news.entries)
             self._push_relay.set_hosts(news.entries)
             self._view.set_hosts(len(news.entries))
             self._rate_limits.set_hosts(len(news.entries))
--- a/packages/endivestream/src/endivestream/process/turn_service.py
+++ b/packages/endivestream/src/endivestream/process/prefill_turn_service.py
@@ -1,8 +1,8 @@
-"""Requests turns from turn owners; grants those of targets owned here.
+"""Requests prefill turns from turn owners; grants those of engines owned here.
 
-The turn owner of a target is computed from the list of entry hosts alone, so
+The turn owner of an engine is computed from the list of entry hosts alone, so
 hosts with the same list agree without messages. While their lists differ, two
-hosts may grant turns for a target independently, and requests reach it slightly
+hosts may grant turns for an engine independently, and prompts reach it slightly
 faster.
 """
 
@@ -11,7 +11,6 @@
 import asyncio
 from collections.abc import Sequence
 
-import msgspec
 import zmq.asyncio
 
 from endivestream import clock
@@ -28,15 +27,15 @@
 _ANSWER_TIMEOUT_SECONDS = 0.04
 # A turn owner that did not answer receives no requests for this long.
 _SKIP_OWNER_SECONDS = 1.0
-# Samples of one target that are kept for its turn owner, and targets that have
-# any; those of departed targets are dropped as the oldest.
+# Samples of one engine that are kept for its turn owner.
 _MAX_UNSENT_SAMPLES = 8
-_MAX_SAMPLED_TARGETS = 256
+# Engines that have any; those of departed engines are dropped as the oldest.
+_MAX_SAMPLED_ENGINES = 256
 # A link without received bytes for this long is reopened.
 _LINK_SILENCE_SECONDS = 3.0
 
 
-class TurnService:
+class PrefillTurnService:
     """Requests and grants prefill turns on one entry host."""
 
     def __init__(
@@ -56,12 +55,12 @@
         self._meter = meter or loop_meter.LoopMeter()
         self._name = name
         self._context = context
-        self._turns = turns_lib.Turns()
+        self._turns = turns_lib.PrefillTurns()
         self._hosts: tuple[site_messages.EntryHost, ...] = ()
         self._links: dict[str, links.Link] = {}
         self._skip_owner_until: dict[str, float] = {}
-        # Samples of targets owned by other hosts, for the next request there.
-        self._unsent_samples: dict[str, list[site_messages.TurnSample]] = {}
+        # Samples of engines owned by other hosts, for the next request there.
+        self._unsent_samples: dict[str, list[site_messages.PrefillSample]] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -80,10 +79,10 @@
             close_task.add_done_callback(self._close_tasks.discard)
 
     def turn_owner(self, target: str, domain: str) -> str:
-        """Returns the address of a target's turn owner; empty for this host.
+        """Returns the address of an engine's turn owner; empty for this host.
 
-        The turn owner is in the target's failure domain if any host is, because
-        most of the target's requests come from there.
+        The turn owner is in the engine's failure domain if any host is, because
+        most of the engine's requests come from there.
         """
         local_hosts = [host for host in self._hosts if host.domain == domain]
         hosts = local_hosts or self._hosts
@@ -94,70 +93,35 @@
         )
         return "" if owner_host.name == self._name else owner_host.peers
 
-    def record_duration(
+    def record_start(
         self, target: str, domain: str, tokens: float, seconds: float
     ) -> None:
-        """Records how long a target took for a request.
-
-        Args:
-            target: The target.
-            domain: Its failure domain.
-            tokens: Length of the prompt, or 0 for a whole request.
-            seconds: Seconds until the first event, or of the whole request.
-        """
-        sample = site_messages.TurnSample(tokens, seconds)
+        """Records how long an engine took until a prompt's first event."""
         if not self.turn_owner(target, domain):
-            self._record(target, sample)
+            self._turns.record_start(target, tokens, seconds)
             return
-        unsent = self._unsent_samples
-        unsent[target] = [*unsent.pop(target, ()), sample]
-        del unsent[target][:-_MAX_UNSENT_SAMPLES]
-        if len(unsent) > _MAX_SAMPLED_TARGETS:
-            del unsent[next(iter(unsent))]
-
-    def _record(self, target: str, sample: site_messages.TurnSample) -> None:
-        if sample.tokens:
-            self._turns.record_start(target, sample.tokens, sample.seconds)
-        else:
-            self._turns.record_service(target, sample.seconds)
-
-    async def request_prefill_turn(
+        samples = self._unsent_samples.setdefault(target, [])
+        if len(self._unsent_samples) > _MAX_SAMPLED_ENGINES:
+            del self._unsent_samples[next(iter(self._unsent_samples))]
+        samples.append(site_messages.PrefillSample(tokens, seconds))
+        del samples[:-_MAX_UNSENT_SAMPLES]
+
+    async def request_turn(
         self, target: str, domain: str, tokens: float, rank: int
     ) -> float:
         """Returns the seconds that a prompt should wait; 0 if no answer."""
-        return await self._request_turn(
-            domain,
-            site_messages.AskTurn(target=target, tokens=tokens, rank=rank),
-        )
-
-    async def request_slot_turn(
-        self, target: str, domain: str, slots: int, rank: int, max_wait: float
-    ) -> float:
-        """Returns the seconds that a whole request should wait.
-
-        0 without an answer; more than `max_wait` if it has no turn until then.
-        """
-        return await self._request_turn(
-            domain,
-            site_messages.AskTurn(
-                target=target,
-                tokens=0.0,
-                rank=rank,
-                slots=slots,
-                max_wait_seconds=max_wait,
-            ),
-        )
-
-    async def _request_turn(
-        self, domain: str, request: site_messages.AskTurn
-    ) -> float:
-        owner = self.turn_owner(request.target, domain)
+        owner = self.turn_owner(target, domain)
+        now = clock.now()
         if not owner:
-            return self._grant(request)
-        if self._skip_owner_until.get(owner, 0.0) > clock.now():
+            return self._turns.take(target, tokens, rank, now)
+        if self._skip_owner_until.get(owner, now) > now:
             return 0.0
-        samples = tuple(self._unsent_samples.pop(request.target, ()))
-        request = msgspec.structs.replace(request, samples=samples)
+        request = site_messages.AskTurn(
+            target=target,
+            tokens=tokens,
+            rank=rank,
+            samples=tuple(self._unsent_samples.pop(target, ())),
+        )
         try:
             answer = await self._link(owner).request(
                 request, seconds=_ANSWER_TIMEOUT_SECONDS
@@ -175,24 +139,15 @@
     def grant_turn(
         self, message: site_messages.AskTurn
     ) -> site_messages.GiveTurn:
-        """Answers a request for a turn at a target owned here."""
+        """Answers a request for a prefill turn at an engine owned here."""
         for sample in message.samples:
-            self._record(message.target, sample)
-        return site_messages.GiveTurn(seconds=self._grant(message))
-
-    def _grant(self, request: site_messages.AskTurn) -> float:
-        now = clock.now()
-        if request.slots:
-            return self._turns.take_slot(
-                request.target,
-                request.slots,
-                request.rank,
-                now,
-                request.max_wait_seconds,
+            self._turns.record_start(
+                message.target, sample.tokens, sample.seconds
             )
-        return self._turns.take_prefill(
-            request.target, request.tokens, request.rank, now
+        wait = self._turns.take(
+            message.target, message.tokens, message.rank, clock.now()
         )
+        return site_messages.GiveTurn(seconds=wait)
 
     def _link(self, address: str) -> links.Link:
         link = self._links.get(address)
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -28,9 +28,11 @@
 from endivestream.request import queue_deadlines
 from endivestream.request import sending
 from endivestream.request import target_selection
-from endivestream.request import target_wait
 from endivestream.version import document as document_lib
 
+# Multiple of the route's objective for which a request waits for an engine
+# with a free slot; after that it joins the queue of a full engine.
+_FREE_SLOT_OBJECTIVES = 0.3
 # A request that gets its credit within this multiple of the route's objective
 # can still be in time.
 _TIMELY_CREDIT_OBJECTIVES = 0.5
@@ -38,6 +40,8 @@
 _MAX_REFUSALS = 6
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
+# Minimum wait for a target, also for a request whose attempt failed late.
+_MIN_TARGET_WAIT_SECONDS = 0.1
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -66,7 +70,6 @@
 
     def __init__(self, *, parts: forward_parts.SharedParts) -> None:
         self._parts = parts
-        self._targets = target_wait.TargetWaiter(parts=parts)
         self._sender = sending.Sender(
             names=parts.rules.names,
             view=parts.view,
@@ -74,7 +77,7 @@
             model_idle=parts.model_idle,
             slot_freed=parts.slot_freed,
             rate_limit_reported=parts.rate_limit_reported,
-            duration_observed=parts.duration_observed,
+            prefill_observed=parts.prefill_observed,
         )
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
         self._lease_queue = lease_queue.LeaseQueue(
@@ -154,7 +157,7 @@
         call, progress, work = active.call, active.progress, active.work
         failure = admission.stopping()
         if work is not None:
-            failure = target_wait.stop_failure(work, progress)
+            failure = self._stop_failure(work, progress)
         progress.outcome_reason = "stopping"
         try:
             await self._answer_failure(call, progress, failure)
@@ -261,7 +264,7 @@
         progress: sending.Progress,
     ) -> findings.Failure | None:
         while True:
-            target = await self._targets.select(work, progress)
+            target = await self._select_target(work, progress)
             if isinstance(target, findings.Failure):
                 return target
             if not await self._acquire_send_permit(work, progress, target):
@@ -270,7 +273,7 @@
             if progress.request_attempts and not await self._acquire_repeat(
                 work
             ):
-                return target_wait.not_served(work, progress, "no_repeats_left")
+                return self._not_served(work, progress, "no_repeats_left")
             result = await self._sender.send(call, work, progress, target)
             match result:
                 case sending.Passed(status=status):
@@ -288,6 +291,29 @@
             if failure is not None:
                 return failure
 
+    async def _select_target(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> target_selection.Selected | findings.Failure:
+        """Waits for a target and for the prefill turn at it."""
+        progress.stage = "place"
+        selected = await self._wait_for_target(work, progress)
+        if isinstance(
+            selected, findings.Failure
+        ) or not await self._wait_for_prefill_turn(work, progress, selected):
+            return selected
+        now = clock.now()
+        # The turn is for this engine. Another one would get the prompt beside
+        # those that have turns there.
+        has_lease = self._parts.rules.lease_until() >= now
+        if has_lease and self._parts.view.is_usable(
+            selected.target.registration,
+            sending.target_requirements(work, progress),
+            now,
+        ):
+            return selected
+        progress.stage = "place"
+        return await self._wait_for_target(work, progress)
+
     async def _acquire_send_permit(
         self,
         work: admission.AdmittedRequest,
@@ -301,7 +327,7 @@
         if not view.is_rate_limited(registration, now):
             return True
         progress.stage = "limit"
-        wait_deadline = self._targets.wait_deadline(work, progress)
+        wait_deadline = self._target_wait_deadline(work, progress)
         retry_seconds = await self._parts.acquire_send(
             registration,
             max(0.0, wait_deadline - now),
@@ -339,9 +365,7 @@
             progress.refusals >= _MAX_REFUSALS
             or remaining <= _REFUSAL_PAUSE_SECONDS
         ):
-            return target_wait.not_served(
-                work, progress, f"refused_{refusal.status}"
-            )
+            return self._not_served(work, progress, f"refused_{refusal.status}")
         if not refusal.missing_model:
             await asyncio.sleep(_REFUSAL_PAUSE_SECONDS * progress.refusals)
         return None
@@ -362,7 +386,7 @@
         if not broken.bytes_sent:
             progress.refusals += 1
             if progress.refusals >= _MAX_REFUSALS:
-                return target_wait.not_served(work, progress, broken.reason)
+                return self._not_served(work, progress, broken.reason)
             return None
         progress.attempted_targets.append(progress.target)
         may_repeat = (
@@ -383,7 +407,146 @@
             )
             progress.outcome_reason = broken.reason
             return _AnswerFinal()
-        return target_wait.not_served(work, progress, broken.reason)
+        return self._not_served(work, progress, broken.reason)
+
+    def _stop_failure(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> findings.Failure:
+        """Returns the failure for a request that waits on a stopping host."""
+        if progress.may_have_run:
+            return self._not_served(work, progress, "stopping")
+        return admission.stopping()
+
+    def _not_served(
+        self,
+        work: admission.AdmittedRequest,
+        progress: sending.Progress,
+        reason: str,
+        expected: float | None = None,
+    ) -> findings.Failure:
+        """Returns the failure for a request that was not served.
+
+        Args:
+            work: The request.
+            progress: State of its attempts.
+            reason: For the caller and the log.
+            expected: When it could be served, if known.
+        """
+        now = clock.now()
+        is_past_deadline = now >= work.deadline
+        if not progress.may_have_run:
+            retry_after = queue_deadlines.retry_after_seconds(
+                expected=expected,
+                now=now,
+                usual=admission.DEFAULT_RETRY_SECONDS,
+            )
+            return findings.not_run(
+                reason,
+                f"no target accepted the request: {reason}",
+                status=503,
+                retry_after=None if is_past_deadline else retry_after,
+            )
+        return findings.Failure(
+            outcome=findings.RunState.UNKNOWN,
+            reason=reason,
+            detail=f"the request may have run: {reason}",
+            status=504 if is_past_deadline else 502,
+        )
+
+    # Choice of a target.
+
+    async def _wait_for_target(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> target_selection.Selected | findings.Failure:
+        """Returns a target, waiting for one if it can still be in time."""
+        free_slot_deadline = (
+            work.arrived_at + work.route.objective * _FREE_SLOT_OBJECTIVES
+        )
+        wait_deadline = self._target_wait_deadline(work, progress)
+        wait_deadline = min(
+            work.deadline,
+            max(wait_deadline, clock.now() + _MIN_TARGET_WAIT_SECONDS),
+        )
+        stop_reporting_missing = None
+        try:
+            while True:
+                now = clock.now()
+                if self._parts.rules.lease_until() < now:
+                    return admission.no_lease()
+                requirements = sending.target_requirements(
+                    work, progress, can_wait=now < free_slot_deadline
+                )
+                pick = self._parts.view.pick(
+                    requirements, now, limit=work.max_running
+                )
+                if isinstance(pick, target_selection.Selected):
+                    self._parts.target_assigned(work)
+                    return pick
+                if (
+                    now >= wait_deadline
+                    or pick.is_lasting
+                    or (pick.expected or now) > wait_deadline
+                ):
+                    return self._not_served(
+                        work, progress, pick.reason, pick.expected
+                    )
+                if not self._parts.rules.can_finish(work.route.kind):
+                    # It could still be waiting when the process ends; its
+                    # caller would get a closed connection.
+                    return self._stop_failure(work, progress)
+                if stop_reporting_missing is None and pick.reason in (
+                    "no_model",
+                    "no_adapter",
+                ):
+                    stop_reporting_missing = self._parts.report_missing(work)
+                await self._parts.wait_for_change(min(wait_deadline - now, 0.1))
+        finally:
+            if stop_reporting_missing is not None:
+                stop_reporting_missing()
+
+    def _target_wait_deadline(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> float:
+        return queue_deadlines.target_wait_deadline(
+            route=work.route,
+            arrived_at=work.arrived_at,
+            last_sent_at=progress.last_relayed_at,
+            deadline=work.deadline,
+        )
+
+    async def _wait_for_prefill_turn(
+        self,
+        work: admission.AdmittedRequest,
+        progress: sending.Progress,
+        picked: target_selection.Selected,
+    ) -> bool:
+        """Waits for the prefill turn; returns whether it waited."""
+        if (
+            progress.request_attempts
+            or not work.prompt
+            or work.service.engine is None
+        ):
+            return False
+        registration = picked.target.registration
+        rank = sending.priority(work)
+        wait = await self._parts.prefill_delay(
+            registration.name, registration.domain, work.prompt, rank
+        )
+        now = clock.now()
+        self._parts.view.set_turn(registration.name, now + wait)
+        latest_turn = queue_deadlines.turn_wait_deadline(
+            route=work.route,
+            arrived_at=work.arrived_at,
+            now=now,
+            deadline=work.deadline,
+        )
+        wait = min(wait, latest_turn - now)
+        if wait <= 0:
+            return False
+        progress.turn_seconds = wait
+        progress.stage = "turn"
+        await asyncio.sleep(wait)
+        return True
 
     # Answers to callers.
 
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -75,12 +75,9 @@
             its rate limit header; None without the header.
         prefill_delay: Returns seconds until the prefill turn of a prompt, by
             the engine, its failure domain, the prompt's tokens and rank.
-        slot_delay: Returns seconds until the turn of a whole request, by the
-            target, its failure domain and slots, rank, and the maximum wait; a
-            longer one if the request has no turn until then.
-        duration_observed: Records how long a target took, by the target, its
-            failure domain, the prompt's tokens (0 for a whole request) and the
-            seconds.
+        prefill_observed: Records how long an engine took until the first event
+            of an answer, by the engine, its failure domain, the prompt's tokens
+            and the seconds.
         record_metrics: Records the metrics of a finished request.
     """
 
@@ -103,8 +100,7 @@
     ]
     rate_limit_reported: Callable[[registry_lib.Registration, str | None], None]
     prefill_delay: Callable[[str, str, float, int], Awaitable[float]]
-    slot_delay: Callable[[str, str, int, int, float], Awaitable[float]]
-    duration_observed: Callable[[str, str, float, float], None]
+    prefill_observed: Callable[[str, str, float, float], None]
     record_metrics: Callable[[RequestSummary], None]
 
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -145,7 +145,7 @@
         rate_limit_reported: Callable[
             [registry_lib.Registration, str | None], None
         ],
-        duration_observed: Callable[[str, str, float, float], None],
+        prefill_observed: Callable[[str, str, float, float], None],
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -158,11 +158,10 @@
             slot_freed: Called when a slot on a target may be free.
             rate_limit_reported: Called for each answer of a target with the
                 text of its rate limit header; None without the header.
-            duration_observed: Called with a target, its failure domain, the
-                tokens of a prompt and the seconds until its first event; for
-                a whole request with 0 and its duration.
+            prefill_observed: Called with an engine, its failure domain, the
+                tokens of a prompt and the seconds until its first event.
         """
-        self._duration_observed = duration_observed
+        self._prefill_observed = prefill_observed
         self._names = names
         self._view = view
         self._pool = pool
@@ -188,8 +187,7 @@
             pool=self._pool, url=f"http://{registration.address}/"
         )
         requirements = target_requirements(work, progress)
-        sent_at = clock.now()
-        view.record_sent(registration.name, requirements, sent_at)
+        view.record_sent(registration.name, requirements, clock.now())
         progress.starting = requirements
         # Stays False if the caller disconnects before the attempt has a
         # result: that is no evidence of a fault of the target.
@@ -199,9 +197,7 @@
                 call, work, progress, exchange, registration
             )
             failed = _is_target_failure(result)
-            if isinstance(result, Passed):
-                seconds = clock.now() - sent_at
-                self._record_duration(work, progress, registration, seconds)
+            self._record_prefill(work, progress, registration)
             return result
         finally:
             exchange.close()
@@ -272,23 +268,20 @@
             self._view.record_started(progress.target, progress.starting)
             progress.starting = None
 
-    def _record_duration(
+    def _record_prefill(
         self,
         work: admission.AdmittedRequest,
         progress: Progress,
         registration: registry_lib.Registration,
-        seconds: float,
     ) -> None:
-        """Records how long a target took for a request that it served."""
-        name, domain = registration.name, registration.domain
-        if work.service.engine is None:
-            self._duration_observed(name, domain, 0.0, seconds)
-            return
+        """Records how long an engine took until the first event."""
         is_first_attempt = progress.request_attempts == 1
-        if work.prompt and is_first_attempt and progress.first_byte_at:
-            until_first_event = progress.first_byte_at - progress.first_sent_at
-            self._duration_observed(
-                name, domain, work.prompt, until_first_event
+        if work.service.engine and is_first_attempt and progress.first_byte_at:
+            self._prefill_observed(
+                registration.name,
+                registration.domain,
+                work.prompt,
+                progress.first_byte_at - progress.first_sent_at,
             )
 
     def _attempt_deadline(
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -557,14 +557,12 @@
     )
 
 
-class TurnSample(NamedTuple):
-    """How long a target took for a request.
+class PrefillSample(NamedTuple):
+    """How long an engine took until the first event of an answer.
 
     Attributes:
-        tokens: Length of the prompt in tokens; 0 for a request that is answered
-            as a whole.
-        seconds: Seconds from sending the request to the first event, or to the
-            end of the whole answer.
+        tokens: Length of the prompt in tokens.
+        seconds: Seconds from sending the request to the first event.
     """
 
     tokens: float
@@ -572,32 +570,26 @@
 
 
 class AskTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Requests a turn from a target's turn owner.
+    """Requests a prefill turn from an engine's turn owner.
 
     Attributes:
-        target: Id of the target.
-        tokens: Length of the prompt in tokens, for an engine.
+        target: Id of the engine.
+        tokens: Length of the prompt in tokens.
         rank: Urgency of the request; 0 is the most urgent.
-        samples: What the host has seen of the target since its last request.
-        slots: Requests that a target which is no engine processes at the same
-            time; 0 for an engine.
-        max_wait_seconds: Seconds that a request to such a target can wait; it
-            takes no turn if that comes later.
+        samples: What the host has seen of the engine since its last request.
     """
 
     target: str
     tokens: float
     rank: int
-    samples: tuple[TurnSample, ...] = ()
-    slots: int = 0
-    max_wait_seconds: float = 0.0
+    samples: tuple[PrefillSample, ...] = ()
 
 
 class GiveTurn(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Answer to `AskTurn`.
 
     Attributes:
-        seconds: Seconds to wait before sending the request.
+        seconds: Seconds to wait before sending the prompt.
     """
 
     seconds: float
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -78,9 +78,6 @@
         self.repeat_waits = False
         self.leaves = ""
         self.turn_seconds = 0.0
-        self.slot_turns = []
-        self.slot_turn_seconds = 0.0
-        self.late_slot_turns = 0
         self.load_during_turn = 0
         self.fails_during_turn = False
         self.refused_kinds = set()
@@ -115,8 +112,7 @@
                 text
             ),
             prefill_delay=self._turn,
-            slot_delay=self._slot_turn,
-            duration_observed=lambda *sample: self.samples.append(sample),
+            prefill_observed=lambda *sample: self.samples.append(sample),
             record_metrics=self.ended.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
@@ -165,12 +161,6 @@
             self.view.set_targets([], [self.leaves])
         return self.permit_results.pop(0) if self.permit_results else None
 
-    async def _slot_turn(self, target, domain, slots, rank, max_wait):
-        self.slot_turns.append((target, slots))
-        if len(self.slot_turns) <= self.late_slot_turns:
-            return 60.0
-        return self.slot_turn_seconds
-
     async def _turn(self, target, domain, tokens, rank):
         self.turns.append((target, tokens, rank))
         requirements = target_selection.TargetRequirements(
@@ -347,41 +337,6 @@
         self.assertEqual(["target"], self._current_stages())
 
 
-class SlotTurnTest(ForwardTest):
-    async def test_a_whole_request_waits_for_its_turn(self):
-        """Guards against bursts of many hosts that fill a target's queue."""
-        self._route(ONCE)
-        target = await self._start_target(standin.says(standin.answer()))
-        self.slot_turn_seconds = 0.01
-        reply = await self.caller.ask()
-        self.assertEqual(reply.status, 200)
-        self.assertEqual([name for name, _ in self.slot_turns], ["t1"])
-        self.assertEqual(len(target.requests), 1)
-        [(name, _, tokens, _)] = self.samples
-        self.assertEqual((name, tokens), ("t1", 0.0))
-
-    async def test_a_target_without_a_turn_is_left_for_another(self):
-        """Guards against refusals while another target has free slots."""
-        self._route(ONCE)
-        for _ in range(2):
-            await self._start_target(standin.says(standin.answer()))
-        self.late_slot_turns = 1
-        reply = await self.caller.ask()
-        self.assertEqual(reply.status, 200)
-        names = [name for name, _ in self.slot_turns]
-        self.assertEqual(sorted(names), ["t1", "t2"])
-
-    async def test_a_request_whose_turn_comes_too_late_is_refused(self):
-        """Guards against holding a request that cannot be served in time."""
-        self._route(ONCE)
-        target = await self._start_target(standin.says(standin.answer()))
-        self.slot_turn_seconds = 60.0
-        reply = await self.caller.ask(X_Deadline_Ms=3000)
-        self.assertEqual((reply.status, target.requests), (503, []))
-        retry_after = float(reply.headers["Retry-After"])
-        self.assertAlmostEqual(60.0, retry_after, delta=5.0)
-
-
 class RateLimitTest(ForwardTest):
     def _limit(self, target, rate=1.5):
         self.known_limits.record_answer(target, 1, rate, clock.now())
@@ -1086,8 +1041,11 @@
         self.assertEqual([t[:2] for t in self.turns], [("t1", 1460.0)])
         self.assertEqual(len(target.requests), 1)
 
-    async def _send_prompt_to_two_engines(self):
-        """Returns the engine of the turn and those that got the prompt."""
+    async def test_a_prompt_is_sent_to_the_engine_of_its_turn(self):
+        """Guards against prompts at an engine where others have the turns.
+
+        During the wait the engine becomes the one with more load.
+        """
         self._serve_model(objective=2.0)
         loaded = (registry_lib.Loaded("m"),)
         targets = [
@@ -1097,26 +1055,30 @@
             for _ in range(2)
         ]
         self.turn_seconds = 0.01
+        self.load_during_turn = 3
         reply = await self.caller.ask(X_Model="m", X_Tokens="1460,80")
         self.assertEqual(reply.status, 200)
-        [(turn_name, _, _)] = self.turns
-        names = [f"t{n}" for n, t in enumerate(targets, 1) if t.requests]
-        return turn_name, names
-
-    async def test_a_prompt_is_sent_to_the_engine_of_its_turn(self):
-        """Guards against prompts at an engine where others have the turns.
-
-        During the wait the engine becomes the one with more load.
-        """
-        self.load_during_turn = 3
-        turn_name, names = await self._send_prompt_to_two_engines()
-        self.assertEqual([turn_name], names)
+        [(name, _, _)] = self.turns
+        numbers = [len(target.requests) for target in targets]
+        self.assertEqual(numbers, [1, 0] if name == "t1" else [0, 1])
 
     async def test_a_prompt_leaves_an_engine_that_fails_during_its_turn(self):
         """Guards against sends to an engine that was lost meanwhile."""
+        self._serve_model(objective=2.0)
+        loaded = (registry_lib.Loaded("m"),)
+        targets = [
+            await self._start_target(
+                standin.says(standin.answer()), loaded=loaded
+            )
+            for _ in range(2)
+        ]
+        self.turn_seconds = 0.01
         self.fails_during_turn = True
-        turn_name, names = await self._send_prompt_to_two_engines()
-        self.assertEqual([{"t1": "t2", "t2": "t1"}[turn_name]], names)
+        reply = await self.caller.ask(X_Model="m", X_Tokens="1460,80")
+        self.assertEqual(reply.status, 200)
+        [(name, _, _)] = self.turns
+        numbers = [len(target.requests) for target in targets]
+        self.assertEqual(numbers, [0, 1] if name == "t1" else [1, 0])
 
     async def test_the_time_to_the_first_event_is_observed(self):
         self._serve_model(objective=2.0)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,8 +3,7 @@
 
 from endivestream import site_messages
 from endivestream.connection import links
-from endivestream.process import turn_service
-from endivestream.request import pace as pace_lib
+from endivestream.process import prefill_turn_service
 from endivestream.request import queue_deadlines
 from endivestream.request import turns as turns_lib
 from endivestream.version import document as document_lib
@@ -12,7 +11,6 @@
 from hypothesis import strategies as st
 from replay import clock as replay_clock
 from replay import engine as replay_engine
-from replay import services as replay_services
 import zmq.asyncio
 
 from tests import test_document
@@ -37,16 +35,16 @@
         can process during a permitted pause.
         """
         rng = random.Random(7)
-        turns = turns_lib.Turns()
+        turns = turns_lib.PrefillTurns()
         arrived = sorted(
             (rng.uniform(0.0, 60.0), rng.choice([700.0, 1500.0, 3000.0]))
             for _ in range(400)
         )
         sent = [
-            (now + turns.take_prefill("t", tokens, 2, now), tokens)
+            (now + turns.take("t", tokens, 2, now), tokens)
             for now, tokens in arrived
         ]
-        pace = pace_lib.START_TOKENS_PER_SECOND
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + 3000.0
         self.assertGreater(_most(arrived), bound)
         self.assertLessEqual(_most(sent), bound)
@@ -62,12 +60,12 @@
     )
     def test_no_window_gets_more_than_the_pace_allows(self, steps):
         """However prompts come, what a window gets is bounded."""
-        turns, now, sent = turns_lib.Turns(), 0.0, []
+        turns, now, sent = turns_lib.PrefillTurns(), 0.0, []
         for pause, tokens in steps:
             now += pause
-            sent.append((now + turns.take_prefill("t", tokens, 0, now), tokens))
+            sent.append((now + turns.take("t", tokens, 0, now), tokens))
         largest = max(tokens for _, tokens in steps)
-        pace = pace_lib.START_TOKENS_PER_SECOND
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + largest
         self.assertLessEqual(_most(sent), bound * (1 + 1e-9))
 
@@ -82,7 +80,7 @@
             objective=0.8,
             max_event_gap=0.3,
         )
-        turns, loaded_at = turns_lib.Turns(), 1000.0
+        turns, loaded_at = turns_lib.PrefillTurns(), 1000.0
         rng = random.Random(5)
         sent = []
         for _ in range(12):
@@ -93,22 +91,22 @@
                 now=loaded_at,
                 deadline=arrived_at + 12.0,
             )
-            wait = turns.take_prefill("t", 1500.0, 2, loaded_at)
+            wait = turns.take("t", 1500.0, 2, loaded_at)
             wait = max(0.0, min(wait, latest_turn - loaded_at))
             sent.append((loaded_at + wait, 1500.0))
-        pace = pace_lib.START_TOKENS_PER_SECOND
+        pace = turns_lib.START_PACE_TOKENS
         bound = pace * (_WINDOW + turns_lib.MAX_BURST_SECONDS) + 1500.0
         self.assertLessEqual(_most(sent), bound)
 
     def test_urgent_prompts_do_not_wait_for_less_urgent_ones(self):
         """Guards against urgent callers delayed by a less urgent burst."""
-        turns = turns_lib.Turns()
+        turns = turns_lib.PrefillTurns()
         for _ in range(20):
-            turns.take_prefill("t", 1500.0, 2, 0.0)
-        self.assertEqual(turns.take_prefill("t", 1500.0, 0, 0.0), 0.0)
-        before = turns.take_prefill("t", 1500.0, 2, 0.0)
-        turns.take_prefill("t", 1500.0, 0, 0.0)
-        self.assertGreater(turns.take_prefill("t", 1500.0, 2, 0.0), before)
+            turns.take("t", 1500.0, 2, 0.0)
+        self.assertEqual(turns.take("t", 1500.0, 0, 0.0), 0.0)
+        before = turns.take("t", 1500.0, 2, 0.0)
+        turns.take("t", 1500.0, 0, 0.0)
+        self.assertGreater(turns.take("t", 1500.0, 2, 0.0), before)
 
     def _replay(self, slowdown, *, cached=0.0, seed=1):
         """Returns the learned pace of an engine with the given slowdown.
@@ -121,7 +119,7 @@
             seed: Seed of the arrivals.
         """
         rng = random.Random(seed)
-        clock, turns = replay_clock.VirtualClock(), turns_lib.Turns()
+        clock, turns = replay_clock.VirtualClock(), turns_lib.PrefillTurns()
         stated = {}
 
         def record(request):
@@ -153,7 +151,7 @@
 
         send()
         clock.run(60.0 * slowdown)
-        return turns.prefill_pace("t"), speed.prefill_rate
+        return turns.pace("t"), speed.prefill_rate
 
     def test_the_pace_follows_the_speed_of_the_engine(self):
         """Guards against prompts at a pace that suits other engines.
@@ -175,87 +173,24 @@
     def test_the_pace_is_bounded_whatever_engines_answer(self):
         """Guards against an engine that reports impossible times."""
         for seconds in (0.0, -1.0, 1e-9, 1e9):
-            turns = turns_lib.Turns()
+            turns = turns_lib.PrefillTurns()
             for _ in range(50):
                 turns.record_start("t", 1500.0, seconds)
-            self.assertGreater(turns.prefill_pace("t"), 1000.0)
-            self.assertLess(turns.prefill_pace("t"), 100_000.0)
+            self.assertGreater(turns.pace("t"), 1000.0)
+            self.assertLess(turns.pace("t"), 100_000.0)
 
     def test_an_unknown_engine_gets_the_pace_of_the_others(self):
-        turns = turns_lib.Turns()
-        self.assertEqual(
-            turns.prefill_pace("t1"), pace_lib.START_TOKENS_PER_SECOND
-        )
+        turns = turns_lib.PrefillTurns()
+        self.assertEqual(turns.pace("t1"), turns_lib.START_PACE_TOKENS)
         for _ in range(10):
             turns.record_start("t2", 1500.0, 0.3)
-        self.assertAlmostEqual(turns.prefill_pace("t1"), 0.8 * 5000.0)
+        self.assertAlmostEqual(turns.pace("t1"), 0.8 * 5000.0)
 
     def test_departed_engines_take_no_memory(self):
-        turns = turns_lib.Turns()
+        turns = turns_lib.PrefillTurns()
         for number in range(100):
-            turns.take_prefill(f"t{number}", 100.0, 0, 100.0 * number)
+            turns.take(f"t{number}", 100.0, 0, 100.0 * number)
         self.assertLess(len(turns._busy_until), 5)
-        for number in range(5000):
-            turns.record_start(f"t{number}", 1500.0, 0.1)
-            turns.record_service(f"t{number}", 0.1)
-        self.assertLess(len(turns._prefill_paces), 2000)
-        self.assertLess(len(turns._slot_paces), 2000)
-
-
-class SlotTurnsTest(unittest.TestCase):
-    def _run(self, *, has_turns, seed=1, rate=110.0, slowdown=3.0, **fields):
-        site = replay_services.ServiceSite(
-            seed=seed, slowdown=slowdown, has_turns=has_turns
-        )
-        site.run(rate=rate, seconds=15.0, **fields)
-        return site
-
-    def test_a_service_recovers_from_the_backlog_of_an_outage(self):
-        """Guards against targets that stay slow because their queues are full.
-
-        The load is at most half of what the targets can process. Without turns
-        the backlog fills their queues, which slows them down until the load
-        fills the queues again.
-        """
-        for seed in range(3):
-            backlog = {"seed": seed, "backlog": 150, "backlog_at": 4.0}
-            without = self._run(has_turns=False, **backlog)
-            site = self._run(has_turns=True, **backlog)
-            with self.subTest(seed=seed):
-                self.assertLess(without.share_in_time(since=7.0), 0.2)
-                self.assertGreater(site.share_in_time(since=7.0), 0.8)
-                self.assertLess(site.refused, without.refused / 5)
-
-    def test_turns_delay_no_request_at_low_load(self):
-        """Guards against waits while targets have free slots."""
-        site = self._run(has_turns=True, rate=40.0)
-        self.assertGreater(site.share_in_time(), 0.99)
-
-    def test_turns_carry_what_targets_can_process(self):
-        """Guards against a pace that leaves half of the slots unused."""
-        site = self._run(has_turns=True, rate=160.0, slowdown=0.0)
-        served = sum(r.seconds is not None for r in site.requests)
-        self.assertGreater(served / len(site.requests), 0.98)
-
-    def test_a_request_whose_turn_comes_too_late_takes_none(self):
-        """Guards against turns of refused requests that delay the others."""
-        turns = turns_lib.Turns()
-        for _ in range(10):
-            turns.record_service("t", 0.5)
-        while turns.take_slot("t", 2, 0, 0.0, 1.0) <= 1.0:
-            pass
-        waits = [turns.take_slot("t", 2, 0, 0.0, 1.0) for _ in range(5)]
-        self.assertEqual(len(set(waits)), 1)
-
-    def test_a_target_that_hung_still_gets_requests(self):
-        """Guards against a pace that never shows the recovery of a target."""
-        turns = turns_lib.Turns()
-        for _ in range(50):
-            turns.record_service("t", 900.0)
-        self.assertLessEqual(turns.take_slot("t", 6, 0, 0.0, 9.0), 0.0)
-        for _ in range(12):
-            turns.take_slot("t", 6, 0, 0.0, 9.0)
-        self.assertLess(turns.take_slot("t", 6, 0, 0.0, 9.0), 3.0)
 
 
 def _host(name, domain, *, draining=False):
@@ -264,7 +199,7 @@
     )
 
 
-class TurnServiceTest(unittest.IsolatedAsyncioTestCase):
+class PrefillTurnServiceTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.context = zmq.asyncio.Context()
         self.services = []
@@ -278,7 +213,9 @@
         self.context.destroy(linger=0)
 
     def _create_service(self, name, hosts=()):
-        service = turn_service.TurnService(name=name, context=self.context)
+        service = prefill_turn_service.PrefillTurnService(
+            name=name, context=self.context
+        )
         service.set_hosts(hosts)
         self.services.append(service)
         return service
@@ -324,12 +261,12 @@
         other = self._create_service("e2", hosts=[host])
         owner.set_hosts([host])
         for _ in range(10):
-            await owner.request_prefill_turn("t", "a", 3000.0, 1)
+            await owner.request_turn("t", "a", 3000.0, 1)
         # The first requests may fail until the connection is made.
         wait = 0.0
         while not wait:
             other._skip_owner_until.clear()
-            wait = await other.request_prefill_turn("t", "a", 3000.0, 1)
+            wait = await other.request_turn("t", "a", 3000.0, 1)
         self.assertGreater(wait, 1.0)
 
     async def test_an_unreachable_turn_owner_delays_no_prompt(self):
@@ -339,12 +276,8 @@
         no further requests for some time.
         """
         service = self._create_service("e2", hosts=[_host("127.0.0.1", "a")])
-        self.assertEqual(
-            await service.request_prefill_turn("t", "a", 3000.0, 1), 0.0
-        )
+        self.assertEqual(await service.request_turn("t", "a", 3000.0, 1), 0.0)
         self.assertIn("tcp://127.0.0.1:1", service._skip_owner_until)
         links_before = dict(service._links)
-        self.assertEqual(
-            await service.request_prefill_turn("t", "a", 3000.0, 1), 0.0
-        )
+        self.assertEqual(await service.request_turn("t", "a", 3000.0, 1), 0.0)
         self.assertEqual(service._links, links_before)
