Log refusals of targets with their headers and the time since selection

No line names a refusal by a target, the seconds that it asks for, or how long before the target was selected. Change: event=target_refusal, one line for each; a header name for targets that drain. No decision reads them yet.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -480,6 +480,7 @@
                     requirements, now, limit=work.max_running
                 )
                 if isinstance(pick, target_selection.Selected):
+                    progress.selected_at = now
                     self._parts.target_assigned(work)
                     return pick
                 if (
--- a/packages/endivestream/src/endivestream/request/names.py
+++ b/packages/endivestream/src/endivestream/request/names.py
@@ -21,10 +21,14 @@
         not_run: In a target's answer: the request has not run.
         priority: 0 to 9, where 0 is the highest priority; sent to targets.
         last_event: Last event that the caller of a resumed stream received.
-        retry_after: Seconds after which the caller should retry.
+        retry_after: Seconds after which the caller should retry; in a
+            target's answer, seconds for which it accepts nothing from the host
+            that it refused.
         key_scheme: Scheme before the key in `Authorization`.
         rate_limit: In a target's answer: requests per second that the target
             accepts from all hosts together, while it sends this header.
+        draining: In a target's answer, with value 1: the target is about to
+            stop.
         reserved: Further headers that only this system may set.
     """
 
@@ -41,4 +45,5 @@
     retry_after: str = "Retry-After"
     key_scheme: str = "Bearer"
     rate_limit: str = "X-Rate-Limit"
+    draining: str = "X-Draining"
     reserved: tuple[str, ...] = ()
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -16,6 +16,7 @@
 from tornado import httputil
 
 from endivestream import clock
+from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
@@ -49,6 +50,7 @@
         request_attempts: Number of attempts.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
+        selected_at: When its current target was selected.
         first_sent_at: When it was first sent, i.e. when its wait for a target
             ended.
         first_byte_at: When the first byte of the answer arrived.
@@ -69,6 +71,7 @@
     request_attempts: int = 0
     may_have_run: bool = False
     last_event: bytes = b""
+    selected_at: float = 0.0
     first_sent_at: float = 0.0
     first_byte_at: float = 0.0
     last_relayed_at: float = 0.0
@@ -357,6 +360,15 @@
             missing = ""
             if head.status == 421:
                 missing = _model_or_adapter(work)
+            logs.event(
+                "target_refusal",
+                request=work.request,
+                target=progress.target,
+                status=head.status,
+                retry_after=head.headers.get(names.retry_after, ""),
+                draining=head.headers.get(names.draining, ""),
+                since_selected_ms=(clock.now() - progress.selected_at) * 1e3,
+            )
             return Refused(head.status, missing)
         progress.may_have_run = True
         if call.head_sent and head.status >= 300:
