Keep requests from targets that asked this host to wait

What callers saw: requests sent to a target that refuses everything, while other targets of the service were idle: such a target has the lowest load. Cause: Retry-After of a target's 503 was read nowhere; a refusal lasted no longer than the request that got it. Change: each host keeps, for one process of a target, until when it accepts nothing (request/target_announcements.py). Selection leaves such a target out; if all are, the request waits if its deadline allows, else it is refused at once with the time at which the first is back, spread over a quarter of that time. Afterwards a target gets one request, and two more for each that it accepts, and the hosts' ends differ by up to a tenth: neither hosts nor waiting requests come at once. Longer answers extend the time, shorter ones do not end it.

--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -47,6 +47,7 @@
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import routes as routes_lib
+from endivestream.request import target_announcements
 from endivestream.request import target_selection
 from endivestream.request import unserved as unserved_lib
 from endivestream.version import document as document_lib
@@ -88,6 +89,9 @@
             domain=settings.domain,
             regions=settings.domains,
             limits=self._limits,
+            announcements=target_announcements.TargetAnnouncements(
+                host=settings.name
+            ),
         )
         self._credit_shares = credit_shares_lib.CreditShares()
         self._table: routes_lib.Table | None = None
@@ -145,6 +149,10 @@
             targets=lambda: len(self._view.targets),
             rate_limited=lambda: self._limits.count,
             limited_sends=lambda: self._rate_limits.outcomes,
+            backoffs=lambda: self._view.announcements.count_backoffs(
+                clock.now()
+            ),
+            announcements=lambda: self._view.announcements.events,
             meter=self._meter,
         )
         rules = admission.AdmissionInputs(
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -46,6 +46,18 @@
             registry=self._registry,
         )
 
+    def _add_counts(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        counts: Callable[[], Mapping[str, int]],
+    ) -> None:
+        collector = _CountsCollector(
+            name=name, description=description, label=label, counts=counts
+        )
+        self._registry.register(collector)
+
     def _add_loop_metrics(self, meter: loop_meter.LoopMeter) -> None:
         self._gauge(
             "loop_late_seconds",
@@ -100,22 +112,32 @@
         yield from (count, size, seconds, longest)
 
 
-class _LimitedSendsCollector:
-    """Collects sends to targets that name a limit, by outcome."""
+class _CountsCollector:
+    """Collects numbers that another component counts, by a label."""
 
-    def __init__(self, *, outcomes: Callable[[], Mapping[str, int]]) -> None:
-        self._outcomes = outcomes
+    def __init__(
+        self,
+        *,
+        name: str,
+        description: str,
+        label: str,
+        counts: Callable[[], Mapping[str, int]],
+    ) -> None:
+        self._name = name
+        self._description = description
+        self._label = label
+        self._counts = counts
 
     def collect(self) -> Iterator[core.Metric]:
         """Yields the current values."""
-        sends = core.CounterMetricFamily(
-            "endivestream_limited_sends",
-            "Sends to targets that report a rate limit",
-            labels=["outcome"],
+        family = core.CounterMetricFamily(
+            f"endivestream_{self._name}",
+            self._description,
+            labels=[self._label],
         )
-        for outcome, count in self._outcomes().items():
-            sends.add_metric([outcome], count)
-        yield sends
+        for value, count in self._counts().items():
+            family.add_metric([value], count)
+        yield family
 
 
 class EntryMetrics(_Metrics):
@@ -130,6 +152,8 @@
         targets: Callable[[], float],
         rate_limited: Callable[[], float],
         limited_sends: Callable[[], Mapping[str, int]],
+        backoffs: Callable[[], float],
+        announcements: Callable[[], Mapping[str, int]],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Registers the metrics.
@@ -141,6 +165,9 @@
             targets: Returns the number of known targets.
             rate_limited: Returns the number of targets that name a limit.
             limited_sends: Returns the number of sends to these by outcome.
+            backoffs: Returns the number of targets that get no requests
+                because they named a Retry-After.
+            announcements: Returns the number of announcements by kind.
             meter: The meter of the event loop.
         """
         super().__init__()
@@ -191,7 +218,23 @@
             "Targets that report a rate limit",
             rate_limited,
         )
-        self._registry.register(_LimitedSendsCollector(outcomes=limited_sends))
+        self._gauge(
+            "backoff_targets",
+            "Targets that accept no requests of this host for some time",
+            backoffs,
+        )
+        self._add_counts(
+            "limited_sends",
+            "Sends to targets that report a rate limit",
+            "outcome",
+            limited_sends,
+        )
+        self._add_counts(
+            "target_announcements",
+            "Backoffs and drains that targets announced in their answers",
+            "kind",
+            announcements,
+        )
         self._add_loop_metrics(meter)
 
     def observe(self, ended: forward_parts.RequestSummary) -> None:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -79,6 +79,7 @@
             rate_limit_reported=parts.rate_limit_reported,
             prefill_observed=parts.prefill_observed,
         )
+        self._retry_spread = queue_deadlines.RetrySpread()
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
         self._lease_queue = lease_queue.LeaseQueue(
             rules=parts.rules,
@@ -366,7 +367,7 @@
             or remaining <= _REFUSAL_PAUSE_SECONDS
         ):
             return self._not_served(work, progress, f"refused_{refusal.status}")
-        if not refusal.missing_model:
+        if not refusal.missing_model and not refusal.has_backoff:
             await asyncio.sleep(_REFUSAL_PAUSE_SECONDS * progress.refusals)
         return None
 
@@ -488,8 +489,11 @@
                     or pick.is_lasting
                     or (pick.expected or now) > wait_deadline
                 ):
+                    expected = pick.expected
+                    if expected is not None and pick.reason == "target_backoff":
+                        expected = self._retry_spread.spread(expected, now)
                     return self._not_served(
-                        work, progress, pick.reason, pick.expected
+                        work, progress, pick.reason, expected
                     )
                 if not self._parts.rules.can_finish(work.route.kind):
                     # It could still be waiting when the process ends; its
--- a/packages/endivestream/src/endivestream/request/queue_deadlines.py
+++ b/packages/endivestream/src/endivestream/request/queue_deadlines.py
@@ -43,6 +43,12 @@
 # Latest prefill turn of a request that can still meet its objective, as a share
 # of the objective. The rest is left for processing the prompt.
 _TURN_OBJECTIVE_SHARE = 0.6
+# Callers that are refused until the same moment return over this share of the
+# time until then, at most over this time.
+_RETRY_SPREAD_SHARE = 0.25
+_MAX_RETRY_SPREAD_SECONDS = 2.0
+# Its multiples are evenly distributed modulo 1.
+_GOLDEN_RATIO = (math.sqrt(5) - 1) / 2
 # Maximum wait for a leader to confirm the configuration. A leader confirms it
 # within milliseconds; otherwise an election is in progress.
 _CONFIRMATION_SECONDS = 0.5
@@ -162,3 +168,23 @@
     if expected is None or math.isinf(expected):
         return usual
     return max(usual / 2, expected - now)
+
+
+class RetrySpread:
+    """Spreads the retries of callers that are refused until the same moment."""
+
+    def __init__(self) -> None:
+        self._phase = 0.0
+
+    def spread(self, expected: float, now: float) -> float:
+        """Returns when the next refused caller should retry.
+
+        Args:
+            expected: Time from which requests can be served.
+            now: Current time.
+        """
+        self._phase = (self._phase + _GOLDEN_RATIO) % 1.0
+        window = min(
+            _MAX_RETRY_SPREAD_SECONDS, _RETRY_SPREAD_SHARE * (expected - now)
+        )
+        return expected + self._phase * max(0.0, window)
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -24,6 +24,7 @@
 from endivestream.request import homes
 from endivestream.request import names as names_lib
 from endivestream.request import sse
+from endivestream.request import target_announcements
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -96,10 +97,12 @@
         status: Status of its answer.
         missing_model: The model that the target lacks, or MODEL/ADAPTER, for
             status 421; else empty.
+        has_backoff: Whether the target gets no requests for some time.
     """
 
     status: int
     missing_model: str
+    has_backoff: bool = False
 
 
 class BrokenAttempt(NamedTuple):
@@ -182,6 +185,7 @@
         """Makes one attempt and records its outcome in `progress`."""
         registration = picked.target.registration
         view = self._view
+        requirements = target_requirements(work, progress)
         progress.target = registration.name
         progress.stage = "target"
         progress.request_attempts += 1
@@ -189,7 +193,6 @@
         exchange = exchange_lib.Exchange(
             pool=self._pool, url=f"http://{registration.address}/"
         )
-        requirements = target_requirements(work, progress)
         view.record_sent(registration.name, requirements, clock.now())
         progress.starting = requirements
         # Stays False if the caller disconnects before the attempt has a
@@ -223,7 +226,10 @@
             async with asyncio.timeout_at(
                 _loop_time(self._attempt_deadline(work, progress))
             ):
-                remaining = work.deadline - clock.now()
+                if self._view.announcements.record_sent(registration):
+                    logs.event("target_backoff_ended", target=registration.name)
+                sent_at = clock.now()
+                remaining = work.deadline - sent_at
                 await exchange.start(
                     call.method,
                     call.uri,
@@ -234,9 +240,9 @@
                     connect_seconds=min(_CONNECT_SECONDS, max(0.01, remaining)),
                 )
                 head = await exchange.head(seconds=work.route.timeout)
-                self._report_rate_limit(work, registration, head)
+                self._record_announcements(work, registration, head, sent_at)
                 return await self._relay_answer(
-                    call, work, progress, exchange, head
+                    call, work, progress, exchange, head, registration
                 )
         except TimeoutError:
             progress.may_have_run = progress.may_have_run or exchange.sent
@@ -250,21 +256,59 @@
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
-    def _report_rate_limit(
+    def _record_announcements(
         self,
         work: admission.AdmittedRequest,
         registration: registry_lib.Registration,
         head: exchange_lib.Head,
+        sent_at: float,
     ) -> None:
+        """Records what an answer says about later requests to its target."""
         names = self._names
         if head.headers.get(names.request, "") != work.request:
             return
+        announcements = self._view.announcements
+        now = clock.now()
+        retry_texts = head.headers.get_list(names.retry_after)
+        if head.status == 503 and retry_texts:
+            self._record_backoff(work, registration, retry_texts, now)
+        elif (
+            head.status != 421
+            and names.not_run not in head.headers
+            and announcements.record_accepted(registration, sent_at)
+        ):
+            self._slot_freed()
         limit_text = head.headers.get(names.rate_limit)
         # A refusal with status 421 may come from another target that now has
         # this address, so it does not end a limit.
         if limit_text is not None or head.status != 421:
             self._rate_limit_reported(registration, limit_text)
 
+    def _record_backoff(
+        self,
+        work: admission.AdmittedRequest,
+        registration: registry_lib.Registration,
+        texts: list[str],
+        now: float,
+    ) -> None:
+        seconds = target_announcements.parse_seconds(texts)
+        if seconds is None:
+            logs.warn(
+                "retry_after_unreadable",
+                request=work.request,
+                target=registration.name,
+                text=",".join(texts)[:64],
+            )
+        elif self._view.announcements.record_backoff(
+            registration, seconds, now
+        ):
+            logs.event(
+                "target_backoff",
+                request=work.request,
+                target=registration.name,
+                seconds=seconds,
+            )
+
     def _record_start(self, progress: Progress) -> None:
         """Records once per attempt that its prompt has been processed."""
         if progress.starting is not None:
@@ -348,6 +392,7 @@
         progress: Progress,
         exchange: exchange_lib.Exchange,
         head: exchange_lib.Head,
+        registration: registry_lib.Registration,
     ) -> Result:
         names = self._names
         self._view.record_bytes(progress.target, clock.now())
@@ -369,7 +414,13 @@
                 draining=head.headers.get(names.draining, ""),
                 since_selected_ms=(clock.now() - progress.selected_at) * 1e3,
             )
-            return Refused(head.status, missing)
+            has_backoff = (
+                self._view.announcements.backoff_until(
+                    registration, clock.now()
+                )
+                is not None
+            )
+            return Refused(head.status, missing, has_backoff)
         progress.may_have_run = True
         if call.head_sent and head.status >= 300:
             # This attempt resumes a stream; an error answer is no part of it.
--- /dev/null
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -0,0 +1,239 @@
+"""What targets announce in their answers about later requests. Pure.
+
+A target that refuses a request may name the seconds for which it accepts
+nothing from this host. That applies to one process of a target: a table update
+does not end it, a restart of the target does. Times are seconds.
+
+After a backoff a target gets one request, and more with each one that it
+accepts, so that neither all hosts nor all requests that waited for its end
+arrive at the same moment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+import dataclasses
+import hashlib
+import math
+
+from endivestream.connection import registry as registry_lib
+
+# Announcements of targets that left the table are kept for this time: a table
+# may lack a target for a moment while its process goes on.
+_RETENTION_SECONDS = 60.0
+# Maximum characters of a number that a target may send.
+_MAX_TEXT_LENGTH = 32
+# A host's backoff is longer than the target demands by up to this share, at
+# most by this time. The share differs from host to host.
+_JITTER_SHARE = 0.1
+_MAX_JITTER_SECONDS = 1.0
+# Unanswered requests by which the window after a backoff grows with each
+# request that the target accepts.
+_WINDOW_GROWTH = 2
+
+
+def parse_seconds(texts: Collection[str]) -> float | None:
+    """Parses the Retry-After headers of an answer.
+
+    Returns:
+        Seconds, 0 or more, the longest if there are several; None if none of
+        the texts is such a number. Dates are not supported: they would depend
+        on the clocks of host and target.
+    """
+    values = []
+    for text in texts:
+        if len(text) > _MAX_TEXT_LENGTH:
+            continue
+        try:
+            seconds = float(text)
+        except ValueError:
+            continue
+        if math.isfinite(seconds) and seconds >= 0:
+            values.append(seconds)
+    return max(values, default=None)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Announcement:
+    """What one process of a target has announced.
+
+    Attributes:
+        started_at_ms: Start time of the process, in milliseconds of the wall
+            clock.
+        received_at: When it was last updated.
+        backoff_until: When the longest of its backoffs ends.
+        window: Number of requests without an answer that it may have after the
+            backoff; None if it has accepted enough since.
+        is_resumed: Whether it was sent a request after the backoff.
+    """
+
+    started_at_ms: int
+    received_at: float
+    backoff_until: float = -math.inf
+    window: int | None = None
+    is_resumed: bool = False
+
+
+class TargetAnnouncements:
+    """Announcements of all targets to one host."""
+
+    def __init__(self, *, host: str = "") -> None:
+        """Starts without any announcement.
+
+        Args:
+            host: Name of this host; spreads the ends of the hosts' backoffs.
+        """
+        self._host = host
+        self._by_target: dict[str, _Announcement] = {}
+        self._events = dict.fromkeys(("backoff", "resumed"), 0)
+
+    def __repr__(self) -> str:
+        return f"<TargetAnnouncements of {len(self._by_target)} targets>"
+
+    @property
+    def events(self) -> dict[str, int]:
+        """Number of backoffs and of sends that ended one."""
+        return dict(self._events)
+
+    def count_backoffs(self, now: float) -> int:
+        """Returns the number of targets that get no requests now."""
+        return sum(
+            each.backoff_until > now for each in self._by_target.values()
+        )
+
+    def record_backoff(
+        self,
+        registration: registry_lib.Registration,
+        seconds: float,
+        now: float,
+    ) -> bool:
+        """Records that a target accepts nothing for some time.
+
+        An announcement never shortens an earlier one: the target counts the
+        seconds of each of its answers.
+
+        Args:
+            registration: The target, as the request was sent to it.
+            seconds: Seconds from now.
+            now: Current time.
+
+        Returns:
+            Whether the target gets no requests for longer than before.
+        """
+        announcement = self._update(registration, now)
+        if announcement is None or seconds <= 0:
+            return False
+        until = now + seconds + self._jitter(registration.name, seconds)
+        if until <= announcement.backoff_until:
+            return False
+        self._events["backoff"] += announcement.backoff_until <= now
+        announcement.backoff_until = until
+        announcement.window = 1
+        announcement.is_resumed = False
+        return True
+
+    def record_accepted(
+        self, registration: registry_lib.Registration, sent_at: float
+    ) -> bool:
+        """Records that a target accepted a request.
+
+        Args:
+            registration: The target, as the request was sent to it.
+            sent_at: When the request was sent.
+
+        Returns:
+            Whether the target may get more requests than before.
+        """
+        announcement = self._find(registration)
+        if (
+            announcement is None
+            or announcement.window is None
+            or sent_at < announcement.backoff_until
+        ):
+            return False
+        announcement.window += _WINDOW_GROWTH
+        if announcement.window >= registration.slots:
+            announcement.window = None
+        return True
+
+    def record_sent(self, registration: registry_lib.Registration) -> bool:
+        """Records a send; returns whether it is the first after a backoff."""
+        announcement = self._find(registration)
+        if (
+            announcement is None
+            or announcement.window is None
+            or announcement.is_resumed
+        ):
+            return False
+        announcement.is_resumed = True
+        self._events["resumed"] += 1
+        return True
+
+    def backoff_until(
+        self, registration: registry_lib.Registration, now: float
+    ) -> float | None:
+        """Returns when a target's backoff ends; None if it has none."""
+        announcement = self._find(registration)
+        if announcement is None or announcement.backoff_until <= now:
+            return None
+        return announcement.backoff_until
+
+    def has_window(
+        self, registration: registry_lib.Registration, unanswered: int
+    ) -> bool:
+        """Returns whether a target may get one more request.
+
+        Args:
+            registration: The target.
+            unanswered: Number of this host's requests that it has not answered.
+        """
+        announcement = self._find(registration)
+        return (
+            announcement is None
+            or announcement.window is None
+            or unanswered < announcement.window
+        )
+
+    def remove_stale(self, targets: Collection[str], now: float) -> None:
+        """Removes announcements of targets that left the table long ago.
+
+        Args:
+            targets: All current targets.
+            now: Current time.
+        """
+        for name, announcement in list(self._by_target.items()):
+            last_at = max(announcement.received_at, announcement.backoff_until)
+            if name not in targets and now - last_at > _RETENTION_SECONDS:
+                del self._by_target[name]
+
+    def _find(
+        self, registration: registry_lib.Registration
+    ) -> _Announcement | None:
+        announcement = self._by_target.get(registration.name)
+        if (
+            announcement is None
+            or announcement.started_at_ms != registration.started_at_ms
+        ):
+            return None
+        return announcement
+
+    def _update(
+        self, registration: registry_lib.Registration, now: float
+    ) -> _Announcement | None:
+        """Returns the announcement to update; None for an earlier process."""
+        announcement = self._by_target.get(registration.name)
+        born = registration.started_at_ms
+        if announcement is None or announcement.started_at_ms < born:
+            announcement = _Announcement(started_at_ms=born, received_at=now)
+            self._by_target[registration.name] = announcement
+        elif announcement.started_at_ms > born:
+            return None
+        announcement.received_at = now
+        return announcement
+
+    def _jitter(self, target: str, seconds: float) -> float:
+        digest = hashlib.blake2b(
+            f"{self._host}\0{target}".encode(), digest_size=4
+        ).digest()
+        share = int.from_bytes(digest, "big") / 2**32
+        return share * min(_JITTER_SHARE * seconds, _MAX_JITTER_SECONDS)
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -18,6 +18,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.request import target_announcements
 from endivestream.request import target_state
 from endivestream.version import document as document_lib
 
@@ -95,7 +96,7 @@
 
     Attributes:
         reason: `no_target`, `no_home`, `evacuated`, `no_model`, `no_adapter`,
-            `all_failing`, `full`, `rate_limited`.
+            `target_backoff`, `all_failing`, `full`, `rate_limited`.
         expected: Time at which a target can be expected to take it, if known.
     """
 
@@ -117,6 +118,7 @@
         domain: str,
         regions: Mapping[str, str] | None = None,
         limits: rate_limits_lib.RateLimits | None = None,
+        announcements: target_announcements.TargetAnnouncements | None = None,
     ) -> None:
         """Initializes a view without targets.
 
@@ -124,10 +126,14 @@
             domain: Failure domain of this host.
             regions: Region of each failure domain.
             limits: Rate limits that targets reported.
+            announcements: What targets announced to this host.
         """
         self._domain = domain
         self._region_by_domain = dict(regions or {})
         self._limits = limits or rate_limits_lib.RateLimits()
+        self._announcements = (
+            announcements or target_announcements.TargetAnnouncements()
+        )
         # Time until which a target takes no requests because of its limit.
         self._blocked_until: dict[str, float] = {}
         self._targets: dict[str, site_messages.Target] = {}
@@ -150,6 +156,11 @@
         """All targets by name."""
         return dict(self._targets)
 
+    @property
+    def announcements(self) -> target_announcements.TargetAnnouncements:
+        """What targets announced to this host."""
+        return self._announcements
+
     def running(self, target: str) -> int:
         """Returns the number of this host's requests that run on a target."""
         return self._states[target].running if target in self._states else 0
@@ -197,6 +208,7 @@
             if name in self._states and not self._states[name].running:
                 del self._states[name]
         self._cold_targets.retain(self._targets.keys())
+        self._announcements.remove_stale(self._targets.keys(), now)
         self._by_service = {}
         for name, target in self._targets.items():
             self._by_service.setdefault(target.registration.service, []).append(
@@ -315,10 +327,18 @@
             has_model
             and has_adapter
             and self._states[name].is_healthy(now)
+            and self._backoff_until(name, now) is None
+            and self._has_window(name)
             and not target.registration.draining
             and not self._is_evacuated(target.registration)
         )
 
+    def _has_window(self, name: str) -> bool:
+        return self._announcements.has_window(
+            self._targets[name].registration,
+            sum(self._states[name].starting.values()),
+        )
+
     def pick(
         self, requirements: TargetRequirements, now: float, *, limit: int
     ) -> Selected | Unavailable:
@@ -368,10 +388,19 @@
             names = [n for n in names if self._has_adapter(n, adapter_name)]
             if not names:
                 return Unavailable(reason="no_adapter")
+        backoff_ends = {n: self._backoff_until(n, now) for n in names}
+        names = [n for n in names if backoff_ends[n] is None]
+        if not names:
+            ends = [end for end in backoff_ends.values() if end is not None]
+            return Unavailable(reason="target_backoff", expected=min(ends))
         healthy = [n for n in names if self._states[n].is_healthy(now)]
         if not healthy:
             return Unavailable(reason="all_failing")
-        names = [n for n in healthy if self._states[n].running < limit]
+        names = [
+            n
+            for n in healthy
+            if self._states[n].running < limit and self._has_window(n)
+        ]
         if requirements.model:
             names = [
                 n for n in names if self._has_free_slot(n, requirements, now)
@@ -384,6 +413,11 @@
             return Unavailable(reason="rate_limited", expected=unblocked_at)
         return self._least_loaded(requirements, unblocked, now)
 
+    def _backoff_until(self, name: str, now: float) -> float | None:
+        return self._announcements.backoff_until(
+            self._targets[name].registration, now
+        )
+
     def _region(self, name: str) -> str:
         domain = self._targets[name].registration.domain
         return self._region_by_domain.get(domain, "")
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -30,6 +30,8 @@
             targets=lambda: 12,
             rate_limited=lambda: 1,
             limited_sends=lambda: {"granted": 4},
+            backoffs=lambda: 2,
+            announcements=lambda: {"backoff": 5},
             meter=loop_meter.LoopMeter(),
         )
 
@@ -55,6 +57,8 @@
             "endivestream_lease_left_seconds 4.2",
             "endivestream_rate_limited_targets 1.0",
             'endivestream_limited_sends_total{outcome="granted"} 4.0',
+            "endivestream_backoff_targets 2.0",
+            'endivestream_target_announcements_total{kind="backoff"} 5.0',
         ):
             self.assertIn(line, lines)
 
