Check a target once more before the first byte of a request

What callers saw: nothing yet; a target would have got requests after it asked this host to wait. Cause: a request waits between the selection of its target and its send, for a prefill turn, a permit, a repeat or a connection. Only the first two were followed by a check, and the second only for targets with a limit. Change: TargetView.obstacle says why a target must not get a request. The sender asks it before it counts the request as running and again when the connection stands; a send that is withdrawn selects again, keeps its repeat and counts neither as an attempt nor as a result of the target. Exchange.start is connect and send. A counter and event=send_withdrawn name the reason.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -237,9 +237,28 @@
             ExchangeError: The request could not be sent; `sent` is whether any
                 byte of it may have been.
         """
+        await self.connect(seconds=connect_seconds)
+        self.send(method, path, headers, body)
+
+    async def connect(self, *, seconds: float) -> None:
+        """Acquires a connection.
+
+        Raises:
+            ExchangeError: There is none; `sent` is False.
+        """
         self._stream = await self._pool.acquire(
-            self._host, self._port, seconds=connect_seconds
+            self._host, self._port, seconds=seconds
         )
+
+    def send(
+        self, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> None:
+        """Sends the request over the acquired connection.
+
+        Raises:
+            ExchangeError: The request could not be sent; `sent` is True.
+        """
+        assert self._stream is not None
         connection = http1connection.HTTP1Connection(
             self._stream,
             is_client=True,
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -153,6 +153,7 @@
                 clock.now()
             ),
             announcements=lambda: self._view.announcements.events,
+            withdrawn_sends=lambda: self._forwarder.withdrawn_sends,
             meter=self._meter,
         )
         rules = admission.AdmissionInputs(
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -154,6 +154,7 @@
         limited_sends: Callable[[], Mapping[str, int]],
         backoffs: Callable[[], float],
         announcements: Callable[[], Mapping[str, int]],
+        withdrawn_sends: Callable[[], Mapping[str, int]],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Registers the metrics.
@@ -168,6 +169,8 @@
             backoffs: Returns the number of targets that get no requests
                 because they named a Retry-After.
             announcements: Returns the number of announcements by kind.
+            withdrawn_sends: Returns the number of sends that were withdrawn
+                before their first byte, by reason.
             meter: The meter of the event loop.
         """
         super().__init__()
@@ -235,6 +238,12 @@
             "kind",
             announcements,
         )
+        self._add_counts(
+            "withdrawn_sends",
+            "Sends withdrawn after their target was selected",
+            "reason",
+            withdrawn_sends,
+        )
         self._add_loop_metrics(meter)
 
     def observe(self, ended: forward_parts.RequestSummary) -> None:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import dataclasses
 import math
 from typing import NamedTuple
@@ -87,6 +88,11 @@
             confirm_configuration=parts.confirm_configuration,
         )
 
+    @property
+    def withdrawn_sends(self) -> Mapping[str, int]:
+        """Number of sends withdrawn after the selection, by reason."""
+        return self._sender.withdrawn_sends
+
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request until it is answered or its caller disconnects."""
         progress = sending.Progress()
@@ -264,6 +270,7 @@
         work: admission.AdmittedRequest,
         progress: sending.Progress,
     ) -> findings.Failure | None:
+        has_repeat = False
         while True:
             target = await self._select_target(work, progress)
             if isinstance(target, findings.Failure):
@@ -271,11 +278,14 @@
             if not await self._acquire_send_permit(work, progress, target):
                 continue
             progress.stage = "repeat"
-            if progress.request_attempts and not await self._acquire_repeat(
-                work
-            ):
-                return self._not_served(work, progress, "no_repeats_left")
+            if progress.request_attempts and not has_repeat:
+                has_repeat = await self._acquire_repeat(work)
+                if not has_repeat:
+                    return self._not_served(work, progress, "no_repeats_left")
             result = await self._sender.send(call, work, progress, target)
+            if isinstance(result, sending.Withdrawn):
+                continue
+            has_repeat = False
             match result:
                 case sending.Passed(status=status):
                     progress.status = status
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import math
 from typing import NamedTuple
@@ -105,6 +107,10 @@
     has_backoff: bool = False
 
 
+class Withdrawn(NamedTuple):
+    """Nothing was sent: the target must not get the request any more."""
+
+
 class BrokenAttempt(NamedTuple):
     """An attempt that ended without a complete answer.
 
@@ -134,7 +140,7 @@
     status: int
 
 
-Result = Refused | BrokenAttempt | Passed
+Result = Refused | Withdrawn | BrokenAttempt | Passed
 
 
 class Sender:
@@ -167,6 +173,7 @@
             prefill_observed: Called with an engine, its failure domain, the
                 tokens of a prompt and the seconds until its first event.
         """
+        self._withdrawn_sends: collections.Counter[str] = collections.Counter()
         self._prefill_observed = prefill_observed
         self._names = names
         self._view = view
@@ -175,6 +182,11 @@
         self._slot_freed = slot_freed
         self._rate_limit_reported = rate_limit_reported
 
+    @property
+    def withdrawn_sends(self) -> Mapping[str, int]:
+        """Number of sends that were withdrawn, by reason."""
+        return self._withdrawn_sends
+
     async def send(
         self,
         call: call_lib.Call,
@@ -182,10 +194,17 @@
         progress: Progress,
         picked: target_selection.Selected,
     ) -> Result:
-        """Makes one attempt and records its outcome in `progress`."""
+        """Makes one attempt and records its outcome in `progress`.
+
+        The target is checked once more, before and after its connection is
+        acquired: answers and updates may have arrived since it was selected.
+        """
         registration = picked.target.registration
         view = self._view
         requirements = target_requirements(work, progress)
+        if not view.is_usable(registration, requirements, clock.now()):
+            obstacle = view.obstacle(registration, requirements, clock.now())
+            return self._withdraw(work, registration, obstacle or "busy")
         progress.target = registration.name
         progress.stage = "target"
         progress.request_attempts += 1
@@ -197,11 +216,17 @@
         progress.starting = requirements
         # Stays False if the caller disconnects before the attempt has a
         # result: that is no evidence of a fault of the target.
-        failed = False
+        failed: bool | None = False
         try:
             result = await self._exchange_with_target(
                 call, work, progress, exchange, registration
             )
+            if isinstance(result, Withdrawn):
+                failed = None
+                progress.request_attempts -= 1
+                if not progress.request_attempts:
+                    progress.first_sent_at = 0.0
+                return result
             failed = _is_target_failure(result)
             self._record_prefill(work, progress, registration)
             return result
@@ -214,6 +239,21 @@
                 self._model_idle()
             self._slot_freed()
 
+    def _withdraw(
+        self,
+        work: admission.AdmittedRequest,
+        registration: registry_lib.Registration,
+        obstacle: str,
+    ) -> Withdrawn:
+        self._withdrawn_sends[obstacle] += 1
+        logs.event(
+            "send_withdrawn",
+            request=work.request,
+            target=registration.name,
+            reason=obstacle,
+        )
+        return Withdrawn()
+
     async def _exchange_with_target(
         self,
         call: call_lib.Call,
@@ -226,18 +266,26 @@
             async with asyncio.timeout_at(
                 _loop_time(self._attempt_deadline(work, progress))
             ):
+                remaining = work.deadline - clock.now()
+                await exchange.connect(
+                    seconds=min(_CONNECT_SECONDS, max(0.01, remaining))
+                )
+                sent_at = clock.now()
+                requirements = target_requirements(work, progress)
+                obstacle = self._view.obstacle(
+                    registration, requirements, sent_at
+                )
+                if obstacle:
+                    return self._withdraw(work, registration, obstacle)
                 if self._view.announcements.record_sent(registration):
                     logs.event("target_backoff_ended", target=registration.name)
-                sent_at = clock.now()
-                remaining = work.deadline - sent_at
-                await exchange.start(
+                exchange.send(
                     call.method,
                     call.uri,
                     self._request_headers(
                         call, work, progress, registration.name
                     ),
                     call.body,
-                    connect_seconds=min(_CONNECT_SECONDS, max(0.01, remaining)),
                 )
                 head = await exchange.head(seconds=work.route.timeout)
                 self._record_announcements(work, registration, head, sent_at)
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -310,28 +310,49 @@
         now: float,
     ) -> bool:
         """Returns whether a target selected earlier can still be used."""
-        target = self._targets.get(registration.name)
+        return (
+            not self.obstacle(registration, requirements, now)
+            and self._states[registration.name].is_healthy(now)
+            and self._has_window(registration.name)
+        )
+
+    def obstacle(
+        self,
+        registration: registry_lib.Registration,
+        requirements: TargetRequirements,
+        now: float,
+    ) -> str:
+        """Returns why a target must not get a request; empty if it may.
+
+        The load and the failures of the target are not considered.
+
+        Args:
+            registration: The target, as it was selected.
+            requirements: Requirements of the request.
+            now: Current time.
+        """
+        name = registration.name
+        target = self._targets.get(name)
         if (
             target is None
             or target.registration.started_at_ms != registration.started_at_ms
         ):
-            return False
-        name = registration.name
-        has_model = not requirements.model or self._has_model(
-            name, requirements.model
-        )
-        has_adapter = not requirements.adapter or self._has_adapter(
-            name, f"{requirements.model}/{requirements.adapter}"
-        )
-        return (
-            has_model
-            and has_adapter
-            and self._states[name].is_healthy(now)
-            and self._backoff_until(name, now) is None
-            and self._has_window(name)
-            and not target.registration.draining
-            and not self._is_evacuated(target.registration)
-        )
+            return "gone"
+        if self._is_draining(name):
+            return "draining"
+        if self._is_evacuated(target.registration):
+            return "evacuated"
+        if self._announcements.backoff_until(registration, now) is not None:
+            return "backoff"
+        model, adapter = requirements.model, requirements.adapter
+        if model and not self._has_model(name, model):
+            return "no_model"
+        if adapter and not self._has_adapter(name, f"{model}/{adapter}"):
+            return "no_adapter"
+        return ""
+
+    def _is_draining(self, name: str) -> bool:
+        return self._targets[name].registration.draining
 
     def _has_window(self, name: str) -> bool:
         return self._announcements.has_window(
@@ -360,7 +381,7 @@
         names = [
             name
             for name in self._by_service.get(requirements.service, ())
-            if not self._targets[name].registration.draining
+            if not self._is_draining(name)
             and name not in requirements.tried
             and (regions is None or self._region(name) in regions)
         ]
@@ -558,7 +579,7 @@
         requirements: TargetRequirements,
         now: float,
         *,
-        failed: bool,
+        failed: bool | None,
     ) -> bool:
         """Records the result of a request on a target.
 
@@ -566,7 +587,8 @@
             target: Name of the target.
             requirements: Requirements of the request.
             now: Current time.
-            failed: Whether the request failed because of the target.
+            failed: Whether the request failed because of the target; None if
+                it was not sent.
 
         Returns:
             Whether this was the last request of this host that used a model
@@ -585,7 +607,8 @@
         is_last_use = requirements.model in closing and not any(
             model == requirements.model for model, _ in state.models
         )
-        state.record_outcome(now, failed=failed)
+        if failed is not None:
+            state.record_outcome(now, failed=failed)
         return is_last_use
 
     def record_denied(self, target: str, name: str) -> None:
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -32,6 +32,7 @@
             limited_sends=lambda: {"granted": 4},
             backoffs=lambda: 2,
             announcements=lambda: {"backoff": 5},
+            withdrawn_sends=lambda: {"draining": 6},
             meter=loop_meter.LoopMeter(),
         )
 
@@ -59,6 +60,7 @@
             'endivestream_limited_sends_total{outcome="granted"} 4.0',
             "endivestream_backoff_targets 2.0",
             'endivestream_target_announcements_total{kind="backoff"} 5.0',
+            'endivestream_withdrawn_sends_total{reason="draining"} 6.0',
         ):
             self.assertIn(line, lines)
 
--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -1,12 +1,48 @@
 """Tests of what targets announce in their answers about later requests."""
 
+import asyncio
+from unittest import mock
+
+from endivestream import clock
+from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import registry as registry_lib
+from endivestream.request import repeats as repeats_lib
+
 from tests import standin
 from tests import test_forward
+from tests import test_plan
 
+FULL = standin.says(standin.answer(503, X_Not_Run="full"))
 REFUSES = standin.says(standin.answer(503, X_Not_Run="shed", Retry_After="30"))
+PROMPT = {"X_Model": "a", "X_Tokens": "100,10"}
 
 
 class AnnouncementTest(test_forward.ForwardTest):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.held_stage = ""
+        self.is_held = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def _hold(self, stage):
+        """Holds the first request that reaches a stage until released."""
+        if stage == self.held_stage:
+            self.held_stage = ""
+            self.is_held.set()
+            await self.released.wait()
+
+    async def _turn(self, target, domain, tokens, rank):
+        await self._hold("turn")
+        return await super()._turn(target, domain, tokens, rank)
+
+    async def _permit(self, registration, patience, cold_rate):
+        await self._hold("limit")
+        return await super()._permit(registration, patience, cold_rate)
+
+    async def _ask_repeat(self, service):
+        await self._hold("repeat")
+        return True
+
     async def _ask(self, **headers):
         caller = await standin.Caller(self.address).start()
         self.addCleanup(caller.close)
@@ -22,6 +58,53 @@
             self.assertEqual(reply.status, 503)
             self.assertGreater(float(reply.headers["Retry-After"]), 25.0)
 
+    async def _check_held(self, stage, target, **headers):
+        """Has a request wait while its target refuses another one."""
+        self.held_stage = stage
+        held = asyncio.create_task(self._ask(**headers))
+        await self.is_held.wait()
+        await self._ask(**headers)
+        refused = len(target.requests)
+        self.released.set()
+        self.assertEqual((await held).status, 503)
+        self.assertEqual(len(target.requests), refused)
+
+    async def test_no_request_after_its_prefill_turn(self):
+        """Guards against prompts whose engine refuses during their turn."""
+        self._route(test_forward.ONCE, engine=test_plan.engine())
+        loaded = (registry_lib.Loaded("a"),)
+        target = await self._start_target(REFUSES, loaded=loaded)
+        await self._check_held("turn", target, **PROMPT)
+
+    async def test_no_request_after_its_permit(self):
+        """Guards against sends whose target refuses during the permit."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(REFUSES)
+        self.known_limits.record_answer("t1", 1, 5.0, clock.now())
+        await self._check_held("limit", target)
+
+    async def test_no_request_after_its_repeat(self):
+        """Guards against repeats whose target refuses during the grant."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(FULL, REFUSES)
+        self.repeats = repeats_lib.RepeatBudget(
+            ratio=0.0, window=10.0, slack=0.0, now=clock.now()
+        )
+        await self._check_held("repeat", target)
+
+    async def test_no_request_after_its_connection(self):
+        """Guards against sends whose target refuses during the connection."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(REFUSES)
+        acquire = exchange_lib.Pool.acquire
+
+        async def acquire_later(pool, *args, **kwargs):
+            await self._hold("connect")
+            return await acquire(pool, *args, **kwargs)
+
+        with mock.patch.object(exchange_lib.Pool, "acquire", acquire_later):
+            await self._check_held("connect", target)
+
     async def test_no_request_to_a_target_that_drains(self):
         """Guards against requests to a target whose answer said it drains."""
         self._route(test_forward.ONCE)
