Send nothing to a target whose answer says that it drains

What callers saw: nothing yet; requests sent to a target that was about to stop by a host that the leader had not told, such as one that is cut off. Cause: the same as for Retry-After: the header was read nowhere. Change: the announcement is kept for the process of the target, at this host, from the answer on; a table update that lists the target as ready does not undo it, a restart does.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -317,6 +317,14 @@
             return
         announcements = self._view.announcements
         now = clock.now()
+        if "1" in head.headers.get_list(
+            names.draining
+        ) and announcements.record_draining(registration, now):
+            logs.event(
+                "target_draining",
+                request=work.request,
+                target=registration.name,
+            )
         retry_texts = head.headers.get_list(names.retry_after)
         if head.status == 503 and retry_texts:
             self._record_backoff(work, registration, retry_texts, now)
--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -1,8 +1,9 @@
 """What targets announce in their answers about later requests. Pure.
 
 A target that refuses a request may name the seconds for which it accepts
-nothing from this host. That applies to one process of a target: a table update
-does not end it, a restart of the target does. Times are seconds.
+nothing from this host; each answer of a target that is about to stop says so.
+Both apply to one process of a target: a table update does not end them, a
+restart of the target does. Times are seconds.
 
 After a backoff a target gets one request, and more with each one that it
 accepts, so that neither all hosts nor all requests that waited for its end
@@ -65,6 +66,7 @@
         window: Number of requests without an answer that it may have after the
             backoff; None if it has accepted enough since.
         is_resumed: Whether it was sent a request after the backoff.
+        draining: Whether it is about to stop.
     """
 
     started_at_ms: int
@@ -72,6 +74,7 @@
     backoff_until: float = -math.inf
     window: int | None = None
     is_resumed: bool = False
+    draining: bool = False
 
 
 class TargetAnnouncements:
@@ -85,14 +88,14 @@
         """
         self._host = host
         self._by_target: dict[str, _Announcement] = {}
-        self._events = dict.fromkeys(("backoff", "resumed"), 0)
+        self._events = dict.fromkeys(("backoff", "resumed", "draining"), 0)
 
     def __repr__(self) -> str:
         return f"<TargetAnnouncements of {len(self._by_target)} targets>"
 
     @property
     def events(self) -> dict[str, int]:
-        """Number of backoffs and of sends that ended one."""
+        """Number of backoffs, of sends that ended one, and of drains."""
         return dict(self._events)
 
     def count_backoffs(self, now: float) -> int:
@@ -132,6 +135,17 @@
         announcement.is_resumed = False
         return True
 
+    def record_draining(
+        self, registration: registry_lib.Registration, now: float
+    ) -> bool:
+        """Records that a target is about to stop; returns whether it is new."""
+        announcement = self._update(registration, now)
+        if announcement is None or announcement.draining:
+            return False
+        announcement.draining = True
+        self._events["draining"] += 1
+        return True
+
     def record_accepted(
         self, registration: registry_lib.Registration, sent_at: float
     ) -> bool:
@@ -194,6 +208,11 @@
             or unanswered < announcement.window
         )
 
+    def is_draining(self, registration: registry_lib.Registration) -> bool:
+        """Returns whether a target announced that it is about to stop."""
+        announcement = self._find(registration)
+        return announcement is not None and announcement.draining
+
     def remove_stale(self, targets: Collection[str], now: float) -> None:
         """Removes announcements of targets that left the table long ago.
 
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -352,7 +352,10 @@
         return ""
 
     def _is_draining(self, name: str) -> bool:
-        return self._targets[name].registration.draining
+        registration = self._targets[name].registration
+        return registration.draining or self._announcements.is_draining(
+            registration
+        )
 
     def _has_window(self, name: str) -> bool:
         return self._announcements.has_window(
