Soak of forwarders before targets that refuse, drain and restart

Change: benchmarks/soak runs entry hosts with the product's forwarder in virtual time before simulated targets that check what reaches them (python -m soak FIRST COUNT). The event loop with virtual time moves there from tests/.

--- /dev/null
+++ b/benchmarks/soak/target.py
@@ -0,0 +1,213 @@
+"""Simulated targets that check what reaches them, and connections to them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+import dataclasses
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+from endivestream import clock
+from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import registry as registry_lib
+from endivestream.request import names as names_lib
+from tornado import httputil
+
+# From this time after a refusal on, a host must keep to its Retry-After.
+REACTION_SECONDS = 0.5
+# Requests of one host that may still arrive between that time and the end.
+MAX_REQUESTS_IN_BACKOFF = 2
+# Time after its first announced drain from which a target gets no requests.
+DRAIN_SECONDS = 2.5
+SLOTS = 8
+MIN_RUN_SECONDS = 0.02
+_MAX_RUN_SECONDS = 0.4
+# Delays of a new connection.
+_CONNECT_SECONDS = (0.0, 0.002, 0.3)
+_NAMES = names_lib.HeaderNames()
+
+
+class Arrival(NamedTuple):
+    """A request that reached a target."""
+
+    at: float
+    host: str
+
+
+class Violation(NamedTuple):
+    """A request that should not have reached its target."""
+
+    at: float
+    host: str
+    target: str
+    kind: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class Backoff:
+    """A refusal of one host that named a Retry-After.
+
+    Attributes:
+        start: Time of the answer.
+        end: Time until which the target accepts nothing from the host.
+        arrivals: Requests of the host since, once it must have reacted.
+    """
+
+    start: float
+    end: float
+    arrivals: int = 0
+
+
+class Target:
+    """A target that refuses for some time, drains and restarts.
+
+    Attributes:
+        name: Id of the target.
+        refuses_until: Time until which it refuses everything.
+        refusal_seconds: Longest Retry-After that it names.
+        is_draining: Whether its answers announce a drain.
+        arrivals: All requests that reached it.
+        violations: Those that should not have.
+        backoffs: Refusals by host, of the current process.
+    """
+
+    def __init__(self, *, name: str, random_source: random.Random) -> None:
+        self.name = name
+        self.refuses_until = float("-inf")
+        self.refusal_seconds = 3.0
+        self.is_draining = False
+        self.arrivals: list[Arrival] = []
+        self.violations: list[Violation] = []
+        self.backoffs: dict[str, list[Backoff]] = {}
+        self._started_at_ms = _milliseconds(clock.now())
+        self._drain_announced_at: dict[str, float] = {}
+        self._random = random_source
+
+    @property
+    def registration(self) -> registry_lib.Registration:
+        """What the table of targets says of it."""
+        return registry_lib.Registration(
+            name=self.name,
+            service="desk",
+            address=f"{self.name}:1",
+            domain="a",
+            started_at_ms=self._started_at_ms,
+            report_number=1,
+            slots=SLOTS,
+            loaded=(registry_lib.Loaded("a"),),
+        )
+
+    def restart(self) -> None:
+        """Replaces its process; hosts owe the new one nothing."""
+        self._started_at_ms = _milliseconds(clock.now())
+        self.is_draining = False
+        self.backoffs.clear()
+        self._drain_announced_at.clear()
+
+    def receive(self, host: str) -> exchange_lib.Head:
+        """Checks an arrival and returns the head of its answer."""
+        now = clock.now()
+        self.arrivals.append(Arrival(now, host))
+        self._check(host, now)
+        headers = httputil.HTTPHeaders()
+        if self.is_draining:
+            headers[_NAMES.draining] = "1"
+            self._drain_announced_at.setdefault(host, now)
+        if now >= self.refuses_until:
+            return exchange_lib.Head(200, headers)
+        seconds = self._random.choice(
+            [self.refusal_seconds, self.refusal_seconds / 4, 0.0]
+        )
+        headers[_NAMES.not_run] = "refused"
+        headers[_NAMES.retry_after] = f"{seconds:g}"
+        self.backoffs.setdefault(host, []).append(
+            Backoff(start=now, end=now + seconds)
+        )
+        return exchange_lib.Head(503, headers)
+
+    def _check(self, host: str, now: float) -> None:
+        announced_at = self._drain_announced_at.get(host, now)
+        if now > announced_at + DRAIN_SECONDS:
+            self._record_violation(now, host, "drain")
+        for backoff in self.backoffs.get(host, ()):
+            if backoff.start + REACTION_SECONDS < now < backoff.end:
+                backoff.arrivals += 1
+                if backoff.arrivals > MAX_REQUESTS_IN_BACKOFF:
+                    self._record_violation(now, host, "backoff")
+
+    def _record_violation(self, now: float, host: str, kind: str) -> None:
+        self.violations.append(Violation(now, host, self.name, kind))
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1000)
+
+
+class Network(Protocol):
+    """What a connection needs to know; implemented by `site.Host`."""
+
+    name: str
+    random_source: random.Random
+    max_delay_seconds: float
+
+    def target_at(self, address: str) -> Target:
+        """Returns the target with an address."""
+
+
+class Exchange:
+    """Replaces `exchange.Exchange`; its pool is the host's network."""
+
+    def __init__(self, *, pool: Network, url: str) -> None:
+        self.sent = False
+        self._network = pool
+        self._target = pool.target_at(url.split("/")[2])
+        self._process = self._target.registration.started_at_ms
+        self._request = ""
+
+    async def connect(self, *, seconds: float) -> None:
+        """Waits as for a connection."""
+        delay = self._network.random_source.choice(_CONNECT_SECONDS)
+        await asyncio.sleep(min(seconds, delay))
+
+    def send(
+        self, method: str, path: str, headers: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Sends the request; it arrives after the delay of the link."""
+        self.sent = True
+        self._request = headers[_NAMES.request]
+
+    async def head(self, *, seconds: float) -> exchange_lib.Head:
+        """Returns the head of the answer.
+
+        Raises:
+            ExchangeError: The target restarted meanwhile.
+        """
+        await self._cross_link()
+        if self._process != self._target.registration.started_at_ms:
+            raise exchange_lib.ExchangeError("connection reset", sent=True)
+        head = self._target.receive(self._network.name)
+        head.headers[_NAMES.request] = self._request
+        if head.status == 200:
+            await asyncio.sleep(
+                self._network.random_source.uniform(
+                    MIN_RUN_SECONDS, _MAX_RUN_SECONDS
+                )
+            )
+        await self._cross_link()
+        return head
+
+    async def _cross_link(self) -> None:
+        await asyncio.sleep(
+            self._network.random_source.uniform(
+                0.0, self._network.max_delay_seconds
+            )
+        )
+
+    async def chunks(self, *, silence: float) -> AsyncIterator[bytes]:
+        """Yields the body."""
+        yield b"ok"
+
+    def close(self) -> None:
+        """Does nothing."""
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -10,10 +10,10 @@
 from endivestream.request import cold_targets
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
+from soak import virtual_time
 
 from tests import test_limited_hosts
 from tests import test_target_selection
-from tests import virtual_time
 
 COLD_RATE = 13.0
 COLD_SECONDS = 3.0
--- a/tests/test_configuration_freshness.py
+++ b/tests/test_configuration_freshness.py
@@ -6,8 +6,7 @@
 from endivestream import clock
 from endivestream import site_messages
 from endivestream.process import configuration_freshness as freshness_lib
-
-from tests import virtual_time
+from soak import virtual_time
 
 ROUND_TRIP_SECONDS = 0.002
 
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -4,9 +4,9 @@
 import unittest
 
 from endivestream import clock
+from soak import virtual_time
 
 from tests import leader_site
-from tests import virtual_time
 
 HOSTS = 69
 TARGETS = 34
--- a/tests/test_limited_hosts.py
+++ b/tests/test_limited_hosts.py
@@ -16,9 +16,9 @@
 from endivestream.process import entry_rate_limits
 from endivestream.process import site_leader
 from endivestream.request import rate_limits as rate_limits_lib
+from soak import virtual_time
 
 from tests import leader_site
-from tests import virtual_time
 
 NETWORK_DELAY_SECONDS = 0.001
 TARGET_ANSWER_SECONDS = 0.05
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,10 +9,9 @@
 
 from endivestream import messages
 from endivestream.connection import links
+from soak import virtual_time
 import zmq
 
-from tests import virtual_time
-
 _SILENCE = 0.9
 
 
--- a/tests/test_table_updates.py
+++ b/tests/test_table_updates.py
@@ -11,10 +11,10 @@
 from endivestream.request import names as names_lib
 import hypothesis
 from hypothesis import strategies as st
+from soak import virtual_time
 
 from tests import leader_site
 from tests import test_document
-from tests import virtual_time
 
 NAMES = ("t0", "t1", "t2")
 ENTRY = leader_site.SETTINGS._replace(name="e0", callers="127.0.0.1:0")
--- a/tests/test_unserved_models.py
+++ b/tests/test_unserved_models.py
@@ -7,9 +7,9 @@
 from endivestream.version import plan as plan_lib
 import hypothesis
 from hypothesis import strategies as st
+from soak import virtual_time
 
 from tests import placement_site
-from tests import virtual_time
 
 # A load from the store, the runs that delay an unload, and the time for orders
 # and reports.
