Attribute a refusal to the process that sent it

A target that restarts and refuses before the table shows its new process got a third request in the time that it had named. Cause: a backoff is kept for the process that the request was sent to, by the table; it ended with the update that showed the new one. Change: what was received since the new process started, by its own report and the wall clock of this host, is kept for it. An announced drain of the process before is not. Left: a wall clock that is behind by more than the time between start and update loses such a refusal.

--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/site.py
@@ -220,7 +220,7 @@
         targets = [
             site_messages.Target(registration=each) for each in registrations
         ]
-        self._view.set_targets(targets, [], clock.now())
+        self._view.set_targets(targets, [], clock.now(), clock.now())
         self._signal_change()
 
     def _signal_change(self) -> None:
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -461,7 +461,7 @@
                 self._unlisted_since.pop(name, None)
         for target in news.targets:
             self._unlisted_since.pop(target.registration.name, None)
-        self._view.set_targets(news.targets, removed, clock.now())
+        self._view.set_targets(news.targets, removed, clock.now(), time.time())
         self._limits.remove_stale(self._view.targets.keys(), clock.now())
         if news.entries is not None:
             self._entry_hosts = news.entries
--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -66,7 +66,8 @@
         window: Number of requests without an answer that it may have after the
             backoff; None if it has accepted enough since.
         is_resumed: Whether it was sent a request after the backoff.
-        draining: Whether it is about to stop.
+        draining_since: When it first announced that it is about to stop; None
+            if it has not.
     """
 
     started_at_ms: int
@@ -74,7 +75,7 @@
     backoff_until: float = -math.inf
     window: int | None = None
     is_resumed: bool = False
-    draining: bool = False
+    draining_since: float | None = None
 
 
 class TargetAnnouncements:
@@ -140,12 +141,35 @@
     ) -> bool:
         """Records that a target is about to stop; returns whether it is new."""
         announcement = self._update(registration, now)
-        if announcement is None or announcement.draining:
+        if announcement is None or announcement.draining_since is not None:
             return False
-        announcement.draining = True
+        announcement.draining_since = now
         self._events["draining"] += 1
         return True
 
+    def record_restart(
+        self, registration: registry_lib.Registration, started_at: float
+    ) -> None:
+        """Records that a target has a new process.
+
+        What this host received since the process started is from that process,
+        although the requests were sent to the one before.
+
+        Args:
+            registration: The new process.
+            started_at: When it started.
+        """
+        announcement = self._by_target.get(registration.name)
+        if (
+            announcement is not None
+            and announcement.started_at_ms < registration.started_at_ms
+            and announcement.received_at >= started_at
+        ):
+            announcement.started_at_ms = registration.started_at_ms
+            drained_at = announcement.draining_since
+            if drained_at is not None and drained_at < started_at:
+                announcement.draining_since = None
+
     def record_accepted(
         self, registration: registry_lib.Registration, sent_at: float
     ) -> bool:
@@ -211,7 +235,9 @@
     def is_draining(self, registration: registry_lib.Registration) -> bool:
         """Returns whether a target announced that it is about to stop."""
         announcement = self._find(registration)
-        return announcement is not None and announcement.draining
+        return (
+            announcement is not None and announcement.draining_since is not None
+        )
 
     def remove_stale(self, targets: Collection[str], now: float) -> None:
         """Removes announcements of targets that left the table long ago.
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -170,6 +170,7 @@
         changed: Collection[site_messages.Target],
         removed: Collection[str],
         now: float = 0.0,
+        wall_seconds: float = 0.0,
     ) -> None:
         """Applies a table update of the leader.
 
@@ -177,6 +178,7 @@
             changed: Targets that are new or have changed.
             removed: Names of targets that were removed.
             now: Current time; remaining load times of models count from it.
+            wall_seconds: Seconds since 1970, for the ages of processes.
         """
         for target in changed:
             name = target.registration.name
@@ -193,6 +195,11 @@
             if restarted or name not in self._states:
                 previous = self._states.get(name, target_state.TargetState())
                 self._states[name] = previous.restarted()
+                started_at_ms = target.registration.started_at_ms
+                age = wall_seconds - started_at_ms / 1000
+                self._announcements.record_restart(
+                    target.registration, now - age
+                )
             if current != target:
                 self._states[name].denied_names.clear()
             self._targets[name] = target
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,39 @@
+"""Tests of entry hosts before targets that refuse, drain and restart."""
+
+import itertools
+import unittest
+
+from soak import site as site_lib
+from soak import target as target_lib
+
+
+class SoakTest(unittest.TestCase):
+    def test_targets_get_no_requests_that_they_declined(self):
+        """Guards against requests during backoffs and after drains."""
+        for seed in range(18):
+            site = site_lib.run(site_lib.draw_scenario(seed))
+            self.assertEqual([], site.violations, f"seed {seed}")
+            statuses = {call.status for call in site.calls}
+            self.assertIn(200, statuses, f"seed {seed}")
+
+    def test_a_target_is_not_flooded_after_its_backoff(self):
+        """Guards against all waiting requests at the end of a backoff."""
+        scenario = site_lib.Scenario(
+            seed=1,
+            hosts=8,
+            targets=1,
+            request_rate=20.0,
+            seconds=8.0,
+            refused_seconds=1.0,
+        )
+        [target] = site_lib.run(scenario).targets
+        self.assertEqual(scenario.hosts, len(target.backoffs))
+        for host, backoffs in target.backoffs.items():
+            end = max(backoff.end for backoff in backoffs)
+            later = (
+                arrival.at
+                for arrival in target.arrivals
+                if arrival.host == host and arrival.at >= end
+            )
+            first, second = itertools.islice(later, 2)
+            self.assertGreater(second - first, target_lib.MIN_RUN_SECONDS)
--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -1,12 +1,14 @@
 """Tests of what targets announce in their answers about later requests."""
 
 import asyncio
+import unittest
 from unittest import mock
 
 from endivestream import clock
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import target_announcements
 
 from tests import standin
 from tests import test_forward
@@ -113,3 +115,69 @@
         self.assertEqual((await self._ask()).status, 200)
         self.assertEqual((await self._ask()).status, 503)
         self.assertEqual(len(target.requests), 1)
+
+
+def process(born):
+    return registry_lib.Registration(
+        name="t1", service="s", address="t1", domain="a", started_at_ms=born
+    )
+
+
+class TargetAnnouncementsTest(unittest.TestCase):
+    def setUp(self):
+        self.announcements = target_announcements.TargetAnnouncements()
+
+    def test_only_finite_seconds_are_read(self):
+        """Guards against targets lost for a value that is no duration."""
+        for texts, seconds in (
+            (["3"], 3.0),
+            (["0.25"], 0.25),
+            (["0"], 0.0),
+            (["1e9"], 1e9),
+            (["2", "5"], 5.0),
+            (["soon", "2"], 2.0),
+            (["-1"], None),
+            (["nan"], None),
+            (["inf"], None),
+            ([""], None),
+            (["Thu, 03 Dec 2026 18:39:26 GMT"], None),
+            (["9" * 33], None),
+        ):
+            self.assertEqual(
+                target_announcements.parse_seconds(texts), seconds, texts
+            )
+
+    def test_a_shorter_backoff_does_not_end_a_longer_one(self):
+        """Guards against answers that arrive late or name less time."""
+        self.announcements.record_backoff(process(1), 5.0, 0.0)
+        self.announcements.record_backoff(process(1), 1.0, 1.0)
+        self.announcements.record_backoff(process(1), 0.0, 2.0)
+        self.assertIsNotNone(self.announcements.backoff_until(process(1), 4.9))
+
+    def test_announcements_are_of_one_process(self):
+        """Guards against answers that bind another process of the target."""
+        self.announcements.record_backoff(process(2), 5.0, 0.0)
+        self.announcements.record_draining(process(2), 0.0)
+        for other in (process(1), process(3)):
+            self.assertIsNone(self.announcements.backoff_until(other, 1.0))
+            self.assertFalse(self.announcements.is_draining(other))
+        self.announcements.record_backoff(process(1), 50.0, 1.0)
+        self.assertIsNone(self.announcements.backoff_until(process(2), 6.0))
+
+    def test_announcements_outlast_a_gap_in_the_table(self):
+        """Guards against a target that is used after a moment's absence."""
+        self.announcements.record_draining(process(1), 0.0)
+        self.announcements.remove_stale((), 59.0)
+        self.assertTrue(self.announcements.is_draining(process(1)))
+        self.announcements.remove_stale((), 61.0)
+        self.assertFalse(self.announcements.is_draining(process(1)))
+
+    def test_answers_since_a_restart_are_of_the_new_process(self):
+        """Guards against requests to a target that refused while it started."""
+        self.announcements.record_draining(process(1), 1.0)
+        self.announcements.record_backoff(process(1), 5.0, 3.0)
+        self.announcements.record_restart(process(2), 2.0)
+        self.assertIsNotNone(self.announcements.backoff_until(process(2), 4.0))
+        self.assertFalse(self.announcements.is_draining(process(2)))
+        self.announcements.record_restart(process(3), 3.5)
+        self.assertIsNone(self.announcements.backoff_until(process(3), 4.0))
