Failing test: a target that refuses everything attracts requests

Cause: a refusal without Retry-After is forgotten after 20 ms; nothing runs at such a target, so it has the lowest load of all.

--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/site.py
@@ -67,8 +67,10 @@
         request_rate: Requests a second that arrive at each host.
         seconds: Duration.
         max_delay_seconds: Longest delay of a message to or from a target.
-        refused_seconds: Time for which all targets refuse at the start, and
+        refused_seconds: Time for which targets refuse at the start, and
             nothing else happens; None for disturbances drawn from the seed.
+        refusing_targets: Number of targets that refuse then; all if None.
+        refusal_seconds: Longest Retry-After of these; None for none.
     """
 
     seed: int
@@ -78,6 +80,8 @@
     seconds: float
     max_delay_seconds: float = 0.005
     refused_seconds: float | None = None
+    refusing_targets: int | None = None
+    refusal_seconds: float | None = 3.0
 
 
 class Call:
@@ -287,12 +291,14 @@
         if self._scenario.refused_seconds is None:
             self._start_task(self._disturb())
         else:
-            for target in self.targets:
-                target.refuses_until = (
-                    clock.now() + self._scenario.refused_seconds
-                )
+            self._start_refusals(clock.now() + self._scenario.refused_seconds)
         await asyncio.sleep(self._scenario.seconds)
 
+    def _start_refusals(self, until: float) -> None:
+        for target in self.targets[: self._scenario.refusing_targets]:
+            target.refuses_until = until
+            target.refusal_seconds = self._scenario.refusal_seconds
+
     async def close(self) -> None:
         """Ends all requests."""
         for task in list(self._tasks):
@@ -325,7 +331,7 @@
             match self._random.choice(["refuse", "refuse", "drain", "restart"]):
                 case "refuse":
                     target.refusal_seconds = self._random.choice(
-                        [0.8, 3.0, 6.0]
+                        [None, 0.8, 3.0, 6.0]
                     )
                     target.refuses_until = clock.now() + self._random.uniform(
                         0.5, 9.0
--- a/benchmarks/soak/target.py
+++ b/benchmarks/soak/target.py
@@ -66,7 +66,8 @@
     Attributes:
         name: Id of the target.
         refuses_until: Time until which it refuses everything.
-        refusal_seconds: Longest Retry-After that it names.
+        refusal_seconds: Longest Retry-After that it names; None if its
+            refusals name none.
         is_draining: Whether its answers announce a drain.
         arrivals: All requests that reached it.
         violations: Those that should not have.
@@ -76,7 +77,7 @@
     def __init__(self, *, name: str, random_source: random.Random) -> None:
         self.name = name
         self.refuses_until = float("-inf")
-        self.refusal_seconds = 3.0
+        self.refusal_seconds: float | None = 3.0
         self.is_draining = False
         self.arrivals: list[Arrival] = []
         self.violations: list[Violation] = []
@@ -117,10 +118,12 @@
             self._drain_announced_at.setdefault(host, now)
         if now >= self.refuses_until:
             return exchange_lib.Head(200, headers)
+        headers[_NAMES.not_run] = "refused"
+        if self.refusal_seconds is None:
+            return exchange_lib.Head(503, headers)
         seconds = self._random.choice(
             [self.refusal_seconds, self.refusal_seconds / 4, 0.0]
         )
-        headers[_NAMES.not_run] = "refused"
         headers[_NAMES.retry_after] = f"{seconds:g}"
         self.backoffs.setdefault(host, []).append(
             Backoff(start=now, end=now + seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,3 +37,24 @@
             )
             first, second = itertools.islice(later, 2)
             self.assertGreater(second - first, target_lib.MIN_RUN_SECONDS)
+
+    def test_a_refusing_target_attracts_no_requests(self):
+        """Guards against requests to the one target that refuses them all.
+
+        Nothing runs there, so it has the lowest load of all.
+        """
+        scenario = site_lib.Scenario(
+            seed=2,
+            hosts=4,
+            targets=3,
+            request_rate=20.0,
+            seconds=10.0,
+            refused_seconds=10.0,
+            refusing_targets=1,
+            refusal_seconds=None,
+        )
+        site = site_lib.run(scenario)
+        arrivals = len(site.targets[0].arrivals)
+        self.assertLess(arrivals, len(site.calls) / 10)
+        served = sum(call.status == 200 for call in site.calls)
+        self.assertGreater(served, 0.9 * len(site.calls))
