Keep Retry-After of targets behind the product's own interface

What callers saw: requests sent to an engine or service that had refused with 503 and Retry-After, through /v1. Change: the completion of an attempt carries the seconds, the scheduler grants no slot on that target until their end, and a request whose targets all decline for longer than it can wait is refused at once as target_backoff with the time. A restart ends it.

--- a/benchmarks/standins/engine.py
+++ b/benchmarks/standins/engine.py
@@ -58,6 +58,8 @@
             but without its final marker; 0 for never.
         wrong_attempt: Whether to respond with the id and tokens of another
             attempt.
+        retry_after: Retry-After with which all requests are refused; empty for
+            no refusals.
     """
 
     step_seconds: float = 0.01
@@ -73,6 +75,7 @@
     stall_after: int = 0
     end_after: int = 0
     wrong_attempt: bool = False
+    retry_after: str = ""
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -271,6 +274,11 @@
                 "uri": self.request.uri,
             }
         )
+        if self.engine.options.retry_after:
+            self.set_status(503)
+            self.set_header("Retry-After", self.engine.options.retry_after)
+            self.write({"error": {"message": "refused"}})
+            return
         if self.engine.draining:
             self.set_status(503)
             self.write({"error": {"message": "draining"}})
--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -190,6 +190,8 @@
         failed: Whether the attempt failed on the target.
         answered: Whether the target answered the attempt. Neither `failed` nor
             `answered` is set if it never ran or its caller disconnected.
+        backoff_seconds: Seconds for which the target accepts no requests, by
+            its own answer to this attempt; 0 if it named none.
     """
 
     request: str
@@ -197,6 +199,7 @@
     used: int
     failed: bool = False
     answered: bool = False
+    backoff_seconds: float = 0.0
 
 
 class Endings(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -176,6 +176,13 @@
         answer = self._scheduler.request_slot(slot_request, now=now)
         if isinstance(answer, scheduler_lib.NoTarget):
             return _no_target_refusal(message.needs)
+        if isinstance(answer, scheduler_lib.AllBackOff):
+            return messages.Refused(
+                reason="target_backoff",
+                detail=f"all targets of {message.needs!r} accept no requests "
+                f"for {answer.seconds:.1f} s",
+                retry_after=answer.seconds,
+            )
         if isinstance(answer, scheduler_lib.Queued):
             grant = await self._wait_for_grant(message)
             if grant is None:
@@ -266,6 +273,17 @@
             )
             if ejected_target:
                 logs.warn("target_ejected", target=ejected_target)
+        if completion.backoff_seconds > 0:
+            logs.event(
+                "target_backoff",
+                request=completion.request,
+                target=self._scheduler.record_backoff(
+                    completion.request,
+                    seconds=completion.backoff_seconds,
+                    now=now,
+                ),
+                seconds=completion.backoff_seconds,
+            )
         self._scheduler.release(completion.request, tokens=completion.used)
         self._grant_ready(now)
 
--- a/packages/endivestream/src/endivestream/request/attempts.py
+++ b/packages/endivestream/src/endivestream/request/attempts.py
@@ -14,8 +14,10 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream import messages
+from endivestream.connection import exchange as exchange_lib
 from endivestream.process import gateway as gateway_lib
 from endivestream.request import retries
+from endivestream.request import target_announcements
 
 
 class AttemptWork(NamedTuple):
@@ -63,6 +65,7 @@
         self._attempt_number = 0
         self._failed_targets: list[str] = []
         self._target = ""
+        self._backoff_seconds = 0.0
         budget.count_request()
 
     @property
@@ -118,6 +121,21 @@
         self._target = answer.target
         return answer
 
+    def record_answer(self, head: exchange_lib.Head) -> None:
+        """Records what an answer says about later requests to its target."""
+        texts = head.headers.get_list("Retry-After")
+        if head.status != 503 or not texts:
+            return
+        seconds = target_announcements.parse_seconds(texts)
+        if seconds is None:
+            logs.warn(
+                "retry_after_unreadable",
+                request=self._work.request,
+                target=self._target,
+                text=",".join(texts)[:64],
+            )
+        self._backoff_seconds = seconds or 0.0
+
     def release_ticket(
         self, *, used: int, failed: bool = False, answered: bool = False
     ) -> None:
@@ -129,8 +147,10 @@
                 used=used,
                 failed=failed,
                 answered=answered,
+                backoff_seconds=self._backoff_seconds,
             )
         )
+        self._backoff_seconds = 0.0
 
     async def may_retry(self, cause: str, *, sent: bool) -> bool:
         """Returns whether to try another target, after the backoff if so."""
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -241,6 +241,7 @@
         ticket: messages.Ticket,
     ) -> Finished | _AttemptFailed | _Rejected:
         head = await exchange.head(seconds=self._requests.first_byte_seconds)
+        self._attempts.record_answer(head)
         if head.status != 200:
             return await self._read_error(exchange, head.status)
         splitter = sse.Splitter()
--- a/packages/endivestream/src/endivestream/request/scheduler.py
+++ b/packages/endivestream/src/endivestream/request/scheduler.py
@@ -90,6 +90,17 @@
     """The request waits for a free slot."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AllBackOff:
+    """All targets accept nothing until after the request's deadline.
+
+    Attributes:
+        seconds: Seconds until the first of them accepts requests again.
+    """
+
+    seconds: float
+
+
 class _QueuedRequest(NamedTuple):
     slot_request: SlotRequest
     since: float
@@ -118,6 +129,7 @@
         self._queued_requests: set[str] = set()
         self._prefixes = prefixes.Prefixes()
         self._outliers = outliers.Outliers()
+        self._backoff_until: dict[str, float] = {}
         self._virtual_token_floor = 0.0
 
     @property
@@ -165,7 +177,7 @@
 
     def request_slot(
         self, slot_request: SlotRequest, *, now: float
-    ) -> Grant | Queued | NoTarget:
+    ) -> Grant | Queued | NoTarget | AllBackOff:
         """Requests a slot; queued ones are granted by `grant_free_slots`.
 
         Idempotent: a request that is sent again, as after a lost connection,
@@ -180,6 +192,9 @@
             return Queued()
         if not self.serves(slot_request.needs, slot_request.avoid):
             return NoTarget()
+        accepted_at = self._accepted_at(slot_request)
+        if accepted_at > max(now, slot_request.deadline):
+            return AllBackOff(seconds=accepted_at - now)
         team = self._activate_team(slot_request.team)
         if not team.queues.get(slot_request.needs):
             target = self._best_target(slot_request, now)
@@ -190,6 +205,15 @@
         self._queued_requests.add(slot_request.request)
         return Queued()
 
+    def _accepted_at(self, slot_request: SlotRequest) -> float:
+        """Returns when the first target's backoff ends, or has ended."""
+        return min(
+            self._backoff_until.get(target.name, float("-inf"))
+            for target in self._targets.values()
+            if slot_request.needs in target.serves
+            and target.name not in slot_request.avoid
+        )
+
     def _activate_team(self, name: str) -> _TeamQueues:
         team = self._teams.setdefault(name, _TeamQueues())
         if not team.active:
@@ -217,6 +241,7 @@
             if slot_request.needs in target.serves
             and target.name not in slot_request.avoid
             and self.slots_in_use(target.name) < target.slots
+            and self._backoff_until.get(target.name, now) <= now
         ]
         # If all targets are ejected, an ejected one is used.
         healthy = [
@@ -336,9 +361,10 @@
         return expired
 
     def clear_history(self, target: str) -> None:
-        """Discards cache hints and failures of a target that restarted."""
+        """Discards what was known of a target before its restart."""
         self._prefixes.forget(target)
         self._outliers.forget(target)
+        self._backoff_until.pop(target, None)
 
     def record_outcome(self, request: str, *, failed: bool, now: float) -> str:
         """Records the outcome of a granted request, before its release.
@@ -353,6 +379,25 @@
             return target
         return ""
 
+    def record_backoff(
+        self, request: str, *, seconds: float, now: float
+    ) -> str:
+        """Records that the target of a granted request accepts nothing.
+
+        Args:
+            request: Id from the `SlotRequest`.
+            seconds: Seconds from now; never shortens an earlier backoff.
+            now: Current time.
+
+        Returns:
+            The target, or an empty string if the request holds no slot.
+        """
+        target = self._granted_targets.get(request, "")
+        if target:
+            until = self._backoff_until.get(target, now)
+            self._backoff_until[target] = max(until, now + seconds)
+        return target
+
     def release(self, request: str, *, tokens: int | None = None) -> None:
         """Frees a slot, or removes the request from the queue. Idempotent.
 
--- a/packages/endivestream/src/endivestream/request/service_calls.py
+++ b/packages/endivestream/src/endivestream/request/service_calls.py
@@ -262,6 +262,7 @@
             )
             seconds = self._requests.service_seconds
             head = await exchange.head(seconds=seconds)
+            self._attempts.record_answer(head)
             body = bytearray()
             async for chunk in exchange.chunks(silence=seconds):
                 body += chunk
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -149,6 +149,19 @@
         self.assertEqual(reply.error["outcome"], "not_run")
         self.assertIn("Retry-After", reply.headers)
 
+    async def test_no_request_before_the_retry_after_of_an_engine(self):
+        """Guards against requests to an engine that asked hosts to wait."""
+        options = engine_lib.Options(retry_after="3600")
+        engine = await self.add_engine("e1", options=options)
+        await (await self.chat()).reply()
+        scheduler = self.control.control.leader_role.dispatcher._scheduler
+        await site.until(lambda: scheduler._backoff_until)
+        reply = await (await self.chat()).reply()
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(reply.error["code"], "target_backoff")
+        self.assertGreater(int(reply.headers["Retry-After"]), 3000)
+        self.assertEqual(len(engine.seen), 1)
+
     async def test_withdrawn_key_ends_its_stream(self):
         """Guards against streams that continue after their key is withdrawn.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -69,6 +69,28 @@
         answer = self.scheduler.request_slot(_ask("1", avoid=("t1",)), now=0)
         self.assertIsInstance(answer, scheduler_lib.NoTarget)
 
+    def test_a_target_that_accepts_nothing_gets_no_grants(self):
+        """Guards against grants on a target that asked hosts to wait."""
+        self.scheduler.request_slot(_ask("1"), now=0.0)
+        self.scheduler.record_backoff("1", seconds=5.0, now=1.0)
+        self.scheduler.record_backoff("1", seconds=1.0, now=1.0)
+        self.scheduler.release("1")
+        queued = self.scheduler.request_slot(_ask("2"), now=1.0)
+        self.assertIsInstance(queued, scheduler_lib.Queued)
+        self.assertEqual(self.scheduler.grant_free_slots(5.9), [])
+        self.assertEqual(len(self.scheduler.grant_free_slots(6.0)), 1)
+
+    def test_a_request_that_all_targets_decline_is_refused_at_once(self):
+        """Guards against requests that wait for targets beyond their time."""
+        self.scheduler.request_slot(_ask("1"), now=0.0)
+        self.scheduler.record_backoff("1", seconds=200.0, now=1.0)
+        self.scheduler.release("1")
+        answer = self.scheduler.request_slot(_ask("2"), now=11.0)
+        self.assertEqual(answer, scheduler_lib.AllBackOff(seconds=190.0))
+        self.scheduler.clear_history("t1")
+        grant = self.scheduler.request_slot(_ask("3"), now=11.0)
+        self.assertEqual(grant.target, "t1")
+
     def test_release_is_idempotent_and_removes_queued_requests(self):
         self.scheduler.request_slot(_ask("1"), now=0)
         self.scheduler.request_slot(_ask("2"), now=0)
