--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -116,6 +116,16 @@
         self.assertEqual((await self._ask()).status, 503)
         self.assertEqual(len(target.requests), 1)
 
+    async def test_a_connection_that_its_target_closes_is_not_reused(self):
+        """Guards against requests lost on a connection about to be closed."""
+        for header in ({"Connection": "close"}, {"Keep_Alive": "timeout=0"}):
+            self._route(test_forward.ONCE)
+            answer = standin.answer(**header)
+            target = await self._start_target(standin.says(answer), name="t1")
+            for _ in range(3):
+                self.assertEqual((await self._ask()).status, 200)
+            self.assertEqual(target.connections, 3, header)
+
 
 def process(born):
     return registry_lib.Registration(
