Soak of real processes

Change: python -m soak.processes starts control and entry hosts as processes on loopback, targets that refuse, drain and restart, and callers; it draws SIGTERM, SIGKILL, SIGSTOP, SIGHUP, configurations and faults of targets from a seed, and reports requests against a Retry-After or a drain, requests that ran twice or ran although refused, and answers that were lost without a kill. The modules of the virtual-time soak are renamed.

--- a/benchmarks/soak/__init__.py
+++ b/benchmarks/soak/__init__.py
@@ -1,5 +1,6 @@
-"""Entry hosts before targets that refuse, drain and restart, in virtual time.
+"""Faults in overlapping series, which follow from a seed.
 
-Requests run through the product's own forwarder; callers, connections and
-targets are simulated. All draws follow from a seed.
+`python -m soak` runs the product's forwarder before simulated targets in
+virtual time (`simulated_site`, `simulated_target`); `python -m soak.processes`
+runs real processes (`processes`, `targets`, `callers`).
 """
--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -13,7 +13,7 @@
 
 from loguru import logger
 
-from soak import site
+from soak import simulated_site
 
 
 def main() -> int:
@@ -25,7 +25,7 @@
     logger.remove()
     violation_count = 0
     for seed in range(options.first, options.first + options.count):
-        result = site.run(site.draw_scenario(seed))
+        result = simulated_site.run(simulated_site.draw_scenario(seed))
         statuses = collections.Counter(call.status for call in result.calls)
         print(
             f"seed={seed} calls={len(result.calls)}",
--- /dev/null
+++ b/benchmarks/soak/processes.py
@@ -0,0 +1,401 @@
+"""Faults from outside on real processes: `python -m soak.processes`.
+
+Starts the platform's programs as processes on loopback addresses, stand-in
+targets, and callers that keep their connections. Signals, restarts, changes of
+the configuration and faults of targets come in overlapping series that follow
+from the seed. Reported are requests against a target's Retry-After or drain,
+requests that ran twice or ran although they were refused, and requests that
+reached a target and whose connection ended without an answer.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+from collections.abc import Coroutine
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+
+from soak import callers
+from soak import targets
+
+_ROOT = pathlib.Path(__file__).parent.parent.parent
+_GRACE_SECONDS = 3.0
+_START_SECONDS = 30.0
+_MAX_PAUSE_SECONDS = 1.5
+_CONTROL_PORT, _FRONT_PORT, _READY_PORT = 8080, 8000, 8001
+_INTERNAL_PORT = 7100
+_ROUTES = {"once": "non_idempotent", "again": "idempotent"}
+
+
+class Process:
+    """One of the platform's programs.
+
+    Attributes:
+        name: Name of the host.
+        ip: Loopback address of the host.
+        role: `control` or `edge`.
+        killed_at: Times of its SIGKILLs.
+        disturbed_until: Time until which its duties towards targets are
+            excused, because it was paused or started.
+    """
+
+    def __init__(
+        self, *, name: str, ip: str, role: str, settings: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.ip = ip
+        self.role = role
+        self.killed_at: list[float] = []
+        self.disturbed_until = float("-inf")
+        self._settings = settings
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process, or starts it again."""
+        paths = (
+            _ROOT / "platform",
+            _ROOT / "packages" / "endivestream" / "src",
+        )
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(_ROOT / "platform" / "main.py"),
+            self.role,
+            env=os.environ
+            | {
+                "ENDIVESTREAM_CONFIG": str(self._settings),
+                "PYTHONPATH": os.pathsep.join(map(str, paths)),
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        self.disturbed_until = time.monotonic()
+
+    async def restart(self, signal_number: int) -> None:
+        """Ends the process by a signal and starts it again."""
+        if not self.is_running:
+            return
+        if signal_number == signal.SIGKILL:
+            self.killed_at.append(time.monotonic())
+        self.send(signal_number)
+        await self.wait()
+        await self.start()
+
+    async def pause(self, seconds: float) -> None:
+        """Suspends the process for some time."""
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.send(signal.SIGCONT)
+        self.disturbed_until = time.monotonic()
+
+    def send(self, signal_number: int) -> None:
+        """Sends a signal, if the process runs."""
+        if self._process is not None and self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(signal_number)
+
+    async def wait(self) -> None:
+        """Waits until the process has ended; kills it after twice its grace."""
+        assert self._process is not None
+        try:
+            async with asyncio.timeout(2 * _GRACE_SECONDS):
+                await self._process.wait()
+        except TimeoutError:
+            self.killed_at.append(time.monotonic())
+            self._process.kill()
+            await self._process.wait()
+
+    async def close(self) -> None:
+        """Kills the process."""
+        if self._process is not None and self.is_running:
+            self._process.kill()
+            await self._process.wait()
+
+
+class Soak:
+    """One run: processes, targets, callers and faults."""
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        controls: int,
+        entries: int,
+        folder: pathlib.Path,
+    ) -> None:
+        self._random = random.Random(seed)
+        # Runs side by side have networks of their own.
+        network = f"127.{20 + os.getpid() % 200}.{seed % 250}"
+        self._processes = [
+            self._process(
+                f"{network}.{number + 1}",
+                number,
+                "control" if number < controls else "edge",
+                [f"{network}.{n + 1}" for n in range(controls)],
+                folder,
+            )
+            for number in range(controls + entries)
+        ]
+        self._controls = self._processes[:controls]
+        self._entries = self._processes[controls:]
+        self._targets = [
+            targets.Target(
+                name=f"t{number}",
+                random_source=self._random,
+                controls=[f"{p.ip}:{_CONTROL_PORT}" for p in self._controls],
+                is_excused=self._is_excused,
+            )
+            for number in range(3)
+        ]
+        self._callers = [
+            callers.Caller(
+                host=process.name,
+                address=f"{process.ip}:{_FRONT_PORT}",
+                path=f"/{kind}/",
+                random_source=self._random,
+            )
+            for process in self._entries
+            for kind in (*_ROUTES, *_ROUTES)
+        ]
+        self._version = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _process(
+        self,
+        ip: str,
+        number: int,
+        role: str,
+        controls: list[str],
+        folder: pathlib.Path,
+    ) -> Process:
+        listen = {
+            "front": f"{ip}:{_FRONT_PORT}",
+            "ready": f"{ip}:{_READY_PORT}",
+        }
+        if role == "control":
+            listen = {"control": f"{ip}:{_CONTROL_PORT}"}
+        data = str(folder / f"data-{number}") if role == "control" else None
+        settings = {
+            "node": f"{role}-{number}",
+            "ip": ip,
+            "zone": "a",
+            "listen": listen,
+            "internalPorts": [_INTERNAL_PORT, _INTERNAL_PORT + 15],
+            "seeds": [f"{each}:{_CONTROL_PORT}" for each in controls],
+            "bootstrap": True,
+            "dataDir": data,
+            "faultTolerance": {"machines": (len(controls) - 1) // 2},
+            "bounds": {"graceS": _GRACE_SECONDS, "retrySlack": 1000},
+        }
+        file = folder / f"{role}-{number}.json"
+        file.write_text(json.dumps(settings))
+        return Process(name=f"{role}-{number}", ip=ip, role=role, settings=file)
+
+    def _is_excused(self, host: str, since: float) -> bool:
+        return any(
+            process.name == host and process.disturbed_until >= since
+            for process in self._entries
+        )
+
+    async def start(self) -> None:
+        """Starts everything and waits until all entry hosts are ready.
+
+        Raises:
+            TimeoutError: They are not ready in time.
+        """
+        await asyncio.gather(*(each.start() for each in self._processes))
+        for target in self._targets:
+            await target.start()
+        async with asyncio.timeout(_START_SECONDS):
+            while not await self._change_configuration():
+                await asyncio.sleep(0.1)
+            for process in self._entries:
+                while not await callers.is_ok(
+                    f"{process.ip}:{_READY_PORT}", "GET", "/readyz"
+                ):
+                    await asyncio.sleep(0.1)
+        for caller in self._callers:
+            caller.start()
+
+    async def run(self, seconds: float) -> None:
+        """Has faults for some time, and then time to recover."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self._random.uniform(0.05, 0.8))
+            self._start_task(self._draw_fault())
+        await asyncio.gather(*self._tasks)
+        for target in self._targets:
+            await target.restart()
+        await asyncio.sleep(_GRACE_SECONDS)
+
+    def _start_task(self, coroutine: Coroutine[object, object, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _draw_fault(self) -> None:
+        entry = self._random.choice(self._entries)
+        control = self._random.choice(self._controls)
+        target = self._random.choice(self._targets)
+        pause = self._random.uniform(0.1, _MAX_PAUSE_SECONDS)
+        match self._random.randrange(10):
+            case 0:
+                await entry.restart(signal.SIGTERM)
+            case 1:
+                await entry.restart(signal.SIGKILL)
+            case 2:
+                await entry.pause(pause)
+            case 3:
+                entry.send(signal.SIGHUP)
+            case 4:
+                await control.restart(signal.SIGKILL)
+            case 5:
+                await control.pause(pause)
+            case 6:
+                await self._change_configuration()
+            case 7:
+                target.refuse(self._random.uniform(0.5, 5.0))
+            case 8:
+                target.drain()
+            case 9:
+                await target.restart()
+
+    async def _change_configuration(self) -> bool:
+        self._version += 1
+        document = {
+            "version": self._version,
+            "routes": [
+                {
+                    "name": name,
+                    "host": callers.HOSTNAME,
+                    "pathPrefix": f"/{name}/",
+                    "routeKind": kind,
+                    "timeoutMs": 4000 + self._version,
+                    "objectiveMs": 400,
+                    "maxAttempts": 2,
+                    "service": targets.SERVICE,
+                    "anonymous": True,
+                }
+                for name, kind in _ROUTES.items()
+            ],
+            "services": [
+                {
+                    "name": targets.SERVICE,
+                    "healthPath": "/healthz",
+                    "maxConns": 500,
+                }
+            ],
+        }
+        control = self._random.choice(self._controls)
+        return await callers.is_ok(
+            f"{control.ip}:{_CONTROL_PORT}",
+            "PUT",
+            "/config",
+            json.dumps(document).encode(),
+        )
+
+    async def close(self) -> None:
+        """Ends callers, targets and processes."""
+        for caller in self._callers:
+            await caller.close()
+        for target in self._targets:
+            await target.close()
+        for process in self._processes:
+            await process.close()
+
+    def report(self) -> dict[str, object]:
+        """Returns counts of answers and all violations."""
+        runs = collections.Counter(
+            run for target in self._targets for run in target.runs
+        )
+        arrived = {run for target in self._targets for run in target.seen}
+        killed_at = {p.name: p.killed_at for p in self._entries}
+        violations = [v for t in self._targets for v in t.violations]
+        statuses: collections.Counter[int] = collections.Counter()
+        for caller in self._callers:
+            for call in caller.calls:
+                statuses[call.status] += 1
+                is_once = call.path == "/once/"
+                if is_once and runs[call.request] > 1:
+                    violations.append(f"ran twice: {call}")
+                if is_once and call.status in (429, 503) and runs[call.request]:
+                    violations.append(f"refused and ran: {call}")
+                was_killed = any(
+                    call.sent_at <= at <= call.ended_at
+                    for at in killed_at[caller.host]
+                )
+                if call.is_cut and call.request in arrived and not was_killed:
+                    violations.append(f"not answered: {call}")
+        last = [caller.calls[-1].status for caller in self._callers]
+        if not any(status == 200 for status in last):
+            violations.append(f"not recovered: last statuses {last}")
+        return {
+            "calls": sum(statuses.values()),
+            "statuses": dict(sorted(statuses.items())),
+            "processes": len(self._processes),
+            "violations": violations,
+        }
+
+
+async def run(
+    *, seed: int, seconds: float, controls: int, entries: int
+) -> dict[str, object]:
+    """Runs one seed and returns its report."""
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(
+            seed=seed,
+            controls=controls,
+            entries=entries,
+            folder=pathlib.Path(folder),
+        )
+        try:
+            await soak.start()
+            await soak.run(seconds)
+        finally:
+            await soak.close()
+        return soak.report()
+
+
+def main() -> int:
+    """Runs the seeds and returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--controls", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=3)
+    options = parser.parse_args()
+    violation_count = 0
+    for seed in range(options.first, options.first + options.seeds):
+        report = asyncio.run(
+            run(
+                seed=seed,
+                seconds=options.seconds,
+                controls=options.controls,
+                entries=options.entries,
+            )
+        )
+        violations = report.pop("violations")
+        print(f"seed={seed}", json.dumps(report), flush=True)
+        for violation in violations[:5]:
+            print(f"  {violation}", flush=True)
+        violation_count += len(violations)
+    print(f"{options.seeds} seeds, {violation_count} violations")
+    return 1 if violation_count else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/soak/site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -26,7 +26,7 @@
 from endivestream.version import document as document_lib
 from tornado import httputil
 
-from soak import target as target_lib
+from soak import simulated_target as target_lib
 from soak import virtual_time
 
 _TIMEOUT_SECONDS = 4.0
--- a/benchmarks/soak/target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -149,7 +149,7 @@
 
 
 class Network(Protocol):
-    """What a connection needs to know; implemented by `site.Host`."""
+    """What a connection needs to know; implemented by `simulated_site.Host`."""
 
     name: str
     random_source: random.Random
--- /dev/null
+++ b/benchmarks/soak/targets.py
@@ -0,0 +1,180 @@
+"""Stand-in targets that serve real connections and check what reaches them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+import json
+import random
+import time
+
+from soak import callers
+
+SERVICE = "desk"
+REACTION_SECONDS = 0.5
+MAX_REQUESTS_IN_BACKOFF = 2
+DRAIN_SECONDS = 2.0
+_HEARTBEAT_SECONDS = 0.3
+_RETRY_AFTER_SECONDS = (1.0, 2.0, 3.0)
+
+
+class Target:
+    """A target that refuses, drains and restarts.
+
+    Attributes:
+        seen: Ids of all requests that reached it.
+        runs: Ids of the requests that it ran, once for each run.
+        violations: Requests that should not have reached it.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        random_source: random.Random,
+        controls: list[str],
+        is_excused: Callable[[str, float], bool],
+    ) -> None:
+        self.seen: set[str] = set()
+        self.runs: list[str] = []
+        self.violations: list[str] = []
+        self._name = name
+        self._random = random_source
+        self._controls = controls
+        self._is_excused = is_excused
+        self._refuses_until = float("-inf")
+        self._is_draining = False
+        self._starts = 0
+        self._reports = 0
+        # By host: start, end and later arrivals of each refusal.
+        self._refusals: dict[str, list[list[float]]] = {}
+        self._drain_announced_at: dict[str, float] = {}
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._connections: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._heartbeat_task: asyncio.Task[None] | None = None
+        self._address = ""
+
+    async def start(self) -> None:
+        """Starts to serve and to send heartbeats."""
+        self._starts += 1
+        self._reports = 0
+        self._is_draining = False
+        self._refusals.clear()
+        self._drain_announced_at.clear()
+        self._born = int(time.time() * 1000)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self._address = f"{host}:{port}"
+        self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
+
+    async def restart(self) -> None:
+        """Ends like a crash and starts again under the same id."""
+        await self.close()
+        await self.start()
+
+    async def close(self) -> None:
+        """Closes all connections without an answer."""
+        if self._heartbeat_task is not None:
+            self._heartbeat_task.cancel()
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        if self._connections:
+            await asyncio.wait(set(self._connections))
+
+    def refuse(self, seconds: float) -> None:
+        """Refuses all requests for some time."""
+        self._refuses_until = time.monotonic() + seconds
+
+    def drain(self) -> None:
+        """Announces a drain in answers and heartbeats."""
+        self._is_draining = True
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            self._reports += 1
+            heartbeat = {
+                "service": SERVICE,
+                "address": self._address,
+                "zone": "a",
+                "slots": 50,
+                "state": "draining" if self._is_draining else "ready",
+                "seq": self._reports,
+                "born": self._born,
+            }
+            await callers.is_ok(
+                self._random.choice(self._controls),
+                "PUT",
+                f"/instances/{self._name}",
+                json.dumps(heartbeat).encode(),
+            )
+            await asyncio.sleep(_HEARTBEAT_SECONDS)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        self._writers.add(writer)
+        try:
+            while (message := await callers.read_message(reader)) is not None:
+                await self._answer(message, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._connections.discard(task)
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, message: callers.Message, writer: asyncio.StreamWriter
+    ) -> None:
+        request = message.headers.get("Attempt-Id", "")
+        host = message.headers.get(callers.HOST_HEADER, "")
+        expected = message.headers.get("Expect-Instance", self._name)
+        now = time.monotonic()
+        headers = {"Attempt-Id": request}
+        if expected != self._name:
+            await callers.write_answer(
+                writer, 421, headers | {"Not-Executed": "1"}
+            )
+            return
+        self.seen.add(request)
+        self._check(host, request, now)
+        if self._is_draining:
+            headers["Server-Leaving"] = "1"
+            self._drain_announced_at.setdefault(host, now)
+        if now < self._refuses_until:
+            seconds = self._random.choice(_RETRY_AFTER_SECONDS)
+            self._refusals.setdefault(host, []).append([now, now + seconds, 0])
+            headers |= {"Not-Executed": "1", "Retry-After": f"{seconds:g}"}
+            await callers.write_answer(writer, 503, headers)
+            return
+        self.runs.append(request)
+        await asyncio.sleep(self._random.uniform(0.005, 0.1))
+        with contextlib.suppress(OSError):
+            await callers.write_answer(writer, 200, headers)
+
+    def _check(self, host: str, request: str, now: float) -> None:
+        announced_at = self._drain_announced_at.get(host)
+        if (
+            announced_at is not None
+            and now > announced_at + DRAIN_SECONDS
+            and not self._is_excused(host, announced_at)
+        ):
+            self.violations.append(f"drain: {self._name} {host} {request}")
+        for refusal in self._refusals.get(host, ()):
+            start, end, _ = refusal
+            if start + REACTION_SECONDS < now < end and not self._is_excused(
+                host, start
+            ):
+                refusal[2] += 1
+                if refusal[2] > MAX_REQUESTS_IN_BACKOFF:
+                    self.violations.append(
+                        f"backoff: {self._name} {host} {request} "
+                        f"{now - start:.3f} s after {end - start:g} s"
+                    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,8 +3,8 @@
 import itertools
 import unittest
 
-from soak import site as site_lib
-from soak import target as target_lib
+from soak import simulated_site as site_lib
+from soak import simulated_target as target_lib
 
 
 class SoakTest(unittest.TestCase):
