--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := benchmarks
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench soak clean
 
 $(READY): constraints.txt packages/endivestream/pyproject.toml packages/endivestream-cli/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,9 @@
 bench: $(READY)
 	$(BIN)/python -m capacity --output benchmarks/results/latest.json
 
+soak: $(READY)
+	$(BIN)/python -m soak 0 50
+	$(BIN)/python -m soak.processes --seeds 50
+
 clean:
 	rm -rf $(VENV)
