--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -89,7 +89,7 @@
 
     Attributes:
         status: Status of the answer; 0 before it.
-        retry_at: When the caller may retry, if it was told.
+        retry_at: When the caller may retry; None without a Retry-After.
     """
 
     method, uri, path, body = "POST", "/x/", "/x/", b""
--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -88,7 +88,7 @@
 
     @property
     def registration(self) -> registry_lib.Registration:
-        """What the table of targets says of it."""
+        """Its entry in the table of targets."""
         return registry_lib.Registration(
             name=self.name,
             service="desk",
--- a/packages/endivestream/src/endivestream/request/answer_headers.py
+++ b/packages/endivestream/src/endivestream/request/answer_headers.py
@@ -1,4 +1,4 @@
-"""Headers of answers that say something about later requests to a target."""
+"""Headers of answers that apply to later requests to the same target."""
 
 from __future__ import annotations
 
--- a/packages/endivestream/src/endivestream/request/attempts.py
+++ b/packages/endivestream/src/endivestream/request/attempts.py
@@ -122,7 +122,7 @@
         return answer
 
     def record_answer(self, head: exchange_lib.Head) -> None:
-        """Records what an answer says about later requests to its target."""
+        """Records the Retry-After of a refusal, for the completion."""
         texts = head.headers.get_list("Retry-After")
         if head.status != 503 or not texts:
             return
--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -1,7 +1,8 @@
-"""What targets announce in their answers about later requests. Pure.
+"""Announcements in answers of targets that apply to later requests. Pure.
 
 A target that refuses a request may name the seconds for which it accepts
-nothing from this host; each answer of a target that is about to stop says so.
+nothing from this host; a target that is about to stop announces that in each
+answer.
 Both apply to one process of a target: a table update does not end them, a
 restart of the target does. Times are seconds.
 
@@ -56,7 +57,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Announcement:
-    """What one process of a target has announced.
+    """Announcements of one process of a target.
 
     Attributes:
         started_at_ms: Start time of the process, in milliseconds of the wall
