--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-import dataclasses
 import random
 from typing import NamedTuple
 from typing import Protocol
@@ -15,10 +14,8 @@
 from endivestream.request import names as names_lib
 from tornado import httputil
 
-# From this time after a refusal on, a host must keep to its Retry-After.
-REACTION_SECONDS = 0.5
-# Requests of one host that may still arrive between that time and the end.
-MAX_REQUESTS_IN_BACKOFF = 2
+from soak import promises
+
 # Time after its first announced drain from which a target gets no requests.
 DRAIN_SECONDS = 2.5
 SLOTS = 8
@@ -45,21 +42,6 @@
     kind: str
 
 
-@dataclasses.dataclass(kw_only=True)
-class Backoff:
-    """A refusal of one host that named a Retry-After.
-
-    Attributes:
-        start: Time of the answer.
-        end: Time until which the target accepts nothing from the host.
-        arrivals: Requests of the host since, once it must have reacted.
-    """
-
-    start: float
-    end: float
-    arrivals: int = 0
-
-
 class Target:
     """A target that refuses for some time, drains and restarts.
 
@@ -81,7 +63,7 @@
         self.is_draining = False
         self.arrivals: list[Arrival] = []
         self.violations: list[Violation] = []
-        self.backoffs: dict[str, list[Backoff]] = {}
+        self.backoffs: dict[str, list[promises.Backoff]] = {}
         self._started_at_ms = _milliseconds(clock.now())
         self._drain_announced_at: dict[str, float] = {}
         self._random = random_source
@@ -126,7 +108,7 @@
         )
         headers[_NAMES.retry_after] = f"{seconds:g}"
         self.backoffs.setdefault(host, []).append(
-            Backoff(start=now, end=now + seconds)
+            promises.Backoff(start=now, end=now + seconds)
         )
         return exchange_lib.Head(503, headers)
 
@@ -135,10 +117,8 @@
         if now > announced_at + DRAIN_SECONDS:
             self._record_violation(now, host, "drain")
         for backoff in self.backoffs.get(host, ()):
-            if backoff.start + REACTION_SECONDS < now < backoff.end:
-                backoff.arrivals += 1
-                if backoff.arrivals > MAX_REQUESTS_IN_BACKOFF:
-                    self._record_violation(now, host, "backoff")
+            if backoff.covers(now) and backoff.record_arrival():
+                self._record_violation(now, host, "backoff")
 
     def _record_violation(self, now: float, host: str, kind: str) -> None:
         self.violations.append(Violation(now, host, self.name, kind))
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -10,10 +10,9 @@
 import time
 
 from soak import callers
+from soak import promises
 
 SERVICE = "desk"
-REACTION_SECONDS = 0.5
-MAX_REQUESTS_IN_BACKOFF = 2
 DRAIN_SECONDS = 2.0
 _HEARTBEAT_SECONDS = 0.3
 _RETRY_AFTER_SECONDS = (1.0, 2.0, 3.0)
@@ -47,8 +46,7 @@
         self._is_draining = False
         self._starts = 0
         self._reports = 0
-        # By host: start, end and later arrivals of each refusal.
-        self._refusals: dict[str, list[list[float]]] = {}
+        self._backoffs: dict[str, list[promises.Backoff]] = {}
         self._drain_announced_at: dict[str, float] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._connections: set[asyncio.Task[None]] = set()
@@ -61,7 +59,7 @@
         self._starts += 1
         self._reports = 0
         self._is_draining = False
-        self._refusals.clear()
+        self._backoffs.clear()
         self._drain_announced_at.clear()
         self._born = int(time.time() * 1000)
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -150,7 +148,9 @@
             self._drain_announced_at.setdefault(host, now)
         if now < self._refuses_until:
             seconds = self._random.choice(_RETRY_AFTER_SECONDS)
-            self._refusals.setdefault(host, []).append([now, now + seconds, 0])
+            self._backoffs.setdefault(host, []).append(
+                promises.Backoff(start=now, end=now + seconds)
+            )
             headers |= {"Not-Executed": "1", "Retry-After": f"{seconds:g}"}
             await callers.write_answer(writer, 503, headers)
             return
@@ -167,14 +167,14 @@
             and not self._is_excused(host, announced_at)
         ):
             self.violations.append(f"drain: {self._name} {host} {request}")
-        for refusal in self._refusals.get(host, ()):
-            start, end, _ = refusal
-            if start + REACTION_SECONDS < now < end and not self._is_excused(
-                host, start
+        for backoff in self._backoffs.get(host, ()):
+            if (
+                backoff.covers(now)
+                and not self._is_excused(host, backoff.start)
+                and backoff.record_arrival()
             ):
-                refusal[2] += 1
-                if refusal[2] > MAX_REQUESTS_IN_BACKOFF:
-                    self.violations.append(
-                        f"backoff: {self._name} {host} {request} "
-                        f"{now - start:.3f} s after {end - start:g} s"
-                    )
+                self.violations.append(
+                    f"backoff: {self._name} {host} {request} "
+                    f"{now - backoff.start:.3f} s after "
+                    f"{backoff.end - backoff.start:g} s"
+                )
