Soak: a host that restarts is not started a second time

Change: one restart at a time; processes that ended by themselves are reported. Evidence: test_soak_processes passes and leaves no process.

--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -58,6 +58,7 @@
         self.disturbed_until = float("-inf")
         self._settings = settings
         self._process: asyncio.subprocess.Process | None = None
+        self._restart_lock = asyncio.Lock()
 
     @property
     def is_running(self) -> bool:
@@ -85,14 +86,19 @@
         self.disturbed_until = time.monotonic()
 
     async def restart(self, signal_number: int) -> None:
-        """Ends the process by a signal and starts it again."""
-        if not self.is_running:
-            return
+        """Ends the process by a signal and starts it again.
+
+        A signal during a restart reaches the process that ends.
+        """
         if signal_number == signal.SIGKILL:
             self.killed_at.append(time.monotonic())
         self.send(signal_number)
-        await self.wait()
-        await self.start()
+        if self._restart_lock.locked():
+            # A second start would leave a process that nobody ends.
+            return
+        async with self._restart_lock:
+            await self.wait()
+            await self.start()
 
     async def pause(self, seconds: float) -> None:
         """Suspends the process for some time."""
@@ -171,6 +177,7 @@
             for kind in (*_ROUTES, *_ROUTES)
         ]
         self._version = 0
+        self._ended: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def _process(
@@ -240,6 +247,7 @@
         for target in self._targets:
             await target.restart()
         await asyncio.sleep(_GRACE_SECONDS)
+        self._ended = [p.name for p in self._processes if not p.is_running]
 
     def _start_task(self, coroutine: Coroutine[object, object, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -324,6 +332,7 @@
         arrived = {run for target in self._targets for run in target.seen}
         killed_at = {p.name: p.killed_at for p in self._entries}
         violations = [v for t in self._targets for v in t.violations]
+        violations += [f"ended by itself: {name}" for name in self._ended]
         statuses: collections.Counter[int] = collections.Counter()
         for caller in self._callers:
             for call in caller.calls:
