--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -71,6 +71,8 @@
             nothing else happens; None for disturbances drawn from the seed.
         refusing_targets: Number of targets that refuse then; all if None.
         refusal_seconds: Longest Retry-After of these; None for none.
+        drawn_refusal_seconds: Values of the longest Retry-After that
+            disturbances draw from; None for none.
     """
 
     seed: int
@@ -82,6 +84,7 @@
     refused_seconds: float | None = None
     refusing_targets: int | None = None
     refusal_seconds: float | None = 3.0
+    drawn_refusal_seconds: tuple[float | None, ...] = (0.8, 3.0, 6.0)
 
 
 class Call:
@@ -331,7 +334,7 @@
             match self._random.choice(["refuse", "refuse", "drain", "restart"]):
                 case "refuse":
                     target.refusal_seconds = self._random.choice(
-                        [None, 0.8, 3.0, 6.0]
+                        self._scenario.drawn_refusal_seconds
                     )
                     target.refuses_until = clock.now() + self._random.uniform(
                         0.5, 9.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests of entry hosts before targets that refuse, drain and restart."""
 
+import dataclasses
 import itertools
 import unittest
 
@@ -11,10 +12,27 @@
     def test_targets_get_no_requests_that_they_declined(self):
         """Guards against requests during backoffs and after drains."""
         for seed in range(18):
-            site = site_lib.run(site_lib.draw_scenario(seed))
-            self.assertEqual([], site.violations, f"seed {seed}")
-            statuses = {call.status for call in site.calls}
-            self.assertIn(200, statuses, f"seed {seed}")
+            self._check(site_lib.draw_scenario(seed))
+
+    def test_refusals_without_retry_after_hide_no_others(self):
+        """Guards against requests during backoffs beside such refusals."""
+        for seed in range(6):
+            scenario = site_lib.draw_scenario(seed)
+            self._check(
+                dataclasses.replace(
+                    scenario,
+                    drawn_refusal_seconds=(
+                        None,
+                        *scenario.drawn_refusal_seconds,
+                    ),
+                )
+            )
+
+    def _check(self, scenario):
+        site = site_lib.run(scenario)
+        self.assertEqual([], site.violations, scenario)
+        statuses = {call.status for call in site.calls}
+        self.assertIn(200, statuses, scenario)
 
     def test_a_target_is_not_flooded_after_its_backoff(self):
         """Guards against all waiting requests at the end of a backoff."""
