Attribute an answer to the process that the request reached

A target that restarts and refuses got a third request in the time that it had named. Cause: moved what had been received before the table shows the new process; an answer that arrives just after that update was still recorded for the old process, and dropped. Change: an answer to a request that was sent after the new process had started is recorded for that process: backoff, drain and rate limit. The same limit as before: a wall clock that is behind by more than the time between start and send loses it.

--- a/packages/endivestream/src/endivestream/request/answer_headers.py
+++ b/packages/endivestream/src/endivestream/request/answer_headers.py
@@ -62,6 +62,7 @@
         names = self._names
         if head.headers.get(names.request, "") != request:
             return
+        registration = self._announcements.find_process(registration, sent_at)
         if "1" in head.headers.get_list(names.draining):
             self._record_draining(request, registration)
         retry_texts = head.headers.get_list(names.retry_after)
--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -17,6 +17,7 @@
 import dataclasses
 import hashlib
 import math
+from typing import NamedTuple
 
 from endivestream.connection import registry as registry_lib
 
@@ -79,6 +80,13 @@
     draining_since: float | None = None
 
 
+class _Process(NamedTuple):
+    """The current process of a target, and when it started."""
+
+    registration: registry_lib.Registration
+    started_at: float
+
+
 class TargetAnnouncements:
     """Announcements of all targets to one host."""
 
@@ -90,6 +98,7 @@
         """
         self._host = host
         self._by_target: dict[str, _Announcement] = {}
+        self._processes: dict[str, _Process] = {}
         self._events = dict.fromkeys(("backoff", "resumed", "draining"), 0)
 
     def __repr__(self) -> str:
@@ -160,6 +169,7 @@
             registration: The new process.
             started_at: When it started.
         """
+        self._processes[registration.name] = _Process(registration, started_at)
         announcement = self._by_target.get(registration.name)
         if (
             announcement is not None
@@ -171,6 +181,27 @@
             if drained_at is not None and drained_at < started_at:
                 announcement.draining_since = None
 
+    def find_process(
+        self, registration: registry_lib.Registration, sent_at: float
+    ) -> registry_lib.Registration:
+        """Returns the process of a target that answered a request.
+
+        A request that is sent after a restart, but before the table shows it,
+        reaches the new process.
+
+        Args:
+            registration: The target, as the request was sent to it.
+            sent_at: When the request was sent.
+        """
+        process = self._processes.get(registration.name)
+        if (
+            process is not None
+            and process.registration.started_at_ms > registration.started_at_ms
+            and process.started_at <= sent_at
+        ):
+            return process.registration
+        return registration
+
     def record_accepted(
         self, registration: registry_lib.Registration, sent_at: float
     ) -> bool:
@@ -251,6 +282,10 @@
             last_at = max(announcement.received_at, announcement.backoff_until)
             if name not in targets and now - last_at > _RETENTION_SECONDS:
                 del self._by_target[name]
+        for name, process in list(self._processes.items()):
+            age = now - process.started_at
+            if name not in targets and age > _RETENTION_SECONDS:
+                del self._processes[name]
 
     def _find(
         self, registration: registry_lib.Registration
--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -7,8 +7,11 @@
 from endivestream import clock
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.request import answer_headers
+from endivestream.request import names as names_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import target_announcements
+from tornado import httputil
 
 from tests import standin
 from tests import test_forward
@@ -191,3 +194,34 @@
         self.assertFalse(self.announcements.is_draining(process(2)))
         self.announcements.record_restart(process(3), 3.5)
         self.assertIsNone(self.announcements.backoff_until(process(3), 4.0))
+
+    def test_an_answer_after_the_table_shows_a_restart_is_of_its_process(self):
+        """Guards against a refusal that is lost to the update before it."""
+        names = names_lib.HeaderNames()
+        recorder = answer_headers.AnswerHeaders(
+            names=names,
+            announcements=self.announcements,
+            rate_limit_reported=mock.Mock(),
+            window_opened=mock.Mock(),
+        )
+        head = exchange_lib.Head(
+            503,
+            httputil.HTTPHeaders(
+                {names.request: "1", names.not_run: "1", names.retry_after: "9"}
+            ),
+        )
+        now = clock.now()
+        self.announcements.record_restart(process(2), now - 2.0)
+        recorder.record("1", process(1), head, now - 2.1)
+        self.assertIsNone(self.announcements.backoff_until(process(2), now))
+        recorder.record("1", process(1), head, now - 1.9)
+        self.assertIsNotNone(self.announcements.backoff_until(process(2), now))
+
+    def test_processes_of_targets_that_left_are_forgotten(self):
+        """Guards against memory for each target that ever existed."""
+        self.announcements.record_restart(process(2), 2.0)
+        for now, expected in ((60.0, process(2)), (63.0, process(1))):
+            self.announcements.remove_stale((), now)
+            self.assertEqual(
+                expected, self.announcements.find_process(process(1), 2.1)
+            )
