Select a target that refuses requests last

What callers saw: a target that refused everything without Retry-After got more requests than any other, as nothing ran there. Cause: selection knows the running requests, and such a target has none; the refusal was forgotten after a pause of 20 ms. Change: for 50 ms after a refusal, doubled with each one after such a time up to 1.6 s, the target has a penalty in the load. It is not left out: without another target it is used as before. Ended by an accepted request.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -404,6 +404,8 @@
             missing = ""
             if head.status == 421:
                 missing = _model_or_adapter(work)
+            if not missing:
+                self._view.record_refusal(progress.target, clock.now())
             logs.event(
                 "target_refusal",
                 request=work.request,
@@ -414,6 +416,7 @@
                 since_selected_ms=(clock.now() - progress.selected_at) * 1e3,
             )
             return Refused(head.status, missing)
+        self._view.record_accepted(progress.target)
         progress.may_have_run = True
         if call.head_sent and head.status >= 300:
             # This attempt resumes a stream; an error answer is no part of it.
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -44,6 +44,9 @@
 _COLD_LOAD_FACTOR = 2.0
 # Penalty, in running requests, of a target that misses its reports.
 _SILENT_TARGET_REQUESTS = 20.0
+# Penalty, in running requests, of a target that refused the last request:
+# nothing runs on a target that refuses everything, so its load is the lowest.
+_REFUSING_TARGET_REQUESTS = 20.0
 # Maximum number of requests that all hosts together send to an engine, as a
 # share of its slots; reduced by one step for each rank below the most urgent.
 # An engine completes as many requests per second with 32 as with 170. Further
@@ -542,6 +545,8 @@
                 load += _RATE_LIMITED_REQUESTS
             if target.reports_overdue:
                 load += _SILENT_TARGET_REQUESTS
+            if now < state.refusing_until:
+                load += _REFUSING_TARGET_REQUESTS
             # Ties are broken by session, so that its requests go to the same
             # target, whose cache has the shared parts of the prompt.
             load += _tie_breaker(
@@ -583,6 +588,16 @@
         if state is not None:
             state.record_bytes(now)
 
+    def record_refusal(self, target: str, now: float) -> None:
+        """Records that a target refused a request without running it."""
+        if target in self._states:
+            self._states[target].record_refusal(now)
+
+    def record_accepted(self, target: str) -> None:
+        """Records that a target accepted a request."""
+        if target in self._states:
+            self._states[target].record_accepted()
+
     def record_result(
         self,
         target: str,
--- a/packages/endivestream/src/endivestream/request/target_state.py
+++ b/packages/endivestream/src/endivestream/request/target_state.py
@@ -15,6 +15,10 @@
 # failure up to the maximum.
 _FIRST_EJECTION_SECONDS = 0.5
 _MAX_EJECTION_SECONDS = 4.0
+# Time for which a target that refused a request is selected last; doubled with
+# each refusal after such a time, up to the maximum.
+_FIRST_REFUSAL_SECONDS = 0.05
+_MAX_REFUSAL_SECONDS = 1.6
 # A target that runs requests of this host sends bytes many times a second. If
 # none arrives for this time, the target hangs or is unreachable.
 _SILENCE_SECONDS = 1.2
@@ -41,6 +45,9 @@
             owner would grant.
         retry_at: Time from which the target may get a trial request.
         trial_running: Whether a trial request is running.
+        refusing_until: Time until which the target is selected last, because
+            it refused a request.
+        refusal_seconds: Duration of that; 0 after an accepted request.
         denied_names: Models and adapters that the target reported as missing.
             Cleared when the leader sends a changed entry for the target.
     """
@@ -54,6 +61,8 @@
     next_turn_at: float = float("-inf")
     retry_at: float = float("-inf")
     trial_running: bool = False
+    refusing_until: float = float("-inf")
+    refusal_seconds: float = 0.0
     denied_names: set[str] = dataclasses.field(default_factory=set)
 
     @property
@@ -112,6 +121,21 @@
         self.last_byte_at = now
         self.waiting_since = now
 
+    def record_refusal(self, now: float) -> None:
+        """Records that the target refused a request without running it."""
+        if now < self.refusing_until:
+            return
+        self.refusal_seconds = min(
+            _MAX_REFUSAL_SECONDS,
+            max(_FIRST_REFUSAL_SECONDS, 2 * self.refusal_seconds),
+        )
+        self.refusing_until = now + self.refusal_seconds
+
+    def record_accepted(self) -> None:
+        """Records that the target accepted a request."""
+        self.refusal_seconds = 0.0
+        self.refusing_until = float("-inf")
+
     def record_end(self, key: Key) -> None:
         """Records that a request no longer runs on the target."""
         self.running = max(0, self.running - 1)
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -218,6 +218,37 @@
         self._send(first, session="s1")
         self.assertEqual(self._pick(session="s1"), first)
 
+    def test_refusing_target_is_selected_last(self):
+        """Guards against preferring a target that refuses all requests.
+
+        The time doubles with each further refusal, to a maximum; refusals of
+        requests that were sent before do not count.
+        """
+        self.view.set_targets([target("t1"), target("t2", domain="b")], [])
+        for now, seconds in (
+            (1.0, 0.05),
+            (2.0, 0.1),
+            (3.0, 0.2),
+            (4.0, 0.4),
+            (5.0, 0.8),
+            (6.0, 1.6),
+            (8.0, 1.6),
+        ):
+            self.assertEqual(self._pick(now=now), "t1")
+            for _ in range(3):
+                self.view.record_refusal("t1", now)
+            self.assertEqual(self._pick(now=now + seconds - 0.01), "t2")
+            self.assertEqual(self._pick(now=now + seconds), "t1")
+        self.view.record_accepted("t1")
+        self.view.record_refusal("t1", 10.0)
+        self.assertEqual(self._pick(now=10.05), "t1")
+
+    def test_refusing_target_is_selected_without_alternative(self):
+        """Guards against refusals to callers while a target may have a slot."""
+        self.view.set_targets([target("t1")], [])
+        self.view.record_refusal("t1", 1.0)
+        self.assertEqual(self._pick(now=1.0), "t1")
+
     def test_failing_target_is_ejected_and_retried(self):
         """Guards against sending all requests to a target that fails them.
 
