A connection with bytes of a further answer is not reused

What callers saw: nothing was reported. A target that sends bytes after a complete answer would have them taken for the next answer; with request ids that is an answer that does not match (502), without ids a wrong answer. Cause: the check before a connection is reused looks at the socket, not at what the stream has read ahead. test_bytes_after_an_answer_are_discarded did not show it: the stand-in target ended each connection after its first request, because it read the next head before its read for a disconnect had ended. Change: the stand-in keeps its connections; the check covers the read-ahead.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -107,13 +107,19 @@
     Bytes that a target sent after a complete answer belong to no request; read
     as the next answer they would reach the wrong caller.
     """
+    # Tornado has no public way to ask for bytes that it has read ahead.
+    return not stream._read_buffer_size and not _has_received(stream)
+
+
+def _has_received(stream: iostream.IOStream) -> bool:
+    """Whether the socket has unread bytes or was closed by its peer."""
     try:
         stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return True
-    except OSError:
         return False
-    return False
+    except OSError:
+        pass
+    return True
 
 
 class _IdleConnection(NamedTuple):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -107,6 +107,8 @@
                 work.cancel()
                 break
             disconnect.cancel()
+            # The next request is read only after the end of this read.
+            await asyncio.wait({work, disconnect})
             await work
             if writer.is_closing():
                 break
