Read the answers that have arrived before the next send

Cause: an event loop that is late by more than the time until a timer is due runs the request of the timer before it has read the answer, which takes several turns of the loop. Change: before the second check of a target, unread answers of its unanswered requests are read: bytes in the socket, in the stream, or in the exchange. Ruled out: a measure of the loop's lag, which would also delay sends while nothing is unread.

--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -142,6 +142,9 @@
 class Exchange:
     """Replaces `exchange.Exchange`; its pool is the host's network."""
 
+    # The event loop in virtual time is never late.
+    has_unread_answer = False
+
     def __init__(self, *, pool: Network, url: str) -> None:
         self.sent = False
         self._network = pool
--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -222,6 +222,21 @@
         self._read_task: asyncio.Task[None] | None = None
         self._write_future: asyncio.Future[None] | None = None
         self._sent = False
+        self._is_reading = False
+
+    @property
+    def has_unread_answer(self) -> bool:
+        """Whether a part of the answer has arrived that is not read.
+
+        Parts that `head` or `chunks` has not returned count as not read.
+        """
+        if not self._reader.parts.empty():
+            return True
+        stream = self._stream
+        if stream is None or stream.closed() or not self._is_reading:
+            return False
+        # The stream ends its read before the reader gets the bytes.
+        return not stream.reading() or _has_received(stream)
 
     @property
     def sent(self) -> bool:
@@ -301,6 +316,7 @@
         self._read_task = asyncio.create_task(self._read(connection))
 
     async def _read(self, connection: http1connection.HTTP1Connection) -> None:
+        self._is_reading = True
         try:
             await connection.read_response(self._reader)
         except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -23,6 +23,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import answer_headers
+from endivestream.request import awaited_answers
 from endivestream.request import call as call_lib
 from endivestream.request import homes
 from endivestream.request import names as names_lib
@@ -178,6 +179,7 @@
         self._pool = pool
         self._model_idle = model_idle
         self._slot_freed = slot_freed
+        self._awaited_answers = awaited_answers.AwaitedAnswers()
         self._answer_headers = answer_headers.AnswerHeaders(
             names=names,
             announcements=view.announcements,
@@ -201,6 +203,7 @@
 
         The target is checked once more, before and after its connection is
         acquired: answers and updates may have arrived since it was selected.
+        Answers that have arrived are read before the second check.
         """
         registration = picked.target.registration
         view = self._view
@@ -273,6 +276,7 @@
                 await exchange.connect(
                     seconds=min(_CONNECT_SECONDS, max(0.01, remaining))
                 )
+                await self._awaited_answers.read_received(registration.name)
                 sent_at = clock.now()
                 requirements = target_requirements(work, progress)
                 obstacle = self._view.obstacle(
@@ -290,7 +294,8 @@
                     ),
                     call.body,
                 )
-                head = await exchange.head(seconds=work.route.timeout)
+                with self._awaited_answers.add(registration.name, exchange):
+                    head = await exchange.head(seconds=work.route.timeout)
                 self._answer_headers.record(
                     work.request, registration, head, sent_at
                 )
--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -1,6 +1,7 @@
 """Tests of what targets announce in their answers about later requests."""
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -110,6 +111,48 @@
         with mock.patch.object(exchange_lib.Pool, "acquire", acquire_later):
             await self._check_held("connect", target)
 
+    async def test_no_request_while_a_refusal_is_unread(self):
+        """Guards against sends of a late event loop that has not read it."""
+        count = 9
+        arrived = asyncio.Event()
+
+        async def accepts(request, writer):
+            if len(target.requests) == count:
+                arrived.set()
+            await arrived.wait()
+            writer.write(standin.answer())
+
+        async def refuses(request, writer):
+            await REFUSES(request, writer)
+            if len(target.requests) == count + 1:
+                # The requests that wait for their turn are due after this.
+                time.sleep(0.3)
+
+        self._route(test_forward.ONCE, engine=test_plan.engine())
+        target = await self._start_target(
+            *[accepts] * count,
+            refuses,
+            loaded=(registry_lib.Loaded("a"),),
+            slots=64,
+        )
+        replies = await self._ask_together(count)
+        self.assertEqual([200] * count, replies)
+        self.held_stage = "turn"
+        self.turn_seconds = 0.1
+        held = asyncio.create_task(self._ask_together(count))
+        async with asyncio.timeout(5.0):
+            while len(self.turns) < 2 * count - 1:
+                await asyncio.sleep(0.001)
+        self.turn_seconds = 0.0
+        self.released.set()
+        self.assertEqual([503] * count, await held)
+        self.assertEqual(len(target.requests), count + 1)
+
+    async def _ask_together(self, count):
+        """Returns the statuses of requests on as many connections."""
+        replies = [self._ask(**PROMPT) for _ in range(count)]
+        return [reply.status for reply in await asyncio.gather(*replies)]
+
     async def test_no_request_to_a_target_that_drains(self):
         """Guards against requests to a target whose answer said it drains."""
         self._route(test_forward.ONCE)
