--- a/packages/endivestream/src/endivestream/process/callers.py
+++ b/packages/endivestream/src/endivestream/process/callers.py
@@ -12,12 +12,12 @@
 
 from endivestream import findings
 from endivestream.connection import addresses
+from endivestream.connection import sse
 from endivestream.process import handlers
 from endivestream.request import attempts as attempts_lib
 from endivestream.request import generation as generation_lib
 from endivestream.request import relay as relay_lib
 from endivestream.request import service_calls
-from endivestream.request import sse
 from endivestream.version import configuration as configuration_lib
 
 # Query parameters in which clients commonly send keys.
--- a/packages/endivestream/src/endivestream/process/handlers.py
+++ b/packages/endivestream/src/endivestream/process/handlers.py
@@ -23,10 +23,10 @@
 from endivestream import logs
 from endivestream import messages
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import sse
 from endivestream.process import gateway as gateway_lib
 from endivestream.request import attempts as attempts_lib
 from endivestream.request import retries
-from endivestream.request import sse
 from endivestream.version import configuration as configuration_lib
 
 _Result = TypeVar("_Result")
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -20,10 +20,10 @@
 from endivestream import findings
 from endivestream import messages
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import sse
 from endivestream.process import gateway as gateway_lib
 from endivestream.request import attempts as attempts_lib
 from endivestream.request import generation as generation_lib
-from endivestream.request import sse
 
 # Statuses that a target sends before it starts to run a request.
 _NOT_STARTED_STATUSES = (429, 503)
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -21,13 +21,13 @@
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.connection import sse
 from endivestream.request import admission
 from endivestream.request import answer_headers
 from endivestream.request import awaited_answers
 from endivestream.request import call as call_lib
 from endivestream.request import homes
 from endivestream.request import names as names_lib
-from endivestream.request import sse
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
--- a/tests/test_soft_state.py
+++ b/tests/test_soft_state.py
@@ -4,9 +4,9 @@
 
 from endivestream import messages
 from endivestream.connection import addresses
+from endivestream.connection import sse
 from endivestream.connection import targets as targets_lib
 from endivestream.request import retries
-from endivestream.request import sse
 from endivestream.version import host_leases as host_leases_lib
 import hypothesis
 from hypothesis import strategies as st
