--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import enum
 import socket
 from typing import NamedTuple
 import urllib.parse
@@ -20,6 +21,7 @@
 from tornado import tcpclient
 
 from endivestream import clock
+from endivestream.connection import sse
 
 # Idle connections kept to one target: the maximum number of requests that one
 # host runs there. With fewer, every burst would open new connections.
@@ -54,18 +56,57 @@
     headers: httputil.HTTPHeaders
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class Ending(enum.StrEnum):
+    """How the reading of an answer ended."""
+
+    FRAMED = "framed"
+    CLOSED = "closed"
+    RESET = "reset"
+    INVALID = "invalid"
+    SILENT = "silent"
+
+
+class AnswerEnd(NamedTuple):
+    """How an answer ended.
+
+    Attributes:
+        framing: What marks the end of its body.
+        ending: How its reading ended: at the end by its framing, because the
+            connection was closed or reset, because of bytes that are not
+            HTTP, or because no byte arrived in time.
+        is_inside_event: Whether it is a stream of events and its last event
+            is incomplete.
+    """
+
+    framing: Framing
+    ending: Ending
+    is_inside_event: bool
+
+
 class _Reader(httputil.HTTPMessageDelegate):
     """Puts an answer's parts into a bounded queue.
 
     A full queue stops the reading, so the target is subject to backpressure.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, method: str = "") -> None:
+        self._method = method
         self.parts: asyncio.Queue[Head | bytes | None] = asyncio.Queue(
             _MAX_BUFFERED_CHUNKS
         )
         self.is_complete = False
-        self.is_framed = False
+        self.framing = Framing.LENGTH
+        self.ending: Ending | None = None
+        # Set for a stream of events.
+        self.events: sse.EventBoundaries | None = None
         self.keep_alive_seconds: float | None = None
 
     async def headers_received(
@@ -74,11 +115,9 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
-        # Without a length the body ends where the connection ends, and a
-        # truncated answer of a failed target would look complete.
-        self.is_framed = (
-            "Content-Length" in headers or "Transfer-Encoding" in headers
-        )
+        self.framing = _framing(self._method, start_line.code, headers)
+        if sse.is_event_stream(headers.get("Content-Type", "")):
+            self.events = sse.EventBoundaries()
         self.keep_alive_seconds = _keep_alive_seconds(headers)
         if start_line.code >= 200:
             await self.parts.put(Head(start_line.code, headers))
@@ -90,6 +129,18 @@
         self.is_complete = True
 
 
+def _framing(
+    method: str, status: int, headers: httputil.HTTPHeaders
+) -> Framing:
+    """Returns what marks the end of the body of an answer."""
+    if "Transfer-Encoding" in headers:
+        return Framing.CHUNKED
+    has_no_body = method == "HEAD" or status in (204, 304)
+    if "Content-Length" in headers or has_no_body:
+        return Framing.LENGTH
+    return Framing.CLOSE
+
+
 def _keep_alive_seconds(headers: httputil.HTTPHeaders) -> float | None:
     """Returns how long the connection may be idle; None if it is closed."""
     if headers.get("Connection", "").lower() == "close":
@@ -224,6 +275,18 @@
         self._sent = False
         self._is_reading = False
 
+    @property
+    def answer_end(self) -> AnswerEnd | None:
+        """How the answer ended; None while it is read or if it never began."""
+        reader = self._reader
+        if reader.ending is None:
+            return None
+        return AnswerEnd(
+            reader.framing,
+            reader.ending,
+            reader.events is not None and reader.events.is_inside_event,
+        )
+
     @property
     def has_unread_answer(self) -> bool:
         """Whether a part of the answer has arrived that is not read.
@@ -280,6 +343,7 @@
             ExchangeError: The request could not be sent; `sent` is True.
         """
         assert self._stream is not None
+        self._reader = _Reader(method=method)
         connection = http1connection.HTTP1Connection(
             self._stream,
             is_client=True,
@@ -313,15 +377,30 @@
         # it has read all of it. If it then waited for its answer to be read,
         # both sides would wait for each other.
         self._write_future.add_done_callback(_retrieve_write_error)
-        self._read_task = asyncio.create_task(self._read(connection))
+        self._read_task = asyncio.create_task(
+            self._read(connection, self._stream)
+        )
 
-    async def _read(self, connection: http1connection.HTTP1Connection) -> None:
+    async def _read(
+        self,
+        connection: http1connection.HTTP1Connection,
+        stream: iostream.IOStream,
+    ) -> None:
+        reader = self._reader
         self._is_reading = True
         try:
-            await connection.read_response(self._reader)
-        except (OSError, iostream.StreamClosedError, httputil.HTTPInputError):
-            pass  # `is_complete` stays False, which `chunks` reports.
-        await self._reader.parts.put(None)
+            await connection.read_response(reader)
+            ending = Ending.FRAMED if reader.is_complete else Ending.INVALID
+        except httputil.HTTPInputError:
+            ending = Ending.INVALID
+        except (OSError, iostream.StreamClosedError):
+            ending = Ending.CLOSED
+        if reader.framing == Framing.CLOSE and ending == Ending.FRAMED:
+            ending = Ending.CLOSED
+        if ending == Ending.CLOSED and stream.error is not None:
+            ending = Ending.RESET
+        reader.ending = ending
+        await reader.parts.put(None)
 
     async def head(self, *, seconds: float) -> Head:
         """Returns status and headers of the answer.
@@ -350,6 +429,8 @@
             if part is None:
                 break
             assert isinstance(part, bytes)
+            if self._reader.events is not None:
+                self._reader.events.feed(part)
             yield part
         if not self._is_complete():
             self.close()
@@ -364,8 +445,9 @@
         An answer without a length ends where its connection ends, but only if
         the connection was closed and not reset.
         """
-        if not self._reader.is_complete or self._reader.is_framed:
-            return self._reader.is_complete
+        reader = self._reader
+        if not reader.is_complete or reader.framing != Framing.CLOSE:
+            return reader.is_complete
         return self._stream is not None and self._stream.error is None
 
     async def _next_part(self, seconds: float) -> Head | bytes | None:
@@ -376,6 +458,7 @@
             async with asyncio.timeout(seconds):
                 return await parts.get()
         except TimeoutError:
+            self._reader.ending = Ending.SILENT
             self.close()
             raise ExchangeError(
                 f"no bytes received for {seconds:.1f} s", sent=True
@@ -390,7 +473,8 @@
         )
         # While a part of the request's body is unsent, the target would read
         # the next request as that part.
-        if seconds is None or not is_written or not self._reader.is_framed:
+        is_framed = self._reader.framing != Framing.CLOSE
+        if seconds is None or not is_written or not is_framed:
             self.close()
             return
         self._pool.release(
--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -1,7 +1,11 @@
-"""Server-sent events: splits a byte stream into complete events."""
+"""Server-sent events: splits a byte stream into complete events.
+
+The format is that of the WHATWG HTML standard, section "Server-sent events".
+"""
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 # Maximum size of an event. An event has one token or a final summary, so a
@@ -10,6 +14,9 @@
 
 DONE = b"[DONE]"
 
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+_LINE_END = re.compile(rb"\r\n|\r|\n")
+
 
 class Event(NamedTuple):
     """A parsed event.
@@ -23,6 +30,12 @@
     data: bytes
 
 
+def is_event_stream(content_type: str) -> bool:
+    """Whether a Content-Type header names a stream of events."""
+    media_type = content_type.partition(";")[0].strip().lower()
+    return media_type == "text/event-stream"
+
+
 class TooLongError(Exception):
     """An event is longer than `MAX_EVENT_BYTES`."""
 
@@ -78,6 +91,64 @@
     raw: bytes
 
 
+class EventBoundaries:
+    """Finds the ends of events in a byte stream; keeps none of its bytes.
+
+    An event ends at an empty line. A line ends with CR, LF or CRLF, also if a
+    chunk ends between the two. Comments and a byte order mark belong to no
+    event.
+    """
+
+    def __init__(self) -> None:
+        # The start of the current line, as far as its kind depends on it.
+        self._line = b""
+        self._is_first_line = True
+        self._has_fields = False
+        self._ends_with_cr = False
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the bytes so far end inside a line or an event."""
+        return self._has_fields or bool(self._line_text())
+
+    def feed(self, chunk: bytes) -> list[int]:
+        """Adds a chunk.
+
+        Returns:
+            The offset in the chunk behind each event that ends in it.
+        """
+        ends = []
+        start = 0
+        if self._ends_with_cr and chunk.startswith(b"\n"):
+            start = 1
+            if not self.is_inside_event:
+                ends.append(start)
+        if chunk:
+            self._ends_with_cr = chunk.endswith(b"\r")
+        for line_end in _LINE_END.finditer(chunk, start):
+            self._add_to_line(chunk[start : line_end.start()])
+            start = line_end.end()
+            line = self._line_text()
+            if not line:
+                self._has_fields = False
+                ends.append(start)
+            elif not line.startswith(b":"):
+                self._has_fields = True
+            self._line = b""
+            self._is_first_line = False
+        self._add_to_line(chunk[start:])
+        return ends
+
+    def _add_to_line(self, part: bytes) -> None:
+        missing = len(_BYTE_ORDER_MARK) + 1 - len(self._line)
+        self._line += part[:missing]
+
+    def _line_text(self) -> bytes:
+        if self._is_first_line:
+            return self._line.removeprefix(_BYTE_ORDER_MARK)
+        return self._line
+
+
 class EventSplitter:
     """Splits a byte stream into complete events without changing any byte.
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -238,6 +238,7 @@
             return result
         finally:
             exchange.close()
+            _log_answer_end(work, registration, exchange.answer_end)
             self._record_start(progress)
             if view.record_result(
                 registration.name, requirements, clock.now(), failed=failed
@@ -546,6 +547,26 @@
     )
 
 
+def _log_answer_end(
+    work: admission.AdmittedRequest,
+    registration: registry_lib.Registration,
+    end: exchange_lib.AnswerEnd | None,
+) -> None:
+    """Logs the end of an answer unless its framing proves that it is whole."""
+    if end is None or (
+        end.ending == exchange_lib.Ending.FRAMED and not end.is_inside_event
+    ):
+        return
+    logs.event(
+        "answer_end",
+        request=work.request,
+        target=registration.name,
+        framing=end.framing,
+        ending=end.ending,
+        inside_event=end.is_inside_event,
+    )
+
+
 def _is_target_failure(result: Result) -> bool:
     """Returns whether a result counts as a failure of its target."""
     match result:
