--- /dev/null
+++ b/tests/test_answer_ends.py
@@ -0,0 +1,79 @@
+"""Tests of the ends of answers: by length, by chunks, by the connection."""
+
+import unittest
+
+from tests import standin
+from tests import test_forward
+
+
+def _head(*, framing, length=0):
+    """Returns the head of a stream of events with a framing."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        "Content-Type: text/event-stream; charset=utf-8",
+    ]
+    if framing == "length":
+        lines.append(f"Content-Length: {length}")
+    if framing == "chunked":
+        lines.append("Transfer-Encoding: chunked")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def _stream(framing, body, *, is_ended):
+    """Returns the bytes of an answer; the end of its framing if `is_ended`."""
+    extra = 0 if is_ended else 1
+    head = _head(framing=framing, length=len(body) + extra)
+    if framing != "chunked":
+        return head + body
+    return head + standin.chunk(body) + (standin.END if is_ended else b"")
+
+
+_TWO_EVENTS = standin.event(1) + standin.event(2)
+
+
+class StreamEndTest(test_forward.ForwardTest):
+    """What callers get of streams that targets end."""
+
+    async def _ask(self, route, *scripts):
+        self._route(route)
+        for script in scripts:
+            await self._start_target(script)
+        return await self.caller.ask()
+
+    async def _check_cut_stream(self, framing):
+        cut = _TWO_EVENTS[:-1]
+        answer = _stream(framing, cut, is_ended=True)
+        reply = await self._ask(
+            test_forward.STREAM, standin.says(answer, close=True)
+        )
+        self.assertFalse(reply.whole)
+        self.assertEqual(reply.body, cut)
+
+    async def test_stream_closed_inside_an_event_is_not_complete(self):
+        """Guards against a lost rest of a stream that has no length."""
+        await self._check_cut_stream("close")
+
+    async def test_stream_with_length_inside_an_event_is_not_complete(self):
+        """Guards against a length that a failing target reaches too early."""
+        await self._check_cut_stream("length")
+
+    async def test_last_chunk_inside_an_event_is_not_complete(self):
+        """Guards against a last chunk sent by a target that fails."""
+        await self._check_cut_stream("chunked")
+
+    async def _check_reset_stream(self, body):
+        answer = _stream("close", body, is_ended=True)
+        reply = await self._ask(test_forward.STREAM, standin.resets(answer))
+        self.assertFalse(reply.whole)
+
+    async def test_stream_reset_between_events_is_not_complete(self):
+        """Guards against a reset taken for the end of a stream."""
+        await self._check_reset_stream(_TWO_EVENTS)
+
+    async def test_stream_reset_inside_an_event_is_not_complete(self):
+        """Guards against a reset taken for the end of a stream."""
+        await self._check_reset_stream(_TWO_EVENTS[:-4])
+
+
+if __name__ == "__main__":
+    unittest.main()
