A stream that ends inside an event has broken off

Cause: the end of a connection was taken for the end of a message. An answer without a length counted as complete once its connection was closed and not reset; a target that fails closes it, too. The relay of streams wrote the rest of an incomplete event and finished the answer. Change: Exchange.answer_end is the one place that decides whether an answer is complete. It knows the framing, how the connection ended, and for answers of type text/event-stream whether their last event is incomplete, whatever their framing: a failing target may also send its last chunk. All readers of answers go through Exchange.chunks, which raises. A resumable stream then continues at another target, any other is closed without its last chunk; the attempt counts as a failure of its target as after any break.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -90,6 +90,19 @@
     ending: Ending
     is_inside_event: bool
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the bytes prove that the whole answer was received.
+
+        A target that fails may still close its connection or send its last
+        chunk, so a stream must also end between two events.
+        """
+        if self.is_inside_event:
+            return False
+        if self.framing == Framing.CLOSE:
+            return self.ending == Ending.CLOSED
+        return self.ending == Ending.FRAMED
+
 
 class _Reader(httputil.HTTPMessageDelegate):
     """Puts an answer's parts into a bounded queue.
@@ -432,24 +445,16 @@
             if self._reader.events is not None:
                 self._reader.events.feed(part)
             yield part
-        if not self._is_complete():
+        end = self.answer_end
+        if end is None or not end.is_complete:
             self.close()
+            ending = end.ending if end is not None else "no end"
             raise ExchangeError(
-                "connection closed before the end of the answer", sent=True
+                f"connection closed before the end of the answer ({ending})",
+                sent=True,
             )
         self._finish()
 
-    def _is_complete(self) -> bool:
-        """Whether the complete answer was received.
-
-        An answer without a length ends where its connection ends, but only if
-        the connection was closed and not reset.
-        """
-        reader = self._reader
-        if not reader.is_complete or reader.framing != Framing.CLOSE:
-            return reader.is_complete
-        return self._stream is not None and self._stream.error is None
-
     async def _next_part(self, seconds: float) -> Head | bytes | None:
         parts = self._reader.parts
         if not parts.empty():
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -552,10 +552,9 @@
     registration: registry_lib.Registration,
     end: exchange_lib.AnswerEnd | None,
 ) -> None:
-    """Logs the end of an answer unless its framing proves that it is whole."""
-    if end is None or (
-        end.ending == exchange_lib.Ending.FRAMED and not end.is_inside_event
-    ):
+    """Logs an answer that broke off or whose end is only that of its bytes."""
+    is_framed = end is not None and end.framing != exchange_lib.Framing.CLOSE
+    if end is None or (is_framed and end.is_complete):
         return
     logs.event(
         "answer_end",
