Relay streams without the length of one attempt

Cause: the target's Content-Length was relayed with a stream. It is true for one attempt at most. Change: streams are relayed without it, so that the caller gets chunks, which this host can end early or continue.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -488,6 +488,10 @@
     ) -> Result:
         """Relays events as they arrive."""
         splitter = sse.EventSplitter()
+        headers = _end_to_end_headers(head.headers)
+        # The length is that of this attempt. Without it the answer is chunked,
+        # and can be ended early or continued by another target.
+        headers.pop("Content-Length", None)
         previous = math.inf
         async for chunk in exchange.chunks(silence=work.route.timeout):
             now = clock.now()
@@ -508,13 +512,12 @@
                 progress.first_byte_at or progress.last_relayed_at
             )
             if not call.head_sent:
-                headers = _end_to_end_headers(head.headers)
                 progress.status = head.status
                 await call.send_head(head.status, headers, chunk)
             else:
                 await call.write(chunk)
         if not call.head_sent:
-            await call.send_head(head.status, _end_to_end_headers(head.headers))
+            await call.send_head(head.status, headers)
         if splitter.rest:
             await call.write(splitter.rest)
         call.finish()
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -35,9 +35,15 @@
     """What callers get of streams that targets end."""
 
     async def _ask(self, route, *scripts):
+        """Sends a request; its attempts are served by the scripts in order."""
         self._route(route)
-        for script in scripts:
-            await self._start_target(script)
+        remaining = list(scripts)
+
+        async def serve(request, writer):
+            await remaining.pop(0)(request, writer)
+
+        for _ in scripts:
+            await self._start_target(serve)
         return await self.caller.ask()
 
     async def _check_cut_stream(self, framing):
@@ -61,6 +67,20 @@
         """Guards against a last chunk sent by a target that fails."""
         await self._check_cut_stream("chunked")
 
+    async def test_resumed_stream_is_not_bound_to_the_first_length(self):
+        """Guards against a stream cut at the length of its first target."""
+        events = [standin.event(n) for n in range(1, 5)]
+        body = b"".join(events[1:])
+        reply = await self._ask(
+            test_forward.RESUMABLE,
+            standin.says(
+                _stream("length", events[0], is_ended=False), close=True
+            ),
+            standin.says(_stream("length", body, is_ended=True)),
+        )
+        self.assertEqual(reply.body, b"".join(events))
+        self.assertTrue(reply.whole)
+
     async def _check_reset_stream(self, body):
         answer = _stream("close", body, is_ended=True)
         reply = await self._ask(test_forward.STREAM, standin.resets(answer))
