Only the stream reads the error of a target's connection

Cause: a socket gives its error once. The check for unread bytes peeked with recv and dropped the error of a reset; the next read of the stream then saw a normal end, and an answer without a length counted as complete. While an answer is under way no caller checks today, between its head and its end. Change: the check asks poll, which takes no error.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -11,7 +11,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import enum
-import socket
+import select
 from typing import NamedTuple
 import urllib.parse
 
@@ -176,14 +176,14 @@
 
 
 def _has_received(stream: iostream.IOStream) -> bool:
-    """Whether the socket has unread bytes or was closed by its peer."""
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        pass
-    return True
+    """Whether the socket has unread bytes or was closed or reset.
+
+    A read, even one that only peeks, would take the error of a reset, and the
+    stream would see a normal end.
+    """
+    poll = select.poll()
+    poll.register(stream.socket, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 class _IdleConnection(NamedTuple):
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,7 +1,11 @@
 """Tests of the ends of answers: by length, by chunks, by the connection."""
 
+import socket
+import struct
 import unittest
 
+from endivestream.connection import exchange as exchange_lib
+
 from tests import standin
 from tests import test_forward
 
@@ -95,5 +99,33 @@
         await self._check_reset_stream(_TWO_EVENTS[:-4])
 
 
+class ResetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reset_seen_by_another_reader_is_not_the_end(self):
+        """Guards against the loss of a socket's error, which is given once."""
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+        pool = exchange_lib.Pool()
+        self.addCleanup(pool.close)
+        port = server.getsockname()[1]
+        exchange = exchange_lib.Exchange(
+            pool=pool, url=f"http://127.0.0.1:{port}/"
+        )
+        await exchange.start("GET", "/", {}, b"", connect_seconds=5.0)
+        target, _ = server.accept()
+        target.sendall(_stream("close", _TWO_EVENTS, is_ended=True))
+        await exchange.head(seconds=5.0)
+        chunks = exchange.chunks(silence=5.0)
+        self.assertEqual(await anext(chunks), _TWO_EVENTS)
+        target.recv(65536)
+        target.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        target.close()
+        self.assertTrue(exchange.has_unread_answer)
+        with self.assertRaises(exchange_lib.ExchangeError):
+            await anext(chunks)
+        exchange.close()
+
+
 if __name__ == "__main__":
     unittest.main()
