Events end at any line ending, wherever a stream is cut

What callers saw: nothing was reported. Of a resumable stream whose lines end with CR or CRLF nothing was relayed until its end, and a target that broke off could not be replaced by another one: no event had been relayed. Cause: events were split at two line feeds alone. Change: one line scanner (sse.EventBoundaries) finds the ends of events for the proof of an answer's end, for the relay of resumable streams and for the parser of the product's own streams: CR, LF and CRLF in any mix, split at any byte, comments, a byte order mark. Comments between events are no events.

--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -44,7 +44,7 @@
     """Parses chunks into events; an incomplete event is kept for later."""
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._events = EventSplitter()
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Adds a chunk and returns the events that it completes.
@@ -52,21 +52,14 @@
         Raises:
             TooLongError: An incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        buffer = self._incomplete + chunk
-        if b"\r" in buffer:
-            buffer = buffer.replace(b"\r\n", b"\n")
-        *blocks, self._incomplete = buffer.split(b"\n\n")
-        if len(self._incomplete) > MAX_EVENT_BYTES:
-            raise TooLongError(
-                f"{len(self._incomplete)} bytes without the end of an event"
-            )
-        return [_parse_event(block) for block in blocks if block]
+        events = [_parse_event(event.raw) for event in self._events.feed(chunk)]
+        return [event for event in events if event.id or event.data]
 
 
 def _parse_event(block: bytes) -> Event:
     event_id = b""
     data = []
-    for line in block.split(b"\n"):
+    for line in block.removeprefix(_BYTE_ORDER_MARK).splitlines():
         if line.startswith(b"data:"):
             data.append(line[5:].removeprefix(b" "))
         elif line.startswith(b"id:"):
@@ -84,7 +77,7 @@
 
     Attributes:
         id: Value of the `id:` field, or empty.
-        raw: All bytes, including the empty line at the end.
+        raw: All bytes up to its end, including comments before it.
     """
 
     id: bytes
@@ -157,11 +150,12 @@
     """
 
     def __init__(self) -> None:
+        self._boundaries = EventBoundaries()
         self._incomplete = b""
 
     @property
     def rest(self) -> bytes:
-        """Received bytes of an incomplete event."""
+        """Received bytes after the last complete event."""
         return self._incomplete
 
     def feed(self, chunk: bytes) -> list[RawEvent]:
@@ -170,9 +164,16 @@
         Raises:
             TooLongError: An incomplete event exceeds `MAX_EVENT_BYTES`.
         """
-        *blocks, self._incomplete = (self._incomplete + chunk).split(b"\n\n")
+        events = []
+        start = 0
+        for end in self._boundaries.feed(chunk):
+            raw = self._incomplete + chunk[start:end]
+            events.append(RawEvent(_parse_event(raw).id, raw))
+            self._incomplete = b""
+            start = end
+        self._incomplete += chunk[start:]
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise TooLongError(
                 f"{len(self._incomplete)} bytes without the end of an event"
             )
-        return [RawEvent(_parse_event(b).id, b + b"\n\n") for b in blocks]
+        return events
