Another target continues an answer only from an event with an id

Answers of two runs were joined: an idempotent answer of more than 256 KiB that broke off was followed by the whole answer of the next attempt, and a resumable stream whose events have no id started again. Cause: whether a request may be sent again was decided from its route alone, not from what the caller already had. Change: Progress.can_continue says whether another target can continue what was relayed: nothing yet, or all up to an event with an id. Streams are split into events only if their type is text/event-stream.

--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -77,10 +77,12 @@
 
     Attributes:
         id: Value of the `id:` field, or empty.
+        has_data: Whether it has a `data:` field that is not empty.
         raw: All bytes up to its end, including comments before it.
     """
 
     id: bytes
+    has_data: bool
     raw: bytes
 
 
@@ -168,7 +170,8 @@
         start = 0
         for end in self._boundaries.feed(chunk):
             raw = self._incomplete + chunk[start:end]
-            events.append(RawEvent(_parse_event(raw).id, raw))
+            event = _parse_event(raw)
+            events.append(RawEvent(event.id, bool(event.data), raw))
             self._incomplete = b""
             start = end
         self._incomplete += chunk[start:]
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -402,6 +402,7 @@
         progress.attempted_targets.append(progress.target)
         may_repeat = (
             work.route.is_repeatable
+            and progress.can_continue
             and len(progress.attempted_targets) < work.route.max_attempts
             and clock.now() < work.deadline
         )
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -54,6 +54,8 @@
         request_attempts: Number of attempts.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
+        can_continue: Whether another target can continue the answer: nothing
+            was relayed, or all up to an event with an id.
         selected_at: When its current target was selected.
         first_sent_at: When it was first sent, i.e. when its wait for a target
             ended.
@@ -75,6 +77,7 @@
     request_attempts: int = 0
     may_have_run: bool = False
     last_event: bytes = b""
+    can_continue: bool = True
     selected_at: float = 0.0
     first_sent_at: float = 0.0
     first_byte_at: float = 0.0
@@ -455,6 +458,7 @@
             if size > _MAX_BUFFERED_ANSWER_BYTES:
                 headers = _end_to_end_headers(head.headers)
                 progress.status = head.status
+                progress.can_continue = False
                 await call.send_head(head.status, headers, b"".join(parts))
         if call.head_sent:
             call.finish()
@@ -487,7 +491,11 @@
         head: exchange_lib.Head,
     ) -> Result:
         """Relays events as they arrive."""
-        splitter = sse.EventSplitter()
+        splitter = None
+        if work.route.resumable and sse.is_event_stream(
+            head.headers.get("Content-Type", "")
+        ):
+            splitter = sse.EventSplitter()
         headers = _end_to_end_headers(head.headers)
         # The length is that of this attempt. Without it the answer is chunked,
         # and can be ended early or continued by another target.
@@ -499,12 +507,10 @@
             previous = now
             self._view.record_bytes(progress.target, now)
             self._record_start(progress)
-            if work.route.resumable:
-                # Only complete events: another target resumes after the last.
-                events = splitter.feed(chunk)
-                chunk = b"".join(event.raw for event in events)
-                for event in events:
-                    progress.last_event = event.id or progress.last_event
+            if splitter is None:
+                progress.can_continue = False
+            else:
+                chunk = _take_complete_events(splitter, chunk, progress)
             if not chunk:
                 continue
             progress.last_relayed_at = clock.now()
@@ -518,12 +524,28 @@
                 await call.write(chunk)
         if not call.head_sent:
             await call.send_head(head.status, headers)
-        if splitter.rest:
+        if splitter is not None and splitter.rest:
             await call.write(splitter.rest)
         call.finish()
         return Passed(head.status)
 
 
+def _take_complete_events(
+    splitter: sse.EventSplitter, chunk: bytes, progress: Progress
+) -> bytes:
+    """Returns the bytes up to the last complete event and records its id.
+
+    Raises:
+        sse.TooLongError: An incomplete event is too long.
+    """
+    events = splitter.feed(chunk)
+    for event in events:
+        progress.last_event = event.id or progress.last_event
+        if event.id or event.has_data:
+            progress.can_continue = bool(event.id)
+    return b"".join(event.raw for event in events)
+
+
 def target_requirements(
     work: admission.AdmittedRequest,
     progress: Progress,
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -33,17 +33,18 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def stream_head(**headers):
-    """Returns the head of a stream with chunked encoding."""
-    lines = [
-        "HTTP/1.1 200 OK",
-        "Content-Type: text/event-stream",
-        "Transfer-Encoding: chunked",
-    ]
+def chunked_head(**headers):
+    """Returns the head of an answer with chunked encoding."""
+    lines = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked"]
     lines += [f"{n.replace('_', '-')}: {v}" for n, v in headers.items()]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
+def stream_head(**headers):
+    """Returns the head of a stream of events with chunked encoding."""
+    return chunked_head(Content_Type="text/event-stream", **headers)
+
+
 def chunk(data):
     return f"{len(data):x}\r\n".encode() + data + b"\r\n"
 
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,5 +1,6 @@
 """Tests of the ends of answers: by length, by chunks, by the connection."""
 
+import asyncio
 import socket
 import struct
 import unittest
@@ -85,6 +86,56 @@
         self.assertEqual(reply.body, b"".join(events))
         self.assertTrue(reply.whole)
 
+    async def _ask_with_break(self, route, size, first, second):
+        """Breaks the first attempt off once the caller has `size` bytes."""
+        has_relayed = asyncio.Event()
+
+        async def break_off(request, writer):
+            writer.write(first)
+            await has_relayed.wait()
+            writer.close()
+
+        self._route(route)
+        scripts = [break_off, standin.says(second)]
+
+        async def serve(request, writer):
+            await scripts.pop(0)(request, writer)
+
+        for _ in range(2):
+            await self._start_target(serve)
+        self.caller.send()
+        head = await standin.read_head(self.caller.reader)
+        self.assertEqual(head[0], "HTTP/1.1 200 OK")
+        body = b""
+        while len(body) < size:
+            length = int(await self.caller.reader.readuntil(b"\r\n"), 16)
+            body += (await self.caller.reader.readexactly(length + 2))[:-2]
+        has_relayed.set()
+        rest, is_whole = await self.caller._body(
+            {"Transfer-Encoding": "chunked"}
+        )
+        return body + rest, is_whole
+
+    async def test_events_without_ids_are_not_sent_twice(self):
+        """Guards against a stream that starts again after its first events."""
+        events = [b"data: %d\n\n" % n for n in range(3)]
+        body, is_whole = await self._ask_with_break(
+            test_forward.RESUMABLE,
+            len(events[0]),
+            _stream("chunked", events[0], is_ended=False),
+            _stream("chunked", b"".join(events), is_ended=True),
+        )
+        self.assertEqual((body, is_whole), (events[0], False))
+
+    async def test_large_answers_of_two_targets_are_not_joined(self):
+        """Guards against an answer that continues with another's beginning."""
+        part = standin.chunked_head() + standin.chunk(b"x" * 300_000)
+        body, is_whole = await self._ask_with_break(
+            test_forward.IDEMPOTENT, 270_000, part, part + standin.END
+        )
+        self.assertLessEqual(len(body), 300_000)
+        self.assertFalse(is_whole)
+
     async def _check_reset_stream(self, body):
         answer = _stream("close", body, is_ended=True)
         reply = await self._ask(test_forward.STREAM, standin.resets(answer))
