An event that is too long ends its attempt

What callers saw: nothing was reported; a caller of a resumable stream waited until it left. Cause: the error of an event of more than 1 MiB was caught nowhere, so the request's task ended without an answer. Change: the attempt counts as broken off. Evidence: test_too_long_event_ends_the_stream did not return within 120 s before; now 502.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -309,6 +309,8 @@
         except TimeoutError:
             progress.may_have_run = progress.may_have_run or exchange.sent
             return BrokenAttempt(exchange.sent, "timeout")
+        except sse.TooLongError:
+            return BrokenAttempt(True, "event_too_long")
         except exchange_lib.ExchangeError as error:
             progress.may_have_run = progress.may_have_run or error.sent
             return BrokenAttempt(
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -6,6 +6,7 @@
 import unittest
 
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import sse
 
 from tests import standin
 from tests import test_forward
@@ -136,6 +137,15 @@
         self.assertLessEqual(len(body), 300_000)
         self.assertFalse(is_whole)
 
+    async def test_too_long_event_ends_the_stream(self):
+        """Guards against a caller that waits for a failed request."""
+        event = b"data: " + b"x" * sse.MAX_EVENT_BYTES
+        reply = await self._ask(
+            test_forward.RESUMABLE,
+            *[standin.says(_stream("chunked", event, is_ended=True))] * 2,
+        )
+        self.assertEqual(reply.status, 502)
+
     async def _check_reset_stream(self, body):
         answer = _stream("close", body, is_ended=True)
         reply = await self._ask(test_forward.STREAM, standin.resets(answer))
