Relay a CRLF as a whole when a stream may be continued

A target broke off between the CR and the LF that end an event; the event was relayed without the LF, and the next target continued. Cause: a CR ends a line by itself, so the event counted as complete. Change: if the lines of an event end with CRLF, its last LF is awaited. Evidence: test_break_inside_a_line_ending_loses_no_byte failed before.

--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -170,6 +170,9 @@
         start = 0
         for end in self._boundaries.feed(chunk):
             raw = self._incomplete + chunk[start:end]
+            if end == len(chunk) and raw.endswith(b"\r") and b"\r\n" in raw:
+                # Its lines end with CRLF: the last byte has not arrived.
+                break
             event = _parse_event(raw)
             events.append(RawEvent(event.id, bool(event.data), raw))
             self._incomplete = b""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -128,6 +128,18 @@
         )
         self.assertEqual((body, is_whole), (events[0], False))
 
+    async def test_break_inside_a_line_ending_loses_no_byte(self):
+        """Guards against a resumed stream that lacks a line feed."""
+        events = [b"id: %d\r\ndata: x\r\n\r\n" % n for n in range(1, 4)]
+        first = events[0] + events[1][:-1]
+        body, is_whole = await self._ask_with_break(
+            test_forward.RESUMABLE,
+            len(events[0]),
+            _stream("chunked", first, is_ended=False),
+            _stream("chunked", b"".join(events[1:]), is_ended=True),
+        )
+        self.assertEqual((body, is_whole), (b"".join(events), True))
+
     async def test_large_answers_of_two_targets_are_not_joined(self):
         """Guards against an answer that continues with another's beginning."""
         part = standin.chunked_head() + standin.chunk(b"x" * 300_000)
