Soak of streams that targets break off at any byte

Targets answer until close, chunked and with a length and break off by FIN, reset, silence, or a framing that ends too early. Callers check that a stream that is framed as complete is complete, that pieces follow each other, and that a resumed stream ends with a whole event. FIN between two events of an answer without a length is not drawn: its bytes equal a complete stream.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -50,6 +50,53 @@
     return Message(first_line, headers, body)
 
 
+class Answer(NamedTuple):
+    """An answer as its caller got it.
+
+    Attributes:
+        status: Its status.
+        headers: Headers by title-cased name.
+        body: Its body, as far as it was received.
+        is_whole: Whether its framing says that the body is complete.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer | None:
+    """Reads an answer; returns None if the connection ends before it.
+
+    Raises:
+        OSError: The connection was reset before the answer.
+    """
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first_line, *lines = raw.decode("latin-1").strip().split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    headers = {name.title(): value.strip() for name, value in pairs}
+    status = int(first_line.split(" ")[1])
+    body = bytearray()
+    is_whole = False
+    try:
+        if headers.get("Transfer-Encoding", "") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            await reader.readexactly(2)
+        else:
+            length = int(headers.get("Content-Length", 0))
+            body += await reader.readexactly(length)
+        is_whole = True
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    return Answer(status, headers, bytes(body), is_whole)
+
+
 async def write_answer(
     writer: asyncio.StreamWriter, status: int, headers: dict[str, str]
 ) -> None:
@@ -101,6 +148,7 @@
         ended_at: When its answer or the end of the connection was read.
         status: Status of the answer; 0 without one.
         is_cut: Whether the connection ended without a complete answer.
+        answer: What was received of the answer.
     """
 
     request: str
@@ -109,6 +157,7 @@
     ended_at: float = float("inf")
     status: int = 0
     is_cut: bool = False
+    answer: Answer | None = None
 
 
 class Caller:
@@ -175,18 +224,20 @@
             "Deadline-Ms": "3000",
             HOST_HEADER: self.host,
         }
-        message = None
+        answer = None
         try:
             async with asyncio.timeout(_ANSWER_SECONDS):
                 writer.write(
                     _encode_request("POST", self._path, headers, b"order")
                 )
-                message = await read_message(reader)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                answer = await read_answer(reader)
+        except (OSError, TimeoutError):
             pass
         call.ended_at = time.monotonic()
-        if message is None:
-            call.is_cut = True
+        call.answer = answer
+        call.is_cut = answer is None or not answer.is_whole
+        if answer is None:
             return False
-        call.status = int(message.first_line.split(" ")[1])
-        return message.headers.get("Connection", "").lower() != "close"
+        call.status = answer.status
+        is_closing = answer.headers.get("Connection", "").lower() == "close"
+        return answer.is_whole and not is_closing
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -4,8 +4,9 @@
 targets, and callers that keep their connections. Signals, restarts, changes of
 the configuration and faults of targets come in overlapping series that follow
 from the seed. Reported are requests against a target's Retry-After or drain,
-requests that ran twice or ran although they were refused, and requests that
-reached a target and whose connection ended without an answer.
+requests that ran twice or ran although they were refused, requests that
+reached a target and whose connection ended without an answer, and streams that
+their caller got as complete although their target broke them off.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 import time
 
 from soak import callers
+from soak import streams
 from soak import targets
 
 _ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -35,6 +37,7 @@
 _CONTROL_PORT, _FRONT_PORT, _READY_PORT = 8080, 8000, 8001
 _INTERNAL_PORT = 7100
 _ROUTES = {"once": "non_idempotent", "again": "idempotent"}
+_STREAM_PATHS = (streams.ONCE, streams.RESUMED)
 
 
 def _handles_or_blocks(pid: int, signal_number: int) -> bool:
@@ -176,6 +179,8 @@
         folder: pathlib.Path,
     ) -> None:
         self._random = random.Random(seed)
+        # Streams draw on their own, so that a seed draws the same faults.
+        streams_random = random.Random(f"streams of {seed}")
         # Runs side by side have networks of their own.
         network = f"127.{20 + os.getpid() % 200}.{seed % 250}"
         self._processes = [
@@ -196,6 +201,7 @@
                 random_source=self._random,
                 controls=[f"{p.ip}:{_CONTROL_PORT}" for p in self._controls],
                 is_excused=self._is_excused,
+                streams_random=streams_random,
             )
             for number in range(3)
         ]
@@ -209,6 +215,16 @@
             for process in self._entries
             for kind in (*_ROUTES, *_ROUTES)
         ]
+        self._stream_callers = [
+            callers.Caller(
+                host=process.name,
+                address=f"{process.ip}:{_FRONT_PORT}",
+                path=path,
+                random_source=streams_random,
+            )
+            for process in self._entries
+            for path in _STREAM_PATHS
+        ]
         self._version = 0
         self._ended: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -267,7 +283,7 @@
                     f"{process.ip}:{_READY_PORT}", "GET", "/readyz"
                 ):
                     await asyncio.sleep(0.1)
-        for caller in self._callers:
+        for caller in (*self._callers, *self._stream_callers):
             caller.start()
 
     async def run(self, seconds: float) -> None:
@@ -335,6 +351,22 @@
                     "anonymous": True,
                 }
                 for name, kind in _ROUTES.items()
+            ]
+            + [
+                {
+                    "name": path.strip("/"),
+                    "host": callers.HOSTNAME,
+                    "pathPrefix": path,
+                    "routeKind": "streaming",
+                    "resumable": path == streams.RESUMED,
+                    "timeoutMs": 4000 + self._version,
+                    "objectiveMs": 400,
+                    "gapObjectiveMs": 300,
+                    "maxAttempts": 3,
+                    "service": targets.SERVICE,
+                    "anonymous": True,
+                }
+                for path in _STREAM_PATHS
             ],
             "services": [
                 {
@@ -354,7 +386,7 @@
 
     async def close(self) -> None:
         """Ends callers, targets and processes."""
-        for caller in self._callers:
+        for caller in (*self._callers, *self._stream_callers):
             await caller.close()
         for target in self._targets:
             await target.close()
@@ -385,16 +417,40 @@
                 )
                 if call.is_cut and call.request in arrived and not was_killed:
                     violations.append(f"not answered: {call}")
+        stream_ends: collections.Counter[str] = collections.Counter()
+        violations += self._stream_violations(runs, statuses, stream_ends)
         last = [caller.calls[-1].status for caller in self._callers]
         if not any(status == 200 for status in last):
             violations.append(f"not recovered: last statuses {last}")
         return {
             "calls": sum(statuses.values()),
             "statuses": dict(sorted(statuses.items())),
+            "streams": dict(stream_ends),
             "processes": len(self._processes),
             "violations": violations,
         }
 
+    def _stream_violations(
+        self,
+        runs: collections.Counter[str],
+        statuses: collections.Counter[int],
+        ends: collections.Counter[str],
+    ) -> list[str]:
+        """Counts the answers of streams and returns their violations."""
+        violations = []
+        for caller in self._stream_callers:
+            for call in caller.calls:
+                statuses[call.status] += 1
+                if call.path == streams.ONCE and runs[call.request] > 1:
+                    violations.append(f"ran twice: {call}")
+                if call.answer is None or call.status != 200:
+                    continue
+                ends["whole" if call.answer.is_whole else "broken"] += 1
+                wrong = streams.violation(call.path, call.answer)
+                if wrong:
+                    violations.append(f"{wrong}: {call}")
+        return violations
+
 
 async def run(
     *, seed: int, seconds: float, controls: int, entries: int
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -11,6 +11,7 @@
 
 from soak import callers
 from soak import promises
+from soak import streams
 
 SERVICE = "desk"
 DRAIN_SECONDS = 2.0
@@ -34,7 +35,9 @@
         random_source: random.Random,
         controls: list[str],
         is_excused: Callable[[str, float], bool],
+        streams_random: random.Random,
     ) -> None:
+        self._streams = streams.StreamWriter(random_source=streams_random)
         self.seen: set[str] = set()
         self.runs: list[str] = []
         self.violations: list[str] = []
@@ -121,6 +124,8 @@
         try:
             while (message := await callers.read_message(reader)) is not None:
                 await self._answer(message, writer)
+                if writer.is_closing():
+                    break
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
@@ -155,6 +160,9 @@
             await callers.write_answer(writer, 503, headers)
             return
         self.runs.append(request)
+        if streams.is_stream(message.first_line.split(" ")[1]):
+            await self._streams.write(message, writer)
+            return
         await asyncio.sleep(self._random.uniform(0.005, 0.1))
         with contextlib.suppress(OSError):
             await callers.write_answer(writer, 200, headers)
