Reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: nothing was reported. A caller of HTTP/1.0 gets no chunks; the end of its connection is the end of its answer, so an answer that this host ended early looked complete. Change: that connection is reset. Evidence: test_broken_stream_of_an_http_1_0_caller_is_reset failed before; test_forward 64 passed.

--- a/packages/endivestream/src/endivestream/request/call.py
+++ b/packages/endivestream/src/endivestream/request/call.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import http.client
+import socket
+import struct
 
 from tornado import http1connection
 from tornado import httputil
@@ -60,7 +62,9 @@
         self.body = body
         self.arrived_at = arrived_at
         self._connection = connection
+        self._version = start_line.version
         self._head_sent = False
+        self._ends_with_connection = False
 
     @property
     def path(self) -> str:
@@ -77,6 +81,9 @@
     ) -> None:
         """Sends the status line, headers and first bytes of the body."""
         self._head_sent = True
+        self._ends_with_connection = (
+            self._version == "HTTP/1.0" and "Content-Length" not in headers
+        )
         reason_phrase = http.client.responses.get(status, "Unknown")
         response_line = httputil.ResponseStartLine(
             "HTTP/1.1", status, reason_phrase
@@ -106,6 +113,12 @@
 
     def abort(self) -> None:
         """Closes the connection, so that the answer is visibly incomplete."""
+        stream = self._connection.stream
+        if self._ends_with_connection and not stream.closed():
+            # A normal close would be the end of the answer.
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
         self._connection.close()
 
     async def answer(
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -158,6 +158,23 @@
         )
         self.assertEqual(reply.status, 502)
 
+    async def test_broken_stream_of_an_http_1_0_caller_is_reset(self):
+        """Guards against a close that such a caller takes for the end."""
+        has_relayed = asyncio.Event()
+
+        async def break_off(request, writer):
+            writer.write(_stream("chunked", _TWO_EVENTS, is_ended=False))
+            await has_relayed.wait()
+            writer.close()
+
+        self._route(test_forward.STREAM)
+        await self._start_target(break_off)
+        self.caller.writer.write(b"GET /x/ HTTP/1.0\r\nHost: a.example\r\n\r\n")
+        await self.caller.reader.readuntil(_TWO_EVENTS)
+        has_relayed.set()
+        with self.assertRaises(ConnectionResetError):
+            await self.caller.reader.read()
+
     async def _check_reset_stream(self, body):
         answer = _stream("close", body, is_ended=True)
         reply = await self._ask(test_forward.STREAM, standin.resets(answer))
