--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -10,8 +10,8 @@
 import tempfile
 import unittest
 
+from tests import entry_site
 from tests import standin
-from tests import test_entry_site
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _TIMEOUT_SECONDS = 60.0
@@ -56,9 +56,9 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         self.port = two_free_ports()
-        self.control = test_entry_site.free_address()
-        self.front = test_entry_site.free_address()
-        self.ready = test_entry_site.free_address()
+        self.control = entry_site.free_address()
+        self.front = entry_site.free_address()
+        self.ready = entry_site.free_address()
         await self._start("control", listen={"control": self.control})
         self.edge = await self._start(
             "edge", listen={"front": self.front, "ready": self.ready}
--- a/tests/test_platform_reload.py
+++ b/tests/test_platform_reload.py
@@ -9,7 +9,7 @@
 import tempfile
 import unittest
 
-from tests import test_entry_site
+from tests import entry_site
 from tests import test_platform_processes
 
 _ROOT = pathlib.Path(__file__).parent.parent
@@ -34,9 +34,9 @@
 
 class ReloadTest(unittest.IsolatedAsyncioTestCase):
     def _write_settings(self, folder, role):
-        control = test_entry_site.free_address()
+        control = entry_site.free_address()
         port = test_platform_processes.two_free_ports()
-        front = test_entry_site.free_address()
+        front = entry_site.free_address()
         is_control = role == "control"
         settings = {
             "node": f"{role}-1",
