A failed connection takes nothing from the repeat budget

Cause: each attempt after the first needed a repeat, also if no attempt had got a connection. The budget bounds what targets receive on top of first arrivals. Change: Progress.sent_attempts counts attempts that may have reached a target, and only these need a repeat. Evidence: test_failed_connections_take_nothing_from_the_budget failed before (503); test_forward 65 passed.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -278,7 +278,7 @@
             if not await self._acquire_send_permit(work, progress, target):
                 continue
             progress.stage = "repeat"
-            if progress.request_attempts and not has_repeat:
+            if progress.sent_attempts and not has_repeat:
                 has_repeat = await self._acquire_repeat(work)
                 if not has_repeat:
                     return self._not_served(work, progress, "no_repeats_left")
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -52,6 +52,7 @@
         attempted_targets: Targets that may have run it.
         refusals: Number of refusals by targets that did not run it.
         request_attempts: Number of attempts.
+        sent_attempts: Number of attempts that may have reached a target.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
         can_continue: Whether another target can continue the answer: nothing
@@ -75,6 +76,7 @@
     attempted_targets: list[str] = dataclasses.field(default_factory=list)
     refusals: int = 0
     request_attempts: int = 0
+    sent_attempts: int = 0
     may_have_run: bool = False
     last_event: bytes = b""
     can_continue: bool = True
@@ -240,6 +242,7 @@
             self._record_prefill(work, progress, registration)
             return result
         finally:
+            progress.sent_attempts += exchange.sent
             exchange.close()
             _log_answer_end(work, registration, exchange.answer_end)
             self._record_start(progress)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -646,6 +646,23 @@
         for _ in range(3):
             self.assertEqual((await self.caller.ask()).status, 200)
 
+    async def test_failed_connections_take_nothing_from_the_budget(self):
+        """Guards against a request that fails unsent, for want of a repeat."""
+        self._route(ONCE)
+        self.repeats = repeats_lib.RepeatBudget(
+            ratio=0.0, window=10.0, slack=0.0, now=clock.now()
+        )
+        unreachable = await standin.Target(standin.hangs).start()
+        for number in range(3):
+            self._register(f"gone{number}", unreachable.address)
+        await unreachable.close()
+        await self._start_target(
+            standin.says(standin.answer()), name="there", slots=1
+        )
+        for _ in range(3):
+            self.assertEqual((await self.caller.ask()).status, 200)
+        self.assertEqual(self.repeat_requests, 0)
+
     async def test_an_error_answer_is_relayed_unchanged(self):
         self._route(ONCE)
         target = await self._start_target(
