--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -144,6 +144,8 @@
 
     # The event loop in virtual time is never late.
     has_unread_answer = False
+    # No answer breaks off.
+    answer_end = None
 
     def __init__(self, *, pool: Network, url: str) -> None:
         self.sent = False
