Silence of a target outlasts the requests that found it

Cause: a target counted as silent only while requests ran there. When the last caller had left, the silence was forgotten, and a caller that left even counted as a success: it ended the ejection of a failing target. Change: a target that is silent when a request ends there is ejected and gets a trial request first; a caller that leaves proves nothing. Evidence: test_silence_outlasts_the_requests_that_found_it failed before; test_target_selection 26, test_forward 65, test_soak 4 passed.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -225,15 +225,14 @@
         )
         view.record_sent(registration.name, requirements, clock.now())
         progress.starting = requirements
-        # Stays False if the caller disconnects before the attempt has a
-        # result: that is no evidence of a fault of the target.
-        failed: bool | None = False
+        # Stays None if the caller disconnects before the attempt has a result:
+        # that proves neither a fault of the target nor that it works.
+        failed: bool | None = None
         try:
             result = await self._exchange_with_target(
                 call, work, progress, exchange, registration
             )
             if isinstance(result, Withdrawn):
-                failed = None
                 progress.request_attempts -= 1
                 if not progress.request_attempts:
                     progress.first_sent_at = 0.0
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -613,7 +613,7 @@
             requirements: Requirements of the request.
             now: Current time.
             failed: Whether the request failed because of the target; None if
-                it was not sent.
+                that is unknown: it was not sent, or its caller left.
 
         Returns:
             Whether this was the last request of this host that used a model
@@ -622,7 +622,7 @@
         state = self._states.get(target)
         if state is None:
             return False
-        state.record_end((requirements.model, requirements.adapter))
+        state.record_end((requirements.model, requirements.adapter), now)
         if not state.running and target not in self._targets:
             del self._states[target]
             return False
--- a/packages/endivestream/src/endivestream/request/target_state.py
+++ b/packages/endivestream/src/endivestream/request/target_state.py
@@ -91,13 +91,17 @@
         """Returns whether the target may get a request now."""
         if self.is_ejected:
             return now >= self.retry_at and not self.trial_running
-        if self.waiting_since is not None and self.running:
-            # No bytes received although requests run: the target hangs or is
-            # unreachable, and further requests would hang as well.
-            silence = now - max(self.last_byte_at, self.waiting_since)
-            if silence > _SILENCE_SECONDS:
-                return False
-        return now >= self.retry_at
+        return now >= self.retry_at and not self.is_silent(now)
+
+    def is_silent(self, now: float) -> bool:
+        """Whether requests run on the target and no byte arrives from it.
+
+        It hangs or is unreachable, and further requests would hang as well.
+        """
+        if self.waiting_since is None or not self.running:
+            return False
+        silence = now - max(self.last_byte_at, self.waiting_since)
+        return silence > _SILENCE_SECONDS
 
     def record_sent(self, key: Key, now: float) -> None:
         """Records that a request is sent to the target."""
@@ -136,8 +140,15 @@
         self.refusal_seconds = 0.0
         self.refusing_until = float("-inf")
 
-    def record_end(self, key: Key) -> None:
-        """Records that a request no longer runs on the target."""
+    def record_end(self, key: Key, now: float) -> None:
+        """Records that a request no longer runs on the target.
+
+        A target that was silent is ejected; else its silence would be forgotten
+        with its last request.
+        """
+        if self.is_silent(now) and not self.is_ejected:
+            self.failures = _EJECTION_FAILURES
+            self.retry_at = now + _FIRST_EJECTION_SECONDS
         self.running = max(0, self.running - 1)
         self.models[key] = self.models.get(key, 1) - 1
         if self.models[key] <= 0:
--- a/tests/test_target_selection.py
+++ b/tests/test_target_selection.py
@@ -279,6 +279,26 @@
         self.view.record_bytes("t1", 2.6)
         self.assertEqual(self._pick(now=2.7), "t1")
 
+    def test_silence_outlasts_the_requests_that_found_it(self):
+        """Guards against a silent target that is sound once callers leave."""
+        self.view.set_targets([target("t1")], [])
+        self._send("t1", 0.0)
+        self._end("t1", 2.0, failed=None)
+        self.assertEqual(self._pick(2.1), "all_failing")
+        self.assertEqual(self._pick(2.6), "t1")
+
+    def test_a_caller_that_leaves_proves_nothing(self):
+        """Guards against a failing target that is sound once a caller left."""
+        self.view.set_targets([target("t1")], [])
+        for _ in range(2):
+            self._send("t1", 0.0)
+            self._end("t1", 0.1, failed=True)
+        self._send("t1", 0.7)
+        self._end("t1", 0.8, failed=None)
+        self._send("t1", 0.9)
+        self._end("t1", 1.0, failed=True)
+        self.assertEqual(self._pick(1.1), "all_failing")
+
     def test_failing_and_silent_targets_are_reported(self):
         """Guards against a planner that detects failed targets too late.
 
