Relay requests through entry hosts that reach the targets

Cause: each host served only what it could send to targets itself, though it reached hosts that reach them. Outlier detection ejected every target: right about the targets, but nothing drew the conclusion that it is this host's path. Change: if all targets of a request fail here but still send reports to the leader, or two connections failed, the caller's own request goes to another entry host over HTTP, on the port after that for peers. That host checks lease, route and key again, needs a configuration at least as new, takes no credit, counts the attempts made so far, and never relays again. Its own failures are marked; only a refusal marked as not run leads to another relay host. The end of an answer is proved on both legs. Requests are spread by the number that run, own failure domain first; a host relays 128 at most. Where several targets fail, a request opens a new connection unless bytes have just arrived from its target: a connection that cannot be opened sends nothing, so the request can go elsewhere. Ruled out: a tunnel to the target of the first host's choice (that host does not see which targets answer); a field in the list of hosts (older builds refuse it).

--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -19,6 +19,7 @@
 from endivestream.request import forward as forward_lib
 from endivestream.request import forward_parts
 from endivestream.request import names as names_lib
+from endivestream.request import relay_hosts
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import routes as routes_lib
 from endivestream.request import target_announcements
@@ -198,6 +199,8 @@
             rules=rules,
             view=self._view,
             pool=self,
+            relay_hosts=relay_hosts.RelayHosts(),
+            host=self.name,
             credit=_UnlimitedCredit(),
             repeats=lambda service: repeats,
             request_repeat=self._request_repeat,
--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -154,7 +154,7 @@
         self._process = self._target.registration.started_at_ms
         self._request = ""
 
-    async def connect(self, *, seconds: float) -> None:
+    async def connect(self, *, seconds: float, is_new: bool = False) -> None:
         """Waits as for a connection."""
         delay = self._network.random_source.choice(_CONNECT_SECONDS)
         await asyncio.sleep(min(seconds, delay))
--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -207,7 +207,7 @@
         self._client.close()
 
     async def acquire(
-        self, host: str, port: int, *, seconds: float
+        self, host: str, port: int, *, seconds: float, is_new: bool = False
     ) -> iostream.IOStream:
         """Returns an idle or a new connection to a target.
 
@@ -215,6 +215,8 @@
             host: IP address of the target.
             port: Port of the target.
             seconds: Timeout for opening a connection.
+            is_new: Whether to close the idle connections and open a new one,
+                which proves that the target can be reached.
 
         Raises:
             ExchangeError: No connection could be opened; `sent` is False.
@@ -224,7 +226,8 @@
             idle = streams.pop()
             is_fresh = clock.now() < idle.expires_at
             if (
-                is_fresh
+                not is_new
+                and is_fresh
                 and not idle.stream.closed()
                 and _is_reusable(idle.stream)
             ):
@@ -337,14 +340,18 @@
         await self.connect(seconds=connect_seconds)
         self.send(method, path, headers, body)
 
-    async def connect(self, *, seconds: float) -> None:
+    async def connect(self, *, seconds: float, is_new: bool = False) -> None:
         """Acquires a connection.
 
+        Args:
+            seconds: Timeout for opening a connection.
+            is_new: Whether no idle connection is used.
+
         Raises:
             ExchangeError: There is none; `sent` is False.
         """
         self._stream = await self._pool.acquire(
-            self._host, self._port, seconds=seconds
+            self._host, self._port, seconds=seconds, is_new=is_new
         )
 
     def send(
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -46,6 +46,7 @@
 from endivestream.request import homes
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import routes as routes_lib
 from endivestream.request import target_announcements
 from endivestream.request import target_selection
@@ -53,6 +54,8 @@
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 
+# Size of the header that is added to relayed requests.
+_RELAY_HEADER_BYTES = 4096
 # How long a target is kept after a complete table no longer lists it: its
 # connection to the control hosts may be cut while the one to this host works.
 _UNLISTED_TARGET_SECONDS = 20.0
@@ -176,10 +179,15 @@
         self._repeats = entry_repeats.EntryRepeats(
             bounds=settings.bounds, watch=self._watch
         )
+        self._relay_hosts = relay_hosts_lib.RelayHosts(
+            name=settings.name, domain=settings.domain
+        )
         parts = forward_parts.SharedParts(
             rules=rules,
             view=self._view,
             pool=self._pool,
+            relay_hosts=self._relay_hosts,
+            host=settings.name,
             credit=self._credit,
             repeats=self._repeats.budget,
             request_repeat=self._repeats.request,
@@ -200,7 +208,11 @@
         self._front = call_lib.RequestServer(
             serve=self._forwarder.serve, now=clock.now
         )
+        self._relay_front = call_lib.RequestServer(
+            serve=self._forwarder.serve_relayed, now=clock.now
+        )
         self._server: httpserver.HTTPServer | None = None
+        self._relay_server: httpserver.HTTPServer | None = None
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -219,8 +231,8 @@
 
     @property
     def running(self) -> int:
-        """The number of requests in progress."""
-        return self._front.running
+        """The number of requests in progress, relayed ones included."""
+        return self._front.running + self._relay_front.running
 
     @property
     def version(self) -> int:
@@ -255,17 +267,12 @@
         Raises:
             OSError: The address cannot be used.
         """
-        host, port = self._settings.callers.rsplit(":", 1)
-        sockets = netutil.bind_sockets(int(port), host, backlog=1024)
-        limits = document_lib.Limits()
-        self._server = httpserver.HTTPServer(
-            self._front,
-            max_header_size=limits.header_bytes,
-            max_body_size=limits.body_bytes,
-            max_buffer_size=limits.body_bytes + limits.header_bytes,
-            idle_connection_timeout=limits.idle_seconds,
-        )
-        self._server.add_sockets(sockets)
+        self._server = _listen(self._front, self._settings.callers)
+        relay_address = relay_hosts_lib.relay_address(self._settings.peers)
+        if relay_address:
+            self._relay_server = _listen(
+                self._relay_front, relay_address, _RELAY_HEADER_BYTES
+            )
         self._meter.start()
         if self._peer_server is not None:
             self._peer_server.start()
@@ -300,22 +307,23 @@
         while clock.now() < deadline:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
             self._forwarder.stop_waiting()
-            if clock.now() >= addresses_expire_at and not self._front.running:
+            if clock.now() >= addresses_expire_at and not self.running:
                 break
         self._forwarder.stop_all()
         response_deadline = clock.now() + _FINAL_RESPONSES_SECONDS
-        while self._front.running and clock.now() < response_deadline:
+        while self.running and clock.now() < response_deadline:
             await asyncio.sleep(_DRAIN_POLL_SECONDS / 5)
         logs.event(
             "drained",
             seconds=clock.now() - started_at,
-            running=self._front.running,
+            running=self.running,
         )
 
     async def close(self) -> None:
         """Closes all services and connections; aborts running requests."""
-        if self._server is not None:
-            self._server.stop()
+        for server in (self._server, self._relay_server):
+            if server is not None:
+                server.stop()
         await self._freshness.close()
         await self._credit.close()
         await self._watch.close()
@@ -467,6 +475,7 @@
             self._entry_hosts = news.entries
             self._prefill_turn_service.set_hosts(news.entries)
             self._push_relay.set_hosts(news.entries)
+            self._relay_hosts.set_hosts(news.entries)
             self._view.set_hosts(len(news.entries))
             self._rate_limits.set_hosts(len(news.entries))
             self._repeats.set_hosts(len(news.entries))
@@ -594,3 +603,31 @@
         task = asyncio.create_task(coroutine)
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
+
+
+def _listen(
+    front: call_lib.RequestServer, address: str, added_header_bytes: int = 0
+) -> httpserver.HTTPServer:
+    """Returns a server that reads requests on an address.
+
+    Args:
+        front: Reads the requests.
+        address: `IP:PORT`.
+        added_header_bytes: Size of headers beyond those of callers.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    host, port = address.rsplit(":", 1)
+    sockets = netutil.bind_sockets(int(port), host, backlog=1024)
+    limits = document_lib.Limits()
+    header_bytes = limits.header_bytes + added_header_bytes
+    server = httpserver.HTTPServer(
+        front,
+        max_header_size=header_bytes,
+        max_body_size=limits.body_bytes,
+        max_buffer_size=limits.body_bytes + header_bytes,
+        idle_connection_timeout=limits.idle_seconds,
+    )
+    server.add_sockets(sockets)
+    return server
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -4,6 +4,8 @@
     credit      charges the team, from this host's credit shares
     selection   picks a target, waiting for one if it can still be in time
     sending     makes one attempt at one target and relays its answer
+    relay       sends the request through another entry host, if this one
+                reaches no target for it
     repeat      uses another target if nothing ran or running twice is allowed
 
 Control hosts are queried only for what this host lacks: credit, a repeat from
@@ -27,6 +29,7 @@
 from endivestream.request import forward_parts
 from endivestream.request import lease_queue
 from endivestream.request import queue_deadlines
+from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import sending
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
@@ -39,6 +42,26 @@
 _TIMELY_CREDIT_OBJECTIVES = 0.5
 # Refusals by targets after which a request fails.
 _MAX_REFUSALS = 6
+# Failed connections after which a request is sent through a relay host.
+_MAX_FAILED_CONNECTIONS = 2
+# Relay hosts that a request is sent to before this host gives up.
+_MAX_RELAY_HOSTS = 4
+# Maximum number of requests that this host relays for others at a time.
+_MAX_RELAYED = 128
+# Failures of a relay host that say nothing about the other relay hosts.
+_RELAY_HOST_FAILURES = frozenset(
+    {
+        "all_failing",
+        "no_lease",
+        "no_route",
+        "no_target",
+        "no_way",
+        "older_configuration",
+        "relays_full",
+        "stopping",
+        "unknown_key",
+    }
+)
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
 # Minimum wait for a target, also for a request whose attempt failed late.
@@ -54,18 +77,24 @@
         progress: State of the request's attempts.
         work: The admitted request; None before admission.
         is_stopped: Whether it was cancelled because the host stops.
+        relayed: What the caller's host states, if this host relays it.
     """
 
     call: call_lib.Call
     progress: sending.Progress
     work: admission.AdmittedRequest | None = None
     is_stopped: bool = False
+    relayed: relay_hosts_lib.RelayedRequest | None = None
 
 
 class _AnswerFinal(NamedTuple):
     """The answer to the caller is final; nothing more is sent."""
 
 
+class _Unreachable(NamedTuple):
+    """This host reaches no target for the request; another one may."""
+
+
 class Forwarder:
     """Serves callers' requests, for the lifetime of the process."""
 
@@ -95,8 +124,29 @@
 
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request until it is answered or its caller disconnects."""
-        progress = sending.Progress()
-        active = _ActiveRequest(call=call, progress=progress)
+        await self._run(_ActiveRequest(call=call, progress=sending.Progress()))
+
+    async def serve_relayed(self, call: call_lib.Call) -> None:
+        """Serves a request of another entry host's caller.
+
+        Without the header of relayed requests it is refused.
+        """
+        relayed = relay_hosts_lib.take_relayed_request(call.headers)
+        if relayed is None:
+            await call.answer(400, {}, b"not a relayed request\n")
+            return
+        call.arrived_at -= relayed.waited
+        progress = sending.Progress(
+            attempted_targets=list(relayed.tried),
+            sent_attempts=relayed.sent_attempts,
+            may_have_run=relayed.sent_attempts > 0,
+            last_event=relayed.last_event.encode("latin-1"),
+        )
+        active = _ActiveRequest(call=call, progress=progress, relayed=relayed)
+        await self._run(active)
+
+    async def _run(self, active: _ActiveRequest) -> None:
+        progress = active.progress
         task = asyncio.current_task()
         assert task is not None
         self._active[task] = active
@@ -112,21 +162,49 @@
             await self._answer_stopped(active)
         finally:
             del self._active[task]
-            self._log_completion(call, active.work, progress)
+            self._log_completion(active)
 
     async def _serve(self, active: _ActiveRequest) -> None:
         call, progress = active.call, active.progress
         failure: findings.Failure | None
-        admitted = await self._lease_queue.admit(call)
+        if active.relayed is not None:
+            admitted = self._admit_relayed(call, active.relayed)
+        else:
+            admitted = await self._lease_queue.admit(call)
         if isinstance(admitted, findings.Failure):
             failure = admitted
         else:
             active.work = admitted
-            self._parts.request_received(admitted)
-            failure = await self._serve_admitted(call, admitted, progress)
+            if active.relayed is not None:
+                failure = await self._attempt_until_final(active, admitted)
+            else:
+                self._parts.request_received(admitted)
+                failure = await self._serve_admitted(active, admitted)
         if failure is not None:
             progress.outcome_reason = failure.reason
-            await self._answer_failure(call, progress, failure)
+            await self._answer_failure(active, failure)
+
+    def _admit_relayed(
+        self, call: call_lib.Call, relayed: relay_hosts_lib.RelayedRequest
+    ) -> admission.AdmittedRequest | findings.Failure:
+        """Admits a request that its caller's host has admitted and charged."""
+        table = self._parts.rules.table()
+        if table is None or table.document.version < relayed.version:
+            return findings.not_run(
+                "older_configuration",
+                f"this host's configuration is older than {relayed.version}",
+                status=503,
+            )
+        relayed_count = sum(
+            each.relayed is not None for each in self._active.values()
+        )
+        if relayed_count > _MAX_RELAYED:
+            return findings.not_run(
+                "relays_full",
+                f"this host relays {_MAX_RELAYED} requests",
+                status=503,
+            )
+        return admission.admit(call, self._parts.rules)
 
     def stop_waiting(self) -> None:
         """Refuses waiting requests that a stopping host cannot finish."""
@@ -161,22 +239,18 @@
         task.cancel()
 
     async def _answer_stopped(self, active: _ActiveRequest) -> None:
-        call, progress, work = active.call, active.progress, active.work
+        progress, work = active.progress, active.work
         failure = admission.stopping()
         if work is not None:
             failure = self._stop_failure(work, progress)
         progress.outcome_reason = "stopping"
         try:
-            await self._answer_failure(call, progress, failure)
+            await self._answer_failure(active, failure)
         except call_lib.CallerDisconnectedError:
             progress.outcome_reason = "caller_gone"
 
-    def _log_completion(
-        self,
-        call: call_lib.Call,
-        work: admission.AdmittedRequest | None,
-        progress: sending.Progress,
-    ) -> None:
+    def _log_completion(self, active: _ActiveRequest) -> None:
+        call, work, progress = active.call, active.work, active.progress
         now = clock.now()
         is_admitted = work is not None
         summary = forward_parts.RequestSummary(
@@ -191,7 +265,8 @@
             gap=progress.longest_gap,
             tries=progress.request_attempts,
         )
-        self._parts.record_metrics(summary)
+        if active.relayed is None:
+            self._parts.record_metrics(summary)
         table = self._parts.rules.table()
         logs.event(
             "request",
@@ -211,6 +286,7 @@
             gap_ms=progress.longest_gap * 1e3,
             turn_ms=progress.turn_seconds * 1e3,
             total_ms=summary.total * 1e3,
+            relayed_for=active.relayed.host if active.relayed else "",
             version=table.document.version if table else 0,
             lease_s=self._parts.rules.lease_until() - now,
         )
@@ -218,19 +294,17 @@
     # Stages of a request.
 
     async def _serve_admitted(
-        self,
-        call: call_lib.Call,
-        work: admission.AdmittedRequest,
-        progress: sending.Progress,
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
     ) -> findings.Failure | None:
         """Returns None once a complete answer has been relayed."""
+        progress = active.progress
         progress.stage = "credit"
         refusal = await self._charge(work)
         if refusal is not None:
             return refusal
         self._parts.repeats(work.service.name).record_arrival(clock.now())
         try:
-            return await self._attempt_until_final(call, work, progress)
+            return await self._attempt_until_final(active, work)
         finally:
             if not progress.may_have_run and work.team is not None:
                 self._parts.credit.refund(work.team, work.cost)
@@ -265,16 +339,19 @@
         )
 
     async def _attempt_until_final(
-        self,
-        call: call_lib.Call,
-        work: admission.AdmittedRequest,
-        progress: sending.Progress,
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
     ) -> findings.Failure | None:
+        call, progress = active.call, active.progress
         has_repeat = False
         while True:
-            target = await self._select_target(work, progress)
+            target = await self._select_target(active, work)
             if isinstance(target, findings.Failure):
                 return target
+            if isinstance(target, _Unreachable):
+                ended = await self._send_through_others(active, work)
+                if ended is None:
+                    continue
+                return None if isinstance(ended, _AnswerFinal) else ended
             if not await self._acquire_send_permit(work, progress, target):
                 continue
             progress.stage = "repeat"
@@ -295,7 +372,7 @@
                     failure = await self._after_refusal(work, progress, result)
                 case sending.BrokenAttempt():
                     failure = await self._after_broken_attempt(
-                        call, work, progress, result
+                        active, work, result
                     )
             if isinstance(failure, _AnswerFinal):
                 return None
@@ -303,13 +380,14 @@
                 return failure
 
     async def _select_target(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> target_selection.Selected | findings.Failure:
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
+    ) -> target_selection.Selected | findings.Failure | _Unreachable:
         """Waits for a target and for the prefill turn at it."""
+        progress = active.progress
         progress.stage = "place"
-        selected = await self._wait_for_target(work, progress)
-        if isinstance(
-            selected, findings.Failure
+        selected = await self._wait_for_target(active, work)
+        if not isinstance(
+            selected, target_selection.Selected
         ) or not await self._wait_for_prefill_turn(work, progress, selected):
             return selected
         now = clock.now()
@@ -323,7 +401,7 @@
         ):
             return selected
         progress.stage = "place"
-        return await self._wait_for_target(work, progress)
+        return await self._wait_for_target(active, work)
 
     async def _acquire_send_permit(
         self,
@@ -383,9 +461,8 @@
 
     async def _after_broken_attempt(
         self,
-        call: call_lib.Call,
+        active: _ActiveRequest,
         work: admission.AdmittedRequest,
-        progress: sending.Progress,
         broken: sending.BrokenAttempt,
     ) -> findings.Failure | _AnswerFinal | None:
         """Decides whether a request is sent again after a failed attempt.
@@ -394,9 +471,16 @@
             None to send it again, the failure to answer with, or
             `_AnswerFinal` if the answer to the caller has ended here.
         """
+        call, progress = active.call, active.progress
         if not broken.bytes_sent:
             progress.refusals += 1
-            if progress.refusals >= _MAX_REFUSALS:
+            progress.failed_connections += 1
+            # The caller's host tries another relay host.
+            is_relay_cut_off = (
+                active.relayed is not None
+                and progress.failed_connections >= _MAX_FAILED_CONNECTIONS
+            )
+            if progress.refusals >= _MAX_REFUSALS or is_relay_cut_off:
                 return self._not_served(work, progress, broken.reason)
             return None
         progress.attempted_targets.append(progress.target)
@@ -408,6 +492,16 @@
         )
         if may_repeat:
             return None
+        return await self._end_after_break(call, work, progress, broken)
+
+    async def _end_after_break(
+        self,
+        call: call_lib.Call,
+        work: admission.AdmittedRequest,
+        progress: sending.Progress,
+        broken: sending.BrokenAttempt,
+    ) -> findings.Failure | _AnswerFinal:
+        """Ends a request whose last attempt broke off."""
         if call.head_sent:
             # Part of an answer has been sent; it must not appear complete.
             call.abort()
@@ -468,9 +562,10 @@
     # Choice of a target.
 
     async def _wait_for_target(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> target_selection.Selected | findings.Failure:
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
+    ) -> target_selection.Selected | findings.Failure | _Unreachable:
         """Returns a target, waiting for one if it can still be in time."""
+        progress = active.progress
         free_slot_deadline = (
             work.arrived_at + work.route.objective * _FREE_SLOT_OBJECTIVES
         )
@@ -491,10 +586,16 @@
                 pick = self._parts.view.pick(
                     requirements, now, limit=work.max_running
                 )
+                if self._should_relay(active, work, pick, now):
+                    return _Unreachable()
                 if isinstance(pick, target_selection.Selected):
                     progress.selected_at = now
                     self._parts.target_assigned(work)
                     return pick
+                is_cut_off = pick.reason == "all_failing"
+                if is_cut_off and active.relayed is not None:
+                    # The caller's host tries another relay host.
+                    return self._not_served(work, progress, pick.reason)
                 if (
                     now >= wait_deadline
                     or pick.is_lasting
@@ -520,6 +621,95 @@
             if stop_reporting_missing is not None:
                 stop_reporting_missing()
 
+    def _should_relay(
+        self,
+        active: _ActiveRequest,
+        work: admission.AdmittedRequest,
+        pick: target_selection.Selected | target_selection.Unavailable,
+        now: float,
+    ) -> bool:
+        """Returns whether a request is sent through another entry host.
+
+        Its targets fail only for this host if they still send reports.
+        """
+        progress = active.progress
+        if active.relayed is not None or progress.is_relay_ended:
+            return False
+        match pick:
+            case target_selection.Selected():
+                is_cut_off = (
+                    progress.failed_connections >= _MAX_FAILED_CONNECTIONS
+                )
+            case target_selection.Unavailable(reason=reason):
+                is_cut_off = reason == "all_failing" and pick.is_reported
+        return is_cut_off and self._parts.relay_hosts.can_serve(
+            _relay_key(work), now
+        )
+
+    async def _send_through_others(
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
+    ) -> findings.Failure | _AnswerFinal | None:
+        """Sends a request through a relay host, or through another one.
+
+        Returns:
+            None if no relay host could serve the request and it has not run.
+        """
+        call, progress = active.call, active.progress
+        hosts = self._parts.relay_hosts
+        table = self._parts.rules.table()
+        assert table is not None, "the request was admitted"
+        relayed = relay_hosts_lib.RelayedRequest(
+            host=self._parts.host,
+            version=table.document.version,
+            waited=clock.now() - work.arrived_at,
+            sent_attempts=progress.sent_attempts,
+            tried=tuple(progress.attempted_targets),
+            last_event=progress.last_event.decode("latin-1"),
+        )
+        tried: list[str] = []
+        progress.is_relay_ended = True
+        while len(tried) < _MAX_RELAY_HOSTS and clock.now() < work.deadline:
+            host = hosts.pick(clock.now(), tried)
+            if host is None:
+                break
+            tried.append(host.name)
+            hosts.record_sent(host.name)
+            try:
+                result = await self._sender.relay(
+                    call, work, progress, host, relayed
+                )
+            finally:
+                hosts.record_end(host.name)
+            logs.event(
+                "relayed",
+                request=work.request,
+                through=host.name,
+                result=type(result).__name__,
+                reason=getattr(result, "reason", ""),
+                waited_ms=(clock.now() - work.arrived_at) * 1e3,
+            )
+            match result:
+                case sending.Passed(status=status):
+                    progress.status = status
+                    progress.outcome_reason = "served"
+                    return _AnswerFinal()
+                case sending.NotRelayed(reason=reason) if (
+                    result.has_not_run and reason in _RELAY_HOST_FAILURES
+                ):
+                    hosts.record_unavailable(host.name, clock.now())
+                case sending.NotRelayed():
+                    return _relay_failure(result)
+                case sending.BrokenAttempt(bytes_sent=False):
+                    hosts.record_unavailable(host.name, clock.now())
+                case sending.BrokenAttempt():
+                    # It is unknown at which targets the request has been.
+                    return await self._end_after_break(
+                        call, work, progress, result
+                    )
+        if hosts.pick(clock.now(), tried) is None:
+            hosts.record_unserved(_relay_key(work), clock.now())
+        return None
+
     def _target_wait_deadline(
         self, work: admission.AdmittedRequest, progress: sending.Progress
     ) -> float:
@@ -567,16 +757,16 @@
     # Answers to callers.
 
     async def _answer_failure(
-        self,
-        call: call_lib.Call,
-        progress: sending.Progress,
-        failure: findings.Failure,
+        self, active: _ActiveRequest, failure: findings.Failure
     ) -> None:
+        call, progress = active.call, active.progress
         if call.head_sent:
             call.abort()
             return
         progress.status = failure.status
         headers = {"Content-Type": "text/plain; charset=utf-8"}
+        if active.relayed is not None:
+            headers[relay_hosts_lib.FAILURE_HEADER] = failure.reason
         if failure.retry_after is not None:
             # Rounded up: a retry before that time would be refused again.
             seconds = math.ceil(failure.retry_after * 100) / 100
@@ -585,3 +775,21 @@
             )
         body = f"{failure.reason}: {failure.detail}\n".encode()
         await call.answer(failure.status, headers, body)
+
+
+def _relay_key(work: admission.AdmittedRequest) -> tuple[str, str]:
+    return work.service.name, work.model
+
+
+def _relay_failure(result: sending.NotRelayed) -> findings.Failure:
+    """Returns the failure for a request that a relay host could not serve."""
+    outcome = findings.RunState.UNKNOWN
+    if result.has_not_run:
+        outcome = findings.RunState.NOT_RUN
+    return findings.Failure(
+        outcome=outcome,
+        reason=result.reason,
+        detail=f"the relay host answered {result.status}: {result.reason}",
+        status=result.status,
+        retry_after=result.retry_after,
+    )
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -9,6 +9,7 @@
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
+from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
@@ -51,7 +52,9 @@
     Attributes:
         rules: Admission rules.
         view: This host's view of the targets.
-        pool: Connections to targets.
+        pool: Connections to targets and relay hosts.
+        relay_hosts: Entry hosts that can relay this host's requests.
+        host: Name of this host.
         credit: Source of teams' credit.
         repeats: Returns this host's repeat budget for a service.
         request_repeat: Requests one repeat from the leader, out of a service's
@@ -84,6 +87,8 @@
     rules: admission.AdmissionInputs
     view: target_selection.TargetView
     pool: exchange_lib.Pool
+    relay_hosts: relay_hosts_lib.RelayHosts
+    host: str
     credit: Credit
     repeats: Callable[[str], repeats_lib.RepeatBudget]
     request_repeat: Callable[[str], Awaitable[bool]]
--- /dev/null
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -0,0 +1,175 @@
+"""Entry hosts that relay requests for a host that reaches no target itself.
+
+A relayed request is the caller's own request, sent to the relay host over HTTP
+with one more header (`RelayedRequest`). The relay host checks it like any
+request, serves it from its own view of the targets, and does not relay it
+again. This module selects relay hosts; it does no I/O.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import msgspec
+from tornado import httputil
+
+from endivestream import site_messages
+
+# Marks a relayed request, and names the reason of a failure of the relay host
+# itself in its answer.
+REQUEST_HEADER = "Endivestream-Relayed"
+FAILURE_HEADER = "Endivestream-Relay-Failure"
+# Time for which a host that could not relay a request is not selected.
+_AVOID_SECONDS = 1.0
+# Time for which requests are not relayed that no relay host could serve.
+_UNSERVED_SECONDS = 1.0
+# A relay host in another failure domain is selected if those in the own domain
+# have this many more requests of this host.
+_REMOTE_DOMAIN_REQUESTS = 8
+
+
+class RelayedRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """What the host of the caller has decided and done about a request.
+
+    Attributes:
+        host: Name of that host.
+        version: Version of its configuration.
+        waited: Seconds since the request was read.
+        sent_attempts: Number of attempts that may have reached a target.
+        tried: Targets that may have run it.
+        last_event: Id of the last event that the caller has, in a stream.
+    """
+
+    host: str
+    version: int
+    waited: float = 0.0
+    sent_attempts: int = 0
+    tried: tuple[str, ...] = ()
+    last_event: str = ""
+
+    def encode(self) -> str:
+        """Returns the value of the request's header."""
+        return msgspec.json.encode(self).decode()
+
+
+def take_relayed_request(
+    headers: httputil.HTTPHeaders,
+) -> RelayedRequest | None:
+    """Removes the header from a request; None if it is missing or invalid."""
+    try:
+        return msgspec.json.decode(
+            headers.pop(REQUEST_HEADER, ""), type=RelayedRequest
+        )
+    except msgspec.DecodeError:
+        return None
+
+
+class RelayHost(NamedTuple):
+    """An entry host that may relay.
+
+    Attributes:
+        name: Its name.
+        domain: Its failure domain.
+        address: `IP:PORT` on which it accepts relayed requests.
+    """
+
+    name: str
+    domain: str
+    address: str
+
+
+def relay_address(peers: str) -> str:
+    """Returns the address for relayed requests: the port after that for peers.
+
+    Args:
+        peers: `tcp://IP:PORT` on which a host listens for others, or empty.
+    """
+    if not peers:
+        return ""
+    ip, port = peers.removeprefix("tcp://").rsplit(":", 1)
+    return f"{ip}:{int(port) + 1}"
+
+
+class RelayHosts:
+    """Selects relay hosts for the requests of one entry host."""
+
+    def __init__(self, *, name: str = "", domain: str = "") -> None:
+        """Initializes a selection without hosts.
+
+        Args:
+            name: Name of this host, which is never selected.
+            domain: Its failure domain.
+        """
+        self._name = name
+        self._domain = domain
+        self._hosts: tuple[RelayHost, ...] = ()
+        self._running: dict[str, int] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._unserved_until: dict[tuple[str, str], float] = {}
+
+    def set_hosts(self, entries: Sequence[site_messages.EntryHost]) -> None:
+        """Sets the entry hosts of the site."""
+        self._hosts = tuple(
+            RelayHost(entry.name, entry.domain, relay_address(entry.peers))
+            for entry in entries
+            if entry.peers and not entry.draining and entry.name != self._name
+        )
+        names = {host.name for host in self._hosts}
+        for name in self._avoided_until.keys() - names:
+            del self._avoided_until[name]
+
+    def pick(self, now: float, tried: Collection[str] = ()) -> RelayHost | None:
+        """Returns the host with the fewest requests of this host.
+
+        Args:
+            now: Current time.
+            tried: Names of hosts that could not relay the request.
+        """
+        hosts = [
+            host
+            for host in self._hosts
+            if host.name not in tried
+            and now >= self._avoided_until.get(host.name, now)
+        ]
+        return min(hosts, key=self._load, default=None)
+
+    def _load(self, host: RelayHost) -> int:
+        running = self._running.get(host.name, 0)
+        if host.domain != self._domain:
+            running += _REMOTE_DOMAIN_REQUESTS
+        return running
+
+    def can_serve(self, key: tuple[str, str], now: float) -> bool:
+        """Whether a relay host is likely to serve a request.
+
+        Args:
+            key: Service and model of the request.
+            now: Current time.
+        """
+        return (
+            now >= self._unserved_until.get(key, now)
+            and self.pick(now) is not None
+        )
+
+    def record_sent(self, name: str) -> None:
+        """Records that a request is sent to a relay host."""
+        self._running[name] = self._running.get(name, 0) + 1
+
+    def record_end(self, name: str) -> None:
+        """Records that a request at a relay host has ended."""
+        self._running[name] -= 1
+        if not self._running[name]:
+            del self._running[name]
+
+    def record_unavailable(self, name: str, now: float) -> None:
+        """Records that a host did not relay a request."""
+        self._avoided_until[name] = now + _AVOID_SECONDS
+
+    def record_unserved(self, key: tuple[str, str], now: float) -> None:
+        """Records that no relay host could serve a service's model."""
+        self._unserved_until = {
+            k: until for k, until in self._unserved_until.items() if until > now
+        }
+        self._unserved_until[key] = now + _UNSERVED_SECONDS
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -28,6 +28,7 @@
 from endivestream.request import call as call_lib
 from endivestream.request import homes
 from endivestream.request import names as names_lib
+from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -53,6 +54,8 @@
         refusals: Number of refusals by targets that did not run it.
         request_attempts: Number of attempts.
         sent_attempts: Number of attempts that may have reached a target.
+        failed_connections: Number of connections that could not be opened.
+        is_relay_ended: Whether it has been sent to relay hosts.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
         can_continue: Whether another target can continue the answer: nothing
@@ -77,6 +80,8 @@
     refusals: int = 0
     request_attempts: int = 0
     sent_attempts: int = 0
+    failed_connections: int = 0
+    is_relay_ended: bool = False
     may_have_run: bool = False
     last_event: bytes = b""
     can_continue: bool = True
@@ -144,6 +149,25 @@
     status: int
 
 
+class NotRelayed(NamedTuple):
+    """A relay host answered with a failure of its own.
+
+    Attributes:
+        reason: Its reason.
+        status: Status of its answer.
+        retry_after: Seconds after which to retry, if it states them.
+    """
+
+    reason: str
+    status: int
+    retry_after: float | None
+
+    @property
+    def has_not_run(self) -> bool:
+        """Whether the relay host states that the request has not run."""
+        return self.status in (401, 404, 429, 503)
+
+
 Result = Refused | Withdrawn | BrokenAttempt | Passed
 
 
@@ -280,7 +304,10 @@
             ):
                 remaining = work.deadline - clock.now()
                 await exchange.connect(
-                    seconds=min(_CONNECT_SECONDS, max(0.01, remaining))
+                    seconds=min(_CONNECT_SECONDS, max(0.01, remaining)),
+                    is_new=self._view.needs_new_connection(
+                        registration, clock.now()
+                    ),
                 )
                 await self._awaited_answers.read_received(registration.name)
                 sent_at = clock.now()
@@ -322,6 +349,105 @@
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
+    async def relay(
+        self,
+        call: call_lib.Call,
+        work: admission.AdmittedRequest,
+        progress: Progress,
+        host: relay_hosts_lib.RelayHost,
+        relayed: relay_hosts_lib.RelayedRequest,
+    ) -> BrokenAttempt | Passed | NotRelayed:
+        """Sends a request to a relay host and relays its answer."""
+        progress.target = host.name
+        progress.stage = "target"
+        progress.starting = None
+        progress.request_attempts += 1
+        progress.first_sent_at = progress.first_sent_at or clock.now()
+        exchange = exchange_lib.Exchange(
+            pool=self._pool, url=f"http://{host.address}/"
+        )
+        has_not_run = False
+        try:
+            async with asyncio.timeout_at(_loop_time(work.deadline)):
+                await exchange.connect(seconds=_CONNECT_SECONDS)
+                exchange.send(
+                    call.method,
+                    call.uri,
+                    self._relayed_headers(call, work, relayed),
+                    call.body,
+                )
+                head = await exchange.head(seconds=work.route.timeout)
+                failure = await self._read_relay_failure(exchange, head)
+                if failure is not None:
+                    has_not_run = failure.has_not_run
+                    return failure
+                return await self._relay_from_host(
+                    call, work, progress, exchange, head
+                )
+        except TimeoutError:
+            return BrokenAttempt(exchange.sent, "timeout")
+        except sse.TooLongError:
+            return BrokenAttempt(True, "event_too_long")
+        except exchange_lib.ExchangeError as error:
+            return BrokenAttempt(
+                error.sent, "broke_off" if error.sent else "no_way"
+            )
+        finally:
+            if exchange.sent and not has_not_run:
+                progress.may_have_run = True
+                progress.sent_attempts += 1
+            exchange.close()
+
+    def _relayed_headers(
+        self,
+        call: call_lib.Call,
+        work: admission.AdmittedRequest,
+        relayed: relay_hosts_lib.RelayedRequest,
+    ) -> httputil.HTTPHeaders:
+        """Returns the caller's own headers and those of the relay."""
+        fields = _end_to_end_headers(call.headers)
+        fields.pop("Content-Length", None)
+        remaining = work.deadline - clock.now()
+        if math.isfinite(remaining):
+            milliseconds = max(1, int(remaining * 1000))
+            fields[self._names.deadline_ms] = str(milliseconds)
+        fields[relay_hosts_lib.REQUEST_HEADER] = relayed.encode()
+        return fields
+
+    async def _read_relay_failure(
+        self, exchange: exchange_lib.Exchange, head: exchange_lib.Head
+    ) -> NotRelayed | None:
+        """Returns the failure of a relay host; None if a target answered."""
+        reason = head.headers.get(relay_hosts_lib.FAILURE_HEADER)
+        if reason is None:
+            return None
+        async for _ in exchange.chunks(silence=_CONNECT_SECONDS):
+            pass
+        retry_after = None
+        text = head.headers.get(self._names.retry_after)
+        if text is not None:
+            retry_after = float(text)
+        return NotRelayed(reason, head.status, retry_after)
+
+    async def _relay_from_host(
+        self,
+        call: call_lib.Call,
+        work: admission.AdmittedRequest,
+        progress: Progress,
+        exchange: exchange_lib.Exchange,
+        head: exchange_lib.Head,
+    ) -> BrokenAttempt | Passed:
+        """Relays the answer of a target that a relay host got."""
+        if head.headers.get(self._names.request, "") != work.request:
+            return BrokenAttempt(True, "crossed_answer")
+        if call.head_sent and head.status >= 300:
+            return BrokenAttempt(True, f"target_{head.status}")
+        if work.route.kind == document_lib.Kind.STREAM and head.status < 300:
+            return await self._relay_stream(
+                call, work, progress, exchange, head
+            )
+        return await self._relay_buffered(call, work, progress, exchange, head)
+
     def _record_start(self, progress: Progress) -> None:
         """Records once per attempt that its prompt has been processed."""
         if progress.starting is not None:
@@ -447,7 +573,7 @@
         progress: Progress,
         exchange: exchange_lib.Exchange,
         head: exchange_lib.Head,
-    ) -> Result:
+    ) -> BrokenAttempt | Passed:
         """Relays an answer once it is complete, or too large to buffer."""
         parts: list[bytes] = []
         size = 0
@@ -493,7 +619,7 @@
         progress: Progress,
         exchange: exchange_lib.Exchange,
         head: exchange_lib.Head,
-    ) -> Result:
+    ) -> BrokenAttempt | Passed:
         """Relays events as they arrive."""
         splitter = None
         if work.route.resumable and sse.is_event_stream(
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -56,6 +56,11 @@
 _MAX_SLOT_SHARE = 0.75
 _SLOT_SHARE_PER_RANK = 0.1
 _MAX_RANK_STEPS = 3
+# Number of failing or silent targets from which this host's own network path is
+# suspected, and the age of the last byte up to which a target is known to be
+# reachable nevertheless.
+_SUSPECT_TARGETS = 2
+_REACHABLE_SECONDS = 1.0
 # Age at which the load of other hosts is ignored: three lost lease renewals.
 _LOADS_STALE_SECONDS = 1.0
 
@@ -101,10 +106,13 @@
         reason: `no_target`, `no_home`, `evacuated`, `no_model`, `no_adapter`,
             `target_backoff`, `all_failing`, `full`, `rate_limited`.
         expected: Time at which a target can be expected to take it, if known.
+        is_reported: Whether a target that is failing here sends reports to the
+            leader: other hosts may reach it.
     """
 
     reason: str
     expected: float | None = None
+    is_reported: bool = False
 
     @property
     def is_lasting(self) -> bool:
@@ -326,6 +334,26 @@
             and self._has_window(registration.name)
         )
 
+    def needs_new_connection(
+        self, registration: registry_lib.Registration, now: float
+    ) -> bool:
+        """Returns whether a request must open a connection to a target.
+
+        A request over an idle connection whose path is cut may have run, so it
+        could not be sent elsewhere. A connection that cannot be opened sends
+        nothing.
+        """
+        state = self._states.get(registration.name)
+        if state is None or now - state.last_byte_at <= _REACHABLE_SECONDS:
+            return False
+        if state.is_ejected:
+            return True
+        failing_count = sum(
+            self._states[name].is_ejected or self._states[name].is_silent(now)
+            for name in self._targets
+        )
+        return failing_count >= _SUSPECT_TARGETS
+
     def obstacle(
         self,
         registration: registry_lib.Registration,
@@ -429,7 +457,10 @@
             return Unavailable(reason="target_backoff", expected=min(ends))
         healthy = [n for n in names if self._states[n].is_healthy(now)]
         if not healthy:
-            return Unavailable(reason="all_failing")
+            is_reported = any(
+                not self._targets[name].reports_overdue for name in names
+            )
+            return Unavailable(reason="all_failing", is_reported=is_reported)
         names = [
             n
             for n in healthy
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -16,6 +16,7 @@
 from endivestream.request import lease_queue
 from endivestream.request import names as names_lib
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import repeats as repeats_lib
 from endivestream.request import routes as routes_lib
 from endivestream.request import target_selection
@@ -82,6 +83,7 @@
         self.fails_during_turn = False
         self.refused_kinds = set()
         self.pool = exchange_lib.Pool()
+        self.relay_hosts = relay_hosts_lib.RelayHosts(name="here")
         self.repeats = repeats_lib.RepeatBudget(
             ratio=1.0, window=10.0, slack=100.0, now=clock.now() - 60.0
         )
@@ -97,6 +99,8 @@
             rules=rules,
             view=self.view,
             pool=self.pool,
+            relay_hosts=self.relay_hosts,
+            host="here",
             credit=self.credit,
             repeats=lambda service: self.repeats,
             request_repeat=self._ask_repeat,
--- /dev/null
+++ b/tests/test_relay_hosts.py
@@ -0,0 +1,173 @@
+"""Tests of requests that one entry host relays for another."""
+
+import asyncio
+import unittest
+
+from endivestream import clock
+from endivestream import site_messages
+from endivestream.request import call as call_lib
+from endivestream.request import relay_hosts
+from endivestream.request import repeats as repeats_lib
+from endivestream.version import document as document_lib
+from tornado import httpserver
+from tornado import netutil
+
+from tests import standin
+from tests import test_forward
+
+
+def entry(name, *, domain="a", peers="tcp://10.0.0.1:7", draining=False):
+    return site_messages.EntryHost(name, 1, domain, "", draining, peers)
+
+
+class SelectionTest(unittest.TestCase):
+    def setUp(self):
+        self.hosts = relay_hosts.RelayHosts(name="here", domain="a")
+
+    def _pick(self, now=0.0, tried=()):
+        host = self.hosts.pick(now, tried)
+        return host and host.name
+
+    def test_hosts_that_cannot_relay_are_not_selected(self):
+        """Guards against relays through this host, old or draining hosts."""
+        self.hosts.set_hosts(
+            [
+                entry("here"),
+                entry("old", peers=""),
+                entry("stops", draining=True),
+                entry("other"),
+            ]
+        )
+        self.assertEqual(self._pick(), "other")
+        self.assertIsNone(self._pick(tried=("other",)))
+
+    def test_requests_are_spread_over_hosts(self):
+        """Guards against one relay host that gets all requests of a cut one."""
+        self.hosts.set_hosts([entry("b"), entry("c"), entry("far", domain="z")])
+        for _ in range(20):
+            self.hosts.record_sent(self._pick())
+        running = self.hosts._running
+        self.assertLessEqual(abs(running["b"] - running["c"]), 1)
+        self.assertGreater(running["far"], 0)
+
+    def test_unavailable_host_is_avoided_for_a_while(self):
+        """Guards against requests that each try the same cut relay host."""
+        self.hosts.set_hosts([entry("b")])
+        self.hosts.record_unavailable("b", 10.0)
+        self.assertIsNone(self._pick(10.5))
+        self.assertEqual(self._pick(11.5), "b")
+
+    def test_targets_that_fail_everywhere_stop_relays(self):
+        """Guards against relays for targets that no host reaches."""
+        self.hosts.set_hosts([entry("b")])
+        self.hosts.record_unserved(("llm", "m"), 10.0)
+        self.assertFalse(self.hosts.can_serve(("llm", "m"), 10.5))
+        self.assertTrue(self.hosts.can_serve(("llm", "other"), 10.5))
+        self.assertTrue(self.hosts.can_serve(("llm", "m"), 11.5))
+
+    def test_invalid_header_is_no_relayed_request(self):
+        """Guards against requests that another host has not admitted."""
+        headers = {relay_hosts.REQUEST_HEADER: "{}"}
+        self.assertIsNone(relay_hosts.take_relayed_request(headers))
+        self.assertIsNone(relay_hosts.take_relayed_request({}))
+
+
+class RelayedTest(test_forward.ForwardTest):
+    """Requests at the address for relayed requests."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        front = call_lib.RequestServer(
+            serve=self.forwarder.serve_relayed, now=clock.now
+        )
+        self.relay_server = httpserver.HTTPServer(front)
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        self.relay_server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        self.relaying = await standin.Caller(f"127.0.0.1:{port}").start()
+
+    async def asyncTearDown(self):
+        self.relaying.close()
+        self.relay_server.stop()
+        await self.relay_server.close_all_connections()
+        await super().asyncTearDown()
+
+    def _header(self, **fields):
+        relayed = relay_hosts.RelayedRequest(
+            **({"host": "cut", "version": 1} | fields)
+        )
+        return {relay_hosts.REQUEST_HEADER: relayed.encode()}
+
+    async def test_credit_is_taken_once(self):
+        """Guards against a team that pays at both hosts."""
+        team = document_lib.Team(name="band", keys=("k",), rate=1.0)
+        self._route(test_forward.ONCE, teams=(team,))
+        target = await self._start_target(standin.says(standin.answer()))
+        reply = await self.relaying.ask(
+            Authorization="Bearer k", **self._header()
+        )
+        self.assertEqual(reply.status, 200)
+        self.assertEqual((self.credit.taken, self.credit.refunded), ([], []))
+        headers = target.requests[0].headers
+        self.assertEqual(headers["X-Team"], "band")
+        self.assertNotIn(relay_hosts.REQUEST_HEADER, headers)
+        self.assertNotIn("Authorization", headers)
+
+    async def test_keys_are_checked_again(self):
+        """Guards against requests without a key at the relays' address."""
+        team = document_lib.Team(name="band", keys=("k",))
+        self._route(test_forward.ONCE, teams=(team,))
+        target = await self._start_target(standin.says(standin.answer()))
+        reply = await self.relaying.ask(**self._header())
+        self.assertEqual(reply.status, 401)
+        reply = await self.relaying.ask(Authorization="Bearer k")
+        self.assertEqual(reply.status, 400)
+        self.assertEqual(target.requests, [])
+
+    async def test_older_configuration_does_not_run(self):
+        """Guards against a service that a newer configuration has replaced."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(standin.says(standin.answer()))
+        reply = await self.relaying.ask(**self._header(version=2))
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(
+            reply.headers[relay_hosts.FAILURE_HEADER], "older_configuration"
+        )
+        self.assertEqual(target.requests, [])
+
+    async def test_repeat_after_the_first_host_counts(self):
+        """Guards against repeats that no budget counts."""
+        self._route(test_forward.IDEMPOTENT)
+        self.repeats = repeats_lib.RepeatBudget(
+            ratio=0.0, window=10.0, slack=0.0, now=clock.now()
+        )
+        target = await self._start_target(standin.says(standin.answer()))
+        reply = await self.relaying.ask(**self._header(sent_attempts=1))
+        self.assertEqual(reply.status, 502)
+        self.assertEqual((target.requests, self.repeat_requests), ([], 1))
+
+    async def test_relayed_request_is_not_relayed_again(self):
+        """Guards against requests that go round between hosts."""
+        self._route(test_forward.ONCE)
+        self.relay_hosts.set_hosts([entry("third", peers="tcp://127.0.0.1:1")])
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("t1", unreachable.address)
+        await unreachable.close()
+        reply = await self.relaying.ask(**self._header())
+        self.assertEqual(reply.status, 503)
+        self.assertEqual(self.relay_hosts._avoided_until, {})
+
+    async def test_cancelled_request_leaves_the_target(self):
+        """Guards against runs whose caller has left the other host."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(standin.hangs)
+        self.relaying.send(**self._header())
+        async with asyncio.timeout(10):
+            while not target.requests:
+                await asyncio.sleep(0.005)
+            self.relaying.close()
+            await target.closed.wait()
+
+
+if __name__ == "__main__":
+    unittest.main()
