A stream that lacks the line feed of its last CRLF has broken off

A resumable stream without a length ended with the CR of a CRLF when its target was restarted, and was relayed as complete. Cause: a CR ends a line by itself, so the event counted as complete. Change: in a stream whose lines end with CRLF, and none with a lone CR, a last CR is the first half of a line ending. The soak resets streams without a length when it restarts a target: closed normally between two events, they cannot be told from whole ones.

--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -82,6 +82,9 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
+            if writer in self._streams.unframed:
+                # A normal close between two events would be a whole stream.
+                streams.reset(writer)
             writer.transport.abort()
         if self._connections:
             await asyncio.wait(set(self._connections))
--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -100,11 +100,24 @@
         self._is_first_line = True
         self._has_fields = False
         self._ends_with_cr = False
+        self._has_crlf = False
+        self._has_lone_cr = False
 
     @property
     def is_inside_event(self) -> bool:
         """Whether the bytes so far end inside a line or an event."""
-        return self._has_fields or bool(self._line_text())
+        return (
+            self._has_fields or bool(self._line_text()) or self.lacks_line_feed
+        )
+
+    @property
+    def lacks_line_feed(self) -> bool:
+        """Whether the bytes end with the first half of a CRLF.
+
+        A CR ends a line by itself, too, but not in a stream whose lines end
+        with CRLF.
+        """
+        return self._ends_with_cr and self._has_crlf and not self._has_lone_cr
 
     def feed(self, chunk: bytes) -> list[int]:
         """Adds a chunk.
@@ -114,13 +127,25 @@
         """
         ends = []
         start = 0
-        if self._ends_with_cr and chunk.startswith(b"\n"):
-            start = 1
-            if not self.is_inside_event:
-                ends.append(start)
-        if chunk:
-            self._ends_with_cr = chunk.endswith(b"\r")
+        if not chunk:
+            return ends
+        if self._ends_with_cr:
+            self._ends_with_cr = False
+            if chunk.startswith(b"\n"):
+                start = 1
+                self._has_crlf = True
+                if not self.is_inside_event:
+                    ends.append(start)
+            else:
+                self._has_lone_cr = True
         for line_end in _LINE_END.finditer(chunk, start):
+            match line_end.group():
+                case b"\r\n":
+                    self._has_crlf = True
+                case b"\r" if line_end.end() == len(chunk):
+                    self._ends_with_cr = True
+                case b"\r":
+                    self._has_lone_cr = True
             self._add_to_line(chunk[start : line_end.start()])
             start = line_end.end()
             line = self._line_text()
@@ -170,8 +195,7 @@
         start = 0
         for end in self._boundaries.feed(chunk):
             raw = self._incomplete + chunk[start:end]
-            if end == len(chunk) and raw.endswith(b"\r") and b"\r\n" in raw:
-                # Its lines end with CRLF: the last byte has not arrived.
+            if end == len(chunk) and self._boundaries.lacks_line_feed:
                 break
             event = _parse_event(raw)
             events.append(RawEvent(event.id, bool(event.data), raw))
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -65,6 +65,14 @@
         """Guards against a lost rest of a stream that has no length."""
         await self._check_cut_stream("close")
 
+    async def test_stream_closed_inside_a_line_ending_is_not_complete(self):
+        """Guards against a stream whose last CRLF lacks its line feed."""
+        answer = _stream("close", b"data: 1\r\n\r", is_ended=True)
+        reply = await self._ask(
+            test_forward.STREAM, standin.says(answer, close=True)
+        )
+        self.assertFalse(reply.whole)
+
     async def test_stream_with_length_inside_an_event_is_not_complete(self):
         """Guards against a length that a failing target reaches too early."""
         await self._check_cut_stream("length")
