Relay hosts: avoid one that is cut off, and one model at another

What callers saw: nothing; found while reading. A relay host that reached no target for one model was avoided for all requests for a second, and one that was cut off itself opened connections for relayed requests, 0.15 s each. Change: a host that reaches less than half of the targets refuses relayed requests at once (cut_off) and is avoided for all; a failure that concerns the targets of one service and model is kept for these. Evidence: test_cut_off_host_refuses_at_once and test_host_without_a_path_to_one_model_relays_others; test_cut_hosts 6, test_forward 65 passed.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -48,19 +48,13 @@
 _MAX_RELAY_HOSTS = 4
 # Maximum number of requests that this host relays for others at a time.
 _MAX_RELAYED = 128
-# Failures of a relay host that say nothing about the other relay hosts.
+# Failures of a relay host that concern all requests, and those that concern
+# the service and model of one; another relay host may serve the request.
 _RELAY_HOST_FAILURES = frozenset(
-    {
-        "all_failing",
-        "no_lease",
-        "no_route",
-        "no_target",
-        "no_way",
-        "older_configuration",
-        "relays_full",
-        "stopping",
-        "unknown_key",
-    }
+    {"cut_off", "no_lease", "older_configuration", "relays_full", "stopping"}
+)
+_RELAY_TARGET_FAILURES = frozenset(
+    {"all_failing", "no_route", "no_target", "no_way", "unknown_key"}
 )
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
@@ -195,6 +189,12 @@
                 f"this host's configuration is older than {relayed.version}",
                 status=503,
             )
+        if self._parts.view.is_cut_off(clock.now()):
+            return findings.not_run(
+                "cut_off",
+                "this host reaches less than half of the targets",
+                status=503,
+            )
         relayed_count = sum(
             each.relayed is not None for each in self._active.values()
         )
@@ -666,10 +666,11 @@
             tried=tuple(progress.attempted_targets),
             last_event=progress.last_event.decode("latin-1"),
         )
+        key = _relay_key(work)
         tried: list[str] = []
         progress.is_relay_ended = True
         while len(tried) < _MAX_RELAY_HOSTS and clock.now() < work.deadline:
-            host = hosts.pick(clock.now(), tried)
+            host = hosts.pick(key, clock.now(), tried)
             if host is None:
                 break
             tried.append(host.name)
@@ -693,10 +694,14 @@
                     progress.status = status
                     progress.outcome_reason = "served"
                     return _AnswerFinal()
-                case sending.NotRelayed(reason=reason) if (
-                    result.has_not_run and reason in _RELAY_HOST_FAILURES
+                case sending.NotRelayed(reason=reason, has_not_run=True) if (
+                    reason in _RELAY_HOST_FAILURES
                 ):
                     hosts.record_unavailable(host.name, clock.now())
+                case sending.NotRelayed(reason=reason, has_not_run=True) if (
+                    reason in _RELAY_TARGET_FAILURES
+                ):
+                    hosts.record_unserved(key, clock.now(), host.name)
                 case sending.NotRelayed():
                     return _relay_failure(result)
                 case sending.BrokenAttempt(bytes_sent=False):
@@ -706,8 +711,8 @@
                     return await self._end_after_break(
                         call, work, progress, result
                     )
-        if hosts.pick(clock.now(), tried) is None:
-            hosts.record_unserved(_relay_key(work), clock.now())
+        if hosts.pick(key, clock.now(), tried) is None:
+            hosts.record_unserved(key, clock.now())
         return None
 
     def _target_wait_deadline(
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -11,6 +11,7 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 from typing import NamedTuple
+from typing import TypeVar
 
 import msgspec
 from tornado import httputil
@@ -25,6 +26,10 @@
 _AVOID_SECONDS = 1.0
 # Time for which requests are not relayed that no relay host could serve.
 _UNSERVED_SECONDS = 1.0
+# Service and model of a request; the model may be empty.
+Key = tuple[str, str]
+_Key = TypeVar("_Key")
+
 # A relay host in another failure domain is selected if those in the own domain
 # have this many more requests of this host.
 _REMOTE_DOMAIN_REQUESTS = 8
@@ -107,7 +112,9 @@
         self._hosts: tuple[RelayHost, ...] = ()
         self._running: dict[str, int] = {}
         self._avoided_until: dict[str, float] = {}
-        self._unserved_until: dict[tuple[str, str], float] = {}
+        # The same for one service and model, by host.
+        self._key_avoided_until: dict[tuple[str, Key], float] = {}
+        self._unserved_until: dict[Key, float] = {}
 
     def set_hosts(self, entries: Sequence[site_messages.EntryHost]) -> None:
         """Sets the entry hosts of the site."""
@@ -120,10 +127,13 @@
         for name in self._avoided_until.keys() - names:
             del self._avoided_until[name]
 
-    def pick(self, now: float, tried: Collection[str] = ()) -> RelayHost | None:
+    def pick(
+        self, key: Key, now: float, tried: Collection[str] = ()
+    ) -> RelayHost | None:
         """Returns the host with the fewest requests of this host.
 
         Args:
+            key: Service and model of the request.
             now: Current time.
             tried: Names of hosts that could not relay the request.
         """
@@ -132,6 +142,7 @@
             for host in self._hosts
             if host.name not in tried
             and now >= self._avoided_until.get(host.name, now)
+            and now >= self._key_avoided_until.get((host.name, key), now)
         ]
         return min(hosts, key=self._load, default=None)
 
@@ -141,7 +152,7 @@
             running += _REMOTE_DOMAIN_REQUESTS
         return running
 
-    def can_serve(self, key: tuple[str, str], now: float) -> bool:
+    def can_serve(self, key: Key, now: float) -> bool:
         """Whether a relay host is likely to serve a request.
 
         Args:
@@ -150,7 +161,7 @@
         """
         return (
             now >= self._unserved_until.get(key, now)
-            and self.pick(now) is not None
+            and self.pick(key, now) is not None
         )
 
     def record_sent(self, name: str) -> None:
@@ -164,12 +175,31 @@
             del self._running[name]
 
     def record_unavailable(self, name: str, now: float) -> None:
-        """Records that a host did not relay a request."""
+        """Records that a host relays no request now."""
         self._avoided_until[name] = now + _AVOID_SECONDS
 
-    def record_unserved(self, key: tuple[str, str], now: float) -> None:
-        """Records that no relay host could serve a service's model."""
-        self._unserved_until = {
-            k: until for k, until in self._unserved_until.items() if until > now
-        }
-        self._unserved_until[key] = now + _UNSERVED_SECONDS
+    def record_unserved(
+        self, key: Key, now: float, name: str | None = None
+    ) -> None:
+        """Records that relay hosts reach no target for a service's model.
+
+        Args:
+            key: Service and model.
+            now: Current time.
+            name: The relay host; None if all have been tried.
+        """
+        if name is None:
+            _set_until(self._unserved_until, key, now, _UNSERVED_SECONDS)
+        else:
+            _set_until(
+                self._key_avoided_until, (name, key), now, _AVOID_SECONDS
+            )
+
+
+def _set_until(
+    until_by_key: dict[_Key, float], key: _Key, now: float, seconds: float
+) -> None:
+    """Sets a time and drops those that have passed."""
+    for passed in [k for k, until in until_by_key.items() if until <= now]:
+        del until_by_key[passed]
+    until_by_key[key] = now + seconds
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -346,13 +346,17 @@
         state = self._states.get(registration.name)
         if state is None or now - state.last_byte_at <= _REACHABLE_SECONDS:
             return False
-        if state.is_ejected:
-            return True
-        failing_count = sum(
+        return state.is_ejected or self._failing_count(now) >= _SUSPECT_TARGETS
+
+    def is_cut_off(self, now: float) -> bool:
+        """Returns whether more than half of all targets fail for this host."""
+        return 2 * self._failing_count(now) > len(self._targets)
+
+    def _failing_count(self, now: float) -> int:
+        return sum(
             self._states[name].is_ejected or self._states[name].is_silent(now)
             for name in self._targets
         )
-        return failing_count >= _SUSPECT_TARGETS
 
     def obstacle(
         self,
--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -8,6 +8,7 @@
 from endivestream.request import call as call_lib
 from endivestream.request import relay_hosts
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 from tornado import httpserver
 from tornado import netutil
@@ -25,7 +26,7 @@
         self.hosts = relay_hosts.RelayHosts(name="here", domain="a")
 
     def _pick(self, now=0.0, tried=()):
-        host = self.hosts.pick(now, tried)
+        host = self.hosts.pick(("llm", "m"), now, tried)
         return host and host.name
 
     def test_hosts_that_cannot_relay_are_not_selected(self):
@@ -57,6 +58,13 @@
         self.assertIsNone(self._pick(10.5))
         self.assertEqual(self._pick(11.5), "b")
 
+    def test_host_without_a_path_to_one_model_relays_others(self):
+        """Guards against one failing model that stops all relays."""
+        self.hosts.set_hosts([entry("b")])
+        self.hosts.record_unserved(("llm", "m"), 10.0, "b")
+        self.assertIsNone(self._pick(10.5))
+        self.assertTrue(self.hosts.can_serve(("llm", "other"), 10.5))
+
     def test_targets_that_fail_everywhere_stop_relays(self):
         """Guards against relays for targets that no host reaches."""
         self.hosts.set_hosts([entry("b")])
@@ -135,6 +143,20 @@
         )
         self.assertEqual(target.requests, [])
 
+    async def test_cut_off_host_refuses_at_once(self):
+        """Guards against relays that wait for connections of a cut host."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(standin.says(standin.answer()))
+        requirements = target_selection.TargetRequirements(service="desk")
+        for _ in range(2):
+            self.view.record_sent("t1", requirements, clock.now())
+            self.view.record_result(
+                "t1", requirements, clock.now(), failed=True
+            )
+        reply = await self.relaying.ask(**self._header())
+        self.assertEqual(reply.headers[relay_hosts.FAILURE_HEADER], "cut_off")
+        self.assertEqual((target.connections, reply.status), (0, 503))
+
     async def test_repeat_after_the_first_host_counts(self):
         """Guards against repeats that no budget counts."""
         self._route(test_forward.IDEMPOTENT)
