Soak of entry hosts that lose their paths to all targets

Signals cut the real processes of some or all but one of the entry hosts off from the targets, in three ways: silent, reset, or only new connections refused. From 3 s after a cut first tries there are compared with those at other hosts.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 soak: $(READY)
 	$(BIN)/python -m soak 0 50
 	$(BIN)/python -m soak.processes --seeds 50
+	$(BIN)/python -m soak.cuts --seeds 50 --entries 4
 
 clean:
 	rm -rf $(VENV)
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -67,8 +67,15 @@
     """
 
     def __init__(
-        self, *, name: str, ip: str, role: str, settings: pathlib.Path
+        self,
+        *,
+        name: str,
+        ip: str,
+        role: str,
+        settings: pathlib.Path,
+        program: pathlib.Path,
     ) -> None:
+        self._program = program
         self.name = name
         self.ip = ip
         self.role = role
@@ -96,7 +103,7 @@
         )
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
-            str(_ROOT / "platform" / "main.py"),
+            str(self._program),
             self.role,
             env=os.environ
             | {
@@ -131,15 +138,19 @@
         self.disturbed_until = time.monotonic()
 
     async def reload(self) -> None:
-        """Sends SIGHUP, once the interpreter has begun to run the program.
+        """Sends SIGHUP."""
+        await self.signal_once_handled(signal.SIGHUP)
+
+    async def signal_once_handled(self, signal_number: int) -> None:
+        """Sends a signal, once the interpreter has begun to run the program.
 
-        Before that, SIGHUP ends any Python program.
+        Before that, it ends any Python program.
         """
         process = self._process
         while process is not None and process.returncode is None:
-            if _handles_or_blocks(process.pid, signal.SIGHUP):
+            if _handles_or_blocks(process.pid, signal_number):
                 with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGHUP)
+                    process.send_signal(signal_number)
                 return
             await asyncio.sleep(_POLL_SECONDS)
 
@@ -168,7 +179,13 @@
 
 
 class Soak:
-    """One run: processes, targets, callers and faults."""
+    """One run: processes, targets, callers and faults.
+
+    Attributes:
+        entry_program: The program of entry hosts.
+    """
+
+    entry_program = _ROOT / "platform" / "main.py"
 
     def __init__(
         self,
@@ -258,7 +275,16 @@
         }
         file = folder / f"{role}-{number}.json"
         file.write_text(json.dumps(settings))
-        return Process(name=f"{role}-{number}", ip=ip, role=role, settings=file)
+        program = _ROOT / "platform" / "main.py"
+        if role == "edge":
+            program = self.entry_program
+        return Process(
+            name=f"{role}-{number}",
+            ip=ip,
+            role=role,
+            settings=file,
+            program=program,
+        )
 
     def _is_excused(self, host: str, since: float) -> bool:
         return any(
@@ -453,11 +479,16 @@
 
 
 async def run(
-    *, seed: int, seconds: float, controls: int, entries: int
+    *,
+    seed: int,
+    seconds: float,
+    controls: int,
+    entries: int,
+    soak_class: type[Soak] = Soak,
 ) -> dict[str, object]:
     """Runs one seed and returns its report."""
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(
+        soak = soak_class(
             seed=seed,
             controls=controls,
             entries=entries,
@@ -471,7 +502,7 @@
         return soak.report()
 
 
-def main() -> int:
+def main(soak_class: type[Soak] = Soak) -> int:
     """Runs the seeds and returns the exit status."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--first", type=int, default=0)
@@ -488,6 +519,7 @@
                 seconds=options.seconds,
                 controls=options.controls,
                 entries=options.entries,
+                soak_class=soak_class,
             )
         )
         violations = report.pop("violations")
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from soak import cuts
 from soak import processes
 
 
@@ -13,3 +14,17 @@
             processes.run(seed=3, seconds=12.0, controls=3, entries=3)
         )
         self.assertEqual([], report["violations"])
+
+    def test_cut_hosts_serve_as_the_others(self):
+        """Guards against hosts that serve nothing while they are cut off."""
+        report = asyncio.run(
+            processes.run(
+                seed=1,
+                seconds=12.0,
+                controls=3,
+                entries=3,
+                soak_class=cuts.CutSoak,
+            )
+        )
+        self.assertEqual([], report["violations"])
+        self.assertNotIn(" of 0", report["cut"])
