Keep the refusals of brittle targets within their limit

Cause: the announcement was read nowhere; a refused request was sent to the same target up to six times. Change: after each such refusal the host pauses until it may cause the next one, half of its share of the limit, and then sends within a window that is halved by each refusal and grows with accepted requests. The window is checked once more before the first byte, as other announcements are.

--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -74,6 +74,9 @@
         refusal_seconds: Longest Retry-After of these; None for none.
         drawn_refusal_seconds: Values of the longest Retry-After that
             disturbances draw from; None for none.
+        room: Requests that each target has room for; None for any number.
+        brittle_limit: Refusals in a second that each target survives and
+            announces; None for any number.
     """
 
     seed: int
@@ -86,6 +89,8 @@
     refusing_targets: int | None = None
     refusal_seconds: float | None = 3.0
     drawn_refusal_seconds: tuple[float | None, ...] = (0.8, 3.0, 6.0)
+    room: int | None = None
+    brittle_limit: int | None = None
 
 
 class Call:
@@ -175,6 +180,8 @@
             domain="a",
             announcements=target_announcements.TargetAnnouncements(host=name),
         )
+        if scenario.brittle_limit is not None:
+            self._view.set_hosts(scenario.hosts)
         service = document_lib.Service(
             name="desk",
             health_path="/",
@@ -270,6 +277,9 @@
             target_lib.Target(name=f"t{n}", random_source=self._random)
             for n in range(scenario.targets)
         ]
+        for target in self.targets:
+            target.room = scenario.room
+            target.brittle_limit = scenario.brittle_limit
         by_address = {each.registration.address: each for each in self.targets}
         self._hosts = [
             Host(
--- a/benchmarks/soak/simulated_target.py
+++ b/benchmarks/soak/simulated_target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import AsyncIterator
 import random
 from typing import NamedTuple
@@ -51,6 +52,10 @@
         refusal_seconds: Longest Retry-After that it names; None if its
             refusals name none.
         is_draining: Whether its answers announce a drain.
+        room: Requests that it has room for; None for any number.
+        brittle_limit: Refusals for want of room in a second that it survives,
+            as its answers say; None if they do not.
+        running: Number of requests that run.
         arrivals: All requests that reached it.
         violations: Those that should not have.
         backoffs: Refusals by host, of the current process.
@@ -61,6 +66,10 @@
         self.refuses_until = float("-inf")
         self.refusal_seconds: float | None = 3.0
         self.is_draining = False
+        self.room: int | None = None
+        self.brittle_limit: int | None = None
+        self.running = 0
+        self._full_at: collections.deque[float] = collections.deque()
         self.arrivals: list[Arrival] = []
         self.violations: list[Violation] = []
         self.backoffs: dict[str, list[promises.Backoff]] = {}
@@ -98,6 +107,12 @@
         if self.is_draining:
             headers[_NAMES.draining] = "1"
             self._drain_announced_at.setdefault(host, now)
+        if self.brittle_limit is not None:
+            headers[_NAMES.brittle] = str(self.brittle_limit)
+        if self.room is not None and self.running >= self.room:
+            self._record_full(host, now)
+            headers[_NAMES.not_run] = "full"
+            return exchange_lib.Head(503, headers)
         if now >= self.refuses_until:
             return exchange_lib.Head(200, headers)
         headers[_NAMES.not_run] = "refused"
@@ -112,6 +127,17 @@
         )
         return exchange_lib.Head(503, headers)
 
+    def _record_full(self, host: str, now: float) -> None:
+        """Records a refusal; with too many in a second a target fails."""
+        if self.brittle_limit is None:
+            return
+        self._full_at.append(now)
+        while self._full_at[0] < now - 1.0:
+            self._full_at.popleft()
+        if len(self._full_at) > self.brittle_limit:
+            self._record_violation(now, host, "brittle")
+            self._full_at.clear()
+
     def _check(self, host: str, now: float) -> None:
         announced_at = self._drain_announced_at.get(host, now)
         if now > announced_at + DRAIN_SECONDS:
@@ -178,11 +204,15 @@
         head = self._target.receive(self._network.name)
         head.headers[_NAMES.request] = self._request
         if head.status == 200:
-            await asyncio.sleep(
-                self._network.random_source.uniform(
-                    MIN_RUN_SECONDS, _MAX_RUN_SECONDS
+            self._target.running += 1
+            try:
+                await asyncio.sleep(
+                    self._network.random_source.uniform(
+                        MIN_RUN_SECONDS, _MAX_RUN_SECONDS
+                    )
                 )
-            )
+            finally:
+                self._target.running -= 1
         await self._cross_link()
         return head
 
--- a/packages/endivestream/src/endivestream/request/answer_headers.py
+++ b/packages/endivestream/src/endivestream/request/answer_headers.py
@@ -69,6 +69,12 @@
         if head.status == 503 and retry_texts:
             self._record_backoff(request, registration, retry_texts)
         is_refusal = head.status == 421 or names.not_run in head.headers
+        if head.status != 421:
+            self._record_brittle_limit(
+                request, registration, head.headers.get(names.brittle)
+            )
+        if is_refusal and head.status == 503 and not retry_texts:
+            self._announcements.record_full(registration, clock.now())
         if not is_refusal and self._announcements.record_accepted(
             registration, sent_at
         ):
@@ -87,6 +93,25 @@
                 "target_draining", request=request, target=registration.name
             )
 
+    def _record_brittle_limit(
+        self,
+        request: str,
+        registration: registry_lib.Registration,
+        text: str | None,
+    ) -> None:
+        limit = None
+        if text is not None and text.strip().isdigit():
+            limit = int(text[:_MAX_LOGGED_CHARACTERS])
+        if self._announcements.record_brittle_limit(
+            registration, limit, clock.now()
+        ):
+            logs.event(
+                "target_brittle",
+                request=request,
+                target=registration.name,
+                limit="" if limit is None else limit,
+            )
+
     def _record_backoff(
         self,
         request: str,
--- a/packages/endivestream/src/endivestream/request/names.py
+++ b/packages/endivestream/src/endivestream/request/names.py
@@ -29,6 +29,8 @@
             accepts from all hosts together, while it sends this header.
         draining: In a target's answer, with value 1: the target is about to
             stop.
+        brittle: In a target's answer: refusals for want of room in a second,
+            over all hosts, above which the target fails.
         reserved: Further headers that only this system may set.
     """
 
@@ -46,4 +48,5 @@
     key_scheme: str = "Bearer"
     rate_limit: str = "X-Rate-Limit"
     draining: str = "X-Draining"
+    brittle: str = "X-Brittle"
     reserved: tuple[str, ...] = ()
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -319,6 +319,8 @@
                 obstacle = self._view.obstacle(
                     registration, requirements, sent_at
                 )
+                if not obstacle and self._view.exceeds_window(registration):
+                    obstacle = "window"
                 if obstacle:
                     return self._withdraw(work, registration, obstacle)
                 if self._view.announcements.record_sent(registration):
--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -30,6 +30,9 @@
 # most by this time. The share differs from host to host.
 _JITTER_SHARE = 0.1
 _MAX_JITTER_SECONDS = 1.0
+# Share of the refusals that a brittle target survives which all hosts together
+# may cause.
+_BRITTLE_SHARE = 0.5
 # Unanswered requests by which the window after a backoff grows with each
 # request that the target accepts.
 _WINDOW_GROWTH = 2
@@ -66,18 +69,22 @@
         received_at: When it was last updated.
         backoff_until: When the longest of its backoffs ends.
         window: Number of requests without an answer that it may have after the
-            backoff; None if it has accepted enough since.
+            backoff; None if it has accepted enough since. That of a brittle
+            target grows by one with each round of requests that it accepts.
         is_resumed: Whether it was sent a request after the backoff.
         draining_since: When it first announced that it is about to stop; None
             if it has not.
+        brittle_limit: Refusals for want of room in a second, over all hosts,
+            above which it fails; None if it announces none.
     """
 
     started_at_ms: int
     received_at: float
     backoff_until: float = -math.inf
-    window: int | None = None
+    window: float | None = None
     is_resumed: bool = False
     draining_since: float | None = None
+    brittle_limit: int | None = None
 
 
 class _Process(NamedTuple):
@@ -97,6 +104,7 @@
             host: Name of this host; spreads the ends of the hosts' backoffs.
         """
         self._host = host
+        self._hosts = 1
         self._by_target: dict[str, _Announcement] = {}
         self._processes: dict[str, _Process] = {}
         self._events = dict.fromkeys(("backoff", "resumed", "draining"), 0)
@@ -146,6 +154,63 @@
         announcement.is_resumed = False
         return True
 
+    def set_hosts(self, hosts: int) -> None:
+        """Sets how many entry hosts there are, this one included."""
+        self._hosts = max(1, hosts)
+
+    def record_brittle_limit(
+        self,
+        registration: registry_lib.Registration,
+        limit: int | None,
+        now: float,
+    ) -> bool:
+        """Records that a target fails if it refuses too many requests.
+
+        Args:
+            registration: The target, as the request was sent to it.
+            limit: Refusals for want of room in a second, over all hosts, that
+                it survives; None if it no longer announces a limit.
+            now: Current time.
+
+        Returns:
+            Whether the limit has changed.
+        """
+        if limit is None and self._find(registration) is None:
+            return False
+        announcement = self._update(registration, now)
+        if announcement is None or announcement.brittle_limit == limit:
+            return False
+        announcement.brittle_limit = limit
+        if limit is None:
+            announcement.window = None
+        return True
+
+    def record_full(
+        self, registration: registry_lib.Registration, now: float
+    ) -> bool:
+        """Records that a target refused a request for want of room.
+
+        A brittle target gets no requests until this host may cause the next
+        refusal.
+
+        Returns:
+            Whether the target gets no requests for longer than before.
+        """
+        announcement = self._find(registration)
+        if announcement is None or announcement.brittle_limit is None:
+            return False
+        # Each refusal counts, also those of requests sent at the same time.
+        seconds = max(0.0, announcement.backoff_until - now)
+        seconds += 1.0 / self._refusals_per_second(announcement.brittle_limit)
+        window = max(1.0, (announcement.window or 1.0) / 2)
+        is_longer = self.record_backoff(registration, seconds, now)
+        announcement.window = window
+        return is_longer
+
+    def _refusals_per_second(self, limit: int) -> float:
+        """Returns this host's share of the refusals of a brittle target."""
+        return _BRITTLE_SHARE * max(1, limit) / self._hosts
+
     def record_draining(
         self, registration: registry_lib.Registration, now: float
     ) -> bool:
@@ -221,6 +286,9 @@
             or sent_at < announcement.backoff_until
         ):
             return False
+        if announcement.brittle_limit is not None:
+            announcement.window += 1 / announcement.window
+            return True
         announcement.window += _WINDOW_GROWTH
         if announcement.window >= registration.slots:
             announcement.window = None
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -290,6 +290,7 @@
     def set_hosts(self, hosts: int) -> None:
         """Sets how many entry hosts there are, this one included."""
         self._hosts = max(1, hosts)
+        self._announcements.set_hosts(hosts)
 
     def is_rate_limited(
         self, registration: registry_lib.Registration, now: float
@@ -393,6 +394,20 @@
             return "no_adapter"
         return ""
 
+    def exceeds_window(self, registration: registry_lib.Registration) -> bool:
+        """Returns whether a request that is about to be sent is one too many.
+
+        It counts as sent already; others may have been selected together with
+        it, before the target asked for a pause.
+        """
+        state = self._states.get(registration.name)
+        if state is None or registration.name not in self._targets:
+            return False
+        return not self._announcements.has_window(
+            self._targets[registration.name].registration,
+            sum(state.starting.values()) - 1,
+        )
+
     def _is_draining(self, name: str) -> bool:
         registration = self._targets[name].registration
         return registration.draining or self._announcements.is_draining(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,3 +76,24 @@
         self.assertLess(arrivals, len(site.calls) / 10)
         served = sum(call.status == 200 for call in site.calls)
         self.assertGreater(served, 0.9 * len(site.calls))
+
+    def test_brittle_targets_survive_overload(self):
+        """Guards against refusals that make targets without room fail."""
+        for hosts, limit, room in ((8, 10, 8), (8, 40, 16), (3, 20, 8)):
+            scenario = site_lib.Scenario(
+                seed=hosts + limit,
+                hosts=hosts,
+                targets=2,
+                request_rate=120.0 / hosts,
+                seconds=10.0,
+                refused_seconds=0.0,
+                room=room,
+                brittle_limit=limit,
+            )
+            with self.subTest(hosts=hosts, limit=limit):
+                site = site_lib.run(scenario)
+                start = min(site.targets[0].arrivals).at
+                late = [v for v in site.violations if v.at > start + 3.0]
+                self.assertEqual([], late)
+                served = sum(call.status == 200 for call in site.calls)
+                self.assertGreater(served, len(site.calls) / 4)
--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -64,6 +64,15 @@
             self.assertEqual(reply.status, 503)
             self.assertGreater(float(reply.headers["Retry-After"]), 25.0)
 
+    async def test_no_request_to_a_brittle_target_that_is_full(self):
+        """Guards against refusals that make a target fail."""
+        self._route(test_forward.ONCE)
+        full = standin.answer(503, X_Not_Run="full", X_Brittle="1")
+        target = await self._start_target(standin.says(full))
+        for _ in range(5):
+            self.assertEqual((await self._ask()).status, 503)
+        self.assertEqual(len(target.requests), 1)
+
     async def _check_held(self, stage, target, **headers):
         """Has a request wait while its target refuses another one."""
         self.held_stage = stage
@@ -210,6 +219,25 @@
         self.announcements.record_backoff(process(1), 0.0, 2.0)
         self.assertIsNotNone(self.announcements.backoff_until(process(1), 4.9))
 
+    def test_hosts_share_the_refusals_of_a_brittle_target(self):
+        """Guards against hosts that each cause all refusals it survives."""
+        self.announcements.set_hosts(10)
+        self.announcements.record_brittle_limit(process(1), 10, 0.0)
+        pauses = []
+        for _ in range(2):
+            self.announcements.record_full(process(1), 0.0)
+            pauses.append(self.announcements.backoff_until(process(1), 0.0))
+        self.assertGreaterEqual(pauses[0], 1.0)
+        self.assertGreaterEqual(pauses[1], 2 * pauses[0])
+
+    def test_window_of_a_brittle_target_ends_with_its_announcement(self):
+        """Guards against a target that is sound again and gets few requests."""
+        self.announcements.record_brittle_limit(process(1), 10, 0.0)
+        self.announcements.record_full(process(1), 0.0)
+        self.assertFalse(self.announcements.has_window(process(1), 5))
+        self.announcements.record_brittle_limit(process(1), None, 9.0)
+        self.assertTrue(self.announcements.has_window(process(1), 5))
+
     def test_announcements_are_of_one_process(self):
         """Guards against answers that bind another process of the target."""
         self.announcements.record_backoff(process(2), 5.0, 0.0)
