A limit that is no decimal number is ignored

A header of a superscript digit passed isdigit and failed in int, which ended the request without an answer. Found while reading; no test of its own.

--- a/packages/endivestream/src/endivestream/request/answer_headers.py
+++ b/packages/endivestream/src/endivestream/request/answer_headers.py
@@ -100,7 +100,7 @@
         text: str | None,
     ) -> None:
         limit = None
-        if text is not None and text.strip().isdigit():
+        if text is not None and text.strip().isdecimal():
             limit = int(text[:_MAX_LOGGED_CHARACTERS])
         if self._announcements.record_brittle_limit(
             registration, limit, clock.now()
