The deadline of a relayed request counts from its first arrival

Cause: the caller's host sent the time that was left, and the relay host counted it from the arrival at the first host: time that a request had waited there counted twice, so its target got less time than the caller waits. Change: the header holds the time from the first arrival, as the caller's does. Evidence: test_relayed_request_keeps_its_deadline failed before (3,246 of 4,000 ms); test_relay_hosts 14, test_cut_hosts 7 passed.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -413,9 +413,10 @@
         """Returns the caller's own headers and those of the relay."""
         fields = _end_to_end_headers(call.headers)
         fields.pop("Content-Length", None)
-        remaining = work.deadline - clock.now()
-        if math.isfinite(remaining):
-            milliseconds = max(1, int(remaining * 1000))
+        # The relay host counts from the arrival at this host, too.
+        seconds = work.deadline - work.arrived_at
+        if math.isfinite(seconds):
+            milliseconds = max(1, int(seconds * 1000))
             fields[self._names.deadline_ms] = str(milliseconds)
         fields[relay_hosts_lib.REQUEST_HEADER] = relayed.encode()
         return fields
--- a/tests/test_cut_hosts.py
+++ b/tests/test_cut_hosts.py
@@ -4,6 +4,7 @@
 import itertools
 import socket
 
+from endivestream import clock
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.version import document as document_lib
@@ -89,6 +90,17 @@
         )
         self.assertEqual(len(self.target.requests), 5)
 
+    async def test_relayed_request_keeps_its_deadline(self):
+        """Guards against time that counts twice, at both hosts."""
+        await self._serve(timeout=5.0)
+        self._cut(self.cut)
+        started_at = clock.now()
+        reply = await self._send_request(self.cut, X_Deadline_Ms=4000)
+        self.assertEqual(reply.status, 200)
+        remaining = int(self.target.requests[0].headers["X-Deadline-Ms"])
+        elapsed = (clock.now() - started_at) * 1000
+        self.assertGreaterEqual(remaining + elapsed, 3990)
+
     async def test_kept_connections_that_hang_are_given_up(self):
         """Guards against requests that each find a cut path by themselves."""
         await self._serve(timeout=2.0)
