A relay host's refusal is no promise for earlier attempts

Cause: a request that may have run at a target before it was relayed, and was refused by the relay host as not run, was answered 503. Change: a relay host speaks for itself only; the caller's host answers 502 if an earlier attempt may have run. Evidence: test_refusal_of_a_relay_host_after_a_run_is_no_promise failed before (503); test_forward 66 passed.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -133,7 +133,6 @@
         progress = sending.Progress(
             attempted_targets=list(relayed.tried),
             sent_attempts=relayed.sent_attempts,
-            may_have_run=relayed.sent_attempts > 0,
             last_event=relayed.last_event.encode("latin-1"),
         )
         active = _ActiveRequest(call=call, progress=progress, relayed=relayed)
@@ -703,7 +702,7 @@
                 ):
                     hosts.record_unserved(key, clock.now(), host.name)
                 case sending.NotRelayed():
-                    return _relay_failure(result)
+                    return _relay_failure(result, progress)
                 case sending.BrokenAttempt(bytes_sent=False):
                     hosts.record_unavailable(host.name, clock.now())
                 case sending.BrokenAttempt():
@@ -786,15 +785,24 @@
     return work.service.name, work.model
 
 
-def _relay_failure(result: sending.NotRelayed) -> findings.Failure:
-    """Returns the failure for a request that a relay host could not serve."""
-    outcome = findings.RunState.UNKNOWN
-    if result.has_not_run:
-        outcome = findings.RunState.NOT_RUN
+def _relay_failure(
+    result: sending.NotRelayed, progress: sending.Progress
+) -> findings.Failure:
+    """Returns the failure for a request that a relay host could not serve.
+
+    A relay host states only that the request has not run through it.
+    """
+    detail = f"the relay host answered {result.status}: {result.reason}"
+    if result.has_not_run and not progress.may_have_run:
+        return findings.not_run(
+            result.reason,
+            detail,
+            status=result.status,
+            retry_after=result.retry_after,
+        )
     return findings.Failure(
-        outcome=outcome,
+        outcome=findings.RunState.UNKNOWN,
         reason=result.reason,
-        detail=f"the relay host answered {result.status}: {result.reason}",
-        status=result.status,
-        retry_after=result.retry_after,
+        detail=detail,
+        status=502 if result.has_not_run else result.status,
     )
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -192,7 +192,7 @@
             name=name,
             service="desk",
             address=address,
-            domain="a",
+            domain=fields.pop("domain", "a"),
             started_at_ms=1,
             report_number=1,
             slots=fields.pop("slots", 8),
@@ -816,6 +816,27 @@
         await self._start_target(first_hangs)
         self.assertEqual((await self.caller.ask()).body, b"fine")
 
+    async def test_refusal_of_a_relay_host_after_a_run_is_no_promise(self):
+        """Guards against "not run" for a request that ran before its relay."""
+        self._route(IDEMPOTENT)
+        refuses = standin.answer(
+            503, **{relay_hosts_lib.FAILURE_HEADER: "no_repeats_left"}
+        )
+        relay = await standin.Target(standin.says(refuses)).start()
+        self.addAsyncCleanup(relay.close)
+        ip, port = relay.address.split(":")
+        peers = f"tcp://{ip}:{int(port) - 1}"
+        self.relay_hosts.set_hosts(
+            [site_messages.EntryHost("other", 1, "a", "", False, peers)]
+        )
+        first = await self._start_target(standin.resets())
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("far", unreachable.address, domain="b")
+        await unreachable.close()
+        reply = await self.caller.ask()
+        self.assertEqual((len(first.requests), len(relay.requests)), (1, 1))
+        self.assertEqual(reply.status, 502)
+
     async def test_without_repeat_budget_nothing_is_sent_again(self):
         """Guards against repeats that multiply the load.
 
