Targets that break answers off count as reachable

The one host that reached the targets refused relayed requests as cut_off. Cause: any failing target counted as unreachable, also one that had just sent bytes and broke its answer off. Change: a target counts only if it fails and no byte arrived from it for a second. Evidence: test_targets_that_break_off_are_reachable failed before (cut_off).

--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -56,9 +56,9 @@
 _MAX_SLOT_SHARE = 0.75
 _SLOT_SHARE_PER_RANK = 0.1
 _MAX_RANK_STEPS = 3
-# Number of failing or silent targets from which this host's own network path is
-# suspected, and the age of the last byte up to which a target is known to be
-# reachable nevertheless.
+# Number of unreachable targets from which this host's own network path is
+# suspected, and the age of the last byte up to which a target that fails is
+# known to be reachable.
 _SUSPECT_TARGETS = 2
 _REACHABLE_SECONDS = 1.0
 # Age at which the load of other hosts is ignored: three lost lease renewals.
@@ -347,16 +347,21 @@
         state = self._states.get(registration.name)
         if state is None or now - state.last_byte_at <= _REACHABLE_SECONDS:
             return False
-        return state.is_ejected or self._failing_count(now) >= _SUSPECT_TARGETS
+        return (
+            state.is_ejected or self._unreachable_count(now) >= _SUSPECT_TARGETS
+        )
 
     def is_cut_off(self, now: float) -> bool:
-        """Returns whether more than half of all targets fail for this host."""
-        return 2 * self._failing_count(now) > len(self._targets)
+        """Returns whether this host reaches less than half of all targets."""
+        return 2 * self._unreachable_count(now) > len(self._targets)
 
-    def _failing_count(self, now: float) -> int:
+    def _unreachable_count(self, now: float) -> int:
+        """Returns the number of targets that fail and send no bytes."""
+        states = [self._states[name] for name in self._targets]
         return sum(
-            self._states[name].is_ejected or self._states[name].is_silent(now)
-            for name in self._targets
+            (state.is_ejected or state.is_silent(now))
+            and now - state.last_byte_at > _REACHABLE_SECONDS
+            for state in states
         )
 
     def obstacle(
--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -157,6 +157,23 @@
         self.assertEqual(reply.headers[relay_hosts.FAILURE_HEADER], "cut_off")
         self.assertEqual((target.connections, reply.status), (0, 503))
 
+    async def test_targets_that_break_off_are_reachable(self):
+        """Guards against a relay host that takes broken answers for a cut."""
+        self._route(test_forward.ONCE)
+        target = await self._start_target(standin.resets())
+        requirements = target_selection.TargetRequirements(service="desk")
+        for _ in range(2):
+            self.view.record_sent("t1", requirements, clock.now())
+            self.view.record_bytes("t1", clock.now())
+            self.view.record_result(
+                "t1", requirements, clock.now(), failed=True
+            )
+        reply = await self.relaying.ask(**self._header())
+        self.assertEqual(
+            reply.headers[relay_hosts.FAILURE_HEADER], "all_failing"
+        )
+        self.assertEqual(target.requests, [])
+
     async def test_repeat_after_the_first_host_counts(self):
         """Guards against repeats that no budget counts."""
         self._route(test_forward.IDEMPOTENT)
