A waiting request tries relay hosts again

Cause: a request was relayed once at most. One refusal of the only host that reached a target, for a moment, ended its only way. Change: a request that still waits is relayed again; hosts that refused are avoided for a second, which spaces the tries.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -632,7 +632,7 @@
         Its targets fail only for this host if they still send reports.
         """
         progress = active.progress
-        if active.relayed is not None or progress.is_relay_ended:
+        if active.relayed is not None or now >= work.deadline:
             return False
         match pick:
             case target_selection.Selected():
@@ -651,7 +651,8 @@
         """Sends a request through a relay host, or through another one.
 
         Returns:
-            None if no relay host could serve the request and it has not run.
+            None if no relay host that was tried could serve the request and it
+            has not run through them; these are avoided for a while.
         """
         call, progress = active.call, active.progress
         hosts = self._parts.relay_hosts
@@ -667,7 +668,6 @@
         )
         key = _relay_key(work)
         tried: list[str] = []
-        progress.is_relay_ended = True
         while len(tried) < _MAX_RELAY_HOSTS and clock.now() < work.deadline:
             host = hosts.pick(key, clock.now(), tried)
             if host is None:
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -57,7 +57,6 @@
         request_attempts: Number of attempts.
         sent_attempts: Number of attempts that may have reached a target.
         failed_connections: Number of connections that could not be opened.
-        is_relay_ended: Whether it has been sent to relay hosts.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
         can_continue: Whether another target can continue the answer: nothing
@@ -83,7 +82,6 @@
     request_attempts: int = 0
     sent_attempts: int = 0
     failed_connections: int = 0
-    is_relay_ended: bool = False
     may_have_run: bool = False
     last_event: bytes = b""
     can_continue: bool = True
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -816,19 +816,38 @@
         await self._start_target(first_hangs)
         self.assertEqual((await self.caller.ask()).body, b"fine")
 
-    async def test_refusal_of_a_relay_host_after_a_run_is_no_promise(self):
-        """Guards against "not run" for a request that ran before its relay."""
-        self._route(IDEMPOTENT)
-        refuses = standin.answer(
-            503, **{relay_hosts_lib.FAILURE_HEADER: "no_repeats_left"}
-        )
-        relay = await standin.Target(standin.says(refuses)).start()
+    async def _start_relay_host(self, *scripts):
+        relay = await standin.Target(*scripts).start()
         self.addAsyncCleanup(relay.close)
         ip, port = relay.address.split(":")
         peers = f"tcp://{ip}:{int(port) - 1}"
         self.relay_hosts.set_hosts(
             [site_messages.EntryHost("other", 1, "a", "", False, peers)]
         )
+        return relay
+
+    async def test_a_waiting_request_tries_its_relay_host_again(self):
+        """Guards against one refusal that ends a request's only way."""
+        self._route(ONCE)
+        refuses = standin.answer(
+            503, **{relay_hosts_lib.FAILURE_HEADER: "relays_full"}
+        )
+        relay = await self._start_relay_host(
+            standin.says(refuses), standin.says(standin.answer())
+        )
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("gone", unreachable.address)
+        await unreachable.close()
+        reply = await self.caller.ask(X_Deadline_Ms=4000)
+        self.assertEqual((reply.status, len(relay.requests)), (200, 2))
+
+    async def test_refusal_of_a_relay_host_after_a_run_is_no_promise(self):
+        """Guards against "not run" for a request that ran before its relay."""
+        self._route(IDEMPOTENT)
+        refuses = standin.answer(
+            503, **{relay_hosts_lib.FAILURE_HEADER: "no_repeats_left"}
+        )
+        relay = await self._start_relay_host(standin.says(refuses))
         first = await self._start_target(standin.resets())
         unreachable = await standin.Target(standin.hangs).start()
         self._register("far", unreachable.address, domain="b")
