Soak: resets only open connections, also during a silence

A restart of a target ended with an error if one of its streams had just closed, and the target was gone for the rest of the run.

--- a/benchmarks/soak/streams.py
+++ b/benchmarks/soak/streams.py
@@ -51,7 +51,9 @@
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a connection."""
+    """Resets a connection, unless it is closed."""
+    if writer.is_closing():
+        return
     writer.get_extra_info("socket").setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
     )
@@ -104,10 +106,10 @@
             self.unframed.add(writer)
         try:
             await self._write_body(body[:cut], framing, writer)
+            if is_broken and self._random.random() < _SILENT_SHARE:
+                await asyncio.sleep(_SILENT_SECONDS)
         finally:
             self.unframed.discard(writer)
-        if is_broken and self._random.random() < _SILENT_SHARE:
-            await asyncio.sleep(_SILENT_SECONDS)
         if is_broken and how == "reset":
             reset(writer)
             return
