A relayed request waits 0.3 s while all targets fail

Cause: a relay host refused a relayed request at the first moment at which all targets failed there, where its own requests wait for a trial; after it the service was relayed nowhere for a second. Change: it waits 0.3 s first; a service and model that no host reaches is tried again after 0.3 s.

--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -46,6 +46,9 @@
 _MAX_FAILED_CONNECTIONS = 2
 # Relay hosts that a request is sent to before this host gives up.
 _MAX_RELAY_HOSTS = 4
+# Time for which a relayed request waits while all targets fail; its caller's
+# host may know another relay host.
+_RELAYED_WAIT_SECONDS = 0.3
 # Maximum number of requests that this host relays for others at a time.
 _MAX_RELAYED = 128
 # Failures of a relay host that concern all requests, and those that concern
@@ -573,6 +576,7 @@
             work.deadline,
             max(wait_deadline, clock.now() + _MIN_TARGET_WAIT_SECONDS),
         )
+        relay_wait_deadline = clock.now() + _RELAYED_WAIT_SECONDS
         stop_reporting_missing = None
         try:
             while True:
@@ -591,9 +595,11 @@
                     progress.selected_at = now
                     self._parts.target_assigned(work)
                     return pick
-                is_cut_off = pick.reason == "all_failing"
-                if is_cut_off and active.relayed is not None:
-                    # The caller's host tries another relay host.
+                if (
+                    active.relayed is not None
+                    and pick.reason == "all_failing"
+                    and now >= relay_wait_deadline
+                ):
                     return self._not_served(work, progress, pick.reason)
                 if (
                     now >= wait_deadline
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -22,10 +22,11 @@
 # itself in its answer.
 REQUEST_HEADER = "Endivestream-Relayed"
 FAILURE_HEADER = "Endivestream-Relay-Failure"
-# Time for which a host that could not relay a request is not selected.
+# Time for which a host that relays nothing is not selected.
 _AVOID_SECONDS = 1.0
-# Time for which requests are not relayed that no relay host could serve.
-_UNSERVED_SECONDS = 1.0
+# Time for which requests for a service's model are not relayed through a host
+# that reaches no target for it, and through any host if none does.
+_UNSERVED_SECONDS = 0.3
 # Service and model of a request; the model may be empty.
 Key = tuple[str, str]
 _Key = TypeVar("_Key")
@@ -192,7 +193,7 @@
             _set_until(self._unserved_until, key, now, _UNSERVED_SECONDS)
         else:
             _set_until(
-                self._key_avoided_until, (name, key), now, _AVOID_SECONDS
+                self._key_avoided_until, (name, key), now, _UNSERVED_SECONDS
             )
 
 
