--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -10,8 +10,6 @@
 from typing import NamedTuple
 
 HOSTNAME = "a.example"
-# Names the entry host that a caller is connected to, for the targets' checks.
-HOST_HEADER = "Soak-Host"
 _RECONNECT_SECONDS = 0.05
 _ANSWER_SECONDS = 10.0
 _MAX_PAUSE_SECONDS = 0.15
@@ -222,7 +220,6 @@
         headers = {
             "Attempt-Id": request,
             "Deadline-Ms": "3000",
-            HOST_HEADER: self.host,
         }
         answer = None
         try:
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -90,6 +90,17 @@
         """Exit status, or minus the signal that ended it; None if it runs."""
         return None if self._process is None else self._process.returncode
 
+    def has_socket(self, inode: str) -> bool:
+        """Whether the process has a socket open, on Linux."""
+        if self._process is None:
+            return False
+        with contextlib.suppress(OSError):
+            for link in pathlib.Path(f"/proc/{self._process.pid}/fd").iterdir():
+                with contextlib.suppress(OSError):
+                    if os.readlink(link) == f"socket:[{inode}]":
+                        return True
+        return False
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -219,6 +230,7 @@
                 controls=[f"{p.ip}:{_CONTROL_PORT}" for p in self._controls],
                 is_excused=self._is_excused,
                 streams_random=streams_random,
+                sender_of=self._sender_of,
             )
             for number in range(3)
         ]
@@ -286,6 +298,16 @@
             program=program,
         )
 
+    def _sender_of(self, port: int) -> str:
+        """Returns the entry host that has a connection from a local port."""
+        for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            fields = line.split()
+            if fields[1].endswith(f":{port:04X}"):
+                for process in self._entries:
+                    if process.has_socket(fields[9]):
+                        return process.name
+        return ""
+
     def _is_excused(self, host: str, since: float) -> bool:
         return any(
             process.name == host and process.disturbed_until >= since
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -36,7 +36,9 @@
         controls: list[str],
         is_excused: Callable[[str, float], bool],
         streams_random: random.Random,
+        sender_of: Callable[[int], str],
     ) -> None:
+        self._sender_of = sender_of
         self._streams = streams.StreamWriter(random_source=streams_random)
         self.seen: set[str] = set()
         self.runs: list[str] = []
@@ -124,9 +126,12 @@
         assert task is not None
         self._connections.add(task)
         self._writers.add(writer)
+        _, port = writer.get_extra_info("peername")
+        # Not the host of the caller: that may have its request relayed.
+        host = self._sender_of(port)
         try:
             while (message := await callers.read_message(reader)) is not None:
-                await self._answer(message, writer)
+                await self._answer(message, host, writer)
                 if writer.is_closing():
                     break
         except (OSError, asyncio.IncompleteReadError):
@@ -137,10 +142,9 @@
             writer.close()
 
     async def _answer(
-        self, message: callers.Message, writer: asyncio.StreamWriter
+        self, message: callers.Message, host: str, writer: asyncio.StreamWriter
     ) -> None:
         request = message.headers.get("Attempt-Id", "")
-        host = message.headers.get(callers.HOST_HEADER, "")
         expected = message.headers.get("Expect-Instance", self._name)
         now = time.monotonic()
         headers = {"Attempt-Id": request}
