--- a/benchmarks/soak/cut_program.py
+++ b/benchmarks/soak/cut_program.py
@@ -41,13 +41,20 @@
 
     def __init__(self) -> None:
         self._cut = Cut.WHOLE
+        self._loop: asyncio.AbstractEventLoop | None = None
         self._streams: weakref.WeakSet[iostream.IOStream] = weakref.WeakSet()
         self._acquire = exchange.Pool.acquire
         # The other ends of connections that hang.
         self._silent_ends: list[socket.socket] = []
 
-    def set(self, cut: Cut) -> None:
-        """Cuts or restores the path."""
+    def handle_signal(self, cut: Cut) -> None:
+        """Cuts or restores the path once no other code runs."""
+        if self._loop is None:
+            self._cut = cut
+        else:
+            self._loop.call_soon_threadsafe(self._set, cut)
+
+    def _set(self, cut: Cut) -> None:
         self._cut = cut
         for stream in list(self._streams):
             if stream.closed():
@@ -65,6 +72,7 @@
         Raises:
             ExchangeError: The path is cut.
         """
+        self._loop = asyncio.get_running_loop()
         if host != TARGETS_IP or self._cut is Cut.WHOLE:
             return await self._acquire_tracked(pool, host, port, options)
         kept = pool._idle.get((host, port), [])
@@ -99,7 +107,7 @@
 
     exchange.Pool.acquire = acquire  # type: ignore[method-assign]
     for cut in Cut:
-        signal.signal(cut.value, lambda *_, cut=cut: path.set(cut))
+        signal.signal(cut.value, lambda *_, cut=cut: path.handle_signal(cut))
     # As if the program had been started itself.
     sys.argv[0] = str(_PROGRAM)
     sys.path[0] = str(_PROGRAM.parent)
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import functools
 import json
 import random
 import time
@@ -128,10 +129,10 @@
         self._writers.add(writer)
         _, port = writer.get_extra_info("peername")
         # Not the host of the caller: that may have its request relayed.
-        host = self._sender_of(port)
+        sender = functools.cache(lambda: self._sender_of(port))
         try:
             while (message := await callers.read_message(reader)) is not None:
-                await self._answer(message, host, writer)
+                await self._answer(message, sender, writer)
                 if writer.is_closing():
                     break
         except (OSError, asyncio.IncompleteReadError):
@@ -142,7 +143,10 @@
             writer.close()
 
     async def _answer(
-        self, message: callers.Message, host: str, writer: asyncio.StreamWriter
+        self,
+        message: callers.Message,
+        sender: Callable[[], str],
+        writer: asyncio.StreamWriter,
     ) -> None:
         request = message.headers.get("Attempt-Id", "")
         expected = message.headers.get("Expect-Instance", self._name)
@@ -154,6 +158,10 @@
             )
             return
         self.seen.add(request)
+        # Looked up only where it matters: the search delays all targets.
+        has_duties = self._backoffs or self._drain_announced_at
+        is_announcing = self._is_draining or now < self._refuses_until
+        host = sender() if has_duties or is_announcing else ""
         self._check(host, request, now)
         if self._is_draining:
             headers["Server-Leaving"] = "1"
