--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -162,7 +162,8 @@
         has_duties = self._backoffs or self._drain_announced_at
         is_announcing = self._is_draining or now < self._refuses_until
         host = sender() if has_duties or is_announcing else ""
-        self._check(host, request, now)
+        if host:
+            self._check(host, request, now)
         if self._is_draining:
             headers["Server-Leaving"] = "1"
             self._drain_announced_at.setdefault(host, now)
