Relay events that arrive right before the end of their connection

Callers got 502 and no event when a target wrote the head and some events and closed at once; the events had arrived.

Cause: Tornado collects the small chunks of a chunked body and hands them over only before it waits for further bytes. If the next read fails at once, because the stream is closed already, the collected chunks are dropped with the error.

Change: reads that fail at once are returned as awaitables that are not done, so the collected chunks are handed over first.

Not taken: pausing one loop turn before the end is judged, which only hides the race.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -10,8 +10,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import enum
 import select
+from typing import Any
 from typing import NamedTuple
 import urllib.parse
 
@@ -186,6 +189,47 @@
     return bool(poll.poll(0))
 
 
+class _FlushingStream:
+    """A stream whose failed reads are awaitables that are not done yet.
+
+    Before it awaits a read that is not done, Tornado hands over the parts of a
+    chunked body that it has collected; if a read fails at once, it drops them.
+    """
+
+    def __init__(self, *, stream: iostream.IOStream) -> None:
+        self._stream = stream
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._stream, name)
+
+    def read_until(
+        self, delimiter: bytes, max_bytes: int | None = None
+    ) -> Awaitable[bytes]:
+        """Reads up to a delimiter."""
+        return _defer_error(
+            lambda: self._stream.read_until(delimiter, max_bytes)
+        )
+
+    def read_bytes(
+        self, num_bytes: int, partial: bool = False
+    ) -> Awaitable[bytes]:
+        """Reads a number of bytes, or some of them."""
+        return _defer_error(lambda: self._stream.read_bytes(num_bytes, partial))
+
+
+def _defer_error(read: Callable[[], Awaitable[bytes]]) -> Awaitable[bytes]:
+    async def fail(error: BaseException) -> bytes:
+        raise error
+
+    try:
+        future = asyncio.ensure_future(read())
+    except iostream.StreamClosedError as error:
+        return fail(error)
+    if future.done() and (error := future.exception()) is not None:
+        return fail(error)
+    return future
+
+
 class _IdleConnection(NamedTuple):
     stream: iostream.IOStream
     expires_at: float
@@ -365,7 +409,7 @@
         assert self._stream is not None
         self._reader = _Reader(method=method)
         connection = http1connection.HTTP1Connection(
-            self._stream,
+            _FlushingStream(stream=self._stream),  # type: ignore[arg-type]
             is_client=True,
             params=http1connection.HTTP1ConnectionParameters(
                 no_keep_alive=False,
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -52,6 +52,16 @@
             await self._start_target(serve)
         return await self.caller.ask()
 
+    async def test_events_before_a_close_are_relayed(self):
+        """Guards against events lost that arrived just before a close."""
+        answer = standin.stream_head() + b"".join(
+            standin.chunk(standin.event(number)) for number in (1, 2)
+        )
+        reply = await self._ask(
+            test_forward.STREAM, standin.says(answer, close=True)
+        )
+        self.assertEqual((reply.body, reply.whole), (_TWO_EVENTS, False))
+
     async def _check_cut_stream(self, framing):
         cut = _TWO_EVENTS[:-1]
         answer = _stream(framing, cut, is_ended=True)
