Log the software version of targets and where each stream began

Change: a registration keeps the software version of its target. `stream_bound` is logged with a stream's first event; `event=request` adds the versions of the last target and of the beginning, and what the caller resumes, bounded in length. No decision reads these yet.

--- a/packages/endivestream/src/endivestream/connection/registry.py
+++ b/packages/endivestream/src/endivestream/connection/registry.py
@@ -44,6 +44,8 @@
         service: Name of the service that it belongs to.
         address: `IP:PORT` where it accepts requests.
         domain: Failure domain of the target.
+        software: Version of its software, not of a model's weights; None if it
+            names none.
         started_at_ms: Start time of its process, in milliseconds of the wall
             clock.
         report_number: Rises with each report since the start.
@@ -60,6 +62,7 @@
     service: str
     address: str
     domain: str
+    software: str | None = None
     started_at_ms: int = msgspec.field(default=0, name="born")
     report_number: int = msgspec.field(default=0, name="number")
     draining: bool = False
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -420,6 +420,7 @@
                 target=registration.name,
                 service=registration.service,
                 address=registration.address,
+                software=registration.software,
                 draining=registration.draining,
                 models=",".join(loaded.model for loaded in registration.loaded),
                 in_memory=",".join(registration.in_memory),
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -31,6 +31,7 @@
 from endivestream.request import queue_deadlines
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import sending
+from endivestream.request import stream_origins
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -61,6 +62,8 @@
 )
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
+# Characters of a caller's header that are logged.
+_MAX_LOGGED_HEADER = 64
 # Minimum wait for a target, also for a request whose attempt failed late.
 _MIN_TARGET_WAIT_SECONDS = 0.1
 
@@ -279,6 +282,10 @@
             model=work.model if is_admitted else "",
             adapter=work.adapter if is_admitted else "",
             target=progress.target,
+            software=_software(progress.serving),
+            began_at=_software(progress.origin),
+            resumes=self._logged_header(call, self._parts.rules.names.resumes),
+            after=self._logged_header(call, self._parts.rules.names.last_event),
             status=summary.status,
             reason=summary.reason,
             tries=summary.tries,
@@ -293,6 +300,9 @@
             lease_s=self._parts.rules.lease_until() - now,
         )
 
+    def _logged_header(self, call: call_lib.Call, name: str) -> str:
+        return call.headers.get(name, "")[:_MAX_LOGGED_HEADER]
+
     # Stages of a request.
 
     async def _serve_admitted(
@@ -787,6 +797,10 @@
         await call.answer(failure.status, headers, body)
 
 
+def _software(origin: stream_origins.StreamOrigin | None) -> str | None:
+    return None if origin is None else origin.software
+
+
 def _relay_key(work: admission.AdmittedRequest) -> tuple[str, str]:
     return work.service.name, work.model
 
--- a/packages/endivestream/src/endivestream/request/names.py
+++ b/packages/endivestream/src/endivestream/request/names.py
@@ -21,6 +21,8 @@
         not_run: In a target's answer: the request has not run.
         priority: 0 to 9, where 0 is the highest priority; sent to targets.
         last_event: Last event that the caller of a resumed stream received.
+        resumes: Attempt of the caller that received the first event of a
+            resumed stream.
         retry_after: Seconds after which the caller should retry; in a
             target's answer, seconds for which it accepts nothing from the host
             that it refused.
@@ -44,6 +46,7 @@
     not_run: str = "X-Not-Run"
     priority: str = "X-Priority"
     last_event: str = "Last-Event-ID"
+    resumes: str = "X-Resumes"
     retry_after: str = "Retry-After"
     key_scheme: str = "Bearer"
     rate_limit: str = "X-Rate-Limit"
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -29,6 +29,7 @@
 from endivestream.request import homes
 from endivestream.request import names as names_lib
 from endivestream.request import relay_hosts as relay_hosts_lib
+from endivestream.request import stream_origins
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -59,6 +60,8 @@
         failed_connections: Number of connections that could not be opened.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
+        serving: The target of the current attempt.
+        origin: Where the stream began; None before its first event.
         can_continue: Whether another target can continue the answer: nothing
             was relayed, or all up to an event with an id.
         selected_at: When its current target was selected.
@@ -84,6 +87,8 @@
     failed_connections: int = 0
     may_have_run: bool = False
     last_event: bytes = b""
+    serving: stream_origins.StreamOrigin | None = None
+    origin: stream_origins.StreamOrigin | None = None
     can_continue: bool = True
     selected_at: float = 0.0
     first_sent_at: float = 0.0
@@ -241,6 +246,7 @@
             obstacle = view.obstacle(registration, requirements, clock.now())
             return self._withdraw(work, registration, obstacle or "busy")
         progress.target = registration.name
+        progress.serving = stream_origins.StreamOrigin.of(registration)
         progress.stage = "target"
         progress.request_attempts += 1
         progress.first_sent_at = progress.first_sent_at or clock.now()
@@ -363,6 +369,7 @@
     ) -> BrokenAttempt | Passed | NotRelayed:
         """Sends a request to a relay host and relays its answer."""
         progress.target = host.name
+        progress.serving = None
         progress.stage = "target"
         progress.starting = None
         progress.request_attempts += 1
@@ -648,6 +655,7 @@
                 chunk = _take_complete_events(splitter, chunk, progress)
             if not chunk:
                 continue
+            _record_origin(work, progress)
             progress.last_relayed_at = clock.now()
             progress.first_byte_at = (
                 progress.first_byte_at or progress.last_relayed_at
@@ -681,6 +689,21 @@
     return b"".join(event.raw for event in events)
 
 
+def _record_origin(work: admission.AdmittedRequest, progress: Progress) -> None:
+    """Records where a stream began, before its first event is relayed."""
+    serving = progress.serving
+    if progress.origin is not None or serving is None:
+        return
+    progress.origin = serving
+    logs.event(
+        "stream_bound",
+        request=work.request,
+        target=serving.target,
+        software=serving.software,
+        born=serving.started_at_ms,
+    )
+
+
 def target_requirements(
     work: admission.AdmittedRequest,
     progress: Progress,
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -193,6 +193,7 @@
             service="desk",
             address=address,
             domain=fields.pop("domain", "a"),
+            software=fields.pop("software", "v1"),
             started_at_ms=1,
             report_number=1,
             slots=fields.pop("slots", 8),
