Bind streams to the software version that began them

Cause: no host knew where a stream began. Targets were told apart by service, id and address only, so the selection took any target of the service: within an answer, after a retake by the caller, and at a relay host.

Change, one mechanism for all paths: - `StreamOrigin` (service, software version, process) is recorded before the first relayed event; an attempt without an event binds nothing. The selection and the check before the send require it; a version without targets is refused at once. Targets that state no version are not taken for equal. - `OriginDirectory` keeps the origin at the host and at three holders in other failure domains, found by rendezvous hashing of the attempt.

--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -21,6 +21,7 @@
 from endivestream.request import names as names_lib
 from endivestream.request import relay_hosts
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import resumptions
 from endivestream.request import routes as routes_lib
 from endivestream.request import target_announcements
 from endivestream.request import target_selection
@@ -222,6 +223,9 @@
             rate_limit_reported=lambda registration, text: None,
             prefill_delay=self._delay_prefill,
             prefill_observed=lambda *sample: None,
+            find_origin=self._find_no_origin,
+            sole_software=self._find_no_software,
+            stream_bound=lambda attempts, origin, seconds: None,
             record_metrics=lambda summary: None,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
@@ -249,6 +253,12 @@
             async with asyncio.timeout(seconds):
                 await self._change_event.wait()
 
+    async def _find_no_origin(self, attempt: str) -> resumptions.Lookup:
+        return resumptions.Lookup(resumptions.Source.ABSENT)
+
+    async def _find_no_software(self, service: str, seconds: float) -> None:
+        return None
+
     async def _request_repeat(self, service: str) -> bool:
         await asyncio.sleep(self.random_source.uniform(0, _MAX_GRANT_SECONDS))
         return True
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -33,6 +33,7 @@
 from endivestream.process import entry_credit
 from endivestream.process import entry_rate_limits
 from endivestream.process import entry_repeats
+from endivestream.process import origin_directory
 from endivestream.process import prefill_turn_service
 from endivestream.process import push_relay
 from endivestream.process import site_metrics
@@ -54,6 +55,9 @@
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 
+# Time for an answer of the leader about software versions, while a caller
+# waits.
+_SOFTWARE_ANSWER_SECONDS = 0.25
 # Size of the header that is added to relayed requests.
 _RELAY_HEADER_BYTES = 4096
 # How long a target is kept after a complete table no longer lists it: its
@@ -132,6 +136,9 @@
             has_lease=lambda: self._watch.lease_until > clock.now(),
             meter=self._meter,
         )
+        self._origin_directory = origin_directory.OriginDirectory(
+            name=settings.name, context=self._context, meter=self._meter
+        )
         self._peer_server: links.Server | None = None
         if settings.peers:
             self._peer_server = links.Server(
@@ -157,6 +164,9 @@
             ),
             announcements=lambda: self._view.announcements.events,
             withdrawn_sends=lambda: self._forwarder.withdrawn_sends,
+            origins=lambda: self._origin_directory.size,
+            origin_events=lambda: self._origin_directory.events,
+            resumptions=lambda: self._forwarder.resumptions,
             meter=self._meter,
         )
         rules = admission.AdmissionInputs(
@@ -202,6 +212,9 @@
             acquire_send=self._rate_limits.acquire_send,
             prefill_delay=self._prefill_turn_service.request_turn,
             prefill_observed=self._prefill_turn_service.record_start,
+            find_origin=self._origin_directory.find,
+            sole_software=self._query_sole_software,
+            stream_bound=self._origin_directory.record,
             record_metrics=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
@@ -328,6 +341,7 @@
         await self._credit.close()
         await self._watch.close()
         await self._prefill_turn_service.close()
+        await self._origin_directory.close()
         await self._push_relay.close()
         if self._peer_server is not None:
             await self._peer_server.close()
@@ -394,6 +408,11 @@
                 return self._prefill_turn_service.grant_turn(message)
             case site_messages.Follow():
                 return self._push_relay.handle_follow(peer, message)
+            case site_messages.RecordOrigins(records=records):
+                self._origin_directory.store(records)
+                return site_messages.OriginsRecorded()
+            case site_messages.FindOrigin(attempt=attempt):
+                return self._origin_directory.find_here(attempt)
         logs.warn(
             "unexpected_message",
             message=type(message).__name__,
@@ -460,6 +479,8 @@
             return
         self._position = news.position
         removed = list(news.removed_targets)
+        if news.base_position is None:
+            self._view.set_complete(news.complete)
         if news.base_position is None and news.complete:
             listed = {target.registration.name for target in news.targets}
             now = clock.now()
@@ -476,6 +497,7 @@
             self._prefill_turn_service.set_hosts(news.entries)
             self._push_relay.set_hosts(news.entries)
             self._relay_hosts.set_hosts(news.entries)
+            self._origin_directory.set_hosts(news.entries)
             self._view.set_hosts(len(news.entries))
             self._rate_limits.set_hosts(len(news.entries))
             self._repeats.set_hosts(len(news.entries))
@@ -594,6 +616,25 @@
 
         return stop
 
+    async def _query_sole_software(
+        self, service: str, seconds: float
+    ) -> str | None:
+        """Asks the leader for the only software version of a service.
+
+        None if there were several in the given seconds, or if the leader does
+        not know or does not answer.
+        """
+        answer = await self._watch.request(
+            site_messages.AskSoftware(service=service, seconds=seconds),
+            seconds=_SOFTWARE_ANSWER_SECONDS,
+        )
+        match answer:
+            case site_messages.ToldSoftware(
+                versions=(software,), is_complete=True
+            ):
+                return software
+        return None
+
     def _send_to_leader(self, message: site_messages.Message) -> None:
         self._run_in_background(self._watch.send(message))
 
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -23,6 +23,7 @@
 from endivestream import tasks
 from endivestream.connection import addresses
 from endivestream.connection import registry as registry_lib
+from endivestream.connection import software_history
 from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
@@ -98,6 +99,7 @@
             started_at,
         ) in leader_context.replicator.state.departures.start_times_ms.items():
             self._registry.deregister(name, self._started_at, started_at)
+        self._software_history = software_history.SoftwareHistory()
         self._silent_targets: set[str] = set()
         self._sessions: dict[str, _EntryHostSession] = {}
         self._live_hosts: tuple[site_messages.EntryHost, ...] = ()
@@ -257,6 +259,8 @@
             case site_messages.AskVersion():
                 current = self._replicator.state.document
                 return site_messages.ToldVersion(version=current.version)
+            case site_messages.AskSoftware(service=service, seconds=seconds):
+                return self._report_software(service, seconds)
             case site_messages.ReadDocument():
                 current = self._document
                 source = current.source if current else b""
@@ -401,6 +405,7 @@
         changed = self._registry.add(registration, now)
         if not changed:
             return
+        self._software_history.record(registration, now)
         self._lease_manager.forward_report(registration)
         is_colder = self._limited_sends.record_report(registration, now)
         if registration.name in self._silent_targets:
@@ -429,6 +434,19 @@
         if changed:
             self._targets_changed(changed)
 
+    def _report_software(
+        self, service: str, seconds: float
+    ) -> site_messages.ToldSoftware | messages.NotLeader:
+        if not self._replicator.is_leader:
+            # The next leader may know further targets.
+            return messages.NotLeader(address="")
+        now = clock.now()
+        known_since = self._started_at + self._table_completion_seconds
+        return site_messages.ToldSoftware(
+            versions=self._software_history.versions(service, now - seconds),
+            is_complete=known_since <= now - seconds,
+        )
+
     def _table_entry(self, name: str) -> site_messages.Target | None:
         session = self._registry.find(name)
         if session is None:
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -155,6 +155,9 @@
         backoffs: Callable[[], float],
         announcements: Callable[[], Mapping[str, int]],
         withdrawn_sends: Callable[[], Mapping[str, int]],
+        origins: Callable[[], float],
+        origin_events: Callable[[], Mapping[str, int]],
+        resumptions: Callable[[], Mapping[str, int]],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Registers the metrics.
@@ -171,6 +174,11 @@
             announcements: Returns the number of announcements by kind.
             withdrawn_sends: Returns the number of sends that were withdrawn
                 before their first byte, by reason.
+            origins: Returns the number of stream origins kept on this host.
+            origin_events: Returns the number of origins recorded, stored,
+                expired, displaced, in conflict, or not acknowledged.
+            resumptions: Returns the number of resumed streams by how their
+                beginning was found.
             meter: The meter of the event loop.
         """
         super().__init__()
@@ -244,6 +252,21 @@
             "reason",
             withdrawn_sends,
         )
+        self._gauge(
+            "stream_origins", "Stream origins kept on this host", origins
+        )
+        self._add_counts(
+            "stream_origin_events",
+            "Origins recorded, stored, expired, displaced and in conflict",
+            "kind",
+            origin_events,
+        )
+        self._add_counts(
+            "resumptions",
+            "Resumed streams by how their beginning was found",
+            "outcome",
+            resumptions,
+        )
         self._add_loop_metrics(meter)
 
     def observe(self, ended: forward_parts.RequestSummary) -> None:
--- a/packages/endivestream/src/endivestream/request/admission.py
+++ b/packages/endivestream/src/endivestream/request/admission.py
@@ -122,6 +122,22 @@
     )
 
 
+def at_service(
+    work: AdmittedRequest, name: str, rules: AdmissionInputs
+) -> AdmittedRequest | None:
+    """Returns an admitted request for another service of its route.
+
+    None if the route has no such service.
+    """
+    table = rules.table()
+    names = {each.service for each in work.route.services if each.weight > 0}
+    service = table.service(name) if table is not None else None
+    if service is None or name not in names:
+        return None
+    max_running = max(1, int(service.connections * rules.share()))
+    return dataclasses.replace(work, service=service, max_running=max_running)
+
+
 def stopping() -> findings.Failure:
     """Returns the refusal of a host that stops before the request ends."""
     detail = "this host is stopping"
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -30,6 +30,7 @@
 from endivestream.request import lease_queue
 from endivestream.request import queue_deadlines
 from endivestream.request import relay_hosts as relay_hosts_lib
+from endivestream.request import resumptions
 from endivestream.request import sending
 from endivestream.request import stream_origins
 from endivestream.request import target_selection
@@ -55,10 +56,24 @@
 # Failures of a relay host that concern all requests, and those that concern
 # the service and model of one; another relay host may serve the request.
 _RELAY_HOST_FAILURES = frozenset(
-    {"cut_off", "no_lease", "older_configuration", "relays_full", "stopping"}
+    {
+        "cut_off",
+        "no_lease",
+        "older_configuration",
+        "relays_full",
+        "stopping",
+        "unsupported",
+    }
 )
 _RELAY_TARGET_FAILURES = frozenset(
-    {"all_failing", "no_route", "no_target", "no_way", "unknown_key"}
+    {
+        "all_failing",
+        "no_route",
+        "no_software",
+        "no_target",
+        "no_way",
+        "unknown_key",
+    }
 )
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
@@ -108,6 +123,10 @@
             slot_freed=parts.slot_freed,
             rate_limit_reported=parts.rate_limit_reported,
             prefill_observed=parts.prefill_observed,
+            stream_bound=parts.stream_bound,
+        )
+        self._resumptions = resumptions.Resumptions(
+            find_origin=parts.find_origin, sole_software=parts.sole_software
         )
         self._retry_spread = queue_deadlines.RetrySpread()
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
@@ -122,6 +141,11 @@
         """Number of sends withdrawn after the selection, by reason."""
         return self._sender.withdrawn_sends
 
+    @property
+    def resumptions(self) -> Mapping[str, int]:
+        """Number of resumed streams by how their beginning was found."""
+        return self._resumptions.outcomes
+
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request until it is answered or its caller disconnects."""
         await self._run(_ActiveRequest(call=call, progress=sending.Progress()))
@@ -140,6 +164,8 @@
             attempted_targets=list(relayed.tried),
             sent_attempts=relayed.sent_attempts,
             last_event=relayed.last_event.encode("latin-1"),
+            origin=relayed.origin,
+            is_relayed=True,
         )
         active = _ActiveRequest(call=call, progress=progress, relayed=relayed)
         await self._run(active)
@@ -170,6 +196,9 @@
             admitted = self._admit_relayed(call, active.relayed)
         else:
             admitted = await self._lease_queue.admit(call)
+        if not isinstance(admitted, findings.Failure):
+            active.work = admitted
+            admitted = await self._bind_resumption(active, admitted)
         if isinstance(admitted, findings.Failure):
             failure = admitted
         else:
@@ -211,6 +240,39 @@
             )
         return admission.admit(call, self._parts.rules)
 
+    async def _bind_resumption(
+        self, active: _ActiveRequest, work: admission.AdmittedRequest
+    ) -> admission.AdmittedRequest | findings.Failure:
+        """Binds a resumed stream to the software version that began it."""
+        call, progress = active.call, active.progress
+        if work.route.kind != document_lib.Kind.STREAM:
+            return work
+        resumption = stream_origins.read_resumption(
+            call.headers, self._parts.rules.names
+        )
+        if resumption is None and not progress.last_event:
+            return work
+        if resumption is not None:
+            progress.resumes = resumption.attempt
+        if progress.origin is None:
+            progress.stage = "origin"
+            # A host of an older build relays streams without their origin.
+            origin = await self._resumptions.resolve(
+                work, resumption or stream_origins.Resumption(work.request)
+            )
+            if isinstance(origin, findings.Failure):
+                return origin
+            progress.origin = origin
+        if progress.origin.service == work.service.name:
+            return work
+        return admission.at_service(
+            work, progress.origin.service, self._parts.rules
+        ) or findings.not_run(
+            "no_route",
+            "the stream began at a service that its route no longer has",
+            status=503,
+        )
+
     def stop_waiting(self) -> None:
         """Refuses waiting requests that a stopping host cannot finish."""
         for task, active in list(self._active.items()):
@@ -658,7 +720,7 @@
             case target_selection.Unavailable(reason=reason):
                 is_cut_off = reason == "all_failing" and pick.is_reported
         return is_cut_off and self._parts.relay_hosts.can_serve(
-            _relay_key(work), now
+            _relay_key(work, progress), now
         )
 
     async def _send_through_others(
@@ -681,8 +743,9 @@
             sent_attempts=progress.sent_attempts,
             tried=tuple(progress.attempted_targets),
             last_event=progress.last_event.decode("latin-1"),
+            origin=progress.origin,
         )
-        key = _relay_key(work)
+        key = _relay_key(work, progress)
         tried: list[str] = []
         while len(tried) < _MAX_RELAY_HOSTS and clock.now() < work.deadline:
             host = hosts.pick(key, clock.now(), tried)
@@ -801,8 +864,11 @@
     return None if origin is None else origin.software
 
 
-def _relay_key(work: admission.AdmittedRequest) -> tuple[str, str]:
-    return work.service.name, work.model
+def _relay_key(
+    work: admission.AdmittedRequest, progress: sending.Progress
+) -> relay_hosts_lib.Key:
+    software = _software(progress.origin) or ""
+    return work.service.name, work.model, software
 
 
 def _relay_failure(
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from endivestream.connection import exchange as exchange_lib
@@ -11,6 +12,8 @@
 from endivestream.request import admission
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import resumptions
+from endivestream.request import stream_origins
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -81,6 +84,11 @@
         prefill_observed: Records how long an engine took until the first event
             of an answer, by the engine, its failure domain, the prompt's tokens
             and the seconds.
+        find_origin: Looks up where the stream of a caller's attempt began.
+        sole_software: Returns the only software version that targets of a
+            service have had in the given seconds; None if that is not proved.
+        stream_bound: Records where a stream began, for the caller's attempts
+            that may name it, for some seconds.
         record_metrics: Records the metrics of a finished request.
     """
 
@@ -106,6 +114,11 @@
     rate_limit_reported: Callable[[registry_lib.Registration, str | None], None]
     prefill_delay: Callable[[str, str, float, int], Awaitable[float]]
     prefill_observed: Callable[[str, str, float, float], None]
+    find_origin: Callable[[str], Awaitable[resumptions.Lookup]]
+    sole_software: Callable[[str, float], Awaitable[str | None]]
+    stream_bound: Callable[
+        [Iterable[str], stream_origins.StreamOrigin, float], None
+    ]
     record_metrics: Callable[[RequestSummary], None]
 
 
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -17,18 +17,27 @@
 from tornado import httputil
 
 from endivestream import site_messages
+from endivestream.request import stream_origins
+from endivestream.version import document as document_lib
 
 # Marks a relayed request, and names the reason of a failure of the relay host
 # itself in its answer.
 REQUEST_HEADER = "Endivestream-Relayed"
 FAILURE_HEADER = "Endivestream-Relay-Failure"
+# Marks a relayed request whose answer may be a stream that another target goes
+# on with. Older builds, which would choose a target of any software version,
+# do not know this header and refuse the request.
+STREAM_HEADER = "Endivestream-Relayed-Stream"
+# In the answer to such a request: where the stream began.
+ORIGIN_HEADER = "Endivestream-Stream-Origin"
 # Time for which a host that relays nothing is not selected.
 _AVOID_SECONDS = 1.0
 # Time for which requests for a service's model are not relayed through a host
 # that reaches no target for it, and through any host if none does.
 _UNSERVED_SECONDS = 0.3
-# Service and model of a request; the model may be empty.
-Key = tuple[str, str]
+# Service, model and required software version of a request; the last two can be
+# empty.
+Key = tuple[str, str, str]
 _Key = TypeVar("_Key")
 
 # A relay host in another failure domain is selected if those in the own domain
@@ -46,6 +55,8 @@
         sent_attempts: Number of attempts that may have reached a target.
         tried: Targets that may have run it.
         last_event: Id of the last event that the caller has, in a stream.
+        origin: Where the stream began; None if that is unknown or no event has
+            been relayed.
     """
 
     host: str
@@ -54,6 +65,7 @@
     sent_attempts: int = 0
     tried: tuple[str, ...] = ()
     last_event: str = ""
+    origin: stream_origins.StreamOrigin | None = None
 
     def encode(self) -> str:
         """Returns the value of the request's header."""
@@ -63,11 +75,29 @@
 def take_relayed_request(
     headers: httputil.HTTPHeaders,
 ) -> RelayedRequest | None:
-    """Removes the header from a request; None if it is missing or invalid."""
+    """Removes the headers from a request; None if missing or invalid."""
+    text = headers.pop(REQUEST_HEADER, "")
+    text = headers.pop(STREAM_HEADER, text)
     try:
-        return msgspec.json.decode(
-            headers.pop(REQUEST_HEADER, ""), type=RelayedRequest
-        )
+        return msgspec.json.decode(text, type=RelayedRequest)
+    except msgspec.DecodeError:
+        return None
+
+
+def request_header(route: document_lib.Route) -> str:
+    """Returns the name of the header that marks relayed requests of a route."""
+    return STREAM_HEADER if route.resumable else REQUEST_HEADER
+
+
+def encode_origin(origin: stream_origins.StreamOrigin) -> str:
+    """Returns the value of the header that states where a stream began."""
+    return msgspec.json.encode(origin).decode()
+
+
+def decode_origin(text: str) -> stream_origins.StreamOrigin | None:
+    """Returns the origin that a relay host states; None without a valid one."""
+    try:
+        return msgspec.json.decode(text, type=stream_origins.StreamOrigin)
     except msgspec.DecodeError:
         return None
 
@@ -134,7 +164,7 @@
         """Returns the host with the fewest requests of this host.
 
         Args:
-            key: Service and model of the request.
+            key: Service, model and software version of the request.
             now: Current time.
             tried: Names of hosts that could not relay the request.
         """
@@ -157,7 +187,7 @@
         """Whether a relay host is likely to serve a request.
 
         Args:
-            key: Service and model of the request.
+            key: Service, model and software version of the request.
             now: Current time.
         """
         return (
@@ -185,7 +215,7 @@
         """Records that relay hosts reach no target for a service's model.
 
         Args:
-            key: Service and model.
+            key: Service, model and software version.
             now: Current time.
             name: The relay host; None if all have been tried.
         """
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -60,8 +61,12 @@
         failed_connections: Number of connections that could not be opened.
         may_have_run: Whether some target may have run it.
         last_event: Id of the last event relayed, in a stream.
-        serving: The target of the current attempt.
+        serving: The target of the current attempt; None if it is unknown.
         origin: Where the stream began; None before its first event.
+        resumes: Attempt of the caller that received its first event, if the
+            caller resumes a stream and names one.
+        is_bound: Whether an event was relayed and its origin recorded.
+        is_relayed: Whether the answer goes to another entry host.
         can_continue: Whether another target can continue the answer: nothing
             was relayed, or all up to an event with an id.
         selected_at: When its current target was selected.
@@ -89,6 +94,9 @@
     last_event: bytes = b""
     serving: stream_origins.StreamOrigin | None = None
     origin: stream_origins.StreamOrigin | None = None
+    resumes: str = ""
+    is_bound: bool = False
+    is_relayed: bool = False
     can_continue: bool = True
     selected_at: float = 0.0
     first_sent_at: float = 0.0
@@ -191,6 +199,9 @@
             [registry_lib.Registration, str | None], None
         ],
         prefill_observed: Callable[[str, str, float, float], None],
+        stream_bound: Callable[
+            [Iterable[str], stream_origins.StreamOrigin, float], None
+        ],
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -205,9 +216,13 @@
                 text of its rate limit header; None without the header.
             prefill_observed: Called with an engine, its failure domain, the
                 tokens of a prompt and the seconds until its first event.
+            stream_bound: Called before the first event of a stream is relayed,
+                with the caller's attempts that may name the stream, its origin
+                and the seconds for which it may be taken up.
         """
         self._withdrawn_sends: collections.Counter[str] = collections.Counter()
         self._prefill_observed = prefill_observed
+        self._stream_bound = stream_bound
         self._names = names
         self._view = view
         self._pool = pool
@@ -423,7 +438,8 @@
         if math.isfinite(seconds):
             milliseconds = max(1, int(seconds * 1000))
             fields[self._names.deadline_ms] = str(milliseconds)
-        fields[relay_hosts_lib.REQUEST_HEADER] = relayed.encode()
+        header = relay_hosts_lib.request_header(work.route)
+        fields[header] = relayed.encode()
         return fields
 
     async def _read_relay_failure(
@@ -432,7 +448,11 @@
         """Returns the failure of a relay host; None if a target answered."""
         reason = head.headers.get(relay_hosts_lib.FAILURE_HEADER)
         if reason is None:
-            return None
+            is_target_answer = self._names.request in head.headers
+            if head.status != 400 or is_target_answer:
+                return None
+            # An older build does not know the header of relayed streams.
+            return NotRelayed("unsupported", 503, None)
         async for _ in exchange.chunks(silence=_CONNECT_SECONDS):
             pass
         retry_after = None
@@ -454,7 +474,11 @@
             return BrokenAttempt(True, "crossed_answer")
         if call.head_sent and head.status >= 300:
             return BrokenAttempt(True, f"target_{head.status}")
+        text = head.headers.pop(relay_hosts_lib.ORIGIN_HEADER, "")
+        progress.serving = relay_hosts_lib.decode_origin(text)
         if work.route.kind == document_lib.Kind.STREAM and head.status < 300:
+            if not _goes_on(progress):
+                return BrokenAttempt(True, "other_software")
             return await self._relay_stream(
                 call, work, progress, exchange, head
             )
@@ -655,13 +679,17 @@
                 chunk = _take_complete_events(splitter, chunk, progress)
             if not chunk:
                 continue
-            _record_origin(work, progress)
+            self._bind(work, progress)
             progress.last_relayed_at = clock.now()
             progress.first_byte_at = (
                 progress.first_byte_at or progress.last_relayed_at
             )
             if not call.head_sent:
                 progress.status = head.status
+                if progress.is_relayed and progress.origin is not None:
+                    headers[relay_hosts_lib.ORIGIN_HEADER] = (
+                        relay_hosts_lib.encode_origin(progress.origin)
+                    )
                 await call.send_head(head.status, headers, chunk)
             else:
                 await call.write(chunk)
@@ -672,6 +700,30 @@
         call.finish()
         return Passed(head.status)
 
+    def _bind(
+        self, work: admission.AdmittedRequest, progress: Progress
+    ) -> None:
+        """Records where a stream began, before its first event is relayed."""
+        if progress.is_bound:
+            return
+        progress.is_bound = True
+        origin = progress.origin = progress.origin or progress.serving
+        if origin is None:
+            return
+        logs.event(
+            "stream_bound",
+            request=work.request,
+            resumes=progress.resumes,
+            service=origin.service,
+            software=origin.software,
+            target=origin.target,
+            born=origin.started_at_ms,
+        )
+        if work.route.resumable:
+            attempts = {work.request, progress.resumes} - {""}
+            seconds = stream_origins.retake_seconds(work.route.timeout)
+            self._stream_bound(attempts, origin, seconds)
+
 
 def _take_complete_events(
     splitter: sse.EventSplitter, chunk: bytes, progress: Progress
@@ -689,18 +741,13 @@
     return b"".join(event.raw for event in events)
 
 
-def _record_origin(work: admission.AdmittedRequest, progress: Progress) -> None:
-    """Records where a stream began, before its first event is relayed."""
-    serving = progress.serving
-    if progress.origin is not None or serving is None:
-        return
-    progress.origin = serving
-    logs.event(
-        "stream_bound",
-        request=work.request,
-        target=serving.target,
-        software=serving.software,
-        born=serving.started_at_ms,
+def _goes_on(progress: Progress) -> bool:
+    """Returns whether the serving target has the version of the beginning."""
+    origin, serving = progress.origin, progress.serving
+    return origin is None or (
+        serving is not None
+        and origin.software is not None
+        and origin.key == serving.key
     )
 
 
@@ -725,8 +772,10 @@
         session=work.session,
         tried=tuple(progress.attempted_targets),
         rank=priority(work),
-        can_wait=can_wait,
+        # Callers of a begun stream hold a part of the answer already.
+        can_wait=can_wait and progress.origin is None,
         regions=homes.allowed_regions(work.route, work.team),
+        origin=progress.origin,
     )
 
 
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -18,6 +18,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
+from endivestream.request import stream_origins
 from endivestream.request import target_announcements
 from endivestream.request import target_state
 from endivestream.version import document as document_lib
@@ -78,6 +79,8 @@
         can_wait: Whether the request can still wait for a slot if the engines
             are full.
         regions: Regions whose targets may get the request; None for all.
+        origin: Where the stream began that the request goes on with; None if
+            it begins one.
     """
 
     service: str
@@ -88,6 +91,11 @@
     rank: int = 0
     can_wait: bool = False
     regions: frozenset[str] | None = None
+    origin: stream_origins.StreamOrigin | None = None
+
+    def admits(self, registration: registry_lib.Registration) -> bool:
+        """Whether a target has the software version that is required."""
+        return self.origin is None or self.origin.admits(registration)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -103,8 +111,9 @@
     """No target can take the request now.
 
     Attributes:
-        reason: `no_target`, `no_home`, `evacuated`, `no_model`, `no_adapter`,
-            `target_backoff`, `all_failing`, `full`, `rate_limited`.
+        reason: `no_target`, `no_software`, `no_home`, `evacuated`, `no_model`,
+            `no_adapter`, `target_backoff`, `all_failing`, `full`,
+            `rate_limited`.
         expected: Time at which a target can be expected to take it, if known.
         is_reported: Whether a target that is failing here sends reports to the
             leader: other hosts may reach it.
@@ -117,7 +126,7 @@
     @property
     def is_lasting(self) -> bool:
         """Whether waiting is useless: only an operator can change it."""
-        return self.reason in ("evacuated", "no_home")
+        return self.reason in ("evacuated", "no_home", "no_software")
 
 
 class TargetView:
@@ -157,6 +166,7 @@
         self._other_loads_at = float("-inf")
         self._cold_targets = cold_targets.ColdTargets()
         self._hosts = 1
+        self._is_complete = False
         self._evacuated_domains: frozenset[str] = frozenset()
 
     def __repr__(self) -> str:
@@ -233,6 +243,10 @@
                 name
             )
 
+    def set_complete(self, is_complete: bool) -> None:
+        """Sets whether the table lists all targets that report to a leader."""
+        self._is_complete = is_complete
+
     def set_services(self, services: Collection[document_lib.Service]) -> None:
         """Sets the services of the configuration."""
         self._cold_targets.set_services(services)
@@ -386,6 +400,8 @@
             or target.registration.started_at_ms != registration.started_at_ms
         ):
             return "gone"
+        if not requirements.admits(target.registration):
+            return "software"
         if self._is_draining(name):
             return "draining"
         if self._is_evacuated(target.registration):
@@ -452,6 +468,15 @@
         ]
         if not names:
             return Unavailable(reason="no_target")
+        if requirements.origin is not None:
+            names = [
+                name
+                for name in names
+                if requirements.admits(self._targets[name].registration)
+            ]
+            if not names:
+                reason = "no_software" if self._is_complete else "no_target"
+                return Unavailable(reason=reason)
         names = [
             name
             for name in names
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from endivestream.connection import registry as registry_lib
+from endivestream.request import stream_origins
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 
@@ -595,6 +596,78 @@
     seconds: float
 
 
+class OriginRecord(NamedTuple):
+    """Where a stream of a caller began.
+
+    Attributes:
+        attempt: Attempt of the caller that received the first event.
+        origin: Where it began.
+        seconds: Seconds for which the record is kept.
+    """
+
+    attempt: str
+    origin: stream_origins.StreamOrigin
+    seconds: float
+
+
+class RecordOrigins(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Sends copies of records to a holder.
+
+    Attributes:
+        records: The records.
+    """
+
+    records: tuple[OriginRecord, ...]
+
+
+class OriginsRecorded(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answer to `RecordOrigins`, if it was sent as a request."""
+
+
+class FindOrigin(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks an entry host where the stream of an attempt began.
+
+    Attributes:
+        attempt: The attempt that received the first event.
+    """
+
+    attempt: str
+
+
+class OriginFound(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answer to `FindOrigin`.
+
+    Attributes:
+        origin: Where the stream began; None if the host has no record.
+    """
+
+    origin: stream_origins.StreamOrigin | None = None
+
+
+class AskSoftware(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Asks the leader which software versions targets of a service have had.
+
+    Attributes:
+        service: Name of the service.
+        seconds: Time up to now that the question is about.
+    """
+
+    service: str
+    seconds: float
+
+
+class ToldSoftware(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answer to `AskSoftware`.
+
+    Attributes:
+        versions: The versions; None among them for targets that name none.
+        is_complete: Whether the leader has known all targets in that time.
+    """
+
+    versions: tuple[str | None, ...] = ()
+    is_complete: bool = False
+
+
 class Apply(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Forwards an operator's configuration from a control host to the leader.
 
@@ -733,6 +806,12 @@
     | TellNotices
     | AskTurn
     | GiveTurn
+    | RecordOrigins
+    | OriginsRecorded
+    | FindOrigin
+    | OriginFound
+    | AskSoftware
+    | ToldSoftware
     | Apply
     | Applied
     | Register
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -18,6 +18,7 @@
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import repeats as repeats_lib
+from endivestream.request import resumptions
 from endivestream.request import routes as routes_lib
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
@@ -73,6 +74,9 @@
         self.turns = []
         self.limits = []
         self.samples = []
+        self.bound = []
+        self.origins = {}
+        self.sole_version = None
         self.permit_results = []
         self.permit_requests = []
         self.permit_waits = False
@@ -117,6 +121,9 @@
             ),
             prefill_delay=self._turn,
             prefill_observed=lambda *sample: self.samples.append(sample),
+            find_origin=self._find_origin,
+            sole_software=self._sole_software,
+            stream_bound=lambda *bound: self.bound.append(bound),
             record_metrics=self.ended.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
@@ -147,6 +154,14 @@
             self.table = self.newer
         return self.confirms
 
+    async def _find_origin(self, attempt):
+        return self.origins.get(
+            attempt, resumptions.Lookup(resumptions.Source.ABSENT)
+        )
+
+    async def _sole_software(self, service, seconds):
+        return self.sole_version
+
     def _missing(self, work):
         self.missed.append(work.model)
         return lambda: None
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -32,6 +32,9 @@
             limited_sends=lambda: {"granted": 4},
             backoffs=lambda: 2,
             announcements=lambda: {"backoff": 5},
+            origins=lambda: 0,
+            origin_events=dict,
+            resumptions=dict,
             withdrawn_sends=lambda: {"draining": 6},
             meter=loop_meter.LoopMeter(),
         )
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import itertools
+import unittest
+from unittest import mock
 
 from endivestream import tasks
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.request import relay_hosts
+from endivestream.request import resumptions
+from endivestream.request import stream_origins
 from endivestream.version import document as document_lib
+from tornado import httputil
 
 from tests import entry_site
 from tests import standin
@@ -56,6 +62,94 @@
         self.assertEqual((reply.body, reply.whole), (body(1, 2), False))
         self.assertEqual([], other.requests)
 
+    async def test_answer_goes_on_at_its_software_version(self):
+        """Guards against streams that end although their version serves."""
+        self._route(test_forward.RESUMABLE)
+        await self._start_target(breaks_off("a1", 1, 2), software="v1")
+        other = await self._start_target(
+            serves_rest, software="v2", domain="far"
+        )
+        await self._start_target(serves_rest, software="v1", domain="far")
+        reply = await self.caller.ask(X_Request_Id="a1")
+        self.assertEqual((reply.body, reply.whole), (body(1, 2, 3, 4), True))
+        self.assertEqual([], other.requests)
+
+    async def test_attempt_without_an_event_binds_nothing(self):
+        """Guards against refusals of streams that have not begun."""
+        self._route(test_forward.RESUMABLE)
+        await self._start_target(breaks_off("a1"), software="v1")
+        await self._start_target(serves_rest, software="v2", domain="far")
+        reply = await self.caller.ask(X_Request_Id="a1")
+        self.assertEqual((reply.body, reply.whole), (body(1, 2, 3, 4), True))
+        (_, origin, _), *_ = self.bound
+        self.assertEqual(("desk", "v2"), origin.key)
+
+    async def _retake(self, **headers):
+        """Resumes a stream that began at v1; returns the reply's status."""
+        self._route(test_forward.RESUMABLE)
+        origin = stream_origins.StreamOrigin(service="desk", software="v1")
+        self.origins["a1"] = resumptions.Lookup(
+            resumptions.Source.HOLDER, origin
+        )
+        reply = await self.caller.ask(
+            X_Request_Id="a2", X_Deadline_Ms=900, **headers
+        )
+        return reply.status
+
+    async def test_version_without_targets_is_refused_at_once(self):
+        """Guards against callers that wait for a version that is gone."""
+        self.view.set_complete(True)
+        other = await self._start_target(serves_rest, software="v2")
+        status = await self._retake(X_Resumes="a1", Last_Event_ID=2)
+        self.assertEqual((503, 0, []), (status, self.waited, other.requests))
+        self.assertEqual("no_software", self.ended[0].reason)
+
+    async def test_unknown_beginning_is_refused(self):
+        """Guards against a guess at the version of a stream."""
+        target = await self._start_target(serves_rest, software="v1")
+        for resumes in ({}, {"X_Resumes": "a9"}, {"X_Resumes": "a1, a1"}):
+            status = await self._retake(Last_Event_ID=2, **resumes)
+            self.assertEqual((503, []), (status, target.requests), resumes)
+            self.assertEqual("origin_unknown", self.ended[-1].reason)
+
+    async def test_unknown_beginning_goes_on_at_the_only_version(self):
+        """Guards against refusals where no other version can have begun it."""
+        self.sole_version = "v1"
+        await self._start_target(serves_rest, software="v1")
+        self.assertEqual(200, await self._retake(Last_Event_ID=2))
+
+    async def test_target_that_restarts_between_selection_and_send(self):
+        """Guards against a check that only the selection makes."""
+        target = await self._start_target(serves_rest, software="v1")
+
+        async def restart(seconds):
+            self._register("t1", target.address, software="v2")
+
+        with mock.patch.object(
+            self.forwarder._sender._awaited_answers, "read_received", restart
+        ):
+            status = await self._retake(X_Resumes="a1", Last_Event_ID=2)
+        self.assertEqual((503, []), (status, target.requests))
+
+
+class OriginTableTest(unittest.TestCase):
+    def test_records_are_bounded_and_conflicts_admit_nothing(self):
+        """Guards against growth, and against one of two beginnings."""
+        table = stream_origins.OriginTable()
+        v1, v2 = (
+            stream_origins.StreamOrigin(service="desk", software=software)
+            for software in ("v1", "v2")
+        )
+        table.record("a", v1, 0.0, 10.0)
+        self.assertIsNone(table.find("a", 10.0))
+        table.record("a", v1, 10.0, 10.0)
+        table.record("a", v2, 11.0, 10.0)
+        self.assertIsNone(table.find("a", 12.0).software)
+        with mock.patch.object(stream_origins, "_MAX_RECORDS", 2):
+            for attempt in "bcd":
+                table.record(attempt, v1, 12.0, 10.0)
+        self.assertEqual((2, None), (len(table), table.find("b", 12.0)))
+
 
 class SoftwareVersionSite(entry_site.EntrySite):
     """Two entry hosts that reach each other, and targets with versions."""
@@ -147,7 +241,8 @@
     async def _retake(self, entry, **headers):
         headers = {"X_Resumes": "a1", "Last_Event_ID": 2} | headers
         return await self._send_request(
-            entry, X_Request_Id="a2", X_Deadline_Ms=2000, **headers
+            entry,
+            **{"X_Request_Id": "a2", "X_Deadline_Ms": 2000} | headers,
         )
 
     async def test_retake_elsewhere_does_not_go_on_at_another_version(self):
@@ -158,6 +253,18 @@
         self.assertEqual([], other.requests)
         self.assertEqual(reply.status, 503)
 
+    async def test_retake_goes_on_at_its_version_at_any_host(self):
+        """Guards against records lost with the host where streams begin."""
+        await self._begin()
+        await self._start_target("t2", "v2", serves_rest)
+        await self._start_target("t3", "v1", serves_rest)
+        await self.entries[0].close()
+        for attempt in ("a2", "a3"):
+            # Further retakes name the first attempt again.
+            reply = await self._retake(self.entries[1], X_Request_Id=attempt)
+            self.assertEqual((body(3, 4), True), (reply.body, reply.whole))
+            self.assertEqual([], self.targets["t2"][0].requests)
+
 
 class RelayTest(SoftwareVersionSite):
     async def test_relay_host_does_not_go_on_at_another_version(self):
@@ -182,6 +289,40 @@
         self.assertEqual((reply.body, reply.whole), (body(1, 2), False))
         self.assertEqual([], other.requests)
 
+    async def test_relay_host_goes_on_at_the_version_of_the_beginning(self):
+        """Guards against relays that lose where a stream began."""
+        await self._serve(max_attempts=3)
+        cut, _ = self.entries
+        await self._start_target("t1", "v1", breaks_off("a1", 1, 2))
+        self._cut(cut)
+        reply = await self._send_request(
+            cut, X_Request_Id="a1", X_Deadline_Ms=500
+        )
+        self.assertEqual((reply.body, reply.whole), (body(1, 2), False))
+        self.assertNotIn(relay_hosts.ORIGIN_HEADER, reply.headers)
+        await self._end_target("t1")
+        other = await self._start_target("t2", "v2", serves_rest)
+        reply = await self._send_request(
+            cut, X_Request_Id="a2", X_Resumes="a1", Last_Event_ID=2
+        )
+        self.assertEqual((503, []), (reply.status, other.requests))
+        await self._start_target("t3", "v1", serves_rest)
+        self._cut(cut)
+        reply = await self._send_request(
+            cut, X_Request_Id="a3", X_Resumes="a1", Last_Event_ID=2
+        )
+        self.assertEqual((body(3, 4), True), (reply.body, reply.whole))
+        self.assertEqual([], other.requests)
+
+    async def test_older_builds_refuse_relayed_streams(self):
+        """Guards against relay hosts that ignore where a stream began."""
+        headers = httputil.HTTPHeaders()
+        route = test_document.route(resumable=True)
+        text = relay_hosts.RelayedRequest(host="e0", version=1).encode()
+        headers[relay_hosts.request_header(route)] = text
+        self.assertNotIn(relay_hosts.REQUEST_HEADER, headers)
+        self.assertEqual("e0", relay_hosts.take_relayed_request(headers).host)
+
     def _cut(self, entry):
         addresses = {target.address for target, _ in self.targets.values()}
         acquire = entry._pool.acquire
