Load models for resumed streams at their software version

A resumed stream waited in vain for a model whose only copy at its version was lost while engines of other versions held it: demand was counted by service, model and adapter.

Change: resumed streams report what they wait for with their version, in fields of their own that older builds ignore. The planner loads it on an engine of that version, before other steps, if the loss of its victims is not much greater than the gain; adapters likewise. Demand of waiting requests is forwarded again with the next renewal even if that renewal repeats the last one, so it ends in time.

Evidence: test_plan.BoundTest; without the new step the planner returns none.

--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -212,7 +212,7 @@
             credit=_UnlimitedCredit(),
             repeats=lambda service: repeats,
             request_repeat=self._request_repeat,
-            report_missing=lambda work: lambda: None,
+            report_missing=lambda work, origin: lambda: None,
             wait_for_change=self._wait_for_change,
             confirm_configuration=mock.AsyncMock(return_value=True),
             request_received=lambda work: None,
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -49,6 +49,7 @@
 from endivestream.request import rate_limits as rate_limits_lib
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import routes as routes_lib
+from endivestream.request import stream_origins
 from endivestream.request import target_announcements
 from endivestream.request import target_selection
 from endivestream.request import unserved as unserved_lib
@@ -110,6 +111,8 @@
         self._demand = demand_lib.RequestRates(now=clock.now())
         self._unserved = unserved_lib.UnservedModels()
         self._waiting_objectives: dict[tuple[str, str, str], list[float]] = {}
+        # The same of resumed streams: service, software, model, adapter.
+        self._waiting_bound: dict[tuple[str, str, str, str], list[float]] = {}
         self._change_event = asyncio.Event()
         self._draining = False
         self._previous_lease_until = -math.inf
@@ -384,6 +387,10 @@
             controls=self._watch.controls_digest,
             limits=self._rate_limits.report(everything=is_new_leader),
             evacuations=self._evacuations_revision,
+            bound_demand=tuple(
+                _bound_demand(key, objectives)
+                for key, objectives in self._waiting_bound.items()
+            ),
         )
 
     def _on_leader_push(self, message: messages.Message) -> None:
@@ -583,13 +590,21 @@
         )
 
     def _report_missing(
-        self, work: admission.AdmittedRequest
+        self,
+        work: admission.AdmittedRequest,
+        origin: stream_origins.StreamOrigin | None,
     ) -> Callable[[], None]:
         """Reports to the leader that a request waits for a model.
 
+        Args:
+            work: The request.
+            origin: Where its stream began; None if it begins one.
+
         Returns:
             A function to call when the request no longer waits.
         """
+        if origin is not None:
+            return self._report_bound(work, origin)
         key = (work.service.name, work.model, work.adapter)
         now = clock.now()
         self._unserved.record_miss(key, now)
@@ -616,6 +631,32 @@
 
         return stop
 
+    def _report_bound(
+        self,
+        work: admission.AdmittedRequest,
+        origin: stream_origins.StreamOrigin,
+    ) -> Callable[[], None]:
+        """Reports that a resumed stream waits for a model at its version."""
+        if origin.software is None:
+            return lambda: None
+        key = (work.service.name, origin.software, work.model, work.adapter)
+        waiting = self._waiting_bound.setdefault(key, [])
+        waiting.append(work.route.objective)
+        if len(waiting) == 1:
+            message = site_messages.Missing(
+                host=self._settings.name,
+                demand=(),
+                bound_demand=(_bound_demand(key, waiting),),
+            )
+            self._send_to_leader(message)
+
+        def stop() -> None:
+            waiting.remove(work.route.objective)
+            if not waiting:
+                self._waiting_bound.pop(key, None)
+
+        return stop
+
     async def _query_sole_software(
         self, service: str, seconds: float
     ) -> str | None:
@@ -646,6 +687,12 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
+def _bound_demand(
+    key: tuple[str, str, str, str], objectives: Sequence[float]
+) -> site_messages.BoundDemand:
+    return site_messages.BoundDemand(*key, len(objectives), min(objectives))
+
+
 def _listen(
     front: call_lib.RequestServer, address: str, added_header_bytes: int = 0
 ) -> httpserver.HTTPServer:
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Iterator
+import itertools
+import math
 
 from endivestream import clock
 from endivestream import logs
@@ -110,6 +113,10 @@
         self._silent_targets: set[str] = set()
         self._is_table_complete = False
         self._demand = demand_table.DemandTable()
+        # Resumed streams that wait for models, by entry host.
+        self._bound_demand: dict[
+            str, tuple[site_messages.BoundDemand, ...]
+        ] = {}
         self._uses = use_table.UseTable()
         # Targets that fail, by the entry host that reported them.
         self._failing_targets: dict[str, frozenset[str]] = {}
@@ -211,6 +218,22 @@
             self._demand.record_demand(host, entry, clock.now())
         self._wake_up.set()
 
+    def replace_bound_demand(
+        self, host: str, demand: Iterable[site_messages.BoundDemand]
+    ) -> None:
+        """Replaces the resumed streams of an entry host that wait."""
+        self._bound_demand[host] = tuple(demand)
+
+    def add_bound_demand(
+        self, host: str, demand: Iterable[site_messages.BoundDemand]
+    ) -> None:
+        """Adds resumed streams that wait, and plans immediately."""
+        self._bound_demand[host] = (
+            *self._bound_demand.get(host, ()),
+            *demand,
+        )
+        self._wake_up.set()
+
     def replace_uses(
         self, host: str, uses: Iterable[site_messages.Use]
     ) -> None:
@@ -255,6 +278,7 @@
         self._failing_targets.pop(host, None)
         self._uses.forget(host)
         self._demand.remove_host(host)
+        self._bound_demand.pop(host, None)
 
     # Output.
 
@@ -336,6 +360,7 @@
                 capacity=engine,
                 engines=[self._describe_engine(w) for w in workers.values()],
                 demands=self._demand.demands(service, now),
+                bound=self._bound_models(service),
                 store_loads=self._allowed_store_loads(engine, now),
                 complete=self._is_table_complete,
             )
@@ -343,14 +368,58 @@
                 self._start_step(workers[step.target], step, engine)
             self._unplaced[service] = planned.unplaced
             self._log_unplaced(service, now)
+            usable = [
+                worker
+                for worker in workers.values()
+                if self._accepts_requests(worker)
+            ]
+            self._adapters.plan(
+                engine=engine,
+                workers=usable,
+                requested=self._demand.waiting_adapters(service, now),
+                now=now,
+            )
+            self._plan_bound_adapters(service, engine, usable, now)
+
+    def _bound_models(self, service: str) -> list[plan_types.BoundModel]:
+        """Returns the models that resumed streams of a service wait for."""
+        waiting: collections.Counter[tuple[str, str]] = collections.Counter()
+        objectives: dict[tuple[str, str], float] = {}
+        for demand in itertools.chain(*self._bound_demand.values()):
+            if demand.service != service:
+                continue
+            key = demand.software, demand.model
+            waiting[key] += demand.waiting
+            objectives[key] = min(
+                objectives.get(key, math.inf), demand.shortest_objective
+            )
+        return [
+            plan_types.BoundModel(*key, count, objectives[key])
+            for key, count in waiting.items()
+        ]
+
+    def _plan_bound_adapters(
+        self,
+        service: str,
+        engine: document_lib.EngineCapacity,
+        usable: Collection[worker_lib.EngineWorker],
+        now: float,
+    ) -> None:
+        """Loads adapters for resumed streams at their software versions."""
+        requested: dict[str, dict[str, float]] = {}
+        for demand in itertools.chain(*self._bound_demand.values()):
+            if demand.service == service and demand.adapter:
+                name = f"{demand.model}/{demand.adapter}"
+                requested.setdefault(demand.software, {})[name] = 0.0
+        for software, names in requested.items():
             self._adapters.plan(
                 engine=engine,
                 workers=[
                     worker
-                    for worker in workers.values()
-                    if self._accepts_requests(worker)
+                    for worker in usable
+                    if worker.registration.software == software
                 ],
-                requested=self._demand.waiting_adapters(service, now),
+                requested=names,
                 now=now,
             )
 
@@ -402,6 +471,7 @@
         return plan_types.EngineState(
             target=name,
             domain=worker.registration.domain,
+            software=worker.registration.software,
             loaded=tuple(sorted(worker.models - worker.closing)),
             loading="" if self._is_stuck(worker) else worker.loading,
             busy=worker.step is not None or clock.now() < worker.blocked_until,
@@ -490,7 +560,7 @@
             worker.is_busy = False
             if not succeeded:
                 worker.blocked_until = clock.now() + _STEP_RETRY_SECONDS
-            elif step.reason in ("missing", "overdue"):
+            elif step.reason in ("missing", "overdue", "bound"):
                 worker.pin_model(step.model, clock.now() + _UNUSED_PIN_SECONDS)
             logs.event(
                 "placed" if succeeded else "placement_failed",
--- a/packages/endivestream/src/endivestream/process/planner_lease_holder.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_holder.py
@@ -198,10 +198,12 @@
             case site_messages.FeedDemand(host=host):
                 self._known_hosts.add(host)
                 planner.replace_demand(host, item.demand)
+                planner.replace_bound_demand(host, item.bound_demand)
                 planner.replace_uses(host, item.uses)
                 planner.replace_failing_targets(host, item.failing)
             case site_messages.Missing(host=host, demand=demand):
                 planner.add_waiting_demand(host, demand)
+                planner.add_bound_demand(host, item.bound_demand)
             case site_messages.FeedHostRemoved(host=host):
                 self._known_hosts.discard(host)
                 planner.remove_host(host)
--- a/packages/endivestream/src/endivestream/process/planner_lease_manager.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_manager.py
@@ -77,6 +77,8 @@
             str, tuple[int, site_messages.PlacementUpdate]
         ] = {}
         self._demand_by_host: dict[str, site_messages.FeedDemand] = {}
+        # Hosts that reported missing models since their last renewal.
+        self._hosts_with_missing: set[str] = set()
         self._target_list = site_messages.FeedTargets()
         self._rate_limits = site_messages.FeedRateLimits(rates={})
         self._feed_items: list[site_messages.PlannerFeedItem] = []
@@ -142,18 +144,24 @@
             demand=message.demand,
             uses=message.uses,
             failing=message.failing,
+            bound_demand=message.bound_demand,
         )
-        if demand != self._demand_by_host.get(host):
+        is_changed = demand != self._demand_by_host.get(host)
+        if is_changed or host in self._hosts_with_missing:
+            self._hosts_with_missing.discard(host)
             self._demand_by_host[host] = demand
             self._append(demand)
 
     def forward_missing_models(self, message: site_messages.Missing) -> None:
         """Forwards demand for missing models without waiting for a renewal."""
+        # The next renewal ends this demand, also if it equals the last one.
+        self._hosts_with_missing.add(message.host)
         self._append(message)
 
     def remove_host(self, host: str) -> None:
         """Removes an expired entry host and its demand."""
         self._uses.forget(host)
+        self._hosts_with_missing.discard(host)
         if self._demand_by_host.pop(host, None) is not None:
             self._append(site_messages.FeedHostRemoved(host=host))
 
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -692,7 +692,9 @@
                     "no_model",
                     "no_adapter",
                 ):
-                    stop_reporting_missing = self._parts.report_missing(work)
+                    stop_reporting_missing = self._parts.report_missing(
+                        work, progress.origin
+                    )
                 await self._parts.wait_for_change(min(wait_deadline - now, 0.1))
         finally:
             if stop_reporting_missing is not None:
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -62,8 +62,9 @@
         repeats: Returns this host's repeat budget for a service.
         request_repeat: Requests one repeat from the leader, out of a service's
             shared repeat budget; returns whether it was granted.
-        report_missing: Reports to the planner what no target holds; returns a
-            callback that ends the report.
+        report_missing: Reports to the planner what no target holds that a
+            request may use; returns a callback that ends the report. Arguments
+            are the request and where its stream began, or None.
         wait_for_change: Waits until targets change, up to the given seconds.
         confirm_configuration: Waits until this host's configuration is
             confirmed as the newest, up to the given seconds; returns whether it
@@ -100,7 +101,10 @@
     credit: Credit
     repeats: Callable[[str], repeats_lib.RepeatBudget]
     request_repeat: Callable[[str], Awaitable[bool]]
-    report_missing: Callable[[admission.AdmittedRequest], Callable[[], None]]
+    report_missing: Callable[
+        [admission.AdmittedRequest, stream_origins.StreamOrigin | None],
+        Callable[[], None],
+    ]
     wait_for_change: Callable[[float], Awaitable[None]]
     confirm_configuration: Callable[[float], Awaitable[bool]]
     request_received: Callable[[admission.AdmittedRequest], None]
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -64,6 +64,26 @@
     unserved_seconds: float = 0.0
 
 
+class BoundDemand(NamedTuple):
+    """Resumed streams that wait for a model at the version that began them.
+
+    Attributes:
+        service: Name of the service.
+        software: The software version.
+        model: Name of the model.
+        adapter: Name of the adapter, or empty.
+        waiting: Number of waiting requests.
+        shortest_objective: Their shortest objective, in seconds.
+    """
+
+    service: str
+    software: str
+    model: str
+    adapter: str
+    waiting: int
+    shortest_objective: float
+
+
 class Use(NamedTuple):
     """Requests of one entry host that a target is running for a model.
 
@@ -235,6 +255,7 @@
             it has just found the leader.
         evacuations: Revision of the evacuations that the host applies; -1 if it
             has received none yet.
+        bound_demand: Resumed streams that wait for models.
     """
 
     host: EntryHost
@@ -248,6 +269,7 @@
     controls: int = 0
     limits: tuple[RateLimit, ...] = ()
     evacuations: int = -1
+    bound_demand: tuple[BoundDemand, ...] = ()
 
 
 class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -409,10 +431,12 @@
     Attributes:
         host: Name of the reporting entry host.
         demand: Demand for the missing models and adapters.
+        bound_demand: The same of resumed streams.
     """
 
     host: str
     demand: tuple[Demand, ...]
+    bound_demand: tuple[BoundDemand, ...] = ()
 
 
 class FeedDemand(msgspec.Struct, frozen=True, kw_only=True, tag="FedDemand"):
@@ -424,12 +448,14 @@
         uses: Running requests of that host by target and model.
         failing: Targets that break the host's requests or leave them
             unanswered.
+        bound_demand: Resumed streams of that host that wait for models.
     """
 
     host: str
     demand: tuple[Demand, ...]
     uses: tuple[Use, ...]
     failing: tuple[str, ...] = ()
+    bound_demand: tuple[BoundDemand, ...] = ()
 
 
 class FeedHostRemoved(msgspec.Struct, frozen=True, kw_only=True, tag="FedGone"):
--- a/packages/endivestream/src/endivestream/version/plan.py
+++ b/packages/endivestream/src/endivestream/version/plan.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -91,6 +92,7 @@
     demands: Mapping[str, plan_types.ModelDemand],
     store_loads: int,
     complete: bool = True,
+    bound: Sequence[plan_types.BoundModel] = (),
 ) -> plan_types.PlanResult:
     """Plans one round.
 
@@ -101,8 +103,10 @@
         store_loads: Loads from the weight store that may start now.
         complete: Whether all engines have reported. If so, a model that none
             of them has on its disk is on no disk.
+        bound: Models that resumed streams need at their software versions.
     """
     planner = _RoundPlanner(capacity, engines, demands, store_loads)
+    planner.load_bound(bound)
     planner.load_overdue()
     planner.add_copies(min_net_gain=_URGENT_GAIN)
     planner.load_missing()
@@ -159,6 +163,30 @@
         self.steps: list[plan_types.Step] = []
         self.unplaced: list[plan_types.Unplaced] = []
 
+    def load_bound(self, bound: Sequence[plan_types.BoundModel]) -> None:
+        """Loads models that resumed streams need at a software version.
+
+        Copies at other versions serve none of these streams (symptom: a stream
+        waits for a model that engines of other versions hold).
+        """
+        for demand in sorted(bound, key=lambda each: -each.waiting):
+            targets = {
+                engine.target
+                for engine in self._engines.values()
+                if engine.usable and engine.software == demand.software
+            }
+            if demand.model not in self._models or not targets:
+                continue
+            if targets.intersection(self._holders.get(demand.model, ())):
+                continue
+            gain = demand.waiting / max(0.5, demand.objective_seconds)
+            step = self._cheapest_step(
+                demand.model, "bound", gain, among=targets
+            )
+            if step is not None and step.loss < gain + _MAX_EXCESS_LOSS:
+                self._add_step(step)
+                self._holders.setdefault(step.model, []).append(step.target)
+
     def load_overdue(self) -> None:
         """Loads overdue models, those that were unserved for longest first.
 
@@ -440,6 +468,7 @@
         gain: float,
         *,
         ignore_busy_disk_copies: bool = False,
+        among: Collection[str] | None = None,
     ) -> plan_types.Step | None:
         """Returns the step with the lowest cost that loads a model, or None.
 
@@ -450,6 +479,7 @@
             ignore_busy_disk_copies: Whether the model may be loaded from the
                 store although an engine that takes no orders now has it on its
                 disk.
+            among: Names of the engines that may load it; None for all.
         """
         best, lowest_cost = None, float("inf")
         domains = {
@@ -466,6 +496,8 @@
                 continue
             if model in engine.loaded_or_loading:
                 continue
+            if among is not None and engine.target not in among:
+                continue
             step = self._plan_step(
                 engine,
                 model,
--- a/packages/endivestream/src/endivestream/version/plan_types.py
+++ b/packages/endivestream/src/endivestream/version/plan_types.py
@@ -32,6 +32,22 @@
         return self.waiting > 0 and self.unserved_seconds >= OVERDUE_SECONDS
 
 
+class BoundModel(NamedTuple):
+    """A model that resumed streams need at one software version.
+
+    Attributes:
+        software: The software version that began them.
+        model: The model.
+        waiting: Number of streams that wait for it.
+        objective_seconds: Shortest objective of these, in seconds.
+    """
+
+    software: str
+    model: str
+    waiting: int
+    objective_seconds: float
+
+
 class EngineState(NamedTuple):
     """State of one engine, as the planner needs it.
 
@@ -53,6 +69,7 @@
             not been served.
         rate_limit: Requests per second that it accepts; None if it reports no
             limit.
+        software: Version of its software; None if it names none.
     """
 
     target: str
@@ -68,6 +85,7 @@
     is_overdue: bool = False
     protected: frozenset[str] = frozenset()
     rate_limit: float | None = None
+    software: str | None = None
 
     @property
     def loaded_or_loading(self) -> tuple[str, ...]:
@@ -83,8 +101,9 @@
         model: The model to load.
         victims: Models to unload first.
         from_store: Whether the weights come from the weight store.
-        reason: `overdue`, `missing`, `copy` or `home`, for the log; `home`
-            is a load that puts a model on a disk while no requests wait.
+        reason: `bound`, `overdue`, `missing`, `copy` or `home`, for the log;
+            `bound` is a load for resumed streams at their software version,
+            `home` is a load that puts a model on a disk while no requests wait.
         load_seconds: Duration of the load.
         victim_run_seconds: Estimated time until the running requests of the
             victims end, in seconds.
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -162,7 +162,7 @@
     async def _sole_software(self, service, seconds):
         return self.sole_version
 
-    def _missing(self, work):
+    def _missing(self, work, origin):
         self.missed.append(work.model)
         return lambda: None
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -109,6 +109,23 @@
                 self.assertEqual([("g", obstacle)], obstacles)
 
 
+class BoundTest(unittest.TestCase):
+    def test_model_is_loaded_at_the_version_of_resumed_streams(self):
+        """Guards against streams that wait beside copies at other versions."""
+        engines = [
+            engine_state("t1", "abc", software="v1"),
+            engine_state("t2", "def", software="v2"),
+            engine_state("t3", "abd", software="v2"),
+        ]
+        bound = [plan_types.BoundModel("v1", "d", 2, 0.8)]
+        steps = plan_steps(engines, {}, complete=False, bound=bound)
+        self.assertEqual([("t1", "d")], [(s.target, s.model) for s in steps])
+        for software, model in (("v2", "d"), ("v3", "d"), ("v1", "?")):
+            bound = [plan_types.BoundModel(software, model, 2, 0.8)]
+            steps = plan_steps(engines, {}, complete=False, bound=bound)
+            self.assertEqual([], steps, (software, model))
+
+
 class MissingTest(unittest.TestCase):
     def test_a_missing_model_is_loaded_from_a_disk_that_has_it(self):
         """A rare model is loaded from a disk in one second.
