Prove which process a stream's connection belongs to

A target may start again under its id and address with other software. Until its report reaches a host, the host takes the new process for the old one: a stream begins or goes on there under the wrong version. Hosts and targets that are cut off from the control hosts make that time long.

Change: resumable streams use only connections to engines on which the process has stated its start time, in a report, before the first request; a connection belongs to one process, so this is asked once for each connection. A process newer than the listed one gets no request until the table lists it. Not proved, and documented so: services without engines, targets that name a rate limit (a query counts against it), processes that state no start time.

Evidence: three tests; without the query the first one fails, the stream reaches the restarted process. Weighed and not taken: comparing wall clocks of host and target (clocks are stepped), a query for each stream (a round trip more for each, the same proof).

--- a/benchmarks/soak/simulated_site.py
+++ b/benchmarks/soak/simulated_site.py
@@ -14,6 +14,7 @@
 from endivestream import clock
 from endivestream import site_messages
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import process_proof
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import forward as forward_lib
@@ -226,6 +227,7 @@
             find_origin=self._find_no_origin,
             sole_software=self._find_no_software,
             stream_bound=lambda attempts, origin, seconds: None,
+            process_proof=process_proof.ProcessProof(codec=None),
             record_metrics=lambda summary: None,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
--- a/packages/endivestream/src/endivestream/connection/engines.py
+++ b/packages/endivestream/src/endivestream/connection/engines.py
@@ -53,12 +53,14 @@
         busy: Whether it is executing an order.
         loaded: Models that are loaded.
         loading: Models and adapters that it is loading, as `MODEL/ADAPTER`.
+        started_at_ms: Start time of its process; None if it does not state it.
     """
 
     accepted: int
     busy: bool
     loaded: tuple[registry_lib.Loaded, ...]
     loading: tuple[str, ...]
+    started_at_ms: int | None = None
 
 
 class Request(NamedTuple):
--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -398,6 +398,55 @@
             self._host, self._port, seconds=seconds, is_new=is_new
         )
 
+    @property
+    def connection(self) -> iostream.IOStream | None:
+        """The acquired connection; None before and after its use."""
+        return self._stream
+
+    async def query(
+        self, method: str, path: str, headers: dict[str, str], *, seconds: float
+    ) -> tuple[int, bytes]:
+        """Sends another request over the acquired connection, before `send`.
+
+        Args:
+            method: HTTP method.
+            path: Path of the request.
+            headers: Its headers.
+            seconds: Timeout for the complete answer.
+
+        Returns:
+            Status and body of the answer.
+
+        Raises:
+            ExchangeError: No complete answer arrived, or the connection cannot
+                be used further; `sent` is False.
+        """
+        assert self._stream is not None
+        stream, self._stream = self._stream, None
+        other = Exchange(
+            pool=self._pool, url=f"http://{self._host}:{self._port}/"
+        )
+        other._stream = stream
+        try:
+            async with asyncio.timeout(seconds):
+                other.send(method, path, headers, b"")
+                head = await other.head(seconds=seconds)
+                parts = [
+                    part
+                    async for part in other.chunks(
+                        silence=seconds, keeps_connection=True
+                    )
+                ]
+        except (ExchangeError, TimeoutError) as error:
+            raise ExchangeError(f"{path}: {error!r}", sent=False) from error
+        else:
+            self._stream, other._stream = other._stream, None
+            if self._stream is None:
+                raise ExchangeError(f"{path}: connection closed", sent=False)
+            return head.status, b"".join(parts)
+        finally:
+            other.close()
+
     def send(
         self, method: str, path: str, headers: dict[str, str], body: bytes
     ) -> None:
@@ -477,13 +526,16 @@
             raise ExchangeError("connection closed before an answer", sent=True)
         return part
 
-    async def chunks(self, *, silence: float) -> AsyncIterator[bytes]:
+    async def chunks(
+        self, *, silence: float, keeps_connection: bool = False
+    ) -> AsyncIterator[bytes]:
         """Yields the parts of the body up to its verified end.
 
         Args:
             silence: Seconds without a byte after which the connection is
                 considered dead: a device between the two ends may have dropped
                 its state, and then no error is ever reported.
+            keeps_connection: Whether a reusable connection stays acquired.
 
         Raises:
             ExchangeError: The body ended early, or no byte arrived in time.
@@ -504,7 +556,7 @@
                 f"connection closed before the end of the answer ({ending})",
                 sent=True,
             )
-        self._finish()
+        self._finish(keeps_connection=keeps_connection)
 
     async def _next_part(self, seconds: float) -> Head | bytes | None:
         parts = self._reader.parts
@@ -520,7 +572,7 @@
                 f"no bytes received for {seconds:.1f} s", sent=True
             ) from None
 
-    def _finish(self) -> None:
+    def _finish(self, *, keeps_connection: bool) -> None:
         if self._stream is None:
             return
         seconds = self._reader.keep_alive_seconds
@@ -533,6 +585,8 @@
         if seconds is None or not is_written or not is_framed:
             self.close()
             return
+        if keeps_connection:
+            return
         self._pool.release(
             self._host, self._port, self._stream, seconds=seconds
         )
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -26,8 +26,10 @@
 from endivestream import messages
 from endivestream import site_messages
 from endivestream import tasks
+from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import links
+from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import watch as watch_lib
 from endivestream.process import configuration_freshness as freshness_lib
 from endivestream.process import entry_credit
@@ -87,7 +89,15 @@
         *,
         settings: site_settings.SiteSettings,
         names: names_lib.HeaderNames,
+        codec: engines_lib.Codec | None = None,
     ) -> None:
+        """Creates the services; `start` starts them.
+
+        Args:
+            settings: The host's settings.
+            names: Header names.
+            codec: Encodes queries to engines; None if they answer none.
+        """
         self._settings = settings
         self._context = zmq.asyncio.Context()
         self._meter = loop_meter.LoopMeter()
@@ -142,6 +152,7 @@
         self._origin_directory = origin_directory.OriginDirectory(
             name=settings.name, context=self._context, meter=self._meter
         )
+        self._process_proof = process_proof_lib.ProcessProof(codec=codec)
         self._peer_server: links.Server | None = None
         if settings.peers:
             self._peer_server = links.Server(
@@ -170,6 +181,7 @@
             origins=lambda: self._origin_directory.size,
             origin_events=lambda: self._origin_directory.events,
             resumptions=lambda: self._forwarder.resumptions,
+            process_queries=lambda: self._process_proof.results,
             meter=self._meter,
         )
         rules = admission.AdmissionInputs(
@@ -218,6 +230,7 @@
             find_origin=self._origin_directory.find,
             sole_software=self._query_sole_software,
             stream_bound=self._origin_directory.record,
+            process_proof=self._process_proof,
             record_metrics=self._metrics.observe,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -158,6 +158,7 @@
         origins: Callable[[], float],
         origin_events: Callable[[], Mapping[str, int]],
         resumptions: Callable[[], Mapping[str, int]],
+        process_queries: Callable[[], Mapping[str, int]],
         meter: loop_meter.LoopMeter,
     ) -> None:
         """Registers the metrics.
@@ -179,6 +180,8 @@
                 expired, displaced, in conflict, or not acknowledged.
             resumptions: Returns the number of resumed streams by how their
                 beginning was found.
+            process_queries: Returns the number of connections whose process was
+                queried, by result.
             meter: The meter of the event loop.
         """
         super().__init__()
@@ -267,6 +270,12 @@
             "outcome",
             resumptions,
         )
+        self._add_counts(
+            "process_queries",
+            "Connections on which the process of a target was queried",
+            "result",
+            process_queries,
+        )
         self._add_loop_metrics(meter)
 
     def observe(self, ended: forward_parts.RequestSummary) -> None:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -124,6 +124,7 @@
             rate_limit_reported=parts.rate_limit_reported,
             prefill_observed=parts.prefill_observed,
             stream_bound=parts.stream_bound,
+            process_proof=parts.process_proof,
         )
         self._resumptions = resumptions.Resumptions(
             find_origin=parts.find_origin, sole_software=parts.sole_software
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import relay_hosts as relay_hosts_lib
@@ -90,6 +91,7 @@
             service have had in the given seconds; None if that is not proved.
         stream_bound: Records where a stream began, for the caller's attempts
             that may name it, for some seconds.
+        process_proof: Proves which processes connections belong to.
         record_metrics: Records the metrics of a finished request.
     """
 
@@ -123,6 +125,7 @@
     stream_bound: Callable[
         [Iterable[str], stream_origins.StreamOrigin, float], None
     ]
+    process_proof: process_proof_lib.ProcessProof
     record_metrics: Callable[[RequestSummary], None]
 
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -21,6 +21,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.connection import sse
 from endivestream.request import admission
@@ -202,6 +203,7 @@
         stream_bound: Callable[
             [Iterable[str], stream_origins.StreamOrigin, float], None
         ],
+        process_proof: process_proof_lib.ProcessProof,
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -219,10 +221,12 @@
             stream_bound: Called before the first event of a stream is relayed,
                 with the caller's attempts that may name the stream, its origin
                 and the seconds for which it may be taken up.
+            process_proof: Proves which processes connections belong to.
         """
         self._withdrawn_sends: collections.Counter[str] = collections.Counter()
         self._prefill_observed = prefill_observed
         self._stream_bound = stream_bound
+        self._process_proof = process_proof
         self._names = names
         self._view = view
         self._pool = pool
@@ -332,6 +336,10 @@
                 await exchange.connect(
                     seconds=min(seconds, max(0.01, remaining)), is_new=is_trial
                 )
+                if not await self._is_listed_process(
+                    work, exchange, registration
+                ):
+                    return self._withdraw(work, registration, "restarted")
                 await self._awaited_answers.read_received(registration.name)
                 sent_at = clock.now()
                 requirements = target_requirements(work, progress)
@@ -374,6 +382,29 @@
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
+    async def _is_listed_process(
+        self,
+        work: admission.AdmittedRequest,
+        exchange: exchange_lib.Exchange,
+        registration: registry_lib.Registration,
+    ) -> bool:
+        """Returns whether a stream may use an acquired connection.
+
+        The process that answers on it determines the software version that a
+        stream is bound to.
+        """
+        if not work.route.resumable or work.service.engine is None:
+            return True
+        if self._view.is_rate_limited(registration, clock.now()):
+            # A query would count against the limit.
+            return True
+        started_at_ms = await self._process_proof.started_at_ms(
+            exchange, registration
+        )
+        if started_at_ms > registration.started_at_ms:
+            self._view.record_restart(registration)
+        return started_at_ms == registration.started_at_ms
+
     async def relay(
         self,
         call: call_lib.Call,
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -167,6 +167,8 @@
         self._cold_targets = cold_targets.ColdTargets()
         self._hosts = 1
         self._is_complete = False
+        # Start times of listed processes that no longer run, by target.
+        self._replaced: dict[str, int] = {}
         self._evacuated_domains: frozenset[str] = frozenset()
 
     def __repr__(self) -> str:
@@ -231,6 +233,7 @@
             }
         for name in removed:
             self._targets.pop(name, None)
+            self._replaced.pop(name, None)
             self._loads_expected_at.pop(name, None)
             self._blocked_until.pop(name, None)
             if name in self._states and not self._states[name].running:
@@ -243,6 +246,18 @@
                 name
             )
 
+    def record_restart(self, registration: registry_lib.Registration) -> None:
+        """Records that the process of a registration has been replaced.
+
+        The target gets no requests until the leader lists its new process.
+        """
+        self._replaced[registration.name] = registration.started_at_ms
+
+    def _is_replaced(self, registration: registry_lib.Registration) -> bool:
+        return (
+            self._replaced.get(registration.name) == registration.started_at_ms
+        )
+
     def set_complete(self, is_complete: bool) -> None:
         """Sets whether the table lists all targets that report to a leader."""
         self._is_complete = is_complete
@@ -402,6 +417,8 @@
             return "gone"
         if not requirements.admits(target.registration):
             return "software"
+        if self._is_replaced(registration):
+            return "restarted"
         if self._is_draining(name):
             return "draining"
         if self._is_evacuated(target.registration):
@@ -463,6 +480,7 @@
             name
             for name in self._by_service.get(requirements.service, ())
             if not self._is_draining(name)
+            and not self._is_replaced(self._targets[name].registration)
             and name not in requirements.tried
             and (regions is None or self._region(name) in regions)
         ]
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -8,6 +8,7 @@
 from endivestream import clock
 from endivestream import site_messages
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import admission
 from endivestream.request import call as call_lib
@@ -55,6 +56,8 @@
 
 
 class ForwardTest(unittest.IsolatedAsyncioTestCase):
+    codec = None
+
     async def asyncSetUp(self):
         self.targets = []
         self.lease = clock.now() + 60.0
@@ -124,6 +127,7 @@
             find_origin=self._find_origin,
             sole_software=self._sole_software,
             stream_bound=lambda *bound: self.bound.append(bound),
+            process_proof=process_proof_lib.ProcessProof(codec=self.codec),
             record_metrics=self.ended.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
@@ -209,7 +213,7 @@
             address=address,
             domain=fields.pop("domain", "a"),
             software=fields.pop("software", "v1"),
-            started_at_ms=1,
+            started_at_ms=fields.pop("started_at_ms", 1),
             report_number=1,
             slots=fields.pop("slots", 8),
             loaded=fields.pop("loaded", ()),
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -35,6 +35,7 @@
             origins=lambda: 0,
             origin_events=dict,
             resumptions=dict,
+            process_queries=dict,
             withdrawn_sends=lambda: {"draining": 6},
             meter=loop_meter.LoopMeter(),
         )
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from endivestream import tasks
+from endivestream.connection import engines
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.request import relay_hosts
@@ -19,6 +20,7 @@
 from tests import test_cut_hosts
 from tests import test_document
 from tests import test_forward
+from tests import test_plan
 
 HEAD = standin.stream_head(X_Request_Id="a1")
 
@@ -132,6 +134,77 @@
         self.assertEqual((503, []), (status, target.requests))
 
 
+class _Codec:
+    """Reports that contain the start time of a process and nothing else."""
+
+    def ask_report(self):
+        return engines.Request("GET", "/report", {}, b"")
+
+    def report(self, report_body):
+        return engines.Report(0, False, (), (), int(report_body))
+
+
+class ProcessTest(test_forward.ForwardTest):
+    codec = _Codec()
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self._route(test_forward.RESUMABLE, engine=test_plan.engine())
+        self.started_at_ms = b"1"
+
+    async def _serve(self, request, writer):
+        if request.path == "/report":
+            writer.write(standin.answer(body=self.started_at_ms))
+        else:
+            await serves_rest(request, writer)
+
+    def _paths(self, target):
+        return [request.path for request in target.requests]
+
+    async def test_restarted_process_gets_no_stream_as_the_old_one(self):
+        """Guards against versions that a table older than a process states."""
+        loaded = (registry_lib.Loaded("a"),)
+        target = await self._start_target(self._serve, loaded=loaded)
+        self.started_at_ms = b"2"
+        headers = {"X_Request_Id": "a1", "X_Model": "a", "X_Deadline_Ms": 900}
+        reply = await self.caller.ask(**headers)
+        self.assertEqual(
+            (503, ["/report"]), (reply.status, self._paths(target))
+        )
+        self._register("t1", target.address, loaded=loaded, started_at_ms=2)
+        reply = await self.caller.ask(**headers)
+        self.assertEqual(body(1, 2, 3, 4), reply.body)
+        # The process on a kept connection is known.
+        await self.caller.ask(**headers)
+        self.assertEqual(2, self._paths(target).count("/report"))
+
+    async def test_connection_to_an_older_process_does_not_hide_the_new(self):
+        """Guards against a restarted target that gets no requests at all."""
+        loaded = (registry_lib.Loaded("a"),)
+        target = await self._start_target(
+            self._serve, loaded=loaded, started_at_ms=3
+        )
+        answers = iter((b"2", b"3", b"3"))
+
+        async def serve(request, writer):
+            if request.path == "/report":
+                self.started_at_ms = next(answers)
+            await self._serve(request, writer)
+
+        target._scripts = [serve]
+        reply = await self.caller.ask(X_Request_Id="a1", X_Model="a")
+        self.assertEqual(body(1, 2, 3, 4), reply.body)
+
+    async def test_target_without_a_report_gets_no_stream(self):
+        """Guards against streams that hang where a report does."""
+        loaded = (registry_lib.Loaded("a"),)
+        target = await self._start_target(standin.hangs, loaded=loaded)
+        await self._start_target(self._serve, loaded=loaded, domain="far")
+        reply = await self.caller.ask(X_Request_Id="a1", X_Model="a")
+        self.assertEqual(body(1, 2, 3, 4), reply.body)
+        self.assertEqual({"/report"}, set(self._paths(target)))
+
+
 class OriginTableTest(unittest.TestCase):
     def test_records_are_bounded_and_conflicts_admit_nothing(self):
         """Guards against growth, and against one of two beginnings."""
