Soak of targets with several software versions

Real processes, targets that write their version into each event, start again under their id and address at another version and report it up to 2.5 s late; callers that take streams up at any host, naming the attempt, none or a wrong one; beside it the signals and restarts of the soak of processes.

Found and mended with it: a resumed stream without further events that came through a relay host was ended as `other_software`; the origin is compared when there is an event to relay.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -135,6 +135,31 @@
     return message is not None and " 200 " in f"{message.first_line} "
 
 
+async def ask(
+    address: str, path: str, headers: dict[str, str], *, seconds: float
+) -> Answer | None:
+    """Sends a request on a connection of its own; None without an answer.
+
+    Args:
+        address: `IP:PORT` of the entry host.
+        path: Path of the request.
+        headers: Its headers.
+        seconds: Timeout for the complete answer.
+    """
+    host, port = address.split(":")
+    writer = None
+    try:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(_encode_request("POST", path, headers, b"order"))
+            return await read_answer(reader)
+    except (OSError, TimeoutError):
+        return None
+    finally:
+        if writer is not None:
+            writer.close()
+
+
 @dataclasses.dataclass(kw_only=True)
 class Call:
     """A request of a caller.
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -34,7 +34,7 @@
 _START_SECONDS = 30.0
 _MAX_PAUSE_SECONDS = 1.5
 _POLL_SECONDS = 0.005
-_CONTROL_PORT, _FRONT_PORT, _READY_PORT = 8080, 8000, 8001
+CONTROL_PORT, FRONT_PORT, _READY_PORT = 8080, 8000, 8001
 _INTERNAL_PORT = 7100
 _ROUTES = {"once": "non_idempotent", "again": "idempotent"}
 _STREAM_PATHS = (streams.ONCE, streams.RESUMED)
@@ -228,7 +228,7 @@
             targets.Target(
                 name=f"t{number}",
                 random_source=self._random,
-                controls=[f"{p.ip}:{_CONTROL_PORT}" for p in self._controls],
+                controls=[f"{p.ip}:{CONTROL_PORT}" for p in self._controls],
                 is_excused=self._is_excused,
                 streams_random=streams_random,
                 sender_of=self._sender_of,
@@ -238,7 +238,7 @@
         self._callers = [
             callers.Caller(
                 host=process.name,
-                address=f"{process.ip}:{_FRONT_PORT}",
+                address=f"{process.ip}:{FRONT_PORT}",
                 path=f"/{kind}/",
                 random_source=self._random,
             )
@@ -248,7 +248,7 @@
         self._stream_callers = [
             callers.Caller(
                 host=process.name,
-                address=f"{process.ip}:{_FRONT_PORT}",
+                address=f"{process.ip}:{FRONT_PORT}",
                 path=path,
                 random_source=streams_random,
             )
@@ -268,11 +268,11 @@
         folder: pathlib.Path,
     ) -> Process:
         listen = {
-            "front": f"{ip}:{_FRONT_PORT}",
+            "front": f"{ip}:{FRONT_PORT}",
             "ready": f"{ip}:{_READY_PORT}",
         }
         if role == "control":
-            listen = {"control": f"{ip}:{_CONTROL_PORT}"}
+            listen = {"control": f"{ip}:{CONTROL_PORT}"}
         data = str(folder / f"data-{number}") if role == "control" else None
         settings = {
             "node": f"{role}-{number}",
@@ -280,7 +280,7 @@
             "zone": "a",
             "listen": listen,
             "internalPorts": [_INTERNAL_PORT, _INTERNAL_PORT + 15],
-            "seeds": [f"{each}:{_CONTROL_PORT}" for each in controls],
+            "seeds": [f"{each}:{CONTROL_PORT}" for each in controls],
             "bootstrap": True,
             "dataDir": data,
             "faultTolerance": {"machines": (len(controls) - 1) // 2},
@@ -422,22 +422,23 @@
                 }
                 for path in _STREAM_PATHS
             ],
-            "services": [
-                {
-                    "name": targets.SERVICE,
-                    "healthPath": "/healthz",
-                    "maxConns": 500,
-                }
-            ],
+            "services": [self._service()],
         }
         control = self._random.choice(self._controls)
         return await callers.is_ok(
-            f"{control.ip}:{_CONTROL_PORT}",
+            f"{control.ip}:{CONTROL_PORT}",
             "PUT",
             "/config",
             json.dumps(document).encode(),
         )
 
+    def _service(self) -> dict[str, object]:
+        return {
+            "name": targets.SERVICE,
+            "healthPath": "/healthz",
+            "maxConns": 500,
+        }
+
     async def close(self) -> None:
         """Ends callers, targets and processes."""
         for caller in (*self._callers, *self._stream_callers):
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -51,6 +51,8 @@
         self._refuses_until = float("-inf")
         self._is_draining = False
         self._starts = 0
+        # Port to listen on; 0 for another one with each start.
+        self._port = 0
         self._reports = 0
         self._backoffs: dict[str, list[promises.Backoff]] = {}
         self._drain_announced_at: dict[str, float] = {}
@@ -59,6 +61,12 @@
         self._server: asyncio.Server | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
         self._address = ""
+        self._software = "v1"
+
+    @property
+    def software(self) -> str:
+        """Version of the software that it runs."""
+        return self._software
 
     async def start(self) -> None:
         """Starts to serve and to send heartbeats."""
@@ -68,7 +76,9 @@
         self._backoffs.clear()
         self._drain_announced_at.clear()
         self._born = int(time.time() * 1000)
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self._port
+        )
         host, port = self._server.sockets[0].getsockname()
         self._address = f"{host}:{port}"
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
@@ -104,6 +114,7 @@
         while True:
             self._reports += 1
             heartbeat = {
+                "version": self._software,
                 "service": SERVICE,
                 "address": self._address,
                 "zone": "a",
@@ -157,6 +168,8 @@
                 writer, 421, headers | {"Not-Executed": "1"}
             )
             return
+        if await self._answer_query(message, writer):
+            return
         self.seen.add(request)
         # Looked up only where it matters: the search delays all targets.
         has_duties = self._backoffs or self._drain_announced_at
@@ -177,12 +190,23 @@
             return
         self.runs.append(request)
         if streams.is_stream(message.first_line.split(" ")[1]):
-            await self._streams.write(message, writer)
+            await self._write_stream(message, writer)
             return
         await asyncio.sleep(self._random.uniform(0.005, 0.1))
         with contextlib.suppress(OSError):
             await callers.write_answer(writer, 200, headers)
 
+    async def _answer_query(
+        self, message: callers.Message, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answers a request that is not a caller's; False if it is one."""
+        return False
+
+    async def _write_stream(
+        self, message: callers.Message, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._streams.write(message, writer)
+
     def _check(self, host: str, request: str, now: float) -> None:
         announced_at = self._drain_announced_at.get(host)
         if (
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -508,8 +508,6 @@
         text = head.headers.pop(relay_hosts_lib.ORIGIN_HEADER, "")
         progress.serving = relay_hosts_lib.decode_origin(text)
         if work.route.kind == document_lib.Kind.STREAM and head.status < 300:
-            if not _goes_on(progress):
-                return BrokenAttempt(True, "other_software")
             return await self._relay_stream(
                 call, work, progress, exchange, head
             )
@@ -710,7 +708,8 @@
                 chunk = _take_complete_events(splitter, chunk, progress)
             if not chunk:
                 continue
-            self._bind(work, progress)
+            if not self._bind(work, progress):
+                return BrokenAttempt(True, "other_software")
             progress.last_relayed_at = clock.now()
             progress.first_byte_at = (
                 progress.first_byte_at or progress.last_relayed_at
@@ -733,14 +732,24 @@
 
     def _bind(
         self, work: admission.AdmittedRequest, progress: Progress
-    ) -> None:
-        """Records where a stream began, before its first event is relayed."""
+    ) -> bool:
+        """Records where a stream began, before an event is relayed.
+
+        Returns:
+            Whether the event may be relayed: False if it is not from where the
+            stream may go on.
+        """
+        origin, serving = progress.origin, progress.serving
+        if origin is not None and (
+            serving is None or not origin.admits(serving)
+        ):
+            return False
         if progress.is_bound:
-            return
+            return True
         progress.is_bound = True
-        origin = progress.origin = progress.origin or progress.serving
+        origin = progress.origin = origin or serving
         if origin is None:
-            return
+            return True
         logs.event(
             "stream_bound",
             request=work.request,
@@ -754,6 +763,7 @@
             attempts = {work.request, progress.resumes} - {""}
             seconds = stream_origins.retake_seconds(work.route.timeout)
             self._stream_bound(attempts, origin, seconds)
+        return True
 
 
 def _take_complete_events(
@@ -772,16 +782,6 @@
     return b"".join(event.raw for event in events)
 
 
-def _goes_on(progress: Progress) -> bool:
-    """Returns whether the serving target has the version of the beginning."""
-    origin, serving = progress.origin, progress.serving
-    return origin is None or (
-        serving is not None
-        and origin.software is not None
-        and origin.key == serving.key
-    )
-
-
 def target_requirements(
     work: admission.AdmittedRequest,
     progress: Progress,
--- a/packages/endivestream/src/endivestream/request/stream_origins.py
+++ b/packages/endivestream/src/endivestream/request/stream_origins.py
@@ -60,20 +60,19 @@
         """What a stream is bound to: service and software version."""
         return self.service, self.software
 
-    def admits(self, registration: registry_lib.Registration) -> bool:
-        """Returns whether the stream may go on at a target.
+    def admits(self, other: StreamOrigin) -> bool:
+        """Returns whether the stream may go on where another one would begin.
 
         Two targets whose versions are unknown may differ; a process has the
         same version as itself.
         """
-        if registration.service != self.service:
+        if self.key != other.key:
             return False
-        if self.software is not None:
-            return registration.software == self.software
-        return (registration.name, registration.started_at_ms) == (
-            self.target,
-            self.started_at_ms,
+        is_same_process = (self.target, self.started_at_ms) == (
+            other.target,
+            other.started_at_ms,
         )
+        return self.software is not None or is_same_process
 
 
 def retake_seconds(route_timeout: float) -> float:
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -95,7 +95,9 @@
 
     def admits(self, registration: registry_lib.Registration) -> bool:
         """Whether a target has the software version that is required."""
-        return self.origin is None or self.origin.admits(registration)
+        return self.origin is None or self.origin.admits(
+            stream_origins.StreamOrigin.of(registration)
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -5,6 +5,7 @@
 
 from soak import cuts
 from soak import processes
+from soak import versions
 
 
 class ProcessSoakTest(unittest.TestCase):
@@ -15,6 +16,20 @@
         )
         self.assertEqual([], report["violations"])
 
+    def test_streams_keep_the_version_that_began_them(self):
+        """Guards against streams with events of two software versions."""
+        report = asyncio.run(
+            processes.run(
+                seed=1,
+                seconds=12.0,
+                controls=3,
+                entries=3,
+                soak_class=versions.VersionSoak,
+            )
+        )
+        self.assertEqual([], report["violations"])
+        self.assertGreater(report["versions"]["named goes on"], 0)
+
     def test_cut_hosts_serve_as_the_others(self):
         """Guards against hosts that serve nothing while they are cut off."""
         report = asyncio.run(
