--- a/packages/endivestream/src/endivestream/process/origin_directory.py
+++ b/packages/endivestream/src/endivestream/process/origin_directory.py
@@ -177,6 +177,9 @@
             for holder in holders
         ]
         source = resumptions.Source.ABSENT
+        if not self._all:
+            # A host that has just started knows no other host yet.
+            source = resumptions.Source.UNCONFIRMED
         try:
             for query in asyncio.as_completed(queries):
                 lookup = await query
--- a/packages/endivestream/src/endivestream/request/stream_origins.py
+++ b/packages/endivestream/src/endivestream/request/stream_origins.py
@@ -27,7 +27,7 @@
 # its first event: the answer ends within one timeout, and so does each retry.
 _RETAKE_TIMEOUTS = 2.0
 # Maximum number of records on one host; the oldest are dropped first.
-_MAX_RECORDS = 32_768
+_MAX_RECORDS = 16_384
 
 
 class StreamOrigin(msgspec.Struct, frozen=True, kw_only=True):
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,14 +5,19 @@
 import unittest
 from unittest import mock
 
+from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import engines
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
+from endivestream.process import origin_directory
 from endivestream.request import relay_hosts
 from endivestream.request import resumptions
 from endivestream.request import stream_origins
+from endivestream.request import target_selection
 from endivestream.version import document as document_lib
+import hypothesis
+from hypothesis import strategies as st
 from tornado import httputil
 
 from tests import entry_site
@@ -224,6 +229,81 @@
         self.assertEqual((2, None), (len(table), table.find("b", 12.0)))
 
 
+_VERSIONS = st.sampled_from(("v1", "v2", None))
+
+
+class PropertyTest(unittest.TestCase):
+    @hypothesis.given(st.data())
+    def test_selection_keeps_the_version_and_goes_on_when_it_can(self, data):
+        """Guards against mixes and needless refusals in any state of targets.
+
+        Targets fail, drain, restart at other versions and lose their models.
+        """
+        view = target_selection.TargetView(domain="a")
+        view.set_complete(True)
+        origin = stream_origins.StreamOrigin(
+            service="desk", software=data.draw(_VERSIONS), target="t0"
+        )
+        usable = set()
+        for name in ("t0", "t1", "t2", "t3"):
+            drains, lacks, fails, restarts = data.draw(
+                st.tuples(*[st.booleans()] * 4)
+            )
+            for started_at_ms in (0, 1) if restarts else (0,):
+                registration = registry_lib.Registration(
+                    name=name,
+                    service="desk",
+                    address=name,
+                    domain="a",
+                    software=data.draw(_VERSIONS),
+                    started_at_ms=started_at_ms,
+                    draining=drains,
+                    loaded=() if lacks else (registry_lib.Loaded("m"),),
+                )
+                target = site_messages.Target(registration=registration)
+                view.set_targets([target], [], 0.0)
+            requirements = target_selection.TargetRequirements("desk", "m")
+            for _ in range(2 * fails):
+                view.record_sent(name, requirements, 0.0)
+                view.record_result(name, requirements, 0.0, failed=True)
+            is_same = (name, started_at_ms) == ("t0", 0)
+            if registration.software == origin.software and (
+                is_same or origin.software is not None
+            ):
+                usable |= {name} - ({name} if drains + lacks + fails else set())
+        requirements = requirements._replace(origin=origin)
+        match view.pick(requirements, 0.0, limit=8):
+            case target_selection.Selected(target=target):
+                self.assertIn(target.registration.name, usable)
+            case target_selection.Unavailable():
+                self.assertEqual(set(), usable)
+
+    @hypothesis.given(
+        st.lists(st.sampled_from("abc"), min_size=5, max_size=40),
+        st.data(),
+    )
+    def test_holders_are_found_after_hosts_are_lost(self, domains, data):
+        """Guards against records that other hosts look for elsewhere."""
+        hosts = [
+            site_messages.EntryHost(f"e{n}", 1, domain, "", False, f"p{n}")
+            for n, domain in enumerate(domains)
+        ]
+        writer, reader = (
+            origin_directory.OriginDirectory(name=name, context=None)
+            for name in ("e0", "e1")
+        )
+        writer.set_hosts(hosts)
+        copies = set(writer._holders("a1", writer._open))
+        lost = data.draw(st.sets(st.sampled_from(sorted(copies)), max_size=1))
+        names = {"e0", *(holder.name for holder in lost)}
+        reader.set_hosts([host for host in hosts if host.name not in names])
+        asked = {*reader._holders("a1", reader._open)}
+        asked |= {holder for holder in copies if holder.name == "e1"}
+        self.assertTrue(asked & (copies - lost))
+        if len(set(domains[1:])) > 1:
+            self.assertGreater(len({holder.domain for holder in copies}), 1)
+
+
 class SoftwareVersionSite(entry_site.EntrySite):
     """Two entry hosts that reach each other, and targets with versions."""
 
