Soak of versions: a stand-in does not restart while it restarts

Traced: two overlapping restarts of a stand-in changed its version while it wrote a stream. A restart during a restart is left out, as it is for processes.

--- a/benchmarks/soak/versions.py
+++ b/benchmarks/soak/versions.py
@@ -51,6 +51,7 @@
         self._software = versions_random.choice(_VERSIONS)
         self._reports_from = float("-inf")
         self._started_at = float("inf")
+        self._restart_lock = asyncio.Lock()
 
     def serves(self, now: float) -> bool:
         """Whether hosts in contact with it can send it a stream."""
@@ -73,11 +74,15 @@
 
     async def restart(self) -> None:
         """Starts again under its id and address, often at another version."""
-        await self.close()
-        self._software = self._versions_random.choice(_VERSIONS)
-        late = self._versions_random.uniform(0.0, _MAX_LATE_REPORT_SECONDS)
-        self._reports_from = time.monotonic() + late
-        await self.start()
+        if self._restart_lock.locked():
+            # A process that has begun to start would change its version.
+            return
+        async with self._restart_lock:
+            await self.close()
+            self._software = self._versions_random.choice(_VERSIONS)
+            late = self._versions_random.uniform(0.0, _MAX_LATE_REPORT_SECONDS)
+            self._reports_from = time.monotonic() + late
+            await self.start()
 
     async def _send_heartbeats(self) -> None:
         await asyncio.sleep(max(0.0, self._reports_from - time.monotonic()))
