--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -32,7 +32,7 @@
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import resumptions
 from endivestream.request import sending
-from endivestream.request import stream_origins
+from endivestream.request import stream_state
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -127,7 +127,9 @@
             process_proof=parts.process_proof,
         )
         self._resumptions = resumptions.Resumptions(
-            find_origin=parts.find_origin, sole_software=parts.sole_software
+            rules=parts.rules,
+            find_origin=parts.find_origin,
+            sole_software=parts.sole_software,
         )
         self._retry_spread = queue_deadlines.RetrySpread()
         self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
@@ -164,9 +166,11 @@
         progress = sending.Progress(
             attempted_targets=list(relayed.tried),
             sent_attempts=relayed.sent_attempts,
-            last_event=relayed.last_event.encode("latin-1"),
-            origin=relayed.origin,
-            is_relayed=True,
+            stream=stream_state.StreamState(
+                last_event=relayed.last_event.encode("latin-1"),
+                origin=relayed.origin,
+                is_relayed=True,
+            ),
         )
         active = _ActiveRequest(call=call, progress=progress, relayed=relayed)
         await self._run(active)
@@ -199,7 +203,10 @@
             admitted = await self._lease_queue.admit(call)
         if not isinstance(admitted, findings.Failure):
             active.work = admitted
-            admitted = await self._bind_resumption(active, admitted)
+            progress.stage = "origin"
+            admitted = await self._resumptions.bind(
+                call.headers, admitted, progress.stream
+            )
         if isinstance(admitted, findings.Failure):
             failure = admitted
         else:
@@ -241,39 +248,6 @@
             )
         return admission.admit(call, self._parts.rules)
 
-    async def _bind_resumption(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
-    ) -> admission.AdmittedRequest | findings.Failure:
-        """Binds a resumed stream to the software version that began it."""
-        call, progress = active.call, active.progress
-        if work.route.kind != document_lib.Kind.STREAM:
-            return work
-        resumption = stream_origins.read_resumption(
-            call.headers, self._parts.rules.names
-        )
-        if resumption is None and not progress.last_event:
-            return work
-        if resumption is not None:
-            progress.resumes = resumption.attempt
-        if progress.origin is None:
-            progress.stage = "origin"
-            # A host of an older build relays streams without their origin.
-            origin = await self._resumptions.resolve(
-                work, resumption or stream_origins.Resumption(work.request)
-            )
-            if isinstance(origin, findings.Failure):
-                return origin
-            progress.origin = origin
-        if progress.origin.service == work.service.name:
-            return work
-        return admission.at_service(
-            work, progress.origin.service, self._parts.rules
-        ) or findings.not_run(
-            "no_route",
-            "the stream began at a service that its route no longer has",
-            status=503,
-        )
-
     def stop_waiting(self) -> None:
         """Refuses waiting requests that a stopping host cannot finish."""
         for task, active in list(self._active.items()):
@@ -345,8 +319,8 @@
             model=work.model if is_admitted else "",
             adapter=work.adapter if is_admitted else "",
             target=progress.target,
-            software=_software(progress.serving),
-            began_at=_software(progress.origin),
+            software=progress.stream.serving_software,
+            began_at=progress.stream.software,
             resumes=self._logged_header(call, self._parts.rules.names.resumes),
             after=self._logged_header(call, self._parts.rules.names.last_event),
             status=summary.status,
@@ -561,7 +535,7 @@
         progress.attempted_targets.append(progress.target)
         may_repeat = (
             work.route.is_repeatable
-            and progress.can_continue
+            and progress.stream.can_continue
             and len(progress.attempted_targets) < work.route.max_attempts
             and clock.now() < work.deadline
         )
@@ -694,7 +668,7 @@
                     "no_adapter",
                 ):
                     stop_reporting_missing = self._parts.report_missing(
-                        work, progress.origin
+                        work, progress.stream.origin
                     )
                 await self._parts.wait_for_change(min(wait_deadline - now, 0.1))
         finally:
@@ -745,8 +719,8 @@
             waited=clock.now() - work.arrived_at,
             sent_attempts=progress.sent_attempts,
             tried=tuple(progress.attempted_targets),
-            last_event=progress.last_event.decode("latin-1"),
-            origin=progress.origin,
+            last_event=progress.stream.last_event.decode("latin-1"),
+            origin=progress.stream.origin,
         )
         key = _relay_key(work, progress)
         tried: list[str] = []
@@ -863,14 +837,10 @@
         await call.answer(failure.status, headers, body)
 
 
-def _software(origin: stream_origins.StreamOrigin | None) -> str | None:
-    return None if origin is None else origin.software
-
-
 def _relay_key(
     work: admission.AdmittedRequest, progress: sending.Progress
 ) -> relay_hosts_lib.Key:
-    software = _software(progress.origin) or ""
+    software = progress.stream.software or ""
     return work.service.name, work.model, software
 
 
--- a/packages/endivestream/src/endivestream/request/resumptions.py
+++ b/packages/endivestream/src/endivestream/request/resumptions.py
@@ -18,6 +18,9 @@
 from endivestream import logs
 from endivestream.request import admission
 from endivestream.request import stream_origins
+from endivestream.request import stream_state
+from endivestream.version import document as document_lib
+from tornado import httputil
 
 # Time for which entry hosts may send requests to a target after its last
 # report: the leader lists it for the first half, a host keeps it for the other.
@@ -52,17 +55,20 @@
     def __init__(
         self,
         *,
+        rules: admission.AdmissionInputs,
         find_origin: Callable[[str], Awaitable[Lookup]],
         sole_software: Callable[[str, float], Awaitable[str | None]],
     ) -> None:
         """Initializes without any lookup.
 
         Args:
+            rules: Admission rules.
             find_origin: Looks up where the stream of an attempt began.
             sole_software: Returns the only software version that targets of a
                 service have had in the given seconds; None if that is not
                 proved.
         """
+        self._rules = rules
         self._find_origin = find_origin
         self._sole_software = sole_software
         self._outcomes: collections.Counter[str] = collections.Counter()
@@ -72,7 +78,50 @@
         """Number of resumptions by how their beginning was found."""
         return self._outcomes
 
-    async def resolve(
+    async def bind(
+        self,
+        headers: httputil.HTTPHeaders,
+        work: admission.AdmittedRequest,
+        stream: stream_state.StreamState,
+    ) -> admission.AdmittedRequest | findings.Failure:
+        """Binds a resumed stream to where it began.
+
+        Args:
+            headers: Headers of the caller's request.
+            work: The request.
+            stream: State of its answer; known in part if it is relayed.
+
+        Returns:
+            The request, for the service at which the stream began, or its
+            refusal. A request that begins a stream is returned unchanged.
+        """
+        if work.route.kind != document_lib.Kind.STREAM:
+            return work
+        resumption = stream_origins.read_resumption(headers, self._rules.names)
+        if resumption is None and not stream.last_event:
+            return work
+        if resumption is None:
+            # A host of an older build relays streams without their origin.
+            resumption = stream_origins.Resumption(work.request)
+        else:
+            stream.resumes = resumption.attempt
+        if stream.origin is None:
+            origin = await self._resolve(work, resumption)
+            if isinstance(origin, findings.Failure):
+                return origin
+            stream.origin = origin
+        service = stream.origin.service
+        if service == work.service.name:
+            return work
+        return admission.at_service(
+            work, service, self._rules
+        ) or findings.not_run(
+            "no_route",
+            f"the stream began at {service}, which its route no longer has",
+            status=503,
+        )
+
+    async def _resolve(
         self,
         work: admission.AdmittedRequest,
         resumption: stream_origins.Resumption,
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -32,6 +32,7 @@
 from endivestream.request import names as names_lib
 from endivestream.request import relay_hosts as relay_hosts_lib
 from endivestream.request import stream_origins
+from endivestream.request import stream_state
 from endivestream.request import target_selection
 from endivestream.version import document as document_lib
 
@@ -61,15 +62,7 @@
         sent_attempts: Number of attempts that may have reached a target.
         failed_connections: Number of connections that could not be opened.
         may_have_run: Whether some target may have run it.
-        last_event: Id of the last event relayed, in a stream.
-        serving: The target of the current attempt; None if it is unknown.
-        origin: Where the stream began; None before its first event.
-        resumes: Attempt of the caller that received its first event, if the
-            caller resumes a stream and names one.
-        is_bound: Whether an event was relayed and its origin recorded.
-        is_relayed: Whether the answer goes to another entry host.
-        can_continue: Whether another target can continue the answer: nothing
-            was relayed, or all up to an event with an id.
+        stream: State of the answer, as far as it is a stream.
         selected_at: When its current target was selected.
         first_sent_at: When it was first sent, i.e. when its wait for a target
             ended.
@@ -82,7 +75,7 @@
         outcome_reason: Reason of the outcome.
         target: The last target.
         starting: Requirements of the current attempt, until its first event.
-        stage: What it waits for: `lease`, `credit`, `place`, `turn`, `limit`,
+        stage: What it waits for: `lease`, `origin`, `credit`, `place`, `turn`, `limit`,
             `repeat` or `target`.
     """
 
@@ -92,13 +85,9 @@
     sent_attempts: int = 0
     failed_connections: int = 0
     may_have_run: bool = False
-    last_event: bytes = b""
-    serving: stream_origins.StreamOrigin | None = None
-    origin: stream_origins.StreamOrigin | None = None
-    resumes: str = ""
-    is_bound: bool = False
-    is_relayed: bool = False
-    can_continue: bool = True
+    stream: stream_state.StreamState = dataclasses.field(
+        default_factory=stream_state.StreamState
+    )
     selected_at: float = 0.0
     first_sent_at: float = 0.0
     first_byte_at: float = 0.0
@@ -265,7 +254,7 @@
             obstacle = view.obstacle(registration, requirements, clock.now())
             return self._withdraw(work, registration, obstacle or "busy")
         progress.target = registration.name
-        progress.serving = stream_origins.StreamOrigin.of(registration)
+        progress.stream.serving = stream_origins.StreamOrigin.of(registration)
         progress.stage = "target"
         progress.request_attempts += 1
         progress.first_sent_at = progress.first_sent_at or clock.now()
@@ -415,7 +404,7 @@
     ) -> BrokenAttempt | Passed | NotRelayed:
         """Sends a request to a relay host and relays its answer."""
         progress.target = host.name
-        progress.serving = None
+        progress.stream.serving = None
         progress.stage = "target"
         progress.starting = None
         progress.request_attempts += 1
@@ -506,7 +495,7 @@
         if call.head_sent and head.status >= 300:
             return BrokenAttempt(True, f"target_{head.status}")
         text = head.headers.pop(relay_hosts_lib.ORIGIN_HEADER, "")
-        progress.serving = relay_hosts_lib.decode_origin(text)
+        progress.stream.serving = relay_hosts_lib.decode_origin(text)
         if work.route.kind == document_lib.Kind.STREAM and head.status < 300:
             return await self._relay_stream(
                 call, work, progress, exchange, head
@@ -585,8 +574,9 @@
         if work.team is not None:
             fields[names.team] = work.team.name
         fields[names.priority] = str(priority(work))
-        if progress.last_event:
-            fields[names.last_event] = progress.last_event.decode("latin-1")
+        last_event = progress.stream.last_event
+        if last_event:
+            fields[names.last_event] = last_event.decode("latin-1")
         return fields
 
     async def _relay_answer(
@@ -653,7 +643,7 @@
             if size > _MAX_BUFFERED_ANSWER_BYTES:
                 headers = _end_to_end_headers(head.headers)
                 progress.status = head.status
-                progress.can_continue = False
+                progress.stream.can_continue = False
                 await call.send_head(head.status, headers, b"".join(parts))
         if call.head_sent:
             call.finish()
@@ -686,6 +676,7 @@
         head: exchange_lib.Head,
     ) -> BrokenAttempt | Passed:
         """Relays events as they arrive."""
+        stream = progress.stream
         splitter = None
         if work.route.resumable and sse.is_event_stream(
             head.headers.get("Content-Type", "")
@@ -702,23 +693,21 @@
             previous = now
             self._view.record_bytes(progress.target, now)
             self._record_start(progress)
-            if splitter is None:
-                progress.can_continue = False
-            else:
-                chunk = _take_complete_events(splitter, chunk, progress)
+            chunk = stream.take_complete_events(splitter, chunk)
             if not chunk:
                 continue
-            if not self._bind(work, progress):
+            if not stream.may_relay():
                 return BrokenAttempt(True, "other_software")
+            self._bind(work, progress)
             progress.last_relayed_at = clock.now()
             progress.first_byte_at = (
                 progress.first_byte_at or progress.last_relayed_at
             )
             if not call.head_sent:
                 progress.status = head.status
-                if progress.is_relayed and progress.origin is not None:
+                if stream.is_relayed and stream.origin is not None:
                     headers[relay_hosts_lib.ORIGIN_HEADER] = (
-                        relay_hosts_lib.encode_origin(progress.origin)
+                        relay_hosts_lib.encode_origin(stream.origin)
                     )
                 await call.send_head(head.status, headers, chunk)
             else:
@@ -732,54 +721,25 @@
 
     def _bind(
         self, work: admission.AdmittedRequest, progress: Progress
-    ) -> bool:
-        """Records where a stream began, before an event is relayed.
-
-        Returns:
-            Whether the event may be relayed: False if it is not from where the
-            stream may go on.
-        """
-        origin, serving = progress.origin, progress.serving
-        if origin is not None and (
-            serving is None or not origin.admits(serving)
-        ):
-            return False
-        if progress.is_bound:
-            return True
-        progress.is_bound = True
-        origin = progress.origin = origin or serving
+    ) -> None:
+        """Records where a stream began, before its first event is relayed."""
+        stream = progress.stream
+        origin = stream.bind()
         if origin is None:
-            return True
+            return
         logs.event(
             "stream_bound",
             request=work.request,
-            resumes=progress.resumes,
+            resumes=stream.resumes,
             service=origin.service,
             software=origin.software,
             target=origin.target,
             born=origin.started_at_ms,
         )
         if work.route.resumable:
-            attempts = {work.request, progress.resumes} - {""}
+            attempts = {work.request, stream.resumes} - {""}
             seconds = stream_origins.retake_seconds(work.route.timeout)
             self._stream_bound(attempts, origin, seconds)
-        return True
-
-
-def _take_complete_events(
-    splitter: sse.EventSplitter, chunk: bytes, progress: Progress
-) -> bytes:
-    """Returns the bytes up to the last complete event and records its id.
-
-    Raises:
-        sse.TooLongError: An incomplete event is too long.
-    """
-    events = splitter.feed(chunk)
-    for event in events:
-        progress.last_event = event.id or progress.last_event
-        if event.id or event.has_data:
-            progress.can_continue = bool(event.id)
-    return b"".join(event.raw for event in events)
 
 
 def target_requirements(
@@ -804,9 +764,9 @@
         tried=tuple(progress.attempted_targets),
         rank=priority(work),
         # Callers of a begun stream hold a part of the answer already.
-        can_wait=can_wait and progress.origin is None,
+        can_wait=can_wait and progress.stream.origin is None,
         regions=homes.allowed_regions(work.route, work.team),
-        origin=progress.origin,
+        origin=progress.stream.origin,
     )
 
 
