--- a/packages/endivestream/src/endivestream/request/resumptions.py
+++ b/packages/endivestream/src/endivestream/request/resumptions.py
@@ -14,13 +14,14 @@
 import enum
 from typing import NamedTuple
 
+from tornado import httputil
+
 from endivestream import findings
 from endivestream import logs
 from endivestream.request import admission
 from endivestream.request import stream_origins
 from endivestream.request import stream_state
 from endivestream.version import document as document_lib
-from tornado import httputil
 
 # Time for which entry hosts may send requests to a target after its last
 # report: the leader lists it for the first half, a host keeps it for the other.
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -75,8 +75,8 @@
         outcome_reason: Reason of the outcome.
         target: The last target.
         starting: Requirements of the current attempt, until its first event.
-        stage: What it waits for: `lease`, `origin`, `credit`, `place`, `turn`, `limit`,
-            `repeat` or `target`.
+        stage: What it waits for: `lease`, `origin`, `credit`, `place`, `turn`,
+            `limit`, `repeat` or `target`.
     """
 
     attempted_targets: list[str] = dataclasses.field(default_factory=list)
