Own interface: continue an answer only at its software version

Announcements and tickets now name the software version; the request for a further ticket leaves out engines of other versions, and a ticket for one (announced meanwhile, or from an older leader) is given back unused. Engines that state `resumes` and no version fit each other, as before.

--- a/benchmarks/standins/engine.py
+++ b/benchmarks/standins/engine.py
@@ -111,6 +111,7 @@
         resumes: bool = True,
         options: Options | None = None,
         target_token: str = "",
+        software: str = "",
     ) -> None:
         self.options = options or Options()
         super().__init__(
@@ -123,6 +124,7 @@
                 "checks_fencing": self.options.fencing,
                 "resumes": resumes,
                 "loaded": dict(loaded or {}),
+                "software": software,
             },
             gateways=gateways,
             token=target_token,
--- a/packages/endivestream/src/endivestream/messages.py
+++ b/packages/endivestream/src/endivestream/messages.py
@@ -231,6 +231,8 @@
         host: Name of the requesting host; its tickets are released when it is
             removed.
         blocks: Chained hashes of the prompt's blocks; see `request.prefixes`.
+        software: Version of the software that began the answer; None if no part
+            of it has been relayed.
     """
 
     request: str
@@ -241,6 +243,7 @@
     avoid: list[str]
     host: str
     blocks: tuple[int, ...] = ()
+    software: str | None = None
 
 
 class Ticket(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -252,6 +255,7 @@
         resumes: Whether the target continues streams started on another target.
         waited: Seconds spent in the queue.
         reason: Why this target was chosen.
+        software: Version of the target's software.
     """
 
     target: str
@@ -259,6 +263,7 @@
     resumes: bool
     waited: float
     reason: str
+    software: str = ""
 
 
 class Refused(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -290,6 +295,8 @@
         checks_fencing: Whether the target refuses old fencing tokens.
         resumes: Whether the target continues streams started on another target.
         loaded: Models loaded at the start, from name to size in MiB.
+        software: Version of its software; targets that name none fit each
+            other.
     """
 
     name: str
@@ -303,6 +310,7 @@
     checks_fencing: bool = True
     resumes: bool = False
     loaded: dict[str, int] = {}
+    software: str = ""
 
 
 class TargetReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/endivestream/src/endivestream/process/dispatcher.py
+++ b/packages/endivestream/src/endivestream/process/dispatcher.py
@@ -170,7 +170,7 @@
             message.needs,
             message.tokens,
             now + message.max_wait_seconds,
-            frozenset(message.avoid),
+            self._avoided(message),
             message.blocks,
         )
         answer = self._scheduler.request_slot(slot_request, now=now)
@@ -195,6 +195,17 @@
             grant = answer
         return self._create_ticket(message, grant)
 
+    def _avoided(self, message: messages.AskTicket) -> frozenset[str]:
+        """Returns the targets that a request must not use."""
+        avoided = set(message.avoid)
+        if message.software is not None:
+            avoided.update(
+                name
+                for name, session in self.targets.sessions.items()
+                if session.info.software != message.software
+            )
+        return frozenset(avoided)
+
     async def _wait_for_target(self, message: messages.AskTicket) -> None:
         """Waits in a new leader for reports of gateways about their targets.
 
@@ -204,7 +215,7 @@
         deadline = min(
             self._tables_filled_at, time.monotonic() + message.max_wait_seconds
         )
-        avoid = frozenset(message.avoid)
+        avoid = self._avoided(message)
         while not self._scheduler.serves(message.needs, avoid):
             remaining = deadline - time.monotonic()
             if remaining <= 0:
@@ -256,6 +267,7 @@
             resumes=info.resumes,
             waited=grant.waited,
             reason=grant.reason,
+            software=info.software,
         )
 
     def complete_request(self, completion: messages.Completion) -> None:
--- a/packages/endivestream/src/endivestream/request/attempts.py
+++ b/packages/endivestream/src/endivestream/request/attempts.py
@@ -74,13 +74,15 @@
         return f"{self._work.request}.{self._attempt_number}"
 
     async def acquire_ticket(
-        self, *, may_have_started: bool
+        self, *, may_have_started: bool, software: str | None = None
     ) -> messages.Ticket | findings.Failure:
         """Requests a ticket for the next attempt.
 
         Args:
             may_have_started: Whether any byte of the request may have been sent
                 already.
+            software: Version of the software that began the answer; None if no
+                part of it has been relayed.
 
         Returns:
             The ticket, or the reason why there is none.
@@ -98,6 +100,7 @@
                     avoid=self._failed_targets,
                     host=self._gateway.settings.host.name,
                     blocks=self._work.blocks,
+                    software=software,
                 )
             )
         except asyncio.CancelledError:
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -106,6 +106,8 @@
         self._text: list[str] = []
         self._finish_reason = ""
         self._sent = False
+        # Version of the software that sent the first token.
+        self._software: str | None = None
 
     @property
     def sent(self) -> bool:
@@ -121,7 +123,7 @@
         """Runs attempts until one finishes or no retry is allowed."""
         while True:
             ticket = await self._attempts.acquire_ticket(
-                may_have_started=self._sent
+                may_have_started=self._sent, software=self._software
             )
             if isinstance(ticket, findings.Failure):
                 return self._failure_without_ticket(ticket)
@@ -194,6 +196,13 @@
                 cause=f"target {ticket.target} cannot resume a stream",
                 sent=False,
             )
+        if self._tokens and ticket.software != self._software:
+            # It was announced after the ticket was requested, or the leader's
+            # build does not know versions.
+            return _AttemptFailed(
+                cause=f"target {ticket.target} runs other software",
+                sent=False,
+            )
         exchange = exchange_lib.Exchange(pool=self._pool, url=ticket.url)
         try:
             await self._send(exchange, name)
@@ -258,6 +267,8 @@
                     )
                     if failed_attempt:
                         return failed_attempt
+                    if self._tokens and self._software is None:
+                        self._software = ticket.software
         return finished or _AttemptFailed(
             cause="the stream ended without its final marker", sent=True
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -49,6 +49,24 @@
         self.assertTrue(reply.whole)
         self.assertEqual(reply.text, site.expected_text(40))
 
+    async def test_stream_is_not_resumed_at_another_software_version(self):
+        """Guards against answers with tokens of two software versions."""
+        broken = await self.add_engine(
+            "e1", options=_options(break_after=5), software="v1"
+        )
+        reply = await (await self.chat(count=40)).reply()
+        other = await self.add_engine("e2", software="v2")
+        while len(broken.seen) < 2:
+            # The first ticket may be for either engine.
+            other.seen.clear()
+            reply = await (await self.chat(count=40)).reply()
+        self.assertFalse(reply.whole)
+        self.assertEqual([], other.seen)
+        await self.add_engine("e3", software="v1")
+        reply = await (await self.chat(count=40)).reply()
+        self.assertTrue(reply.whole)
+        self.assertEqual(reply.text, site.expected_text(40))
+
     async def test_answer_without_final_marker_is_not_complete(self):
         """Guards against reporting a truncated answer as complete.
 
