Resumptions without an answer of the holders have a reason of their own; soak in contact

Callers and operators could not tell a stream that nobody knows from one whose holders did not answer in time: the second is `origin_unconfirmed` and names a time to retry.

The users' rule is about hosts in touch, so only attempts at hosts without a signal in the 3 s before and during the attempt count, for new streams as well.

--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -34,6 +34,7 @@
 _START_SECONDS = 30.0
 _MAX_PAUSE_SECONDS = 1.5
 _POLL_SECONDS = 0.005
+_WATCH_SECONDS = 0.02
 CONTROL_PORT, FRONT_PORT, _READY_PORT = 8080, 8000, 8001
 _INTERNAL_PORT = 7100
 _ROUTES = {"once": "non_idempotent", "again": "idempotent"}
@@ -81,6 +82,7 @@
         self.role = role
         self.killed_at: list[float] = []
         self.disturbed_until = float("-inf")
+        self._unstable_at = float("-inf")
         self._settings = settings
         self._process: asyncio.subprocess.Process | None = None
         self._restart_lock = asyncio.Lock()
@@ -101,6 +103,12 @@
                         return True
         return False
 
+    def is_calm(self, seconds: float) -> bool:
+        """Whether it has run for some time, without a signal but SIGHUP."""
+        return (
+            self.is_running and time.monotonic() - self._unstable_at > seconds
+        )
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -124,7 +132,7 @@
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.DEVNULL,
         )
-        self.disturbed_until = time.monotonic()
+        self.disturbed_until = self._unstable_at = time.monotonic()
 
     async def restart(self, signal_number: int) -> None:
         """Ends the process by a signal and starts it again.
@@ -167,6 +175,7 @@
 
     def send(self, signal_number: int) -> None:
         """Sends a signal, if the process runs."""
+        self._unstable_at = time.monotonic()
         if self._process is not None and self.is_running:
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(signal_number)
@@ -232,6 +241,7 @@
                 is_excused=self._is_excused,
                 streams_random=streams_random,
                 sender_of=self._sender_of,
+                lateness=self._lateness,
             )
             for number in range(3)
         ]
@@ -255,6 +265,8 @@
             for process in self._entries
             for path in _STREAM_PATHS
         ]
+        # Times of a late event loop of this process, and how late it was.
+        self._late: list[tuple[float, float]] = []
         self._version = 0
         self._ended: list[str] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -340,8 +352,28 @@
         for caller in (*self._callers, *self._stream_callers):
             caller.start()
 
+    async def _watch_loop(self) -> None:
+        """Records when this process, with all its targets, was late."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(_WATCH_SECONDS)
+            late = time.monotonic() - before - _WATCH_SECONDS
+            if late > _WATCH_SECONDS:
+                self._late.append((time.monotonic(), late))
+
+    def _lateness(self, since: float) -> float:
+        """Returns the seconds for which this process was late since a time."""
+        return sum(late for when, late in self._late if when >= since)
+
     async def run(self, seconds: float) -> None:
         """Has faults for some time, and then time to recover."""
+        watch = asyncio.create_task(self._watch_loop())
+        try:
+            await self._run(seconds)
+        finally:
+            watch.cancel()
+
+    async def _run(self, seconds: float) -> None:
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             await asyncio.sleep(self._random.uniform(0.05, 0.8))
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -38,7 +38,9 @@
         is_excused: Callable[[str, float], bool],
         streams_random: random.Random,
         sender_of: Callable[[int], str],
+        lateness: Callable[[float], float],
     ) -> None:
+        self._lateness = lateness
         self._sender_of = sender_of
         self._streams = streams.StreamWriter(random_source=streams_random)
         self.seen: set[str] = set()
@@ -224,5 +226,6 @@
                 self.violations.append(
                     f"backoff: {self._name} {host} {request} "
                     f"{now - backoff.start:.3f} s after "
-                    f"{backoff.end - backoff.start:g} s"
+                    f"{backoff.end - backoff.start:g} s, this process was "
+                    f"late for {self._lateness(backoff.start):.3f} s of these"
                 )
--- a/benchmarks/soak/versions.py
+++ b/benchmarks/soak/versions.py
@@ -5,7 +5,8 @@
 take their streams up at any entry host and name the attempt that began them,
 none, or a wrong one. Beside that come the faults of the soak of processes.
 Reported are streams with events of two versions, and resumed streams that go on
-less than half as often as new ones begin.
+less than half as often as new ones begin, at entry hosts without a signal in
+the last seconds and while two targets of their version serve.
 """
 
 from __future__ import annotations
@@ -157,6 +158,7 @@
                 is_excused=self._is_excused,
                 streams_random=self._versions_random,
                 sender_of=self._sender_of,
+                lateness=self._lateness,
             )
             for number in range(_TARGETS)
         ]
@@ -204,9 +206,12 @@
             await asyncio.sleep(0.05)
 
     async def _begin(self, stream: Stream, attempt: str) -> None:
-        await self._attempt(stream, attempt, {})
-        self._counts["sent"] += 1
-        self._counts["begun"] += bool(stream.numbers)
+        process = self._versions_random.choice(self._entries)
+        was_calm = process.is_calm(_CONTACT_SECONDS)
+        await self._attempt(process, stream, attempt, {})
+        if was_calm and process.is_calm(_CONTACT_SECONDS):
+            self._counts["sent"] += 1
+            self._counts["begun"] += bool(stream.numbers)
 
     async def _retake(self, stream: Stream, attempt: str) -> None:
         draw = self._versions_random.random()
@@ -219,11 +224,15 @@
             headers["Resumes"] = "ffff00000000"
         else:
             headers["Resumes"] = stream.began
-        can_go_on = self._can_go_on(stream)
+        process = self._versions_random.choice(self._entries)
+        can_go_on = self._can_go_on(stream) and process.is_calm(
+            _CONTACT_SECONDS
+        )
         count = len(stream.numbers)
-        result = await self._attempt(stream, attempt, headers)
+        result = await self._attempt(process, stream, attempt, headers)
         goes_on = len(stream.numbers) > count or stream.is_whole
         self._counts[f"{kind} {'goes on' if goes_on else result}"] += 1
+        can_go_on = can_go_on and process.is_calm(_CONTACT_SECONDS)
         if kind == "named" and can_go_on and self._can_go_on(stream):
             self._counts["owed"] += 1
             self._counts["kept" if goes_on else f"lost {result}"] += 1
@@ -239,11 +248,14 @@
         return len(serving) >= 2
 
     async def _attempt(
-        self, stream: Stream, attempt: str, headers: dict[str, str]
+        self,
+        process: processes.Process,
+        stream: Stream,
+        attempt: str,
+        headers: dict[str, str],
     ) -> str:
-        """Sends one attempt to any entry host; returns its result."""
+        """Sends one attempt to an entry host; returns its result."""
         stream.attempts.append(attempt)
-        process = self._versions_random.choice(self._entries)
         answer = await callers.ask(
             f"{process.ip}:{processes.FRONT_PORT}",
             streams.RESUMED,
--- a/packages/endivestream/src/endivestream/request/resumptions.py
+++ b/packages/endivestream/src/endivestream/request/resumptions.py
@@ -169,10 +169,12 @@
 
     It names a time to retry only if hosts that may know it did not answer.
     """
-    can_change = source == Source.UNCONFIRMED
+    detail = "it is unknown at which software version the stream began"
+    if source != Source.UNCONFIRMED:
+        return findings.not_run("origin_unknown", detail, status=503)
     return findings.not_run(
-        "origin_unknown",
-        "it is unknown at which software version the stream began",
+        "origin_unconfirmed",
+        f"{detail}: hosts that may know it did not answer",
         status=503,
-        retry_after=admission.DEFAULT_RETRY_SECONDS if can_change else None,
+        retry_after=admission.DEFAULT_RETRY_SECONDS,
     )
