Wording: streams are resumed, hosts are writable

Renames of the read-through, no change of behaviour: a caller resumes a stream (was: takes up, retake); the directory's lists of hosts say what they hold. test_software_versions passes.

--- a/packages/endivestream/src/endivestream/process/origin_directory.py
+++ b/packages/endivestream/src/endivestream/process/origin_directory.py
@@ -3,7 +3,7 @@
 The host at which a stream begins keeps the origin and sends copies to holders:
 entry hosts in different failure domains, ranked by rendezvous hashing of the
 attempt. Every host computes the holders from the list of entry hosts alone, so
-a caller can take up its stream at any host, also if the first one has failed.
+a caller can resume its stream at any host, also if the first one has failed.
 """
 
 from __future__ import annotations
@@ -76,9 +76,9 @@
         self._context = context
         self._meter = meter or loop_meter.LoopMeter()
         self._table = stream_origins.OriginTable()
-        self._all: tuple[_Holder, ...] = ()
-        # Those that get new records.
-        self._open: tuple[_Holder, ...] = ()
+        self._all_hosts: tuple[_Holder, ...] = ()
+        # Hosts that get new records.
+        self._writable_hosts: tuple[_Holder, ...] = ()
         self._links: dict[str, links.Link] = {}
         self._acknowledged_at: dict[str, float] = {}
         self._batches: dict[str, list[site_messages.OriginRecord]] = {}
@@ -105,11 +105,14 @@
 
     def set_hosts(self, hosts: Sequence[site_messages.EntryHost]) -> None:
         """Sets the list of entry hosts and closes links to removed ones."""
-        self._all = _directory(host for host in hosts if host.peers)
-        self._open = _directory(
+        self._all_hosts = _directory(host for host in hosts if host.peers)
+        self._writable_hosts = _directory(
             host for host in hosts if host.peers and not host.draining
         )
-        used = {holder.address for holder in (*self._all, *self._open)}
+        used = {
+            holder.address
+            for holder in (*self._all_hosts, *self._writable_hosts)
+        }
         for address in self._links.keys() - used:
             self._batches.pop(address, None)
             self._acknowledged_at.pop(address, None)
@@ -123,7 +126,7 @@
     ) -> None:
         """Records where a stream began; sends copies soon after.
 
-        The stream does not wait for the copies: one that is taken up without
+        The stream does not wait for the copies: one that is resumed without
         any is refused.
 
         Args:
@@ -137,7 +140,7 @@
             self._table.record(attempt, origin, clock.now(), seconds)
             self._counts["recorded"] += 1
             record = site_messages.OriginRecord(attempt, origin, seconds)
-            for holder in self._holders(attempt, self._open):
+            for holder in self._holders(attempt, self._writable_hosts):
                 batch = self._batches.setdefault(holder.address, [])
                 batch.append(record)
                 if len(batch) == 1:
@@ -169,15 +172,15 @@
         if origin is not None:
             return resumptions.Lookup(resumptions.Source.LOCAL, origin)
         holders = {
-            *self._holders(attempt, self._open),
-            *self._holders(attempt, self._all),
+            *self._holders(attempt, self._writable_hosts),
+            *self._holders(attempt, self._all_hosts),
         }
         queries = [
             asyncio.create_task(self._query(holder.address, attempt))
             for holder in holders
         ]
         source = resumptions.Source.ABSENT
-        if not self._all:
+        if not self._all_hosts:
             # A host that has just started knows no other host yet.
             source = resumptions.Source.UNCONFIRMED
         try:
--- a/packages/endivestream/src/endivestream/request/resumptions.py
+++ b/packages/endivestream/src/endivestream/request/resumptions.py
@@ -153,7 +153,7 @@
         if len(work.route.services) > 1:
             # The attempt may have been sent to any of them.
             return None
-        seconds = _UNREPORTED_TARGET_SECONDS + stream_origins.retake_seconds(
+        seconds = _UNREPORTED_TARGET_SECONDS + stream_origins.resumable_seconds(
             work.route.timeout
         )
         software = await self._sole_software(work.service.name, seconds)
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -209,7 +209,7 @@
                 tokens of a prompt and the seconds until its first event.
             stream_bound: Called before the first event of a stream is relayed,
                 with the caller's attempts that may name the stream, its origin
-                and the seconds for which it may be taken up.
+                and the seconds for which it may be resumed.
             process_proof: Proves which processes connections belong to.
         """
         self._withdrawn_sends: collections.Counter[str] = collections.Counter()
@@ -738,7 +738,7 @@
         )
         if work.route.resumable:
             attempts = {work.request, stream.resumes} - {""}
-            seconds = stream_origins.retake_seconds(work.route.timeout)
+            seconds = stream_origins.resumable_seconds(work.route.timeout)
             self._stream_bound(attempts, origin, seconds)
 
 
--- a/packages/endivestream/src/endivestream/request/stream_origins.py
+++ b/packages/endivestream/src/endivestream/request/stream_origins.py
@@ -2,8 +2,8 @@
 
 Targets of one service may run different versions of their software. What two
 versions write does not fit together, and targets do not check that, so a
-stream goes on only at the software version that began it. A caller that takes
-up a stream names its own attempt that received the first event.
+stream goes on only at the software version that began it. A caller that
+resumes a stream names its own attempt that received the first event.
 """
 
 from __future__ import annotations
@@ -23,9 +23,9 @@
 # are refused.
 _MAX_ATTEMPT_LENGTH = 128
 _ATTEMPT_CHARACTERS = frozenset(string.ascii_letters + string.digits + "-._~")
-# A caller may take up a stream until this multiple of the route's timeout after
-# its first event: the answer ends within one timeout, and so does each retry.
-_RETAKE_TIMEOUTS = 2.0
+# A stream can be resumed until this multiple of the route's timeout after its
+# first event: the answer ends within one timeout, and so does each retry.
+_RESUMABLE_TIMEOUTS = 2.0
 # Maximum number of records on one host; the oldest are dropped first.
 _MAX_RECORDS = 16_384
 
@@ -75,13 +75,13 @@
         return self.software is not None or is_same_process
 
 
-def retake_seconds(route_timeout: float) -> float:
-    """Returns the time after its first event in which a stream is taken up.
+def resumable_seconds(route_timeout: float) -> float:
+    """Returns the time after its first event in which a stream can be resumed.
 
     Args:
         route_timeout: Timeout of its route, in seconds.
     """
-    return _RETAKE_TIMEOUTS * route_timeout
+    return _RESUMABLE_TIMEOUTS * route_timeout
 
 
 class Resumption(NamedTuple):
@@ -143,7 +143,7 @@
         """Records where a stream began.
 
         If an attempt's streams began at two versions, it is unknown which one
-        a caller takes up, and the attempt admits no target any more.
+        a caller resumes, and the attempt admits no target any more.
 
         Args:
             attempt: Id of the attempt that received the first event.
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -293,11 +293,11 @@
             for name in ("e0", "e1")
         )
         writer.set_hosts(hosts)
-        copies = set(writer._holders("a1", writer._open))
+        copies = set(writer._holders("a1", writer._writable_hosts))
         lost = data.draw(st.sets(st.sampled_from(sorted(copies)), max_size=1))
         names = {"e0", *(holder.name for holder in lost)}
         reader.set_hosts([host for host in hosts if host.name not in names])
-        asked = {*reader._holders("a1", reader._open)}
+        asked = {*reader._holders("a1", reader._writable_hosts)}
         asked |= {holder for holder in copies if holder.name == "e1"}
         self.assertTrue(asked & (copies - lost))
         if len(set(domains[1:])) > 1:
