Test of relay hosts of an older build; what's new

A relay host that does not know the header of relayed streams answers 400 without a request id: that is unsupported, not run, and the host is avoided. With the check for it taken out the caller gets that 400 (the new test fails: 503 != 400).

--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -198,6 +198,26 @@
         self.assertEqual(reply.status, 503)
         self.assertEqual(self.relay_hosts._avoided_until, {})
 
+    async def test_older_relay_host_that_refuses_a_stream_is_avoided(self):
+        """Guards against "may have run" for a stream that was not taken."""
+        self._route(test_forward.RESUMABLE)
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("t1", unreachable.address)
+        await unreachable.close()
+        older = await standin.Target(
+            standin.says(standin.answer(400, b"not a relayed request\n"))
+        ).start()
+        self.addAsyncCleanup(older.close)
+        port = int(older.address.rpartition(":")[2])
+        self.relay_hosts.set_hosts(
+            [entry("old", peers=f"tcp://127.0.0.1:{port - 1}")]
+        )
+        reply = await self.caller.ask(X_Deadline_Ms=1000)
+        self.assertEqual(503, reply.status)
+        self.assertIn("old", self.relay_hosts._avoided_until)
+        (request, *_) = older.requests
+        self.assertIn(relay_hosts.STREAM_HEADER, request.headers)
+
     async def test_deadline_counts_from_the_first_arrival(self):
         """Guards against a target that works longer than the caller waits."""
         self._route(test_forward.ONCE)
