Soak: a stand-in's connection belongs to one of its processes

Traced: a connection that a stand-in accepts while it ends is not in the list that it closes, and is served on at the next version.

--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -92,6 +92,7 @@
 
     async def close(self) -> None:
         """Closes all connections without an answer."""
+        self._starts += 1
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
         if self._server is not None:
@@ -138,6 +139,9 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
+        # A connection that is accepted while the target ends outlives the
+        # close; no later process may serve it.
+        process = self._starts
         self._connections.add(task)
         self._writers.add(writer)
         _, port = writer.get_extra_info("peername")
@@ -145,6 +149,9 @@
         sender = functools.cache(lambda: self._sender_of(port))
         try:
             while (message := await callers.read_message(reader)) is not None:
+                if self._starts != process:
+                    writer.transport.abort()
+                    break
                 await self._answer(message, sender, writer)
                 if writer.is_closing():
                     break
--- a/benchmarks/soak/versions.py
+++ b/benchmarks/soak/versions.py
@@ -103,6 +103,7 @@
     async def _write_stream(
         self, message: callers.Message, writer: asyncio.StreamWriter
     ) -> None:
+        process = self._starts
         request = message.headers.get("Attempt-Id", "")
         first = int(message.headers.get("Last-Event-Id", 0)) + 1
         writer.write(
@@ -111,6 +112,9 @@
             + f"Attempt-Id: {request}\r\n\r\n".encode()
         )
         for number in range(first, _EVENTS + 1):
+            if self._starts != process:
+                writer.transport.abort()
+                return
             event = f"id: {number}\ndata: {self._software}\n\n".encode()
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
