Headers of relayed requests are this system's to set

Found in the read-through: since the header of relayed streams takes precedence, a caller could send it on a route that is not resumable, and a relay host took the caller's statement (host, version, targets tried) for that of the entry host. Both headers of a caller are dropped before a request is relayed.

--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -458,6 +458,7 @@
         if math.isfinite(seconds):
             milliseconds = max(1, int(seconds * 1000))
             fields[self._names.deadline_ms] = str(milliseconds)
+        relay_hosts_lib.take_relayed_request(fields)
         header = relay_hosts_lib.request_header(work.route)
         fields[header] = relayed.encode()
         return fields
--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -218,6 +218,24 @@
         (request, *_) = older.requests
         self.assertIn(relay_hosts.STREAM_HEADER, request.headers)
 
+    async def test_relay_headers_of_callers_are_not_passed_on(self):
+        """Guards against callers that speak as an entry host."""
+        self._route(test_forward.ONCE)
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("t1", unreachable.address)
+        await unreachable.close()
+        relay = await standin.Target(standin.says(standin.answer())).start()
+        self.addAsyncCleanup(relay.close)
+        port = int(relay.address.rpartition(":")[2])
+        self.relay_hosts.set_hosts(
+            [entry("other", peers=f"tcp://127.0.0.1:{port - 1}")]
+        )
+        text = relay_hosts.RelayedRequest(host="caller", version=9).encode()
+        await self.caller.ask(**{relay_hosts.STREAM_HEADER: text})
+        (request, *_) = relay.requests
+        self.assertNotIn(relay_hosts.STREAM_HEADER, request.headers)
+        self.assertIn('"here"', request.headers[relay_hosts.REQUEST_HEADER])
+
     async def test_deadline_counts_from_the_first_arrival(self):
         """Guards against a target that works longer than the caller waits."""
         self._route(test_forward.ONCE)
