Tests of processes listen on a loopback address of their own

Traced with the processes' output kept, in 18 runs of the module, three at a time: one entry host ended at its start with "Address already in use". Its port had been chosen and released before the process started, and connections from 127.0.0.1 take such ports. The processes now listen on another loopback address; 16 runs of the module, four at a time: no failure.

--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -21,11 +21,11 @@
 BOUNDS = site_settings.Bounds(revoke=3.0, lease=0.1, grace=2.0)
 
 
-def free_address():
+def free_address(ip="127.0.0.1"):
     """Returns an unused address; processes must know theirs beforehand."""
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+        sock.bind((ip, 0))
+        return f"{ip}:{sock.getsockname()[1]}"
 
 
 class NoCodec:
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -16,16 +16,18 @@
 _ROOT = pathlib.Path(__file__).parent.parent
 _TIMEOUT_SECONDS = 60.0
 GRACE_SECONDS = 3
+# Connections from 127.0.0.1 may take a port there before a process has started.
+IP = f"127.{20 + os.getpid() % 200}.251.1"
 
 
 def two_free_ports():
     """Returns a free port whose successor is also free."""
     while True:
         with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
+            first.bind((IP, 0))
             port = first.getsockname()[1]
             try:
-                second.bind(("127.0.0.1", port + 1))
+                second.bind((IP, port + 1))
             except (OSError, OverflowError):
                 continue
             return port
@@ -56,9 +58,9 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         self.port = two_free_ports()
-        self.control = entry_site.free_address()
-        self.front = entry_site.free_address()
-        self.ready = entry_site.free_address()
+        self.control = entry_site.free_address(IP)
+        self.front = entry_site.free_address(IP)
+        self.ready = entry_site.free_address(IP)
         await self._start("control", listen={"control": self.control})
         self.edge = await self._start(
             "edge", listen={"front": self.front, "ready": self.ready}
@@ -71,11 +73,11 @@
         data = self.folder / role
         settings = {
             "node": f"{role}-1",
-            "ip": "127.0.0.1",
+            "ip": IP,
             "zone": "a",
             "listen": listen,
             "internalPorts": [self.port, self.port + 15],
-            "seeds": [f"127.0.0.1:{self.control.rsplit(':', 1)[1]}"],
+            "seeds": [self.control],
             "bootstrap": True,
             "dataDir": str(data) if role == "control" else None,
             "faultTolerance": {"machines": 0},
--- a/tests/test_platform_reload.py
+++ b/tests/test_platform_reload.py
@@ -34,13 +34,14 @@
 
 class ReloadTest(unittest.IsolatedAsyncioTestCase):
     def _write_settings(self, folder, role):
-        control = entry_site.free_address()
+        ip = test_platform_processes.IP
+        control = entry_site.free_address(ip)
         port = test_platform_processes.two_free_ports()
-        front = entry_site.free_address()
+        front = entry_site.free_address(ip)
         is_control = role == "control"
         settings = {
             "node": f"{role}-1",
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": "a",
             "listen": {"control": control} if is_control else {"front": front},
             "internalPorts": [port, port + 15],
