Give an answer to the process that has the address of its request

Cause: an answer that arrives after the table shows a new process was given to it only if its request was sent after the start that the process states. A request sent right before that, on a connection that the new process serves, left its refusal with the previous process, where nothing moves it any more. Change: while the new process has the address of the request, it has answered. With another address the time of the request decides as before.

--- a/packages/endivestream/src/endivestream/request/target_announcements.py
+++ b/packages/endivestream/src/endivestream/request/target_announcements.py
@@ -252,7 +252,9 @@
         """Returns the process of a target that answered a request.
 
         A request that is sent after a restart, but before the table shows it,
-        reaches the new process.
+        reaches the new process. So does one that is sent right before the new
+        process states its start, if that has the address: the previous one
+        answers there no longer.
 
         Args:
             registration: The target, as the request was sent to it.
@@ -262,7 +264,10 @@
         if (
             process is not None
             and process.registration.started_at_ms > registration.started_at_ms
-            and process.started_at <= sent_at
+            and (
+                process.started_at <= sent_at
+                or process.registration.address == registration.address
+            )
         ):
             return process.registration
         return registration
