--- a/benchmarks/soak/crashes.py
+++ b/benchmarks/soak/crashes.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import collections
 import itertools
@@ -58,6 +59,12 @@
         self._soak = soak
         self._restart_lock = asyncio.Lock()
 
+    async def start(self) -> None:
+        """Starts to serve; at the address that it had, if the run says so."""
+        await super().start()
+        if self._soak.keeps_address:
+            self._port = int(self._address.rpartition(":")[2])
+
     async def restart(self) -> None:
         """Ends like a crash and starts again under the same id."""
         await self.crash(0.0)
@@ -106,8 +113,30 @@
 
     Attributes:
         draws: Source of the draws beside those of the faults.
+        keeps_address: Whether targets start again at their address.
     """
 
+    keeps_address = False
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the argument for targets that keep their address."""
+        parser.add_argument(
+            "--keep-address",
+            action="store_true",
+            help="targets start again at the address that they had",
+        )
+
+    @classmethod
+    def variant(
+        cls, options: argparse.Namespace, seed: int
+    ) -> type[processes.Soak]:
+        """Returns the class of a run with some options."""
+        del seed
+        return type(
+            cls.__name__, (cls,), {"keeps_address": options.keep_address}
+        )
+
     def __init__(self, **options) -> None:
         super().__init__(**options)
         self.draws = random.Random(f"crashes of {options['seed']}")
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -212,6 +212,16 @@
 
     entry_program = _ROOT / "platform" / "main.py"
 
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds arguments of its own to those of all soaks."""
+
+    @classmethod
+    def variant(cls, options: argparse.Namespace, seed: int) -> type[Soak]:
+        """Returns the class of a run with some options."""
+        del options, seed
+        return cls
+
     def __init__(
         self,
         *,
@@ -586,6 +596,7 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--controls", type=int, default=3)
     parser.add_argument("--entries", type=int, default=3)
+    soak_class.add_arguments(parser)
     options = parser.parse_args()
     violation_count = 0
     for seed in range(options.first, options.first + options.seeds):
@@ -595,7 +606,7 @@
                 seconds=options.seconds,
                 controls=options.controls,
                 entries=options.entries,
-                soak_class=soak_class,
+                soak_class=soak_class.variant(options, seed),
             )
         )
         violations = report.pop("violations")
