Log ends and rounds under a request, and contents left out of a report

Now event=request_evidence ends= rounds= at the leader from the second end on, and event=process_end_reported answered_contents= at the host. No logic has changed.

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -346,6 +346,17 @@
             if crash_keys.is_part(key)
         }
         self._quarantine.record_end(process, open_seconds, sends, now)
+        answered = sum(
+            self._answers.is_answered(attempt.keys.content_key, now)
+            for attempt in attempts
+        )
+        logs.event(
+            "process_end_reported",
+            target=process.target,
+            born=process.started_at_ms,
+            open=len(attempts),
+            answered_contents=answered,
+        )
         message = site_messages.ProcessEnded(
             host=self._host,
             target=process.target,
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -15,11 +15,15 @@
 from endivestream import logs
 from endivestream import site_messages
 from endivestream.request import crash_evidence
+from endivestream.request import crash_keys
 from endivestream.request import open_attempts
 
 # Time until a key that an operator has quarantined is tried again or sent.
 _OPERATOR_QUARANTINE_SECONDS = 3600.0
 
+# Ends under a request from which each further one is logged.
+_LOGGED_ENDS = 2
+
 
 class QuarantineManager:
     """Evidence and quarantine during one term of leadership."""
@@ -82,8 +86,24 @@
             keys=len(report.open_seconds),
             seconds_ago=report.seconds_ago,
         )
+        self._log_evidence(report)
         return changed
 
+    def _log_evidence(self, report: site_messages.ProcessEnded) -> None:
+        """Logs requests under which further processes have ended."""
+        for key in report.open_seconds:
+            counts = self._evidence.counts(key)
+            if crash_keys.is_part(key) or counts.ends < _LOGGED_ENDS:
+                continue
+            logs.event(
+                "request_evidence",
+                key=key,
+                ends=counts.ends,
+                rounds=counts.rounds,
+                target=report.target,
+                reported_by=report.host,
+            )
+
     async def record_answered(
         self, report: site_messages.Answered
     ) -> site_messages.EvidenceRecorded:
--- a/packages/endivestream/src/endivestream/request/crash_evidence.py
+++ b/packages/endivestream/src/endivestream/request/crash_evidence.py
@@ -62,6 +62,18 @@
     QUARANTINED = "quarantined"
 
 
+class EndCounts(NamedTuple):
+    """Number of ends under a key.
+
+    Attributes:
+        ends: Processes that have ended.
+        rounds: Rounds in which they have.
+    """
+
+    ends: int
+    rounds: int
+
+
 class _End(NamedTuple):
     """The end of a process.
 
@@ -183,6 +195,13 @@
         """Number of keys with evidence against them."""
         return len(self._records)
 
+    def counts(self, key: str) -> EndCounts:
+        """Returns how many processes have ended under a key."""
+        record = self._records.get(key)
+        if record is None:
+            return EndCounts(0, 0)
+        return EndCounts(len(record.ends), record.rounds)
+
     def record_end(
         self,
         process: open_attempts.TargetProcess,
