Tests that reproduce a request that is sent on in four ways, known red

Two entry hosts and up to ten targets: tries sent at once, answers without framing, processes back at once, equal requests of other callers, and a send of each host before the verdict.

--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -24,13 +24,46 @@
         name: Id of the target.
         requests: Requests that it has received.
         has_ended: Whether it has exited.
+        ended_at: When its processes exited.
+        matched_at: When it received matching requests.
+        end_delay: Time from a matching request to the exit, in seconds.
+        started_at_ms: Start time of its process.
+        reports: Number of its last report.
     """
 
-    def __init__(self, name, *, sends_length=True):
+    def __init__(
+        self,
+        name,
+        *,
+        sends_length=True,
+        resets=False,
+        report_delay=None,
+        register=None,
+    ):
+        """Initializes it.
+
+        Args:
+            name: Id.
+            sends_length: Whether the end of its answers shows in their bytes.
+            resets: Whether it closes the connection of a request with body
+                `reset` and lives on.
+            report_delay: It starts again at once and reports that so much
+                later; None if it stays down.
+            register: Sends a report.
+        """
         self.name = name
         self.requests = []
         self.has_ended = False
+        self.ended_at = []
+        self.matched_at = []
+        self.end_delay = 0.0
+        self.started_at_ms = 1
+        self.reports = 0
         self._sends_length = sends_length
+        self._resets = resets
+        self._report_delay = report_delay
+        self._register = register
+        self._back = None
         self._writers = set()
         self._server = None
 
@@ -51,7 +84,30 @@
         for writer in self._writers:
             writer.close()
 
+    async def _end(self):
+        """Exits under a matching request; may start again at once."""
+        if self.end_delay:
+            await asyncio.sleep(self.end_delay)
+        if self.has_ended:
+            return
+        self.ended_at.append(asyncio.get_running_loop().time())
+        self.exit()
+        if self._report_delay is None:
+            return
+        self._back = asyncio.create_task(self._start_again())
+
+    async def _start_again(self):
+        host, port = self.address.split(":")
+        self._writers = set()
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.started_at_ms += 1000
+        self.has_ended = False
+        await asyncio.sleep(self._report_delay)
+        await self._register(self)
+
     async def close(self):
+        if self._back is not None:
+            self._back.cancel()
         self.exit()
         await self._server.wait_closed()
 
@@ -78,13 +134,23 @@
                 X_Request_Id=attempt, Content_Type="text/event-stream"
             )
         parts = request.headers.get("X-Prefix", "").split(",")[:-1]
-        if MATCHING_PART in parts or request.body == MATCHING_BODY:
+        if self._resets and request.body == b"reset":
+            writer.close()
+            return
+        if (
+            MATCHING_PART in parts
+            or request.body == MATCHING_BODY
+            or request.headers.get("X-Ends") == "1"
+        ):
+            self.matched_at.append(asyncio.get_running_loop().time())
             if is_stream:
                 writer.write(head)
+                if request.body and not self._sends_length:
+                    writer.write(standin.event(1))
                 await writer.drain()
                 # Its head is received before the end of the process.
                 await asyncio.sleep(0.01)
-            self.exit()
+            await self._end()
             return
         if not is_stream:
             writer.write(standin.answer(body=b"done", X_Request_Id=attempt))
@@ -148,7 +214,9 @@
     async def _start_targets(self, count, **fields):
         for _ in range(count):
             number = len(self.exiting)
-            target = await ExitingTarget(f"x{number}", **fields).start()
+            target = await ExitingTarget(
+                f"x{number}", register=self._register_exiting, **fields
+            ).start()
             self.exiting.append(target)
             await self._register_exiting(target)
         names = {target.name for target in self.exiting}
@@ -161,13 +229,14 @@
             )
 
     async def _register_exiting(self, target):
+        target.reports += 1
         registration = registry_lib.Registration(
             name=target.name,
             service="desk",
             address=target.address,
             domain="a",
-            started_at_ms=1,
-            report_number=1,
+            started_at_ms=target.started_at_ms,
+            report_number=target.reports,
             draining=False,
         )
         control = list(self.controls.values())[-1]
