Recognize a caller's request by its content and the end of its time

What callers saw: a request under which three targets had ended was sent on. Content and moment name one caller's request (request/request_index.py). Hosts exchange the seconds left, as their clocks differ. Evidence against a request is exact: three processes, no rounds, and no answer to another request drops it (request/request_evidence.py). The evidence against contents and parts stays as it was, for callers that state no time. Lost: the count of ends per sends of a content. It needs several ends to tell one bad request from many sound ones, and then refuses all of them.

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -29,6 +29,7 @@
 from endivestream.request import key_history
 from endivestream.request import open_attempts as open_attempts_lib
 from endivestream.request import quarantine as quarantine_lib
+from endivestream.request import request_index
 
 # A leader acknowledges within milliseconds; callers wait for it.
 _REPORT_SECONDS = 0.25
@@ -118,6 +119,10 @@
         """Returns the quarantined keys, for a leader that may lack them."""
         return self._quarantine.entries(clock.now())
 
+    def listed_requests(self) -> tuple[site_messages.ListedRequest, ...]:
+        """Returns the listed requests, for a leader that may lack them."""
+        return self._quarantine.listed_requests(clock.now())
+
     def take_reports(
         self, *, everything: bool
     ) -> tuple[site_messages.ProcessEnded, ...]:
@@ -136,9 +141,7 @@
             and (everything or not report.is_acknowledged)
         )
         return tuple(
-            msgspec.structs.replace(
-                report.message, seconds_ago=now - report.ended_at
-            )
+            _as_of(report.message, now - report.ended_at)
             for report in self._renewing
         )
 
@@ -168,6 +171,9 @@
         """Returns when a request may be sent again; None if it may now."""
         if self._quarantine.is_empty:
             return None
+        until = self._quarantine.request_until(keys.caller_request)
+        if until is not None:
+            return until
         blocked = self._quarantine.blocked(keys.all, clock.now())
         blocked.pop(keys.trial_key, None)
         return max(blocked.values(), default=None)
@@ -345,7 +351,8 @@
             for key in open_seconds
             if crash_keys.is_part(key)
         }
-        self._quarantine.record_end(process, open_seconds, sends, now)
+        requests = _open_requests(attempts, now)
+        self._quarantine.record_end(process, open_seconds, sends, now, requests)
         answered = sum(
             self._answers.is_answered(attempt.keys.content_key, now)
             for attempt in attempts
@@ -363,6 +370,7 @@
             started_at_ms=process.started_at_ms,
             open_seconds=open_seconds,
             sends=sends,
+            requests=requests,
         )
         report = _Report(message=message, ended_at=now)
         self._reports.append(report)
@@ -372,3 +380,34 @@
                 report.is_acknowledged = True
             case _:
                 logs.warn("process_end_unreported", target=process.target)
+
+
+def _open_requests(
+    attempts: Sequence[open_attempts_lib.Attempt], now: float
+) -> tuple[site_messages.OpenRequest, ...]:
+    """Returns the callers' requests of some attempts."""
+    by_request: dict[request_index.CallerRequest, set[str]] = {}
+    for attempt in attempts:
+        request = attempt.keys.caller_request
+        if request is not None:
+            by_request.setdefault(request, set()).add(attempt.keys.request)
+    return tuple(
+        site_messages.OpenRequest(
+            request.content, request.deadline - now, tuple(sorted(ids))
+        )
+        for request, ids in by_request.items()
+    )
+
+
+def _as_of(
+    message: site_messages.ProcessEnded, seconds_ago: float
+) -> site_messages.ProcessEnded:
+    """Returns a report as it is sent later."""
+    return msgspec.structs.replace(
+        message,
+        seconds_ago=seconds_ago,
+        requests=tuple(
+            each._replace(left=each.left - seconds_ago)
+            for each in message.requests
+        ),
+    )
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -422,6 +422,9 @@
                 self._crash_reporter.entries() if is_new_leader else ()
             ),
             ends=self._crash_reporter.take_reports(everything=is_new_leader),
+            listed_requests=(
+                self._crash_reporter.listed_requests() if is_new_leader else ()
+            ),
         )
 
     def _on_leader_push(self, message: messages.Message) -> None:
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -17,6 +17,8 @@
 from endivestream.request import crash_evidence
 from endivestream.request import crash_keys
 from endivestream.request import open_attempts
+from endivestream.request import request_evidence
+from endivestream.request import request_index
 
 # Time until a key that an operator has quarantined is tried again or sent.
 _OPERATOR_QUARANTINE_SECONDS = 3600.0
@@ -44,6 +46,7 @@
         self._push = push
         self._number = 0
         self._evidence = crash_evidence.CrashEvidence()
+        self._requests = request_evidence.RequestEvidence()
 
     @property
     def revision(self) -> site_messages.Position:
@@ -56,6 +59,7 @@
         return site_messages.QuarantineTable(
             revision=self.revision,
             entries=self._evidence.entries(clock.now()),
+            requests=self._requests.listed(clock.now()),
         )
 
     async def record_end(
@@ -87,6 +91,9 @@
             seconds_ago=report.seconds_ago,
         )
         self._log_evidence(report)
+        changed |= self._requests.record_end(
+            process, report.requests, clock.now()
+        )
         return changed
 
     def _log_evidence(self, report: site_messages.ProcessEnded) -> None:
@@ -133,6 +140,7 @@
             changed = self._evidence.restore([entry], now)
         else:
             changed = self._evidence.record_answered([key], now)
+            changed |= self._requests.drop([key])
         await self._push_changes(changed, "operator")
         return site_messages.QuarantineRead(entries=self.table.entries)
 
@@ -140,6 +148,7 @@
         self,
         entries: Sequence[site_messages.QuarantineEntry],
         ends: Sequence[site_messages.ProcessEnded],
+        listed_requests: Sequence[site_messages.ListedRequest] = (),
     ) -> bool:
         """Merges evidence that this leader may lack, as a host has it.
 
@@ -147,27 +156,28 @@
             Whether the table has changed.
         """
         changed = self._evidence.restore(entries, clock.now())
+        changed |= self._requests.restore(listed_requests, clock.now())
         for report in ends:
             changed |= self._add_end(report)
         return self._record_changes(changed, "renewal")
 
     def drop_old(self) -> None:
         """Drops evidence that is too old."""
-        if self._evidence.drop_old(clock.now()):
-            self._number += 1
+        is_changed = self._evidence.drop_old(clock.now())
+        is_changed |= self._requests.drop_old(clock.now())
+        self._number += is_changed
+
+    def _state(self, key: str) -> str:
+        if key.startswith(request_index.PREFIX):
+            return self._requests.state(key)
+        return self._evidence.state(key, clock.now())
 
     async def _push_changes(self, changed: frozenset[str], why: str) -> None:
         if self._record_changes(changed, why):
             await self._push(self.table)
 
     def _record_changes(self, changed: frozenset[str], why: str) -> bool:
-        now = clock.now()
         for key in sorted(changed):
-            logs.event(
-                "quarantine",
-                key=key,
-                state=self._evidence.state(key, now),
-                why=why,
-            )
+            logs.event("quarantine", key=key, state=self._state(key), why=why)
         self._number += bool(changed)
         return bool(changed)
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -561,7 +561,9 @@
         # reported only to the previous leader.
         self._limited_sends.merge(message.limits, now)
         self._lease_manager.forward_demand(message)
-        if self._quarantine.restore(message.quarantined, message.ends):
+        if self._quarantine.restore(
+            message.quarantined, message.ends, message.listed_requests
+        ):
             self._push_quarantine()
         grants = [
             self._credit_allocator.handle_report(host.name, need, now)
--- a/packages/endivestream/src/endivestream/request/crash_keys.py
+++ b/packages/endivestream/src/endivestream/request/crash_keys.py
@@ -8,9 +8,12 @@
 
 import functools
 import hashlib
+import math
 
+from endivestream.request import admission
 from endivestream.request import call as call_lib
 from endivestream.request import names as names_lib
+from endivestream.request import request_index
 
 _DIGEST_BYTES = 12
 # Parts of a prompt that are considered, and the length of their ids. Callers
@@ -20,7 +23,7 @@
 _PART_PREFIX = "part:"
 
 
-_KINDS = ("attempt:", "content:", _PART_PREFIX)
+_KINDS = ("attempt:", "content:", _PART_PREFIX, request_index.PREFIX)
 
 
 def is_key(key: str) -> bool:
@@ -63,6 +66,15 @@
         """All keys of the request."""
         return (self.attempt_key, self.content_key, *self.parts)
 
+    @functools.cached_property
+    def caller_request(self) -> request_index.CallerRequest | None:
+        """The caller's request; None if it states no time that it has."""
+        deadline = admission.caller_deadline(self._call, self._names)
+        if not math.isfinite(deadline):
+            return None
+        _, _, content = self.content_key.partition(":")
+        return request_index.CallerRequest(content, deadline)
+
     @functools.cached_property
     def parts(self) -> tuple[str, ...]:
         """Keys of the prompt's parts; the last part is the request's own."""
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -14,6 +14,8 @@
 from endivestream.request import crash_evidence
 from endivestream.request import crash_keys
 from endivestream.request import open_attempts
+from endivestream.request import request_evidence
+from endivestream.request import request_index
 
 
 class Quarantine:
@@ -24,6 +26,10 @@
         self._quarantined: dict[str, float] = {}
         self._suspects: frozenset[str] = frozenset()
         self._own = crash_evidence.CrashEvidence()
+        # Requests of callers that the leader lists, and ends under them.
+        self._listed = request_index.RequestIndex()
+        self._listed_ends: dict[str, int] = {}
+        self._own_requests = request_evidence.RequestEvidence()
 
     @property
     def revision(self) -> site_messages.Position:
@@ -34,7 +40,11 @@
     def is_empty(self) -> bool:
         """Whether nothing is known against any request."""
         return (
-            not self._quarantined and not self._suspects and self._own.is_empty
+            not self._quarantined
+            and not self._suspects
+            and not self._listed_ends
+            and self._own.is_empty
+            and self._own_requests.is_empty
         )
 
     @property
@@ -45,7 +55,10 @@
     @property
     def size(self) -> int:
         """Number of keys that the leader has quarantined."""
-        return len(self._quarantined)
+        return len(self._quarantined) + sum(
+            ends >= request_evidence.MAX_ENDS
+            for ends in self._listed_ends.values()
+        )
 
     def set_table(
         self, table: site_messages.QuarantineTable, now: float
@@ -65,8 +78,42 @@
         self._suspects = frozenset(
             entry.key for entry in table.entries if not entry.is_quarantined
         )
+        self._listed = request_index.RequestIndex()
+        for listed in table.requests:
+            self._listed.add(listed.key, listed.left, now)
+        self._listed_ends = {each.key: each.ends for each in table.requests}
         return True
 
+    def listed_requests(
+        self, now: float
+    ) -> tuple[site_messages.ListedRequest, ...]:
+        """Returns the requests that the leader lists, for the next leader."""
+        return tuple(
+            site_messages.ListedRequest(key, self._listed.left(key, now), ends)
+            for key, ends in self._listed_ends.items()
+        )
+
+    def request_until(
+        self, request: request_index.CallerRequest | None
+    ) -> float | None:
+        """Returns until when a caller's request is not sent; None if it is."""
+        if request is None or self.ends(request) < request_evidence.MAX_ENDS:
+            return None
+        return request.deadline + request_evidence.KEPT_SECONDS
+
+    def ends(self, request: request_index.CallerRequest) -> int:
+        """Returns how many processes ended under a caller's request.
+
+        It is the larger number of those that the leader knows and those that
+        this host has observed.
+        """
+        listed = self._listed.find(request)
+        own = self._own_requests.find(request)
+        return max(
+            self._listed_ends[listed] if listed else 0,
+            self._own_requests.ends(own) if own else 0,
+        )
+
     def has_known_key(self, keys: crash_keys.CrashKeys) -> bool:
         """Returns whether a request has a suspected or quarantined key."""
         known = self.known_keys
@@ -88,6 +135,7 @@
         open_seconds: Mapping[str, float],
         sends: Mapping[str, int],
         now: float,
+        requests: Collection[site_messages.OpenRequest] = (),
     ) -> None:
         """Records the end of a process that this host has observed.
 
@@ -96,6 +144,8 @@
         """
         self._own.record_end(process, open_seconds, now, sends=sends)
         self._own.drop_old(now)
+        self._own_requests.record_end(process, requests, now)
+        self._own_requests.drop_old(now)
         for key in self._suspects & open_seconds.keys():
             if not crash_keys.is_part(key):
                 self._quarantined[key] = (
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -221,16 +221,33 @@
     seconds: float
 
 
+class ListedRequest(NamedTuple):
+    """A request of a caller under which target processes ended.
+
+    Attributes:
+        key: Its key at the leader.
+        left: Seconds until the deadline that its caller states.
+        ends: Number of processes that ended.
+    """
+
+    key: str
+    left: float
+    ends: int
+
+
 class QuarantineTable(msgspec.Struct, frozen=True, kw_only=True):
     """All suspects and quarantined keys.
 
     Attributes:
         revision: Term of the leader and number of the change.
         entries: The keys.
+        requests: Requests of callers that are sent only with a grant, or not at
+            all.
     """
 
     revision: Position
     entries: tuple[QuarantineEntry, ...] = ()
+    requests: tuple[ListedRequest, ...] = ()
 
 
 class News(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -264,6 +281,20 @@
     quarantine: QuarantineTable | None = None
 
 
+class OpenRequest(NamedTuple):
+    """A request of a caller that was open at a process.
+
+    Attributes:
+        content: Digest of its content.
+        left: Seconds until the deadline that its caller states.
+        attempts: Ids of the caller's attempts at it.
+    """
+
+    content: str
+    left: float
+    attempts: tuple[str, ...] = ()
+
+
 class ProcessEnded(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Entry host's report that a target process has ended.
 
@@ -275,6 +306,7 @@
             how many seconds; the shortest time of several.
         sends: How many requests this host has sent with these parts of prompts.
         seconds_ago: How long ago the process ended.
+        requests: The requests that were open there.
     """
 
     host: str
@@ -283,6 +315,7 @@
     open_seconds: dict[str, float] = msgspec.field(default_factory=dict)
     sends: dict[str, int] = msgspec.field(default_factory=dict)
     seconds_ago: float = 0.0
+    requests: tuple[OpenRequest, ...] = ()
 
 
 class Renew(msgspec.Struct, frozen=True, kw_only=True, tag=True):
@@ -311,6 +344,7 @@
             host has, if it has just found the leader.
         ends: Ends of target processes that the leader may lack: the latest that
             this host has observed, if it has just found the leader.
+        listed_requests: Requests that the leader may lack, likewise.
     """
 
     host: EntryHost
@@ -328,6 +362,7 @@
     quarantine: Position = Position()
     quarantined: tuple[QuarantineEntry, ...] = ()
     ends: tuple[ProcessEnded, ...] = ()
+    listed_requests: tuple[ListedRequest, ...] = ()
 
 
 class Renewed(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- /dev/null
+++ b/tests/test_request_evidence.py
@@ -0,0 +1,107 @@
+"""Tests of evidence against callers' requests under which targets end."""
+
+import unittest
+
+from endivestream import site_messages
+from endivestream.request import open_attempts
+from endivestream.request import request_evidence
+from endivestream.request import request_index
+import hypothesis
+from hypothesis import strategies as st
+
+State = request_evidence.RequestState
+
+
+def process(number):
+    return open_attempts.TargetProcess(f"t{number}", 1)
+
+
+def request(left=9.0, *attempts):
+    return site_messages.OpenRequest("c0", left, attempts)
+
+
+class RequestIndexTest(unittest.TestCase):
+    @hypothesis.given(
+        st.floats(-1e5, 1e5),
+        st.lists(
+            st.tuples(st.floats(-1e5, 1e5), st.floats(0.0, 9.0)), max_size=9
+        ),
+    )
+    def test_clocks_of_hosts_do_not_tell_tries_apart(self, clock, tries):
+        """Guards against ends that are counted apart on different hosts.
+
+        Each host has a clock of its own and gets a try some time later.
+        """
+        index = request_index.RequestIndex()
+        key = index.find_or_add(request_index.CallerRequest("c0", clock + 9.0))
+        for offset, later in tries:
+            # By the clock of a host, and the seconds left that it reports.
+            now = clock + later + offset
+            deadline = now + (9.0 - later)
+            reported = request_index.CallerRequest(
+                "c0", clock + later + (deadline - now)
+            )
+            self.assertEqual(key, index.find_or_add(reported))
+
+    def test_other_callers_have_requests_of_their_own(self):
+        """Guards against evidence against equal requests of others."""
+        index = request_index.RequestIndex()
+        key = index.find_or_add(request_index.CallerRequest("c0", 9.0))
+        for content, deadline in (("c0", 10.0), ("c1", 9.0)):
+            other = request_index.CallerRequest(content, deadline)
+            self.assertIsNone(index.find(other))
+            self.assertNotEqual(key, index.find_or_add(other))
+        index.remove(key)
+        self.assertIsNone(index.find(request_index.CallerRequest("c0", 9.0)))
+
+
+class RequestEvidenceTest(unittest.TestCase):
+    def setUp(self):
+        self.evidence = request_evidence.RequestEvidence()
+
+    def _end(self, number, now=0.0, left=9.0, *attempts, **fields):
+        changed = self.evidence.record_end(
+            process(number), [request(left - now, *attempts)], now, **fields
+        )
+        for key in changed:
+            self.key = key
+        return changed
+
+    def test_three_ends_at_once_quarantine_a_request(self):
+        """Guards against ends that count as one because they come together."""
+        for number in range(3):
+            self._end(number)
+            self._end(number)
+        self.assertEqual(State.QUARANTINED, self.evidence.state(self.key))
+        self.assertEqual(3, self.evidence.ends(self.key))
+
+    def test_verdict_moves_to_the_next_leader(self):
+        """Guards against a request that is sent after an election."""
+        for number in range(3):
+            self._end(number)
+        following = request_evidence.RequestEvidence()
+        # Its clock is another one.
+        (key,) = following.restore(self.evidence.listed(2.0), 500.0)
+        self.assertEqual(State.QUARANTINED, following.state(key))
+        self.assertFalse(following.restore(self.evidence.listed(2.0), 500.0))
+        retry = request_index.CallerRequest("c0", 507.0)
+        self.assertEqual(key, following.find(retry))
+
+    def test_evidence_is_kept_until_its_caller_has_no_time_left(self):
+        """Guards against a verdict that ends before the caller's retries."""
+        for number in range(3):
+            self._end(number, left=60.0)
+        for now, is_dropped in ((69.0, False), (71.0, True)):
+            self.assertEqual(is_dropped, self.evidence.drop_old(now))
+        self.assertTrue(self.evidence.is_empty)
+
+    def test_ends_of_many_requests_are_not_listed(self):
+        """Guards against a table of all requests after the loss of a rack."""
+        for number in range(5000):
+            self._end(0, left=9.0 + number)
+        self.assertEqual(64, len(self.evidence.listed(0.0)))
+        for number in range(3):
+            self._end(number, left=9.0)
+        self.assertIn(
+            self.key, {each.key for each in self.evidence.listed(0.0)}
+        )
