Count ends that are proved late, or not disproved, under a caller's request

What callers saw: a request went on to targets although three had ended under it, if their answers had no framing or their processes were back at once. Cause: only the end that a new connection proves at once was counted. An answer without framing ends with its connection and passed as complete; the listener of the next process passed as the previous one. Change: - An answer that breaks off counts as an end until two later reports of its process disprove it (site_messages.ProcessEnded.is_proved). The leader has these reports anyway. Lost: a connection for each answer without framing (where a service has only such answers, that doubles its connections); not to use a target again until it reports (a retry at the only target of a service would wait for two reports).

--- a/packages/endivestream/src/endivestream/connection/process_probe.py
+++ b/packages/endivestream/src/endivestream/connection/process_probe.py
@@ -25,6 +25,8 @@
 
     ENDED = "ended"
     RUNNING = "running"
+    # Something listens at its address, perhaps the next process.
+    LISTENING = "listening"
     UNKNOWN = "unknown"
 
 
@@ -55,7 +57,7 @@
         try:
             await exchange.connect(seconds=_CONNECT_SECONDS, is_new=True)
             if not is_engine:
-                return ProcessState.RUNNING
+                return ProcessState.LISTENING
             started_at_ms = await self._process_proof.started_at_ms(
                 exchange, registration
             )
--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -10,6 +10,8 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -160,6 +162,11 @@
                 for key in self._quarantine.known_keys
                 if self._answers.is_answered(key, now)
             )
+            for request in self._quarantine.caller_requests:
+                if self._attempts.unsettled_attempts(request, now):
+                    self._start_task(
+                        self._examine_attempts(request), "examine_listed"
+                    )
             logs.event(
                 "quarantine_applied",
                 term=table.revision.term,
@@ -203,9 +210,9 @@
     def record_answered(self, attempt: open_attempts_lib.Attempt) -> None:
         """Records a complete answer of a target."""
         keys, now = attempt.keys, clock.now()
-        if attempt.is_outlived:
+        if attempt.end == open_attempts_lib.AttemptEnd.SETTLED:
             self._answers.record_outlived([keys.content_key], now)
-        else:
+        if not attempt.is_outlived:
             # An empty answer begins with its end.
             began_at = min(attempt.began_at, now)
             self._answers.record_complete(
@@ -248,50 +255,96 @@
             message = site_messages.Answered(
                 host=self._host, keys=tuple(disproved)
             )
-            task = tasks.start(
+            self._start_task(
                 self._request_leader(message, seconds=_REPORT_SECONDS),
                 "answered",
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
     def record_sent(
         self,
         registration: registry_lib.Registration,
         keys: crash_keys.CrashKeys,
+        *,
+        is_engine: bool = False,
     ) -> open_attempts_lib.Attempt:
         """Records that a request is sent to a target; returns the attempt."""
-        process = open_attempts_lib.TargetProcess.of(registration)
         self._answers.record_sent(keys.parts)
-        return self._attempts.record_sent(process, keys, clock.now())
+        return self._attempts.record_sent(
+            registration, keys, clock.now(), is_engine=is_engine
+        )
+
+    async def settle_earlier(self, keys: crash_keys.CrashKeys) -> None:
+        """Examines processes of earlier attempts at a caller's request.
+
+        That the caller sends it again is a reason to doubt their answers.
+        """
+        request = keys.caller_request
+        if request is not None:
+            await self._examine_attempts(request)
+
+    async def _examine_attempts(
+        self, request: request_index.CallerRequest
+    ) -> None:
+        attempts = self._attempts.unsettled_attempts(request, clock.now())
+        by_process: dict[
+            open_attempts_lib.TargetProcess, open_attempts_lib.Attempt
+        ] = {}
+        for attempt in attempts:
+            if attempt.is_suspected:
+                continue
+            attempt.is_suspected = True
+            by_process[attempt.process] = attempt
+        await asyncio.gather(
+            *(
+                self.examine(
+                    attempt.registration,
+                    is_engine=attempt.is_engine,
+                    sent_at=attempt.sent_at,
+                )
+                for attempt in by_process.values()
+            )
+        )
 
     def record_end(
-        self, attempt: open_attempts_lib.Attempt, *, is_broken: bool
+        self,
+        attempt: open_attempts_lib.Attempt,
+        *,
+        end: open_attempts_lib.AttemptEnd,
     ) -> None:
-        """Records the end of an attempt; see `OpenAttempts.record_end`.
+        """Records the end of an attempt.
 
         A granted trial is for one attempt.
         """
         now = clock.now()
         attempt.keys.trial_key = ""
-        self._attempts.record_end(attempt, now, is_broken=is_broken)
+        self._attempts.record_end(attempt, now, end=end)
         outlived = self._answers.take_outlived(now)
         if outlived:
             self._report_answered(outlived)
 
     async def examine(
-        self, registration: registry_lib.Registration, *, is_engine: bool
+        self,
+        registration: registry_lib.Registration,
+        *,
+        is_engine: bool,
+        sent_at: float = 0.0,
     ) -> process_probe.ProcessState:
         """Finds out whether the process of a broken answer has ended.
 
         Requests whose answers break off together share one examination.
+
+        Args:
+            registration: The process.
+            is_engine: Whether it states its start time.
+            sent_at: When the request was sent. After an end that is known, it
+                was sent to the next process.
         """
         process = open_attempts_lib.TargetProcess.of(registration)
         running = self._examinations.get(process)
         if running is not None:
             # It may have found the process alive before this answer broke off.
             await asyncio.shield(running)
-        if process in self._ended:
+        if sent_at <= self._ended.get(process, float("-inf")):
             return process_probe.ProcessState.ENDED
         task = self._examinations.get(process)
         if task is None:
@@ -312,6 +365,7 @@
         now = clock.now()
         self._counts[state] += 1
         attempts = self._attempts.at_end_of(process, now)
+        unsettled = self._attempts.unsettled(process, now)
         logs.event(
             "process_examined",
             target=registration.name,
@@ -319,6 +373,7 @@
             address=registration.address,
             state=state,
             open=len(attempts),
+            unsettled=len(unsettled),
             requests=",".join(
                 each.keys.request for each in attempts[:_MAX_LOGGED_REQUESTS]
             ),
@@ -330,15 +385,83 @@
                 if now - ended_at < _ENDED_SECONDS
             } | {process: now}
             self._answers.record_process_end(process)
-            await self._report(process, attempts, now)
+            self._attempts.settle(process)
+            await self._report(process, attempts, unsettled, now)
+        elif state != process_probe.ProcessState.RUNNING:
+            broken = [
+                each
+                for each in unsettled
+                if each.is_suspected
+                or each.end == open_attempts_lib.AttemptEnd.BROKEN
+            ]
+            await self._report_unproved(process, broken, now)
         return state
 
+    async def _report_unproved(
+        self,
+        process: open_attempts_lib.TargetProcess,
+        attempts: Sequence[open_attempts_lib.Attempt],
+        now: float,
+    ) -> None:
+        """Reports a process that may have ended under some requests."""
+        requests = _open_requests(attempts, now)
+        if not requests:
+            return
+        message = site_messages.ProcessEnded(
+            host=self._host,
+            target=process.target,
+            started_at_ms=process.started_at_ms,
+            requests=requests,
+            is_proved=False,
+        )
+        await self._send_report(message, now)
+
+    async def record_refused(
+        self, registration: registry_lib.Registration, *, is_engine: bool
+    ) -> None:
+        """Examines a process that refuses connections or left the table.
+
+        Only if that settles attempts there.
+        """
+        process = open_attempts_lib.TargetProcess.of(registration)
+        if self._attempts.unsettled(process, clock.now()):
+            await self.examine(
+                registration, is_engine=is_engine, sent_at=float("inf")
+            )
+
+    def record_replaced(self, registration: registry_lib.Registration) -> None:
+        """Reports the end of a process whose successor the table shows."""
+        process = open_attempts_lib.TargetProcess.of(registration)
+        now = clock.now()
+        unsettled = self._attempts.unsettled(process, now)
+        if unsettled:
+            self._attempts.settle(process)
+            self._start_task(
+                self._report(process, (), unsettled, now), "replaced"
+            )
+
+    def _start_task(
+        self, coroutine: Coroutine[Any, Any, Any], name: str
+    ) -> None:
+        task = tasks.start(coroutine, name)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _report(
         self,
         process: open_attempts_lib.TargetProcess,
         attempts: Sequence[open_attempts_lib.Attempt],
+        unsettled: Sequence[open_attempts_lib.Attempt],
         now: float,
     ) -> None:
+        """Reports the end of a process.
+
+        Args:
+            process: The process.
+            attempts: Attempts that were open at its end.
+            unsettled: Attempts that ended earlier, perhaps with it.
+            now: Current time.
+        """
         open_seconds: dict[str, float] = {}
         for attempt in attempts:
             seconds = now - attempt.sent_at
@@ -351,7 +474,7 @@
             for key in open_seconds
             if crash_keys.is_part(key)
         }
-        requests = _open_requests(attempts, now)
+        requests = _open_requests({*attempts, *unsettled}, now)
         self._quarantine.record_end(process, open_seconds, sends, now, requests)
         answered = sum(
             self._answers.is_answered(attempt.keys.content_key, now)
@@ -372,6 +495,11 @@
             sends=sends,
             requests=requests,
         )
+        await self._send_report(message, now)
+
+    async def _send_report(
+        self, message: site_messages.ProcessEnded, now: float
+    ) -> None:
         report = _Report(message=message, ended_at=now)
         self._reports.append(report)
         answer = await self._request_leader(message, seconds=_REPORT_SECONDS)
@@ -379,23 +507,28 @@
             case site_messages.EvidenceRecorded():
                 report.is_acknowledged = True
             case _:
-                logs.warn("process_end_unreported", target=process.target)
+                logs.warn("process_end_unreported", target=message.target)
 
 
 def _open_requests(
-    attempts: Sequence[open_attempts_lib.Attempt], now: float
+    attempts: Collection[open_attempts_lib.Attempt], now: float
 ) -> tuple[site_messages.OpenRequest, ...]:
     """Returns the callers' requests of some attempts."""
-    by_request: dict[request_index.CallerRequest, set[str]] = {}
+    by_request: dict[
+        request_index.CallerRequest, list[open_attempts_lib.Attempt]
+    ] = {}
     for attempt in attempts:
         request = attempt.keys.caller_request
         if request is not None:
-            by_request.setdefault(request, set()).add(attempt.keys.request)
+            by_request.setdefault(request, []).append(attempt)
     return tuple(
         site_messages.OpenRequest(
-            request.content, request.deadline - now, tuple(sorted(ids))
+            content=request.content,
+            left=request.deadline - now,
+            open_seconds=now - max(each.sent_at for each in same),
+            attempts=tuple(sorted({each.keys.request for each in same})),
         )
-        for request, ids in by_request.items()
+        for request, same in by_request.items()
     )
 
 
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Sequence
 import contextlib
@@ -535,6 +536,7 @@
                 self._unlisted_since.pop(name, None)
         for target in news.targets:
             self._unlisted_since.pop(target.registration.name, None)
+        self._record_replaced_targets(news, removed)
         self._view.set_targets(news.targets, removed, clock.now(), time.time())
         self._limits.remove_stale(self._view.targets.keys(), clock.now())
         if news.entries is not None:
@@ -548,6 +550,32 @@
             self._repeats.set_hosts(len(news.entries))
         self._signal_change()
 
+    def _record_replaced_targets(
+        self, news: site_messages.News, removed: Collection[str]
+    ) -> None:
+        """Records processes that have ended according to a table update."""
+        known = self._view.targets
+        by_address = {
+            each.registration.address: each.registration
+            for each in news.targets
+        }
+        for target in news.targets:
+            registration = target.registration
+            previous = known.get(registration.name)
+            if (
+                previous is not None
+                and previous.registration.started_at_ms
+                < registration.started_at_ms
+            ):
+                self._crash_reporter.record_replaced(previous.registration)
+        for name in removed:
+            if name not in known:
+                continue
+            previous = known[name].registration
+            successor = by_address.get(previous.address)
+            if successor is not None and successor.name != name:
+                self._crash_reporter.record_replaced(previous)
+
     def _has_reached(self, after: site_messages.Position) -> bool:
         """Returns whether this host's table includes a position."""
         return (
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -14,6 +14,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import site_messages
+from endivestream.connection import registry as registry_lib
 from endivestream.request import crash_evidence
 from endivestream.request import crash_keys
 from endivestream.request import open_attempts
@@ -74,28 +75,50 @@
         process = open_attempts.TargetProcess(
             report.target, report.started_at_ms
         )
-        changed = self._evidence.record_end(
-            process,
-            report.open_seconds,
-            clock.now(),
-            sends=report.sends,
-            host=report.host,
-            seconds_ago=report.seconds_ago,
-        )
+        changed: frozenset[str] = frozenset()
+        if report.is_proved:
+            changed = self._evidence.record_end(
+                process,
+                report.open_seconds,
+                clock.now(),
+                sends=report.sends,
+                host=report.host,
+                seconds_ago=report.seconds_ago,
+            )
         logs.event(
             "process_ended",
             target=report.target,
             born=report.started_at_ms,
             reported_by=report.host,
             keys=len(report.open_seconds),
+            requests=len(report.requests),
+            proved=report.is_proved,
             seconds_ago=report.seconds_ago,
         )
         self._log_evidence(report)
         changed |= self._requests.record_end(
-            process, report.requests, clock.now()
+            process,
+            report.requests,
+            clock.now(),
+            seconds_ago=report.seconds_ago,
+            is_proved=report.is_proved,
         )
         return changed
 
+    def has_unproved_end(self, registration: registry_lib.Registration) -> bool:
+        """Returns whether a process may have ended under some request."""
+        return self._requests.is_unproved(
+            open_attempts.TargetProcess.of(registration)
+        )
+
+    async def record_report(
+        self, registration: registry_lib.Registration
+    ) -> None:
+        """Records that a process has sent a report, so it is alive."""
+        process = open_attempts.TargetProcess.of(registration)
+        changed = self._requests.record_report(process)
+        await self._push_changes(changed, f"reports of {registration.name}")
+
     def _log_evidence(self, report: site_messages.ProcessEnded) -> None:
         """Logs requests under which further processes have ended."""
         for key in report.open_seconds:
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -10,8 +10,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Iterable
 import dataclasses
+from typing import Any
 
 import msgspec
 
@@ -439,6 +441,8 @@
         changed = self._registry.add(registration, now)
         if not changed:
             return
+        if self._quarantine.has_unproved_end(registration):
+            self._start_push(self._quarantine.record_report(registration))
         self._software_history.record(registration, now)
         self._lease_manager.forward_report(registration)
         is_colder = self._limited_sends.record_report(registration, now)
@@ -573,7 +577,11 @@
         return self._renewal_answer(message, grants, had_session=had_session)
 
     def _push_quarantine(self) -> None:
-        push = self._table_updates.push_quarantine(self._quarantine.table)
+        self._start_push(
+            self._table_updates.push_quarantine(self._quarantine.table)
+        )
+
+    def _start_push(self, push: Coroutine[Any, Any, None]) -> None:
         task = tasks.start(push, "push_quarantine")
         self._push_tasks.add(task)
         task.add_done_callback(self._push_tasks.discard)
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -422,6 +422,8 @@
                 has_repeat = await self._acquire_repeat(work)
                 if not has_repeat:
                     return self._not_served(work, progress, "no_repeats_left")
+            assert progress.keys is not None, "set when it was admitted"
+            await self._parts.crash_reporter.settle_earlier(progress.keys)
             result = await self._sender.send(call, work, progress, target)
             if isinstance(result, sending.Withdrawn):
                 continue
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -84,6 +84,11 @@
         self._listed_ends = {each.key: each.ends for each in table.requests}
         return True
 
+    @property
+    def caller_requests(self) -> Collection[request_index.CallerRequest]:
+        """The callers' requests that the leader lists."""
+        return self._listed.requests
+
     def listed_requests(
         self, now: float
     ) -> tuple[site_messages.ListedRequest, ...]:
--- a/packages/endivestream/src/endivestream/request/request_evidence.py
+++ b/packages/endivestream/src/endivestream/request/request_evidence.py
@@ -8,7 +8,9 @@
 
 An end may be unproved: an answer broke off, and what accepts connections may be
 the next process. It counts until reports show that the process has lived on.
-Times are seconds.
+The next process may get the request before the table of targets shows its
+start; an attempt that was sent after an end is not part of it. Times are
+seconds.
 """
 
 from __future__ import annotations
@@ -17,6 +19,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import NamedTuple
 
 from endivestream import site_messages
 from endivestream.request import open_attempts
@@ -46,32 +49,73 @@
     QUARANTINED = "quarantined"
 
 
+class _End(NamedTuple):
+    """The end of a process.
+
+    Attributes:
+        ended_at: When it was noticed.
+        is_proved: Whether it is certain.
+    """
+
+    ended_at: float
+    is_proved: bool
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Record:
     """Evidence against one request.
 
     Attributes:
-        ends: Processes that ended under it, and whether that is proved.
+        ends: Ends under it, by the process that the table showed.
         grants: Attempts of callers that may be at a target.
         last_end_at: Time of the last end.
         is_restored: Whether another process has had the verdict.
     """
 
-    ends: dict[open_attempts.TargetProcess, bool] = dataclasses.field(
+    ends: dict[open_attempts.TargetProcess, list[_End]] = dataclasses.field(
         default_factory=dict
     )
     grants: set[str] = dataclasses.field(default_factory=set)
     last_end_at: float = 0.0
     is_restored: bool = False
 
+    @property
+    def count(self) -> int:
+        """Number of ends."""
+        if self.is_restored:
+            return MAX_ENDS
+        return sum(map(len, self.ends.values()))
+
     @property
     def state(self) -> RequestState:
         """What the evidence says."""
-        if self.is_restored or len(self.ends) >= MAX_ENDS:
+        if self.count >= MAX_ENDS:
             return RequestState.QUARANTINED
-        if len(self.ends) >= _URGENT_ENDS:
+        if self.count >= _URGENT_ENDS:
             return RequestState.SUSPECT
-        return RequestState.OBSERVED if self.ends else RequestState.ALLOWED
+        return RequestState.OBSERVED if self.count else RequestState.ALLOWED
+
+    def add_end(
+        self, process: open_attempts.TargetProcess, end: _End, sent_at: float
+    ) -> bool:
+        """Adds an end under an attempt; returns whether it is a further one."""
+        ends = self.ends.setdefault(process, [])
+        if ends and sent_at <= ends[-1].ended_at:
+            last = ends[-1]
+            ends[-1] = last._replace(is_proved=last.is_proved or end.is_proved)
+            return False
+        ends.append(end)
+        self.last_end_at = max(self.last_end_at, end.ended_at)
+        return True
+
+    def remove_unproved(self, process: open_attempts.TargetProcess) -> bool:
+        """Removes what is not proved; returns whether there was any."""
+        ends = self.ends.get(process, [])
+        proved = [end for end in ends if end.is_proved]
+        if len(proved) == len(ends):
+            return False
+        self.ends[process] = proved
+        return True
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -114,7 +158,7 @@
     def ends(self, key: str) -> int:
         """Returns how many processes ended under a request."""
         record = self._records.get(key)
-        return len(record.ends) if record else 0
+        return record.count if record else 0
 
     def left(self, key: str, now: float) -> float:
         """Returns the seconds until the deadline of a request."""
@@ -126,20 +170,23 @@
         requests: Iterable[site_messages.OpenRequest],
         now: float,
         *,
+        seconds_ago: float = 0.0,
         is_proved: bool = True,
     ) -> frozenset[str]:
         """Records the end of a process under some requests.
 
         Args:
-            process: The process.
+            process: The process, as the table of targets shows it.
             requests: The requests that were open there.
             now: Current time.
+            seconds_ago: How long ago it was noticed.
             is_proved: Whether it is certain that the process has ended.
 
         Returns:
             The keys of the requests with new evidence.
         """
         changed = set()
+        end = _End(now - seconds_ago, is_proved)
         for request in requests:
             key = self._index.find_or_add(
                 request_index.CallerRequest(request.content, now + request.left)
@@ -147,10 +194,9 @@
             record = self._records.setdefault(key, _Record())
             self._records.move_to_end(key)
             record.grants.difference_update(request.attempts)
-            if process not in record.ends:
+            sent_at = end.ended_at - request.open_seconds
+            if record.add_end(process, end, sent_at):
                 changed.add(key)
-            record.ends[process] = is_proved or record.ends.get(process, False)
-            record.last_end_at = now
         if is_proved:
             self._unproved.pop(process, None)
         elif changed:
@@ -158,6 +204,10 @@
         self._limit()
         return frozenset(changed)
 
+    def is_unproved(self, process: open_attempts.TargetProcess) -> bool:
+        """Returns whether the end of a process is recorded, but not proved."""
+        return process in self._unproved
+
     def record_report(
         self, process: open_attempts.TargetProcess
     ) -> frozenset[str]:
@@ -175,10 +225,8 @@
         del self._unproved[process]
         changed = set()
         for key, record in list(self._records.items()):
-            if record.ends.get(process, True):
-                continue
-            del record.ends[process]
-            changed.add(key)
+            if record.remove_unproved(process):
+                changed.add(key)
         self._remove_settled(changed)
         return frozenset(changed)
 
@@ -193,7 +241,7 @@
             return True
         is_granted = (
             record.state != RequestState.QUARANTINED
-            and len(record.ends) + len(record.grants) < MAX_ENDS
+            and record.count + len(record.grants) < MAX_ENDS
         )
         if is_granted:
             record.grants.add(attempt)
@@ -218,7 +266,7 @@
                 site_messages.ListedRequest(
                     key=key,
                     left=self._index.left(key, now),
-                    ends=max(len(record.ends), MAX_ENDS * record.is_restored),
+                    ends=record.count,
                 )
             )
         return tuple(listed)
--- a/packages/endivestream/src/endivestream/request/request_index.py
+++ b/packages/endivestream/src/endivestream/request/request_index.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import NamedTuple
 
 import sortedcontainers
@@ -33,6 +34,14 @@
     deadline: float
 
 
+def is_same(one: CallerRequest, other: CallerRequest) -> bool:
+    """Returns whether two attempts are at one request."""
+    return (
+        one.content == other.content
+        and abs(one.deadline - other.deadline) <= _SAME_DEADLINE_SECONDS
+    )
+
+
 class RequestIndex:
     """Keys of requests by content and deadline, on one host."""
 
@@ -43,6 +52,14 @@
             str, sortedcontainers.SortedList[tuple[float, str]]
         ] = {}
 
+    @property
+    def requests(self) -> Collection[CallerRequest]:
+        """All requests."""
+        return [
+            CallerRequest(content(key), deadline)
+            for key, deadline in self._deadlines.items()
+        ]
+
     def find(self, request: CallerRequest) -> str | None:
         """Returns the key of a request; None if it has none."""
         known = self._by_content.get(request.content)
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -276,9 +276,11 @@
         progress.starting = requirements
         keys = progress.keys
         assert keys is not None, "set when the request was admitted"
-        attempt = self._crash_reporter.record_sent(registration, keys)
+        attempt = self._crash_reporter.record_sent(
+            registration, keys, is_engine=work.service.engine is not None
+        )
         progress.attempt = attempt
-        is_broken = False
+        end = open_attempts.AttemptEnd.UNSETTLED
         # Stays None if the caller disconnects before the attempt has a result:
         # that proves neither a fault of the target nor that it works.
         failed: bool | None = None
@@ -293,16 +295,13 @@
                 return result
             failed = _is_target_failure(result)
             self._record_prefill(work, progress, registration)
-            is_broken = _is_closed_by_target(result, exchange) or (
-                # The connection may have ended with the process.
-                isinstance(result, Passed)
-                and not _is_framed(exchange)
-                and self._crash_reporter.needs_examination(keys)
-            )
+            end = _attempt_end(result, exchange)
         finally:
             progress.sent_attempts += exchange.sent
             exchange.close()
-            self._crash_reporter.record_end(attempt, is_broken=is_broken)
+            if not exchange.sent:
+                end = open_attempts.AttemptEnd.SETTLED
+            self._crash_reporter.record_end(attempt, end=end)
             _log_answer_end(work, registration, exchange.answer_end)
             self._record_start(progress)
             if view.record_result(
@@ -310,19 +309,44 @@
             ):
                 self._model_idle()
             self._slot_freed()
-        is_outlived = isinstance(result, Passed) and _is_framed(exchange)
-        if is_broken:
-            state = await self._crash_reporter.examine(
-                registration, is_engine=work.service.engine is not None
-            )
-            is_outlived = (
-                isinstance(result, Passed)
-                and state == process_probe.ProcessState.RUNNING
-            )
-        if is_outlived:
-            self._crash_reporter.record_answered(attempt)
+        await self._examine_end(work, registration, attempt, result)
         return result
 
+    async def _examine_end(
+        self,
+        work: admission.AdmittedRequest,
+        registration: registry_lib.Registration,
+        attempt: open_attempts.Attempt,
+        result: Result,
+    ) -> None:
+        """Finds out whether a process ended with an attempt, where needed."""
+        is_engine = attempt.is_engine
+        is_passed = isinstance(result, Passed)
+        match attempt.end:
+            case open_attempts.AttemptEnd.SETTLED:
+                if is_passed:
+                    self._crash_reporter.record_answered(attempt)
+                elif (
+                    isinstance(result, BrokenAttempt) and not result.bytes_sent
+                ):
+                    await self._crash_reporter.record_refused(
+                        registration, is_engine=is_engine
+                    )
+            case open_attempts.AttemptEnd.UNSETTLED if not (
+                is_passed
+                and self._crash_reporter.needs_examination(attempt.keys)
+            ):
+                pass
+            case _:
+                state = await self._crash_reporter.examine(
+                    registration, is_engine=is_engine, sent_at=attempt.sent_at
+                )
+                if is_passed and state in (
+                    process_probe.ProcessState.RUNNING,
+                    process_probe.ProcessState.LISTENING,
+                ):
+                    self._crash_reporter.record_answered(attempt)
+
     def _withdraw(
         self,
         work: admission.AdmittedRequest,
@@ -836,18 +860,23 @@
     return end is not None and end.framing != exchange_lib.Framing.CLOSE
 
 
-def _is_closed_by_target(
+def _attempt_end(
     result: Result, exchange: exchange_lib.Exchange
-) -> bool:
-    """Returns whether the connection ended before the answer did."""
+) -> open_attempts.AttemptEnd:
+    """Returns what the end of an attempt shows about its process."""
     match result:
-        case BrokenAttempt(bytes_sent=True, reason="broke_off"):
+        case Passed() | BrokenAttempt(answer=Answer()) if _is_framed(exchange):
+            return open_attempts.AttemptEnd.SETTLED
+        case Refused() | Withdrawn() | BrokenAttempt(bytes_sent=False):
+            return open_attempts.AttemptEnd.SETTLED
+        case BrokenAttempt(reason="broke_off"):
             end = exchange.answer_end
-            return end is None or end.ending in (
+            if end is None or end.ending in (
                 exchange_lib.Ending.CLOSED,
                 exchange_lib.Ending.RESET,
-            )
-    return False
+            ):
+                return open_attempts.AttemptEnd.BROKEN
+    return open_attempts.AttemptEnd.UNSETTLED
 
 
 def _is_target_failure(result: Result) -> bool:
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -287,11 +287,14 @@
     Attributes:
         content: Digest of its content.
         left: Seconds until the deadline that its caller states.
+        open_seconds: For how many seconds it had been open; the shortest time
+            of several attempts.
         attempts: Ids of the caller's attempts at it.
     """
 
     content: str
     left: float
+    open_seconds: float = 0.0
     attempts: tuple[str, ...] = ()
 
 
@@ -307,6 +310,8 @@
         sends: How many requests this host has sent with these parts of prompts.
         seconds_ago: How long ago the process ended.
         requests: The requests that were open there.
+        is_proved: Whether the process has certainly ended. Otherwise its next
+            reports decide.
     """
 
     host: str
@@ -316,6 +321,7 @@
     sends: dict[str, int] = msgspec.field(default_factory=dict)
     seconds_ago: float = 0.0
     requests: tuple[OpenRequest, ...] = ()
+    is_proved: bool = True
 
 
 class Renew(msgspec.Struct, frozen=True, kw_only=True, tag=True):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -260,10 +260,14 @@
         with mock.patch.object(clock, "now", return_value=5.0):
             attempt = self._send()
             self.reporter.record_answered(attempt)
-            self.reporter.record_end(attempt, is_broken=False)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.SETTLED
+            )
             self.assertTrue(self.reporter.needs_examination(self.keys))
         with mock.patch.object(clock, "now", return_value=6.5):
-            self.reporter.record_end(self._send(), is_broken=False)
+            self.reporter.record_end(
+                self._send(), end=open_attempts.AttemptEnd.SETTLED
+            )
             self.assertFalse(self.reporter.needs_examination(self.keys))
 
     async def test_end_under_a_suspect_counts_without_a_leader(self):
@@ -272,7 +276,9 @@
         self.assertIsNone(self.reporter.quarantined_until(self.keys))
         probe = mock.AsyncMock(return_value=process_probe.ProcessState.ENDED)
         self.reporter._probe = mock.Mock(state=probe)
-        self.reporter.record_end(self._send(), is_broken=True)
+        self.reporter.record_end(
+            self._send(), end=open_attempts.AttemptEnd.BROKEN
+        )
         await self.reporter.examine(TARGET, is_engine=False)
         self.assertIsNotNone(self.reporter.quarantined_until(self.keys))
 
@@ -282,14 +288,20 @@
             attempt = self._send()
             self.reporter.record_bytes(attempt)
             self.reporter.record_answered(attempt)
-            self.reporter.record_end(attempt, is_broken=False)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.SETTLED
+            )
         probe = mock.AsyncMock(return_value=process_probe.ProcessState.ENDED)
         self.reporter._probe = mock.Mock(state=probe)
         with mock.patch.object(clock, "now", return_value=6.5):
             attempt = self._send()
-            self.reporter.record_end(attempt, is_broken=True)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.BROKEN
+            )
             attempt = self._send()
-            self.reporter.record_end(attempt, is_broken=True)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.BROKEN
+            )
             await self.reporter.examine(TARGET, is_engine=False)
         (message,) = self.messages
         self.assertEqual({self.keys.attempt_key}, {*message.open_seconds})
@@ -315,7 +327,9 @@
         # The answers of these break off while the first one is examined.
         for _ in range(2):
             attempt = self._send()
-            self.reporter.record_end(attempt, is_broken=True)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.BROKEN
+            )
             results.append(
                 asyncio.create_task(
                     self.reporter.examine(TARGET, is_engine=False)
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -17,7 +17,7 @@
 
 
 def request(left=9.0, *attempts):
-    return site_messages.OpenRequest("c0", left, attempts)
+    return site_messages.OpenRequest("c0", left, attempts=attempts)
 
 
 class RequestIndexTest(unittest.TestCase):
@@ -105,3 +105,58 @@
         self.assertIn(
             self.key, {each.key for each in self.evidence.listed(0.0)}
         )
+
+
+class UnprovedEndTest(unittest.TestCase):
+    def setUp(self):
+        self.evidence = request_evidence.RequestEvidence()
+
+    def _end(self, number, now, *, is_proved=False, open_seconds=0.1):
+        reported = request(9.0 - now)._replace(open_seconds=open_seconds)
+        self.evidence.record_end(
+            process(number), [reported], now, is_proved=is_proved
+        )
+        return self.evidence.find(request_index.CallerRequest("c0", 9.0))
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(st.integers(0, 3), st.booleans(), st.integers(0, 3)),
+            max_size=12,
+        )
+    )
+    def test_only_reports_of_a_process_disprove_its_end(self, events):
+        """Guards against a request that is sent on, or never again.
+
+        Each event is a break at a process, whether it proves its end, and
+        reports of the process after it.
+        """
+        self.evidence = request_evidence.RequestEvidence()
+        unproved, proved = dict.fromkeys(range(4), 0), 0
+        for at, (number, is_proved, reports) in enumerate(events):
+            key = self._end(number, float(at), is_proved=is_proved)
+            proved += is_proved
+            unproved[number] += not is_proved
+            for _ in range(reports):
+                self.evidence.record_report(process(number))
+            # The proof of one end says nothing of those before it.
+            if reports >= 2 and not is_proved:
+                unproved[number] = 0
+            expected = proved + sum(unproved.values())
+            self.assertEqual(expected, self.evidence.ends(key))
+            self.assertEqual(
+                expected >= 3, self.evidence.state(key) == State.QUARANTINED
+            )
+
+    def test_next_process_at_an_address_ends_too(self):
+        """Guards against ends that count once until a table shows a start."""
+        for now, seconds in ((1.0, 0.1), (1.2, 0.1), (1.21, 0.2)):
+            key = self._end(0, now, open_seconds=seconds)
+        self.assertEqual(2, self.evidence.ends(key))
+
+    def test_one_report_may_have_been_under_way(self):
+        """Guards against a report that was sent right before the end."""
+        key = self._end(0, 1.0)
+        self.assertFalse(self.evidence.record_report(process(0)))
+        self.assertEqual(1, self.evidence.ends(key))
+        self.assertEqual({key}, self.evidence.record_report(process(0)))
+        self.assertEqual(0, self.evidence.ends(key))
