Bound the attempts at a request before they are sent

What callers saw: a request went on to targets although three had ended under it, when it was sent several times at once, and when the host that had sent it was killed with its attempt. Cause: the verdict followed the third end. What was under way then, or was lost with its host, was not part of it. Change: from the first end under a caller's request on, each attempt at it needs a grant of the leader: ends and open grants are never more than three. Attempts that were sent before are reported and count as granted. A grant is returned when the process is known to be alive; one whose outcome is unknown stays open. A host without an answer of the leader sends a request with at most one known end. Lost: holders that are found by hashing (a query before each send, as a host does not know whether a request is sent for the first time); all requests with one end listed at all hosts (thousands after the loss of a rack, pushed anew with each report).

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -16,6 +16,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import itertools
 from typing import Any
 
 import msgspec
@@ -31,6 +32,7 @@
 from endivestream.request import key_history
 from endivestream.request import open_attempts as open_attempts_lib
 from endivestream.request import quarantine as quarantine_lib
+from endivestream.request import request_evidence
 from endivestream.request import request_index
 
 # A leader acknowledges within milliseconds; callers wait for it.
@@ -95,6 +97,7 @@
         self._reports: collections.deque[_Report] = collections.deque(
             maxlen=_MAX_REPORTS
         )
+        self._grant_numbers = itertools.count()
         # Those in the renewal that is under way.
         self._renewing: tuple[_Report, ...] = ()
 
@@ -162,11 +165,8 @@
                 for key in self._quarantine.known_keys
                 if self._answers.is_answered(key, now)
             )
-            for request in self._quarantine.caller_requests:
-                if self._attempts.unsettled_attempts(request, now):
-                    self._start_task(
-                        self._examine_attempts(request), "examine_listed"
-                    )
+            if self._quarantine.caller_requests:
+                self._report_listed(now)
             logs.event(
                 "quarantine_applied",
                 term=table.revision.term,
@@ -174,6 +174,35 @@
                 keys=self._quarantine.size,
             )
 
+    def _report_listed(self, now: float) -> None:
+        """Reports the attempts of this host at requests that are listed."""
+        for request in self._quarantine.caller_requests:
+            if self._attempts.unsettled_attempts(request, now):
+                self._start_task(
+                    self._examine_attempts(request), "examine_listed"
+                )
+        held = []
+        for attempt in self._attempts.open:
+            request = attempt.keys.caller_request
+            key = request and self._quarantine.listed_key(request)
+            if key and not attempt.grant:
+                grant = self._new_grant(key, attempt.keys)
+                attempt.keys.grant = grant
+                attempt.grant = grant.attempt
+                held.append((key, grant.attempt))
+        if held:
+            message = site_messages.HoldAttempts(attempts=tuple(held))
+            self._start_task(
+                self._request_leader(message, seconds=_REPORT_SECONDS),
+                "hold_attempts",
+            )
+
+    def _new_grant(
+        self, key: str, keys: crash_keys.CrashKeys
+    ) -> crash_keys.Grant:
+        number = next(self._grant_numbers)
+        return crash_keys.Grant(key, f"{keys.request}/{self._host}/{number}")
+
     def quarantined_until(self, keys: crash_keys.CrashKeys) -> float | None:
         """Returns when a request may be sent again; None if it may now."""
         if self._quarantine.is_empty:
@@ -273,18 +302,52 @@
             registration, keys, clock.now(), is_engine=is_engine
         )
 
-    async def settle_earlier(self, keys: crash_keys.CrashKeys) -> None:
-        """Examines processes of earlier attempts at a caller's request.
+    async def acquire_attempt(self, keys: crash_keys.CrashKeys) -> bool:
+        """Returns whether a caller's request may be sent to a target now.
 
-        That the caller sends it again is a reason to doubt their answers.
+        Once targets have ended under it, the leader grants its attempts over
+        all hosts. Without an answer this host leaves the last one of the
+        allowed ends to others.
         """
         request = keys.caller_request
-        if request is not None:
-            await self._examine_attempts(request)
+        if request is None or keys.grant is not None:
+            return True
+        await self._examine_attempts(request)
+        if self._quarantine.is_empty or not self._quarantine.ends(request):
+            return True
+        key = self._quarantine.listed_key(request)
+        if key is not None:
+            grant = self._new_grant(key, keys)
+            answer = await self._request_leader(
+                site_messages.AskAttempt(key=key, attempt=grant.attempt),
+                seconds=_REPORT_SECONDS,
+            )
+            match answer:
+                case site_messages.GiveTrial(is_granted=is_granted):
+                    keys.grant = grant if is_granted else None
+                    return is_granted
+        ends = self._quarantine.ends(request)
+        return ends < request_evidence.MAX_ENDS - 1
+
+    def release_attempt(self, keys: crash_keys.CrashKeys) -> None:
+        """Returns a grant that no attempt has used up."""
+        grant, keys.grant = keys.grant, None
+        if grant is not None:
+            message = site_messages.ReleaseAttempt(
+                key=grant.key, attempt=grant.attempt
+            )
+            self._start_task(
+                self._request_leader(message, seconds=_REPORT_SECONDS),
+                "release_attempt",
+            )
 
     async def _examine_attempts(
         self, request: request_index.CallerRequest
     ) -> None:
+        """Examines processes of earlier attempts at a caller's request.
+
+        That the caller sends it again is a reason to doubt their answers.
+        """
         attempts = self._attempts.unsettled_attempts(request, clock.now())
         by_process: dict[
             open_attempts_lib.TargetProcess, open_attempts_lib.Attempt
@@ -317,6 +380,9 @@
         """
         now = clock.now()
         attempt.keys.trial_key = ""
+        if end != open_attempts_lib.AttemptEnd.SETTLED:
+            # The grant stays open until an end is reported.
+            attempt.keys.grant = None
         self._attempts.record_end(attempt, now, end=end)
         outlived = self._answers.take_outlived(now)
         if outlived:
@@ -526,7 +592,7 @@
             content=request.content,
             left=request.deadline - now,
             open_seconds=now - max(each.sent_at for each in same),
-            attempts=tuple(sorted({each.keys.request for each in same})),
+            attempts=tuple(sorted({each.grant for each in same} - {""})),
         )
         for request, same in by_request.items()
     )
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -14,6 +15,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import site_messages
+from endivestream import tasks
 from endivestream.connection import registry as registry_lib
 from endivestream.request import crash_evidence
 from endivestream.request import crash_keys
@@ -47,6 +49,7 @@
         self._push = push
         self._number = 0
         self._evidence = crash_evidence.CrashEvidence()
+        self._push_tasks: set[asyncio.Task[None]] = set()
         self._requests = request_evidence.RequestEvidence()
 
     @property
@@ -68,9 +71,19 @@
     ) -> site_messages.EvidenceRecorded:
         """Records the end of a target process that a host reports."""
         changed = self._add_end(report)
-        await self._push_changes(changed, f"end of {report.target}")
+        why = f"end of {report.target}"
+        if any(map(self._is_urgent, changed)):
+            await self._push_changes(changed, why)
+        elif self._record_changes(changed, why):
+            task = tasks.start(self._push(self.table), "push_quarantine")
+            self._push_tasks.add(task)
+            task.add_done_callback(self._push_tasks.discard)
         return site_messages.EvidenceRecorded()
 
+    def _is_urgent(self, key: str) -> bool:
+        """Returns whether the next end must not happen before hosts know."""
+        return self._state(key) != request_evidence.RequestState.OBSERVED
+
     def _add_end(self, report: site_messages.ProcessEnded) -> frozenset[str]:
         process = open_attempts.TargetProcess(
             report.target, report.started_at_ms
@@ -149,6 +162,28 @@
             await self._push_changes(frozenset({key}), "trial")
         return site_messages.GiveTrial(is_granted=is_granted)
 
+    def grant_attempt(
+        self, message: site_messages.AskAttempt
+    ) -> site_messages.GiveTrial:
+        """Grants an attempt at a request unless it could be a fourth end."""
+        is_granted = self._requests.grant(message.key, message.attempt)
+        logs.event(
+            "attempt_granted" if is_granted else "attempt_denied",
+            request=message.attempt,
+            key=message.key,
+            ends=self._requests.ends(message.key),
+        )
+        return site_messages.GiveTrial(is_granted=is_granted)
+
+    def hold_attempts(self, attempts: Sequence[tuple[str, str]]) -> None:
+        """Records attempts that were sent without a grant."""
+        for key, attempt in attempts:
+            self._requests.hold(key, attempt)
+
+    def release_attempt(self, message: site_messages.ReleaseAttempt) -> None:
+        """Records that no target can end under an attempt any more."""
+        self._requests.release(message.key, message.attempt)
+
     async def set_key(
         self, key: str, *, is_quarantined: bool
     ) -> site_messages.QuarantineRead:
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -259,6 +259,16 @@
                 if not self._replicator.is_leader:
                     return messages.NotLeader(address="")
                 return await self._quarantine.grant_trial(key)
+            case site_messages.AskAttempt():
+                if not self._replicator.is_leader:
+                    return messages.NotLeader(address="")
+                return self._quarantine.grant_attempt(message)
+            case site_messages.HoldAttempts(attempts=attempts):
+                self._quarantine.hold_attempts(attempts)
+                return site_messages.EvidenceRecorded()
+            case site_messages.ReleaseAttempt():
+                self._quarantine.release_attempt(message)
+                return site_messages.EvidenceRecorded()
             case site_messages.ReadQuarantine():
                 entries = self._quarantine.table.entries
                 return site_messages.QuarantineRead(entries=entries)
--- a/packages/endivestream/src/endivestream/request/crash_keys.py
+++ b/packages/endivestream/src/endivestream/request/crash_keys.py
@@ -9,6 +9,7 @@
 import functools
 import hashlib
 import math
+from typing import NamedTuple
 
 from endivestream.request import admission
 from endivestream.request import call as call_lib
@@ -41,12 +42,25 @@
     return key.startswith(_PART_PREFIX)
 
 
+class Grant(NamedTuple):
+    """The leader's grant of one attempt at a caller's request.
+
+    Attributes:
+        key: Key of the request, as the leader lists it.
+        attempt: Name of the attempt.
+    """
+
+    key: str
+    attempt: str
+
+
 class CrashKeys:
     """Keys of one request; the digest is computed when it is first needed.
 
     Attributes:
         trial_key: The quarantined part that the request may be sent with once;
             empty if there is none.
+        grant: What the leader has granted and no attempt has used up.
     """
 
     def __init__(
@@ -55,6 +69,7 @@
         self._call = call
         self._names = names
         self.trial_key = ""
+        self.grant: Grant | None = None
 
     @property
     def request(self) -> str:
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -193,6 +193,8 @@
             task.uncancel()
             await self._answer_stopped(active)
         finally:
+            if progress.keys is not None:
+                self._parts.crash_reporter.release_attempt(progress.keys)
             del self._active[task]
             self._log_completion(active)
 
@@ -422,8 +424,9 @@
                 has_repeat = await self._acquire_repeat(work)
                 if not has_repeat:
                     return self._not_served(work, progress, "no_repeats_left")
-            assert progress.keys is not None, "set when it was admitted"
-            await self._parts.crash_reporter.settle_earlier(progress.keys)
+            failure = await self._acquire_attempt(work, progress)
+            if failure is not None:
+                return failure
             result = await self._sender.send(call, work, progress, target)
             if isinstance(result, sending.Withdrawn):
                 continue
@@ -599,6 +602,20 @@
         expected = self._retry_spread.spread(until, clock.now())
         return self._not_served(work, progress, "quarantined", expected)
 
+    async def _acquire_attempt(
+        self, work: admission.AdmittedRequest, progress: sending.Progress
+    ) -> findings.Failure | None:
+        """Returns the failure for a request that may not be sent now.
+
+        Targets have ended under it, and others of its attempts are open.
+        """
+        assert progress.keys is not None, "set when the request was admitted"
+        if await self._parts.crash_reporter.acquire_attempt(progress.keys):
+            return None
+        return self._quarantine_failure(work, progress) or self._not_served(
+            work, progress, "quarantined"
+        )
+
     def _not_served(
         self,
         work: admission.AdmittedRequest,
--- a/packages/endivestream/src/endivestream/request/open_attempts.py
+++ b/packages/endivestream/src/endivestream/request/open_attempts.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -73,6 +74,7 @@
         ended_at: When it ended.
         began_at: When the body of its answer began; infinite before.
         is_outlived: Whether the process has outlived the beginning.
+        grant: Name of the attempt, if the leader has granted it; else empty.
         is_suspected: Whether an attempt at the same request gives reason to
             report that the process may have ended.
     """
@@ -86,6 +88,7 @@
     ended_at: float = math.inf
     began_at: float = math.inf
     is_outlived: bool = False
+    grant: str = ""
     is_suspected: bool = False
 
 
@@ -116,6 +119,7 @@
             is_engine=is_engine,
             keys=keys,
             sent_at=now,
+            grant=keys.grant.attempt if keys.grant else "",
         )
         self._open.setdefault(process, set()).add(attempt)
         return attempt
@@ -134,6 +138,11 @@
             self._keep(attempt)
         self._drop_old(now)
 
+    @property
+    def open(self) -> Collection[Attempt]:
+        """The attempts that have not ended."""
+        return [each for attempts in self._open.values() for each in attempts]
+
     def at_end_of(
         self, process: TargetProcess, now: float
     ) -> Sequence[Attempt]:
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -106,6 +106,10 @@
             return None
         return request.deadline + request_evidence.KEPT_SECONDS
 
+    def listed_key(self, request: request_index.CallerRequest) -> str | None:
+        """Returns the leader's key of a caller's request, if it lists it."""
+        return self._listed.find(request)
+
     def ends(self, request: request_index.CallerRequest) -> int:
         """Returns how many processes ended under a caller's request.
 
--- a/packages/endivestream/src/endivestream/request/request_evidence.py
+++ b/packages/endivestream/src/endivestream/request/request_evidence.py
@@ -247,6 +247,12 @@
             record.grants.add(attempt)
         return is_granted
 
+    def hold(self, key: str, attempt: str) -> None:
+        """Records an attempt that was sent without a grant."""
+        record = self._records.get(key)
+        if record is not None:
+            record.grants.add(attempt)
+
     def release(self, key: str, attempt: str) -> None:
         """Closes a grant: no process can end under the attempt any more."""
         record = self._records.get(key)
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -289,7 +289,7 @@
         left: Seconds until the deadline that its caller states.
         open_seconds: For how many seconds it had been open; the shortest time
             of several attempts.
-        attempts: Ids of the caller's attempts at it.
+        attempts: Names of the attempts at it that were granted.
     """
 
     content: str
@@ -914,8 +914,47 @@
     key: str
 
 
+class AskAttempt(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Entry host's request to send a request under which targets have ended.
+
+    Answered by `GiveTrial`.
+
+    Attributes:
+        key: Key of the request, as the leader lists it.
+        attempt: Name of the attempt, unique over all hosts.
+    """
+
+    key: str
+    attempt: str
+
+
+class HoldAttempts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Reports attempts that were sent before the leader listed their request.
+
+    They count as granted.
+
+    Attributes:
+        attempts: Key of the request, as the leader lists it, and name of the
+            attempt.
+    """
+
+    attempts: tuple[tuple[str, str], ...]
+
+
+class ReleaseAttempt(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Reports that no target can end under a granted attempt.
+
+    Attributes:
+        key: Key of the request, as the leader lists it.
+        attempt: Name of the attempt.
+    """
+
+    key: str
+    attempt: str
+
+
 class GiveTrial(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answer to `AskTrial`.
+    """Answer to `AskTrial` and `AskAttempt`.
 
     Attributes:
         is_granted: Whether the request may be sent, once.
@@ -1018,6 +1057,9 @@
     | QuarantineRead
     | SetQuarantine
     | AskTrial
+    | AskAttempt
+    | HoldAttempts
+    | ReleaseAttempt
     | GiveTrial
     | ReadDocument
     | DocumentRead
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -160,3 +160,51 @@
         self.assertEqual(1, self.evidence.ends(key))
         self.assertEqual({key}, self.evidence.record_report(process(0)))
         self.assertEqual(0, self.evidence.ends(key))
+
+
+class GrantTest(unittest.TestCase):
+    @hypothesis.given(
+        st.integers(1, 6),
+        st.lists(
+            st.tuples(
+                st.sampled_from(["ask", "end", "lost", "settle"]),
+                st.integers(0, 5),
+            ),
+            max_size=40,
+        ),
+    )
+    def test_at_most_three_processes_can_end(self, sent_before, events):
+        """Guards against a fourth end, whatever is at once or lost.
+
+        Of several tries that were sent before the first end is known, all but
+        one are reported as open. A lost attempt ends its target and nobody
+        reports it.
+        """
+        evidence = request_evidence.RequestEvidence()
+        evidence.record_end(process(0), [request()], 1.0)
+        key = evidence.find(request_index.CallerRequest("c0", 10.0))
+        ends, numbers = 1, iter(range(1, 1000))
+        attempts = [f"a{n}" for n in range(sent_before - 1)]
+        for attempt in attempts:
+            evidence.hold(key, attempt)
+        allowed = max(3, sent_before)
+        for event, choice in events:
+            if event == "ask":
+                attempt = f"b{next(numbers)}"
+                if evidence.grant(key, attempt):
+                    attempts.append(attempt)
+                continue
+            if not attempts:
+                continue
+            attempt = attempts.pop(choice % len(attempts))
+            if event == "settle":
+                evidence.release(key, attempt)
+                continue
+            ends += 1
+            if event == "end":
+                evidence.record_end(
+                    process(next(numbers)), [request(9.0, attempt)], 1.0
+                )
+        self.assertLessEqual(ends, allowed)
+        if ends >= 3:
+            self.assertFalse(evidence.grant(key, "late"))
