--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -331,15 +331,17 @@
 
     def release_attempt(self, keys: crash_keys.CrashKeys) -> None:
         """Returns a grant that no attempt has used up."""
+        if keys.grant is not None:
+            self._start_task(self.return_grant(keys), "return_grant")
+
+    async def return_grant(self, keys: crash_keys.CrashKeys) -> None:
+        """Returns a grant, before another host asks for one."""
         grant, keys.grant = keys.grant, None
         if grant is not None:
             message = site_messages.ReleaseAttempt(
                 key=grant.key, attempt=grant.attempt
             )
-            self._start_task(
-                self._request_leader(message, seconds=_REPORT_SECONDS),
-                "release_attempt",
-            )
+            await self._request_leader(message, seconds=_REPORT_SECONDS)
 
     async def _examine_attempts(
         self, request: request_index.CallerRequest
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -78,6 +78,10 @@
 )
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
+# Time for which a request waits while its other attempts may end targets, and
+# between two questions whether they still may.
+_MAX_GRANT_WAIT_SECONDS = 1.0
+_GRANT_RETRY_SECONDS = 0.1
 # Characters of a caller's header that are logged.
 _MAX_LOGGED_HEADER = 64
 # Minimum wait for a target, also for a request whose attempt failed late.
@@ -413,6 +417,8 @@
             if isinstance(target, findings.Failure):
                 return target
             if isinstance(target, _Unreachable):
+                if progress.keys is not None:
+                    await self._parts.crash_reporter.return_grant(progress.keys)
                 ended = await self._send_through_others(active, work)
                 if ended is None:
                     continue
@@ -610,11 +616,19 @@
         Targets have ended under it, and others of its attempts are open.
         """
         assert progress.keys is not None, "set when the request was admitted"
-        if await self._parts.crash_reporter.acquire_attempt(progress.keys):
-            return None
-        return self._quarantine_failure(work, progress) or self._not_served(
-            work, progress, "quarantined"
+        wait_deadline = min(
+            work.deadline, clock.now() + _MAX_GRANT_WAIT_SECONDS
         )
+        while not await self._parts.crash_reporter.acquire_attempt(
+            progress.keys
+        ):
+            failure = self._quarantine_failure(work, progress)
+            if failure is None and clock.now() >= wait_deadline:
+                failure = self._not_served(work, progress, "quarantined")
+            if failure is not None:
+                return failure
+            await self._parts.wait_for_change(_GRANT_RETRY_SECONDS)
+        return None
 
     def _not_served(
         self,
--- a/packages/endivestream/src/endivestream/request/request_index.py
+++ b/packages/endivestream/src/endivestream/request/request_index.py
@@ -16,7 +16,7 @@
 
 # Difference of the moments at which the time of one request ends, as different
 # hosts see it: the way of its attempts, and that of reports about them.
-_SAME_DEADLINE_SECONDS = 0.25
+_SAME_DEADLINE_SECONDS = 0.1
 PREFIX = "request:"
 # Sorts behind all keys.
 _AFTER_ALL_KEYS = "s"
