Recognize late tries of a request whose content no other caller sends

The leader had quarantined the request (39 to 41 s), two hosts refused four tries as quarantined, a third sent two more: their deadlines missed that of the listed request. Cause: the tolerance was chosen for contents that many callers send, and the way of a try over a lossy link or to a slow host takes longer. Change: 2 s, unless other requests with the content were answered lately at the host; then 0.25 s, and equal requests of others are what bounds it. A request whose ends are not all proved is told to come back after a second, in which reports decide, not after its deadline.

--- a/benchmarks/crash_requests.py
+++ b/benchmarks/crash_requests.py
@@ -90,6 +90,7 @@
     content: str
     deadline: float
     is_bad: bool
+    is_shared: bool
     host: int
     sent_at: float
     target: int = -1
@@ -100,7 +101,9 @@
 
     @property
     def request(self) -> request_index.CallerRequest:
-        return request_index.CallerRequest(self.content, self.deadline)
+        return request_index.CallerRequest(
+            self.content, self.deadline, self.is_shared
+        )
 
 
 class _Simulation:
@@ -176,6 +179,7 @@
                 ),
                 deadline=now + _BUDGET_SECONDS,
                 is_bad=False,
+                is_shared=is_equal,
                 host=self._host(),
                 sent_at=now,
             ),
@@ -191,6 +195,7 @@
                     content=_EQUAL_CONTENT,
                     deadline=deadline,
                     is_bad=True,
+                    is_shared=self._scenario.equal_share > 0,
                     host=self._host(),
                     sent_at=now,
                 ),
@@ -315,6 +320,7 @@
                     left=each.deadline - now,
                     open_seconds=now - each.sent_at,
                     attempts=(each.grant,) if each.grant else (),
+                    is_shared=each.is_shared,
                 )
                 for each in attempts
             ],
--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -183,7 +183,7 @@
                 )
         held = []
         for attempt in self._attempts.open:
-            request = attempt.keys.caller_request
+            request = self._caller_request(attempt.keys)
             key = request and self._quarantine.listed_key(request)
             if key and not attempt.grant:
                 grant = self._new_grant(key, attempt.keys)
@@ -207,10 +207,11 @@
         """Returns when a request may be sent again; None if it may now."""
         if self._quarantine.is_empty:
             return None
-        until = self._quarantine.request_until(keys.caller_request)
+        now = clock.now()
+        until = self._quarantine.request_until(self._caller_request(keys), now)
         if until is not None:
             return until
-        blocked = self._quarantine.blocked(keys.all, clock.now())
+        blocked = self._quarantine.blocked(keys.all, now)
         blocked.pop(keys.trial_key, None)
         return max(blocked.values(), default=None)
 
@@ -309,7 +310,7 @@
         all hosts. Without an answer this host leaves the last one of the
         allowed ends to others.
         """
-        request = keys.caller_request
+        request = self._caller_request(keys)
         if request is None or keys.grant is not None:
             return True
         await self._examine_attempts(request)
@@ -472,7 +473,7 @@
         now: float,
     ) -> None:
         """Reports a process that may have ended under some requests."""
-        requests = _open_requests(attempts, now)
+        requests = self._open_requests(attempts, now)
         if not requests:
             return
         message = site_messages.ProcessEnded(
@@ -542,7 +543,7 @@
             for key in open_seconds
             if crash_keys.is_part(key)
         }
-        requests = _open_requests({*attempts, *unsettled}, now)
+        requests = self._open_requests({*attempts, *unsettled}, now)
         self._quarantine.record_end(process, open_seconds, sends, now, requests)
         answered = sum(
             self._answers.is_answered(attempt.keys.content_key, now)
@@ -577,27 +578,37 @@
             case _:
                 logs.warn("process_end_unreported", target=message.target)
 
-
-def _open_requests(
-    attempts: Collection[open_attempts_lib.Attempt], now: float
-) -> tuple[site_messages.OpenRequest, ...]:
-    """Returns the callers' requests of some attempts."""
-    by_request: dict[
-        request_index.CallerRequest, list[open_attempts_lib.Attempt]
-    ] = {}
-    for attempt in attempts:
-        request = attempt.keys.caller_request
-        if request is not None:
-            by_request.setdefault(request, []).append(attempt)
-    return tuple(
-        site_messages.OpenRequest(
-            content=request.content,
-            left=request.deadline - now,
-            open_seconds=now - max(each.sent_at for each in same),
-            attempts=tuple(sorted({each.grant for each in same} - {""})),
+    def _caller_request(
+        self, keys: crash_keys.CrashKeys
+    ) -> request_index.CallerRequest | None:
+        """Returns a caller's request; None if it states no time."""
+        request = keys.caller_request
+        if request is None:
+            return None
+        is_shared = self._answers.is_answered(keys.content_key, clock.now())
+        return request._replace(is_shared=is_shared)
+
+    def _open_requests(
+        self, attempts: Collection[open_attempts_lib.Attempt], now: float
+    ) -> tuple[site_messages.OpenRequest, ...]:
+        """Returns the callers' requests of some attempts."""
+        by_request: dict[
+            request_index.CallerRequest, list[open_attempts_lib.Attempt]
+        ] = {}
+        for attempt in attempts:
+            request = self._caller_request(attempt.keys)
+            if request is not None:
+                by_request.setdefault(request, []).append(attempt)
+        return tuple(
+            site_messages.OpenRequest(
+                content=request.content,
+                left=request.deadline - now,
+                open_seconds=now - max(each.sent_at for each in same),
+                attempts=tuple(sorted({each.grant for each in same} - {""})),
+                is_shared=request.is_shared,
+            )
+            for request, same in by_request.items()
         )
-        for request, same in by_request.items()
-    )
 
 
 def _as_of(
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -17,6 +17,9 @@
 from endivestream.request import request_evidence
 from endivestream.request import request_index
 
+# Time within which targets send the reports that disprove their ends.
+_REPORTS_SECONDS = 1.0
+
 
 class Quarantine:
     """What one entry host knows about keys of requests."""
@@ -28,7 +31,7 @@
         self._own = crash_evidence.CrashEvidence()
         # Requests of callers that the leader lists, and ends under them.
         self._listed = request_index.RequestIndex()
-        self._listed_ends: dict[str, int] = {}
+        self._listed_requests: dict[str, site_messages.ListedRequest] = {}
         self._own_requests = request_evidence.RequestEvidence()
 
     @property
@@ -42,7 +45,7 @@
         return (
             not self._quarantined
             and not self._suspects
-            and not self._listed_ends
+            and not self._listed_requests
             and self._own.is_empty
             and self._own_requests.is_empty
         )
@@ -56,8 +59,8 @@
     def size(self) -> int:
         """Number of keys that the leader has quarantined."""
         return len(self._quarantined) + sum(
-            ends >= request_evidence.MAX_ENDS
-            for ends in self._listed_ends.values()
+            each.ends >= request_evidence.MAX_ENDS
+            for each in self._listed_requests.values()
         )
 
     def set_table(
@@ -81,7 +84,7 @@
         self._listed = request_index.RequestIndex()
         for listed in table.requests:
             self._listed.add(listed.key, listed.left, now)
-        self._listed_ends = {each.key: each.ends for each in table.requests}
+        self._listed_requests = {each.key: each for each in table.requests}
         return True
 
     @property
@@ -94,16 +97,23 @@
     ) -> tuple[site_messages.ListedRequest, ...]:
         """Returns the requests that the leader lists, for the next leader."""
         return tuple(
-            site_messages.ListedRequest(key, self._listed.left(key, now), ends)
-            for key, ends in self._listed_ends.items()
+            each._replace(left=self._listed.left(key, now))
+            for key, each in self._listed_requests.items()
         )
 
     def request_until(
-        self, request: request_index.CallerRequest | None
+        self, request: request_index.CallerRequest | None, now: float
     ) -> float | None:
         """Returns until when a caller's request is not sent; None if it is."""
         if request is None or self.ends(request) < request_evidence.MAX_ENDS:
             return None
+        listed = self._listed.find(request)
+        if (
+            listed is not None
+            and self._listed_requests[listed].proved < request_evidence.MAX_ENDS
+        ):
+            # Reports of the processes decide.
+            return now + _REPORTS_SECONDS
         return request.deadline + request_evidence.KEPT_SECONDS
 
     def listed_key(self, request: request_index.CallerRequest) -> str | None:
@@ -119,7 +129,7 @@
         listed = self._listed.find(request)
         own = self._own_requests.find(request)
         return max(
-            self._listed_ends[listed] if listed else 0,
+            self._listed_requests[listed].ends if listed else 0,
             self._own_requests.ends(own) if own else 0,
         )
 
--- a/packages/endivestream/src/endivestream/request/request_evidence.py
+++ b/packages/endivestream/src/endivestream/request/request_evidence.py
@@ -86,6 +86,13 @@
             return MAX_ENDS
         return sum(map(len, self.ends.values()))
 
+    @property
+    def proved(self) -> int:
+        """Number of ends that are certain."""
+        if self.is_restored:
+            return MAX_ENDS
+        return sum(end.is_proved for ends in self.ends.values() for end in ends)
+
     @property
     def state(self) -> RequestState:
         """What the evidence says."""
@@ -189,7 +196,9 @@
         end = _End(now - seconds_ago, is_proved)
         for request in requests:
             key = self._index.find_or_add(
-                request_index.CallerRequest(request.content, now + request.left)
+                request_index.CallerRequest(
+                    request.content, now + request.left, request.is_shared
+                )
             )
             record = self._records.setdefault(key, _Record())
             self._records.move_to_end(key)
@@ -273,6 +282,7 @@
                     key=key,
                     left=self._index.left(key, now),
                     ends=record.count,
+                    proved=record.proved,
                 )
             )
         return tuple(listed)
@@ -287,7 +297,7 @@
         """
         changed = set()
         for entry in entries:
-            if entry.ends < MAX_ENDS:
+            if entry.proved < MAX_ENDS:
                 continue
             key = self._index.find_or_add(
                 request_index.CallerRequest(
--- a/packages/endivestream/src/endivestream/request/request_index.py
+++ b/packages/endivestream/src/endivestream/request/request_index.py
@@ -15,8 +15,11 @@
 import sortedcontainers
 
 # Difference of the moments at which the time of one request ends, as different
-# hosts see it: the way of its attempts, and that of reports about them.
-_SAME_DEADLINE_SECONDS = 0.1
+# hosts see it: the way of its attempts, perhaps over a lossy link or to a slow
+# host, and that of reports about them. With a content that other callers send,
+# too, only what is near enough to be hardly theirs counts as one.
+_SAME_DEADLINE_SECONDS = 2.0
+_SHARED_DEADLINE_SECONDS = 0.25
 PREFIX = "request:"
 # Sorts behind all keys.
 _AFTER_ALL_KEYS = "s"
@@ -28,17 +31,26 @@
     Attributes:
         content: Digest of its content.
         deadline: When the time that its caller states ends.
+        is_shared: Whether other callers' requests have the content.
     """
 
     content: str
     deadline: float
+    is_shared: bool = False
+
+    @property
+    def tolerance(self) -> float:
+        """Largest difference of the deadlines of its attempts."""
+        if self.is_shared:
+            return _SHARED_DEADLINE_SECONDS
+        return _SAME_DEADLINE_SECONDS
 
 
 def is_same(one: CallerRequest, other: CallerRequest) -> bool:
     """Returns whether two attempts are at one request."""
-    return (
-        one.content == other.content
-        and abs(one.deadline - other.deadline) <= _SAME_DEADLINE_SECONDS
+    difference = abs(one.deadline - other.deadline)
+    return one.content == other.content and difference <= min(
+        one.tolerance, other.tolerance
     )
 
 
@@ -66,8 +78,8 @@
         if known is None:
             return None
         near = known.irange(
-            (request.deadline - _SAME_DEADLINE_SECONDS, ""),
-            (request.deadline + _SAME_DEADLINE_SECONDS, _AFTER_ALL_KEYS),
+            (request.deadline - request.tolerance, ""),
+            (request.deadline + request.tolerance, _AFTER_ALL_KEYS),
         )
         _, key = min(
             ((abs(deadline - request.deadline), key) for deadline, key in near),
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -228,11 +228,13 @@
         key: Its key at the leader.
         left: Seconds until the deadline that its caller states.
         ends: Number of processes that ended.
+        proved: How many of these have certainly ended.
     """
 
     key: str
     left: float
     ends: int
+    proved: int = 0
 
 
 class QuarantineTable(msgspec.Struct, frozen=True, kw_only=True):
@@ -290,12 +292,15 @@
         open_seconds: For how many seconds it had been open; the shortest time
             of several attempts.
         attempts: Names of the attempts at it that were granted.
+        is_shared: Whether the host has answers to other requests with the
+            content.
     """
 
     content: str
     left: float
     open_seconds: float = 0.0
     attempts: tuple[str, ...] = ()
+    is_shared: bool = False
 
 
 class ProcessEnded(msgspec.Struct, frozen=True, kw_only=True, tag=True):
