Split the path of a request: results, answers, relays, waits, refusals

What an attempt showed is one pure module (request/attempt_results.py: its result, whether its process may have ended, whether it is a failure of its target). Answers are relayed by request/answer_relay.py, requests through other hosts by request/relay_sender.py; request/target_wait.py holds the checks before a target is used, in one order; request/refusals.py the failures that callers get. No logic has changed.

--- a/packages/endivestream/src/endivestream/clock.py
+++ b/packages/endivestream/src/endivestream/clock.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import time
 
 
@@ -14,3 +16,10 @@
     other hosts). The boot clock includes that time.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def loop_time(when: float) -> float | None:
+    """Converts a time of the boot clock to a time of the event loop."""
+    if math.isinf(when):
+        return None
+    return asyncio.get_running_loop().time() + (when - now())
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -17,41 +17,39 @@
 
 import asyncio
 from collections.abc import Mapping
-import dataclasses
 import math
 from typing import NamedTuple
 
 from endivestream import clock
 from endivestream import findings
 from endivestream import logs
+from endivestream.request import active_requests
 from endivestream.request import admission
+from endivestream.request import answer_relay as answer_relay_lib
+from endivestream.request import attempt_results
 from endivestream.request import call as call_lib
 from endivestream.request import crash_keys
 from endivestream.request import forward_parts
 from endivestream.request import lease_queue
+from endivestream.request import progress as progress_lib
 from endivestream.request import queue_deadlines
+from endivestream.request import refusals
 from endivestream.request import relay_hosts as relay_hosts_lib
+from endivestream.request import relay_sender
 from endivestream.request import resumptions
 from endivestream.request import sending
 from endivestream.request import stream_state
 from endivestream.request import target_selection
+from endivestream.request import target_wait
 from endivestream.version import document as document_lib
 
-# Multiple of the route's objective for which a request waits for an engine
-# with a free slot; after that it joins the queue of a full engine.
-_FREE_SLOT_OBJECTIVES = 0.3
 # A request that gets its credit within this multiple of the route's objective
 # can still be in time.
 _TIMELY_CREDIT_OBJECTIVES = 0.5
 # Refusals by targets after which a request fails.
 _MAX_REFUSALS = 6
-# Failed connections after which a request is sent through a relay host.
-_MAX_FAILED_CONNECTIONS = 2
 # Relay hosts that a request is sent to before this host gives up.
 _MAX_RELAY_HOSTS = 4
-# Time for which a relayed request waits while all targets fail; its caller's
-# host may know another relay host.
-_RELAYED_WAIT_SECONDS = 0.3
 # Maximum number of requests that this host relays for others at a time.
 _MAX_RELAYED = 128
 # Failures of a relay host that concern all requests, and those that concern
@@ -78,48 +76,29 @@
 )
 # Pause after a refusal by a target, multiplied by the number of refusals.
 _REFUSAL_PAUSE_SECONDS = 0.02
-# Time for which a request waits while its other attempts may end targets, and
-# between two questions whether they still may.
-_MAX_GRANT_WAIT_SECONDS = 1.0
-_GRANT_RETRY_SECONDS = 0.1
 # Characters of a caller's header that are logged.
 _MAX_LOGGED_HEADER = 64
-# Minimum wait for a target, also for a request whose attempt failed late.
-_MIN_TARGET_WAIT_SECONDS = 0.1
-
-
-@dataclasses.dataclass(kw_only=True)
-class _ActiveRequest:
-    """A request in progress.
-
-    Attributes:
-        call: The connection to the caller.
-        progress: State of the request's attempts.
-        work: The admitted request; None before admission.
-        is_stopped: Whether it was cancelled because the host stops.
-        relayed: What the caller's host states, if this host relays it.
-    """
-
-    call: call_lib.Call
-    progress: sending.Progress
-    work: admission.AdmittedRequest | None = None
-    is_stopped: bool = False
-    relayed: relay_hosts_lib.RelayedRequest | None = None
 
 
 class _AnswerFinal(NamedTuple):
     """The answer to the caller is final; nothing more is sent."""
 
 
-class _Unreachable(NamedTuple):
-    """This host reaches no target for the request; another one may."""
-
-
 class Forwarder:
     """Serves callers' requests, for the lifetime of the process."""
 
     def __init__(self, *, parts: forward_parts.SharedParts) -> None:
         self._parts = parts
+        self._answer_relay = answer_relay_lib.AnswerRelay(
+            view=parts.view,
+            stream_bound=parts.stream_bound,
+            crash_reporter=parts.crash_reporter,
+        )
+        self._relay_sender = relay_sender.RelaySender(
+            names=parts.rules.names,
+            pool=parts.pool,
+            answer_relay=self._answer_relay,
+        )
         self._sender = sending.Sender(
             names=parts.rules.names,
             view=parts.view,
@@ -128,7 +107,7 @@
             slot_freed=parts.slot_freed,
             rate_limit_reported=parts.rate_limit_reported,
             prefill_observed=parts.prefill_observed,
-            stream_bound=parts.stream_bound,
+            answer_relay=self._answer_relay,
             process_proof=parts.process_proof,
             crash_reporter=parts.crash_reporter,
         )
@@ -137,8 +116,10 @@
             find_origin=parts.find_origin,
             sole_software=parts.sole_software,
         )
-        self._retry_spread = queue_deadlines.RetrySpread()
-        self._active: dict[asyncio.Task[None], _ActiveRequest] = {}
+        self._target_wait = target_wait.TargetWait(parts=parts)
+        self._active: dict[
+            asyncio.Task[None], active_requests.ActiveRequest
+        ] = {}
         self._lease_queue = lease_queue.LeaseQueue(
             rules=parts.rules,
             wait_for_change=parts.wait_for_change,
@@ -157,7 +138,11 @@
 
     async def serve(self, call: call_lib.Call) -> None:
         """Serves one request until it is answered or its caller disconnects."""
-        await self._run(_ActiveRequest(call=call, progress=sending.Progress()))
+        await self._run(
+            active_requests.ActiveRequest(
+                call=call, progress=progress_lib.Progress()
+            )
+        )
 
     async def serve_relayed(self, call: call_lib.Call) -> None:
         """Serves a request of another entry host's caller.
@@ -169,7 +154,7 @@
             await call.answer(400, {}, b"not a relayed request\n")
             return
         call.arrived_at -= relayed.waited
-        progress = sending.Progress(
+        progress = progress_lib.Progress(
             attempted_targets=list(relayed.tried),
             sent_attempts=relayed.sent_attempts,
             stream=stream_state.StreamState(
@@ -178,10 +163,12 @@
                 is_relayed=True,
             ),
         )
-        active = _ActiveRequest(call=call, progress=progress, relayed=relayed)
+        active = active_requests.ActiveRequest(
+            call=call, progress=progress, relayed=relayed
+        )
         await self._run(active)
 
-    async def _run(self, active: _ActiveRequest) -> None:
+    async def _run(self, active: active_requests.ActiveRequest) -> None:
         progress = active.progress
         task = asyncio.current_task()
         assert task is not None
@@ -202,7 +189,7 @@
             del self._active[task]
             self._log_completion(active)
 
-    async def _serve(self, active: _ActiveRequest) -> None:
+    async def _serve(self, active: active_requests.ActiveRequest) -> None:
         call, progress = active.call, active.progress
         failure: findings.Failure | None
         if active.relayed is not None:
@@ -276,7 +263,7 @@
             self._stop_request(task, active)
 
     def _stop_request(
-        self, task: asyncio.Task[None], active: _ActiveRequest
+        self, task: asyncio.Task[None], active: active_requests.ActiveRequest
     ) -> None:
         if active.is_stopped or active.call.head_sent:
             # A partly sent answer continues while the process runs.
@@ -291,18 +278,20 @@
         )
         task.cancel()
 
-    async def _answer_stopped(self, active: _ActiveRequest) -> None:
+    async def _answer_stopped(
+        self, active: active_requests.ActiveRequest
+    ) -> None:
         progress, work = active.progress, active.work
         failure = admission.stopping()
         if work is not None:
-            failure = self._stop_failure(work, progress)
+            failure = refusals.stop_failure(work, progress)
         progress.outcome_reason = "stopping"
         try:
             await self._answer_failure(active, failure)
         except call_lib.CallerDisconnectedError:
             progress.outcome_reason = "caller_gone"
 
-    def _log_completion(self, active: _ActiveRequest) -> None:
+    def _log_completion(self, active: active_requests.ActiveRequest) -> None:
         call, work, progress = active.call, active.work, active.progress
         now = clock.now()
         is_admitted = work is not None
@@ -354,13 +343,15 @@
     # Stages of a request.
 
     async def _serve_admitted(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
+        self,
+        active: active_requests.ActiveRequest,
+        work: admission.AdmittedRequest,
     ) -> findings.Failure | None:
         """Returns None once a complete answer has been relayed."""
         progress = active.progress
         assert progress.keys is not None, "set when the request was admitted"
         await self._parts.crash_reporter.acquire_trial(progress.keys)
-        failure = self._quarantine_failure(work, progress)
+        failure = self._target_wait.quarantine_failure(work, progress)
         if failure is not None:
             return failure
         progress.stage = "credit"
@@ -404,19 +395,21 @@
         )
 
     async def _attempt_until_final(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
+        self,
+        active: active_requests.ActiveRequest,
+        work: admission.AdmittedRequest,
     ) -> findings.Failure | None:
         call, progress = active.call, active.progress
         has_repeat = False
         while True:
             failure: findings.Failure | _AnswerFinal | None
-            failure = self._quarantine_failure(work, progress)
+            failure = self._target_wait.quarantine_failure(work, progress)
             if failure is not None:
                 return failure
-            target = await self._select_target(active, work)
+            target = await self._target_wait.select(active, work)
             if isinstance(target, findings.Failure):
                 return target
-            if isinstance(target, _Unreachable):
+            if isinstance(target, target_wait.Unreachable):
                 if progress.keys is not None:
                     await self._parts.crash_reporter.return_grant(progress.keys)
                 ended = await self._send_through_others(active, work)
@@ -429,22 +422,24 @@
             if progress.sent_attempts and not has_repeat:
                 has_repeat = await self._acquire_repeat(work)
                 if not has_repeat:
-                    return self._not_served(work, progress, "no_repeats_left")
-            failure = await self._acquire_attempt(work, progress)
+                    return refusals.not_served(
+                        work, progress, "no_repeats_left"
+                    )
+            failure = await self._target_wait.acquire_attempt(work, progress)
             if failure is not None:
                 return failure
             result = await self._sender.send(call, work, progress, target)
-            if isinstance(result, sending.Withdrawn):
+            if isinstance(result, attempt_results.Withdrawn):
                 continue
             has_repeat = False
             match result:
-                case sending.Passed(status=status):
+                case attempt_results.Passed(status=status):
                     progress.status = status
                     progress.outcome_reason = "served"
                     return None
-                case sending.Refused():
+                case attempt_results.Refused():
                     failure = await self._after_refusal(work, progress, result)
-                case sending.BrokenAttempt():
+                case attempt_results.BrokenAttempt():
                     failure = await self._after_broken_attempt(
                         active, work, result
                     )
@@ -453,34 +448,10 @@
             if failure is not None:
                 return failure
 
-    async def _select_target(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
-    ) -> target_selection.Selected | findings.Failure | _Unreachable:
-        """Waits for a target and for the prefill turn at it."""
-        progress = active.progress
-        progress.stage = "place"
-        selected = await self._wait_for_target(active, work)
-        if not isinstance(
-            selected, target_selection.Selected
-        ) or not await self._wait_for_prefill_turn(work, progress, selected):
-            return selected
-        now = clock.now()
-        # The turn is for this engine. Another one would get the prompt beside
-        # those that have turns there.
-        has_lease = self._parts.rules.lease_until() >= now
-        if has_lease and self._parts.view.is_usable(
-            selected.target.registration,
-            sending.target_requirements(work, progress),
-            now,
-        ):
-            return selected
-        progress.stage = "place"
-        return await self._wait_for_target(active, work)
-
     async def _acquire_send_permit(
         self,
         work: admission.AdmittedRequest,
-        progress: sending.Progress,
+        progress: progress_lib.Progress,
         picked: target_selection.Selected,
     ) -> bool:
         """Waits for a rate-limited target; returns whether to send now."""
@@ -490,7 +461,7 @@
         if not view.is_rate_limited(registration, now):
             return True
         progress.stage = "limit"
-        wait_deadline = self._target_wait_deadline(work, progress)
+        wait_deadline = target_wait.wait_deadline_of(work, progress)
         retry_seconds = await self._parts.acquire_send(
             registration,
             max(0.0, wait_deadline - now),
@@ -515,8 +486,8 @@
     async def _after_refusal(
         self,
         work: admission.AdmittedRequest,
-        progress: sending.Progress,
-        refusal: sending.Refused,
+        progress: progress_lib.Progress,
+        refusal: attempt_results.Refused,
     ) -> findings.Failure | None:
         progress.refusals += 1
         if refusal.missing_model:
@@ -528,16 +499,18 @@
             progress.refusals >= _MAX_REFUSALS
             or remaining <= _REFUSAL_PAUSE_SECONDS
         ):
-            return self._not_served(work, progress, f"refused_{refusal.status}")
+            return refusals.not_served(
+                work, progress, f"refused_{refusal.status}"
+            )
         if not refusal.missing_model:
             await asyncio.sleep(_REFUSAL_PAUSE_SECONDS * progress.refusals)
         return None
 
     async def _after_broken_attempt(
         self,
-        active: _ActiveRequest,
+        active: active_requests.ActiveRequest,
         work: admission.AdmittedRequest,
-        broken: sending.BrokenAttempt,
+        broken: attempt_results.BrokenAttempt,
     ) -> findings.Failure | _AnswerFinal | None:
         """Decides whether a request is sent again after a failed attempt.
 
@@ -552,10 +525,11 @@
             # The caller's host tries another relay host.
             is_relay_cut_off = (
                 active.relayed is not None
-                and progress.failed_connections >= _MAX_FAILED_CONNECTIONS
+                and progress.failed_connections
+                >= target_wait.MAX_FAILED_CONNECTIONS
             )
             if progress.refusals >= _MAX_REFUSALS or is_relay_cut_off:
-                return self._not_served(work, progress, broken.reason)
+                return refusals.not_served(work, progress, broken.reason)
             return None
         progress.attempted_targets.append(progress.target)
         may_repeat = (
@@ -572,8 +546,8 @@
         self,
         call: call_lib.Call,
         work: admission.AdmittedRequest,
-        progress: sending.Progress,
-        broken: sending.BrokenAttempt,
+        progress: progress_lib.Progress,
+        broken: attempt_results.BrokenAttempt,
     ) -> findings.Failure | _AnswerFinal:
         """Ends a request whose last attempt broke off."""
         if call.head_sent:
@@ -582,187 +556,19 @@
             progress.outcome_reason = broken.reason
             return _AnswerFinal()
         if broken.answer is not None:
-            await self._sender.relay_complete_answer(
+            await self._answer_relay.relay_complete_answer(
                 call, progress, broken.answer
             )
             progress.outcome_reason = broken.reason
             return _AnswerFinal()
-        return self._not_served(work, progress, broken.reason)
-
-    def _stop_failure(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> findings.Failure:
-        """Returns the failure for a request that waits on a stopping host."""
-        if progress.may_have_run:
-            return self._not_served(work, progress, "stopping")
-        return admission.stopping()
-
-    def _quarantine_failure(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> findings.Failure | None:
-        """Returns the failure for a request that may end its next target."""
-        assert progress.keys is not None, "set when the request was admitted"
-        until = self._parts.crash_reporter.quarantined_until(progress.keys)
-        if until is None:
-            return None
-        expected = self._retry_spread.spread(until, clock.now())
-        return self._not_served(work, progress, "quarantined", expected)
-
-    async def _acquire_attempt(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> findings.Failure | None:
-        """Returns the failure for a request that may not be sent now.
-
-        Targets have ended under it, and others of its attempts are open.
-        """
-        assert progress.keys is not None, "set when the request was admitted"
-        wait_deadline = min(
-            work.deadline, clock.now() + _MAX_GRANT_WAIT_SECONDS
-        )
-        while not await self._parts.crash_reporter.acquire_attempt(
-            progress.keys
-        ):
-            failure = self._quarantine_failure(work, progress)
-            if failure is None and clock.now() >= wait_deadline:
-                failure = self._not_served(work, progress, "quarantined")
-            if failure is not None:
-                return failure
-            await self._parts.wait_for_change(_GRANT_RETRY_SECONDS)
-        return None
-
-    def _not_served(
-        self,
-        work: admission.AdmittedRequest,
-        progress: sending.Progress,
-        reason: str,
-        expected: float | None = None,
-    ) -> findings.Failure:
-        """Returns the failure for a request that was not served.
-
-        Args:
-            work: The request.
-            progress: State of its attempts.
-            reason: For the caller and the log.
-            expected: When it could be served, if known.
-        """
-        now = clock.now()
-        is_past_deadline = now >= work.deadline
-        if not progress.may_have_run:
-            retry_after = queue_deadlines.retry_after_seconds(
-                expected=expected,
-                now=now,
-                usual=admission.DEFAULT_RETRY_SECONDS,
-            )
-            return findings.not_run(
-                reason,
-                f"no target accepted the request: {reason}",
-                status=503,
-                retry_after=None if is_past_deadline else retry_after,
-            )
-        return findings.Failure(
-            outcome=findings.RunState.UNKNOWN,
-            reason=reason,
-            detail=f"the request may have run: {reason}",
-            status=504 if is_past_deadline else 502,
-        )
+        return refusals.not_served(work, progress, broken.reason)
 
     # Choice of a target.
 
-    async def _wait_for_target(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
-    ) -> target_selection.Selected | findings.Failure | _Unreachable:
-        """Returns a target, waiting for one if it can still be in time."""
-        progress = active.progress
-        free_slot_deadline = (
-            work.arrived_at + work.route.objective * _FREE_SLOT_OBJECTIVES
-        )
-        wait_deadline = self._target_wait_deadline(work, progress)
-        wait_deadline = min(
-            work.deadline,
-            max(wait_deadline, clock.now() + _MIN_TARGET_WAIT_SECONDS),
-        )
-        relay_wait_deadline = clock.now() + _RELAYED_WAIT_SECONDS
-        stop_reporting_missing = None
-        try:
-            while True:
-                now = clock.now()
-                if self._parts.rules.lease_until() < now:
-                    return admission.no_lease()
-                failure = self._quarantine_failure(work, progress)
-                if failure is not None:
-                    return failure
-                requirements = sending.target_requirements(
-                    work, progress, can_wait=now < free_slot_deadline
-                )
-                pick = self._parts.view.pick(
-                    requirements, now, limit=work.max_running
-                )
-                if self._should_relay(active, work, pick, now):
-                    return _Unreachable()
-                if isinstance(pick, target_selection.Selected):
-                    progress.selected_at = now
-                    self._parts.target_assigned(work)
-                    return pick
-                if (
-                    active.relayed is not None
-                    and pick.reason == "all_failing"
-                    and now >= relay_wait_deadline
-                ):
-                    return self._not_served(work, progress, pick.reason)
-                if (
-                    now >= wait_deadline
-                    or pick.is_lasting
-                    or (pick.expected or now) > wait_deadline
-                ):
-                    expected = pick.expected
-                    if expected is not None and pick.reason == "target_backoff":
-                        expected = self._retry_spread.spread(expected, now)
-                    return self._not_served(
-                        work, progress, pick.reason, expected
-                    )
-                if not self._parts.rules.can_finish(work.route.kind):
-                    # It could still be waiting when the process ends; its
-                    # caller would get a closed connection.
-                    return self._stop_failure(work, progress)
-                if stop_reporting_missing is None and pick.reason in (
-                    "no_model",
-                    "no_adapter",
-                ):
-                    stop_reporting_missing = self._parts.report_missing(
-                        work, progress.stream.origin
-                    )
-                await self._parts.wait_for_change(min(wait_deadline - now, 0.1))
-        finally:
-            if stop_reporting_missing is not None:
-                stop_reporting_missing()
-
-    def _should_relay(
+    async def _send_through_others(
         self,
-        active: _ActiveRequest,
+        active: active_requests.ActiveRequest,
         work: admission.AdmittedRequest,
-        pick: target_selection.Selected | target_selection.Unavailable,
-        now: float,
-    ) -> bool:
-        """Returns whether a request is sent through another entry host.
-
-        Its targets fail only for this host if they still send reports.
-        """
-        progress = active.progress
-        if active.relayed is not None or now >= work.deadline:
-            return False
-        match pick:
-            case target_selection.Selected():
-                is_cut_off = (
-                    progress.failed_connections >= _MAX_FAILED_CONNECTIONS
-                )
-            case target_selection.Unavailable(reason=reason):
-                is_cut_off = reason == "all_failing" and pick.is_reported
-        return is_cut_off and self._parts.relay_hosts.can_serve(
-            _relay_key(work, progress), now
-        )
-
-    async def _send_through_others(
-        self, active: _ActiveRequest, work: admission.AdmittedRequest
     ) -> findings.Failure | _AnswerFinal | None:
         """Sends a request through a relay host, or through another one.
 
@@ -783,7 +589,7 @@
             last_event=progress.stream.last_event.decode("latin-1"),
             origin=progress.stream.origin,
         )
-        key = _relay_key(work, progress)
+        key = target_wait.relay_key(work, progress)
         tried: list[str] = []
         while len(tried) < _MAX_RELAY_HOSTS and clock.now() < work.deadline:
             host = hosts.pick(key, clock.now(), tried)
@@ -792,7 +598,7 @@
             tried.append(host.name)
             hosts.record_sent(host.name)
             try:
-                result = await self._sender.relay(
+                result = await self._relay_sender.relay(
                     call, work, progress, host, relayed
                 )
             finally:
@@ -806,23 +612,23 @@
                 waited_ms=(clock.now() - work.arrived_at) * 1e3,
             )
             match result:
-                case sending.Passed(status=status):
+                case attempt_results.Passed(status=status):
                     progress.status = status
                     progress.outcome_reason = "served"
                     return _AnswerFinal()
-                case sending.NotRelayed(reason=reason, has_not_run=True) if (
-                    reason in _RELAY_HOST_FAILURES
-                ):
+                case attempt_results.NotRelayed(
+                    reason=reason, has_not_run=True
+                ) if reason in _RELAY_HOST_FAILURES:
                     hosts.record_unavailable(host.name, clock.now())
-                case sending.NotRelayed(reason=reason, has_not_run=True) if (
-                    reason in _RELAY_TARGET_FAILURES
-                ):
+                case attempt_results.NotRelayed(
+                    reason=reason, has_not_run=True
+                ) if reason in _RELAY_TARGET_FAILURES:
                     hosts.record_unserved(key, clock.now(), host.name)
-                case sending.NotRelayed():
-                    return _relay_failure(result, progress)
-                case sending.BrokenAttempt(bytes_sent=False):
+                case attempt_results.NotRelayed():
+                    return refusals.relay_failure(result, progress)
+                case attempt_results.BrokenAttempt(bytes_sent=False):
                     hosts.record_unavailable(host.name, clock.now())
-                case sending.BrokenAttempt():
+                case attempt_results.BrokenAttempt():
                     # It is unknown at which targets the request has been.
                     return await self._end_after_break(
                         call, work, progress, result
@@ -831,54 +637,10 @@
             hosts.record_unserved(key, clock.now())
         return None
 
-    def _target_wait_deadline(
-        self, work: admission.AdmittedRequest, progress: sending.Progress
-    ) -> float:
-        return queue_deadlines.target_wait_deadline(
-            route=work.route,
-            arrived_at=work.arrived_at,
-            last_sent_at=progress.last_relayed_at,
-            deadline=work.deadline,
-        )
-
-    async def _wait_for_prefill_turn(
-        self,
-        work: admission.AdmittedRequest,
-        progress: sending.Progress,
-        picked: target_selection.Selected,
-    ) -> bool:
-        """Waits for the prefill turn; returns whether it waited."""
-        if (
-            progress.request_attempts
-            or not work.prompt
-            or work.service.engine is None
-        ):
-            return False
-        registration = picked.target.registration
-        rank = sending.priority(work)
-        wait = await self._parts.prefill_delay(
-            registration.name, registration.domain, work.prompt, rank
-        )
-        now = clock.now()
-        self._parts.view.set_turn(registration.name, now + wait)
-        latest_turn = queue_deadlines.turn_wait_deadline(
-            route=work.route,
-            arrived_at=work.arrived_at,
-            now=now,
-            deadline=work.deadline,
-        )
-        wait = min(wait, latest_turn - now)
-        if wait <= 0:
-            return False
-        progress.turn_seconds = wait
-        progress.stage = "turn"
-        await asyncio.sleep(wait)
-        return True
-
     # Answers to callers.
 
     async def _answer_failure(
-        self, active: _ActiveRequest, failure: findings.Failure
+        self, active: active_requests.ActiveRequest, failure: findings.Failure
     ) -> None:
         call, progress = active.call, active.progress
         if call.head_sent:
@@ -896,33 +658,3 @@
             )
         body = f"{failure.reason}: {failure.detail}\n".encode()
         await call.answer(failure.status, headers, body)
-
-
-def _relay_key(
-    work: admission.AdmittedRequest, progress: sending.Progress
-) -> relay_hosts_lib.Key:
-    software = progress.stream.software or ""
-    return work.service.name, work.model, software
-
-
-def _relay_failure(
-    result: sending.NotRelayed, progress: sending.Progress
-) -> findings.Failure:
-    """Returns the failure for a request that a relay host could not serve.
-
-    A relay host states only that the request has not run through it.
-    """
-    detail = f"the relay host answered {result.status}: {result.reason}"
-    if result.has_not_run and not progress.may_have_run:
-        return findings.not_run(
-            result.reason,
-            detail,
-            status=result.status,
-            retry_after=result.retry_after,
-        )
-    return findings.Failure(
-        outcome=findings.RunState.UNKNOWN,
-        reason=result.reason,
-        detail=detail,
-        status=502 if result.has_not_run else result.status,
-    )
