Relay the time that a caller states unchanged

A relayed request stated the shorter of its caller's time and the route's timeout, so ends under it at the relay host counted for another request. The relay host counts both from the first arrival itself. The assertion in test_relay_headers_of_callers_are_not_passed_on failed before (5000 for 98765).

--- a/packages/endivestream/src/endivestream/request/relay_sender.py
+++ b/packages/endivestream/src/endivestream/request/relay_sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 
 from tornado import httputil
 
@@ -105,14 +104,13 @@
         work: admission.AdmittedRequest,
         relayed: relay_hosts_lib.RelayedRequest,
     ) -> httputil.HTTPHeaders:
-        """Returns the caller's own headers and those of the relay."""
+        """Returns the caller's own headers and those of the relay.
+
+        The time that the caller states is relayed unchanged: the relay host
+        counts from the arrival at this host, too.
+        """
         fields = answer_relay_lib.end_to_end_headers(call.headers)
         fields.pop("Content-Length", None)
-        # The relay host counts from the arrival at this host, too.
-        seconds = work.deadline - work.arrived_at
-        if math.isfinite(seconds):
-            milliseconds = max(1, int(seconds * 1000))
-            fields[self._names.deadline_ms] = str(milliseconds)
         relay_hosts_lib.take_relayed_request(fields)
         header = relay_hosts_lib.request_header(work.route)
         fields[header] = relayed.encode()
--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -231,8 +231,12 @@
             [entry("other", peers=f"tcp://127.0.0.1:{port - 1}")]
         )
         text = relay_hosts.RelayedRequest(host="caller", version=9).encode()
-        await self.caller.ask(**{relay_hosts.STREAM_HEADER: text})
+        await self.caller.ask(
+            **{relay_hosts.STREAM_HEADER: text, "X_Deadline_Ms": 98765}
+        )
         (request, *_) = relay.requests
+        # By the time that its caller has left a request is recognized.
+        self.assertEqual("98765", request.headers["X-Deadline-Ms"])
         self.assertNotIn(relay_hosts.STREAM_HEADER, request.headers)
         self.assertIn('"here"', request.headers[relay_hosts.REQUEST_HEADER])
 
