Bound what ends of many requests cost the leader; list requests for operators

A host looks through its open attempts only when a request is listed that was not. GET /quarantine shows requests, too.

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -98,6 +98,7 @@
             maxlen=_MAX_REPORTS
         )
         self._grant_numbers = itertools.count()
+        self._listed_keys: frozenset[str] = frozenset()
         # Those in the renewal that is under way.
         self._renewing: tuple[_Report, ...] = ()
 
@@ -165,8 +166,10 @@
                 for key in self._quarantine.known_keys
                 if self._answers.is_answered(key, now)
             )
-            if self._quarantine.caller_requests:
+            listed = frozenset(each.key for each in table.requests)
+            if listed - self._listed_keys:
                 self._report_listed(now)
+            self._listed_keys = listed
             logs.event(
                 "quarantine_applied",
                 term=table.revision.term,
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -29,6 +29,10 @@
 # Ends under a request from which each further one is logged.
 _LOGGED_ENDS = 2
 
+# Time for which changes are collected that need not be known before the next
+# end.
+_PUSH_PAUSE_SECONDS = 0.01
+
 
 class QuarantineManager:
     """Evidence and quarantine during one term of leadership."""
@@ -49,7 +53,7 @@
         self._push = push
         self._number = 0
         self._evidence = crash_evidence.CrashEvidence()
-        self._push_tasks: set[asyncio.Task[None]] = set()
+        self._push_task: asyncio.Task[None] | None = None
         self._requests = request_evidence.RequestEvidence()
 
     @property
@@ -66,20 +70,45 @@
             requests=self._requests.listed(clock.now()),
         )
 
+    @property
+    def entries(self) -> tuple[site_messages.QuarantineEntry, ...]:
+        """All suspects and quarantined keys, for operators."""
+        table = self.table
+        return table.entries + tuple(
+            site_messages.QuarantineEntry(
+                key=each.key,
+                is_quarantined=each.ends >= request_evidence.MAX_ENDS,
+                seconds=max(0.0, each.left + request_evidence.KEPT_SECONDS),
+            )
+            for each in table.requests
+        )
+
     async def record_end(
         self, report: site_messages.ProcessEnded
     ) -> site_messages.EvidenceRecorded:
         """Records the end of a target process that a host reports."""
         changed = self._add_end(report)
         why = f"end of {report.target}"
-        if any(map(self._is_urgent, changed)):
-            await self._push_changes(changed, why)
-        elif self._record_changes(changed, why):
-            task = tasks.start(self._push(self.table), "push_quarantine")
-            self._push_tasks.add(task)
-            task.add_done_callback(self._push_tasks.discard)
+        urgent = frozenset(filter(self._is_urgent, changed))
+        if urgent:
+            await self._push_changes(urgent, why)
+        elif changed:
+            self._push_soon()
         return site_messages.EvidenceRecorded()
 
+    def _push_soon(self) -> None:
+        """Pushes the table shortly, together with further changes.
+
+        After the loss of many processes nearly each report has new requests.
+        """
+        self._number += 1
+        if self._push_task is None or self._push_task.done():
+            self._push_task = tasks.start(self._push_later(), "push_quarantine")
+
+    async def _push_later(self) -> None:
+        await asyncio.sleep(_PUSH_PAUSE_SECONDS)
+        await self._push(self.table)
+
     def _is_urgent(self, key: str) -> bool:
         """Returns whether the next end must not happen before hosts know."""
         return self._state(key) != request_evidence.RequestState.OBSERVED
@@ -200,7 +229,7 @@
             changed = self._evidence.record_answered([key], now)
             changed |= self._requests.drop([key])
         await self._push_changes(changed, "operator")
-        return site_messages.QuarantineRead(entries=self.table.entries)
+        return site_messages.QuarantineRead(entries=self.entries)
 
     def restore(
         self,
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -270,7 +270,7 @@
                 self._quarantine.release_attempt(message)
                 return site_messages.EvidenceRecorded()
             case site_messages.ReadQuarantine():
-                entries = self._quarantine.table.entries
+                entries = self._quarantine.entries
                 return site_messages.QuarantineRead(entries=entries)
             case site_messages.SetQuarantine():
                 return await self._set_quarantine(message)
--- a/packages/endivestream/src/endivestream/request/request_evidence.py
+++ b/packages/endivestream/src/endivestream/request/request_evidence.py
@@ -19,6 +19,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import itertools
 from typing import NamedTuple
 
 from endivestream import site_messages
@@ -146,6 +147,8 @@
         self._records: collections.OrderedDict[str, _Record] = (
             collections.OrderedDict()
         )
+        # Those with several ends.
+        self._urgent: dict[str, None] = {}
         self._unproved: dict[open_attempts.TargetProcess, _Unproved] = {}
 
     @property
@@ -206,6 +209,7 @@
             sent_at = end.ended_at - request.open_seconds
             if record.add_end(process, end, sent_at):
                 changed.add(key)
+                self._update_urgent(key)
         if is_proved:
             self._unproved.pop(process, None)
         elif changed:
@@ -236,6 +240,7 @@
         for key, record in list(self._records.items()):
             if record.remove_unproved(process):
                 changed.add(key)
+                self._update_urgent(key)
         self._remove_settled(changed)
         return frozenset(changed)
 
@@ -270,22 +275,24 @@
 
     def listed(self, now: float) -> tuple[site_messages.ListedRequest, ...]:
         """Returns the requests that hosts have to know of."""
-        listed = []
-        single_ends = 0
-        for key, record in reversed(self._records.items()):
-            if record.state == RequestState.OBSERVED:
-                single_ends += 1
-                if single_ends > _MAX_LISTED_SINGLE_ENDS:
-                    continue
-            listed.append(
-                site_messages.ListedRequest(
-                    key=key,
-                    left=self._index.left(key, now),
-                    ends=record.count,
-                    proved=record.proved,
-                )
+        single_ends = (
+            key
+            for key, record in reversed(self._records.items())
+            if record.count < _URGENT_ENDS
+        )
+        keys = (
+            *self._urgent,
+            *itertools.islice(single_ends, _MAX_LISTED_SINGLE_ENDS),
+        )
+        return tuple(
+            site_messages.ListedRequest(
+                key=key,
+                left=self._index.left(key, now),
+                ends=self._records[key].count,
+                proved=self._records[key].proved,
             )
-        return tuple(listed)
+            for key in keys
+        )
 
     def restore(
         self, entries: Iterable[site_messages.ListedRequest], now: float
@@ -308,6 +315,7 @@
             if record.state == RequestState.QUARANTINED:
                 continue
             record.is_restored = True
+            self._update_urgent(key)
             record.last_end_at = now
             changed.add(key)
         return frozenset(changed)
@@ -321,6 +329,7 @@
         }
         for key in dropped:
             self._index.remove(key)
+            self._urgent.pop(key, None)
         return frozenset(dropped)
 
     def drop_old(self, now: float) -> bool:
@@ -338,6 +347,12 @@
         }
         return bool(self.drop(old))
 
+    def _update_urgent(self, key: str) -> None:
+        if self._records[key].count >= _URGENT_ENDS:
+            self._urgent[key] = None
+        else:
+            self._urgent.pop(key, None)
+
     def _remove_settled(self, keys: Iterable[str]) -> None:
         """Drops requests against which no evidence is left."""
         self.drop(
--- a/tests/test_one_request.py
+++ b/tests/test_one_request.py
@@ -49,6 +49,14 @@
             entries = (*self.entries, *self.entries)[:3]
             await asyncio.gather(*map(self._try, entries))
         self.assertEqual(0, self._received_after_third_end())
+        control = next(iter(self.controls.values()))
+        listed = await control.read_quarantine()
+        self.assertTrue(
+            any(
+                each.is_quarantined and each.key.startswith("request:")
+                for each in listed or ()
+            )
+        )
 
     async def test_last_send_before_the_verdict_is_made_by_one_host(self):
         """Guards against hosts that each send it once more after two ends."""
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -1,8 +1,10 @@
 """Tests of evidence against callers' requests under which targets end."""
 
+import asyncio
 import unittest
 
 from endivestream import site_messages
+from endivestream.process import quarantine_manager
 from endivestream.request import open_attempts
 from endivestream.request import request_evidence
 from endivestream.request import request_index
@@ -220,3 +222,27 @@
         self.assertLessEqual(ends, allowed)
         if ends >= 3:
             self.assertFalse(evidence.grant(key, "late"))
+
+
+class LeaderLoadTest(unittest.IsolatedAsyncioTestCase):
+    async def test_ends_of_many_requests_are_pushed_together(self):
+        """Guards against a push to all hosts for each report of a lost rack."""
+        pushed = asyncio.Queue()
+        manager = quarantine_manager.QuarantineManager(term=1, push=pushed.put)
+        await asyncio.gather(
+            *(
+                manager.record_end(
+                    site_messages.ProcessEnded(
+                        host=f"e{number}",
+                        target="t0",
+                        started_at_ms=1,
+                        requests=(request(9.0 + 3 * number),),
+                    )
+                )
+                for number in range(200)
+            )
+        )
+        table = await pushed.get()
+        self.assertEqual(manager.revision, table.revision)
+        self.assertEqual(64, len(table.requests))
+        self.assertTrue(pushed.empty())
