Grants for contents that several callers send from the second end on

What callers would have seen: sound requests refused because they have the content and about the deadline of one that ended targets. Change: one end under a content that was answered lately may be under another caller's request; grants begin with the second end there.

--- a/benchmarks/crash_requests.py
+++ b/benchmarks/crash_requests.py
@@ -216,7 +216,11 @@
                 if key is not None and ends[key] >= _MAX_ENDS:
                     self._refuse(each)
                     return
-                if key is not None and bound == "grants":
+                if (
+                    key is not None
+                    and bound == "grants"
+                    and ends[key] > each.is_shared
+                ):
                     self._asked += not each.is_bad
                     each.asked_at = now
                     self._at(now + self._delay(), self._grant, each, key)
@@ -345,7 +349,8 @@
         index = request_index.RequestIndex()
         for each in listed:
             index.add(each.key, each.left, now)
-        self._listed[host] = (index, {each.key: each.ends for each in listed})
+        ends = {each.key: each.ends for each in listed}
+        self._listed[host] = (index, ends)
         self._blocked[host] = blocked
         if self._scenario.bound != "grants":
             return
@@ -353,7 +358,7 @@
             if each.host != host or each.grant:
                 continue
             key = index.find(each.request)
-            if key is not None:
+            if key is not None and ends[key] > each.is_shared:
                 each.grant = f"h{next(self._numbers)}"
                 self._at(now + self._delay(), self._hold, key, each.grant)
 
--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -98,7 +98,8 @@
             maxlen=_MAX_REPORTS
         )
         self._grant_numbers = itertools.count()
-        self._listed_keys: frozenset[str] = frozenset()
+        # Listed requests, and whether several processes ended under them.
+        self._listed: frozenset[tuple[str, bool]] = frozenset()
         # Those in the renewal that is under way.
         self._renewing: tuple[_Report, ...] = ()
 
@@ -166,10 +167,12 @@
                 for key in self._quarantine.known_keys
                 if self._answers.is_answered(key, now)
             )
-            listed = frozenset(each.key for each in table.requests)
-            if listed - self._listed_keys:
+            listed = frozenset(
+                (each.key, each.ends > 1) for each in table.requests
+            )
+            if listed - self._listed:
                 self._report_listed(now)
-            self._listed_keys = listed
+            self._listed = listed
             logs.event(
                 "quarantine_applied",
                 term=table.revision.term,
@@ -187,8 +190,10 @@
         held = []
         for attempt in self._attempts.open:
             request = self._caller_request(attempt.keys)
-            key = request and self._quarantine.listed_key(request)
-            if key and not attempt.grant:
+            if request is None or attempt.grant:
+                continue
+            key = self._quarantine.listed_key(request)
+            if key is not None and self._quarantine.needs_grant(request):
                 grant = self._new_grant(key, attempt.keys)
                 attempt.keys.grant = grant
                 attempt.grant = grant.attempt
@@ -317,7 +322,9 @@
         if request is None or keys.grant is not None:
             return True
         await self._examine_attempts(request)
-        if self._quarantine.is_empty or not self._quarantine.ends(request):
+        if self._quarantine.is_empty or not self._quarantine.needs_grant(
+            request
+        ):
             return True
         key = self._quarantine.listed_key(request)
         if key is not None:
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -120,6 +120,13 @@
         """Returns the leader's key of a caller's request, if it lists it."""
         return self._listed.find(request)
 
+    def needs_grant(self, request: request_index.CallerRequest) -> bool:
+        """Returns whether a caller's request is sent only with a grant.
+
+        One end may be under another caller's request with the same content.
+        """
+        return self.ends(request) > request.is_shared
+
     def ends(self, request: request_index.CallerRequest) -> int:
         """Returns how many processes ended under a caller's request.
 
