Ask the leader for attempts by request, also before it lists the request

Cause, from the kept output: the leader was stopped by a fault right after the first end; each host then sent once more, as it counted only ends that it had proved itself. Change: a host that knows of a possible end, listed or its own, proved or not, asks for an attempt by content and time left; the leader finds the key. Without an answer two possible ends are one too many for a further send. test_host_without_a_leader_counts_ends_in_doubt failed before."

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -194,7 +194,7 @@
                 continue
             key = self._quarantine.listed_key(request)
             if key is not None and self._quarantine.needs_grant(request):
-                grant = self._new_grant(key, attempt.keys)
+                grant = crash_keys.Grant(key, self._new_attempt(attempt.keys))
                 attempt.keys.grant = grant
                 attempt.grant = grant.attempt
                 held.append((key, grant.attempt))
@@ -205,11 +205,9 @@
                 "hold_attempts",
             )
 
-    def _new_grant(
-        self, key: str, keys: crash_keys.CrashKeys
-    ) -> crash_keys.Grant:
-        number = next(self._grant_numbers)
-        return crash_keys.Grant(key, f"{keys.request}/{self._host}/{number}")
+    def _new_attempt(self, keys: crash_keys.CrashKeys) -> str:
+        """Returns a name that no other attempt has."""
+        return f"{keys.request}/{self._host}/{next(self._grant_numbers)}"
 
     def quarantined_until(self, keys: crash_keys.CrashKeys) -> float | None:
         """Returns when a request may be sent again; None if it may now."""
@@ -326,18 +324,24 @@
             request
         ):
             return True
-        key = self._quarantine.listed_key(request)
-        if key is not None:
-            grant = self._new_grant(key, keys)
-            answer = await self._request_leader(
-                site_messages.AskAttempt(key=key, attempt=grant.attempt),
-                seconds=_REPORT_SECONDS,
-            )
-            match answer:
-                case site_messages.GiveTrial(is_granted=is_granted):
-                    keys.grant = grant if is_granted else None
-                    return is_granted
-        ends = self._quarantine.ends(request)
+        attempt = self._new_attempt(keys)
+        answer = await self._request_leader(
+            site_messages.AskAttempt(
+                request=site_messages.OpenRequest(
+                    content=request.content,
+                    left=request.deadline - clock.now(),
+                    is_shared=request.is_shared,
+                ),
+                attempt=attempt,
+            ),
+            seconds=_REPORT_SECONDS,
+        )
+        match answer:
+            case site_messages.GiveAttempt(is_granted=is_granted, key=key):
+                if is_granted and key:
+                    keys.grant = crash_keys.Grant(key, attempt)
+                return is_granted
+        ends = self._quarantine.possible_ends(request)
         return ends < request_evidence.MAX_ENDS - 1
 
     def release_attempt(self, keys: crash_keys.CrashKeys) -> None:
@@ -486,6 +490,7 @@
         requests = self._open_requests(attempts, now)
         if not requests:
             return
+        self._quarantine.record_doubt(process, requests, now)
         message = site_messages.ProcessEnded(
             host=self._host,
             target=process.target,
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -193,16 +193,24 @@
 
     def grant_attempt(
         self, message: site_messages.AskAttempt
-    ) -> site_messages.GiveTrial:
+    ) -> site_messages.GiveAttempt:
         """Grants an attempt at a request unless it could be a fourth end."""
-        is_granted = self._requests.grant(message.key, message.attempt)
+        request = message.request
+        key = self._requests.find(
+            request_index.CallerRequest(
+                request.content,
+                clock.now() + request.left,
+                request.is_shared,
+            )
+        )
+        is_granted = key is None or self._requests.grant(key, message.attempt)
         logs.event(
             "attempt_granted" if is_granted else "attempt_denied",
             request=message.attempt,
-            key=message.key,
-            ends=self._requests.ends(message.key),
+            key=key or "",
+            ends=self._requests.ends(key) if key else 0,
         )
-        return site_messages.GiveTrial(is_granted=is_granted)
+        return site_messages.GiveAttempt(is_granted=is_granted, key=key or "")
 
     def hold_attempts(self, attempts: Sequence[tuple[str, str]]) -> None:
         """Records attempts that were sent without a grant."""
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -922,17 +922,27 @@
 class AskAttempt(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Entry host's request to send a request under which targets have ended.
 
-    Answered by `GiveTrial`.
-
     Attributes:
-        key: Key of the request, as the leader lists it.
+        request: The caller's request.
         attempt: Name of the attempt, unique over all hosts.
     """
 
-    key: str
+    request: OpenRequest
     attempt: str
 
 
+class GiveAttempt(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Answer to `AskAttempt`.
+
+    Attributes:
+        is_granted: Whether the attempt may be sent.
+        key: The leader's key of the request; empty if it has no evidence.
+    """
+
+    is_granted: bool
+    key: str = ""
+
+
 class HoldAttempts(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Reports attempts that were sent before the leader listed their request.
 
@@ -959,7 +969,7 @@
 
 
 class GiveTrial(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answer to `AskTrial` and `AskAttempt`.
+    """Answer to `AskTrial`.
 
     Attributes:
         is_granted: Whether the request may be sent, once.
@@ -1063,6 +1073,7 @@
     | SetQuarantine
     | AskTrial
     | AskAttempt
+    | GiveAttempt
     | HoldAttempts
     | ReleaseAttempt
     | GiveTrial
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -17,6 +17,7 @@
 from endivestream.request import open_attempts
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 KEY = "content:1"
 QUARANTINED = crash_evidence.KeyState.QUARANTINED
@@ -282,6 +283,34 @@
         await self.reporter.examine(TARGET, is_engine=False)
         self.assertIsNotNone(self.reporter.quarantined_until(self.keys))
 
+    async def test_host_without_a_leader_counts_ends_in_doubt(self):
+        """Guards against one send more of each host while leaders change."""
+        self.keys._call.headers["X-Deadline-Ms"] = "9000"
+        self.keys._call.arrived_at = clock.now()
+        probe = mock.AsyncMock(
+            return_value=process_probe.ProcessState.LISTENING
+        )
+        self.reporter._probe = mock.Mock(state=probe)
+        for number in range(2):
+            self.assertTrue(await self.reporter.acquire_attempt(self.keys))
+            target = msgspec.structs.replace(TARGET, name=f"t{number}")
+            attempt = self.reporter.record_sent(target, self.keys)
+            self.reporter.record_end(
+                attempt, end=open_attempts.AttemptEnd.BROKEN
+            )
+            await self.reporter.examine(
+                target, is_engine=False, sent_at=attempt.sent_at
+            )
+        listed = site_messages.ListedRequest(
+            "request:" + self.keys.caller_request.content, 9.0, 1
+        )
+        self.reporter.set_table(
+            site_messages.QuarantineTable(
+                revision=site_messages.Position(1, 1), requests=(listed,)
+            )
+        )
+        self.assertFalse(await self.reporter.acquire_attempt(self.keys))
+
     async def test_requests_that_are_answered_are_not_suspected(self):
         """Guards against a verdict on content that many callers send."""
         with mock.patch.object(clock, "now", return_value=5.0):
