--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	$(BIN)/python -m soak.cuts --seeds 50 --entries 4
 	$(BIN)/python -m soak.versions --seeds 50
 	$(BIN)/python -m soak.crashes --seeds 50
+	$(BIN)/python -m soak.one_request --seeds 50
 
 clean:
 	rm -rf $(VENV)
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -1,10 +1,12 @@
 """Test of real processes under faults in overlapping series."""
 
+import argparse
 import asyncio
 import unittest
 
 from soak import crashes
 from soak import cuts
+from soak import one_request
 from soak import processes
 from soak import versions
 
@@ -45,6 +47,23 @@
         self.assertEqual([], report["violations"])
         self.assertGreaterEqual(report["ends"]["part"], 3)
 
+    def test_one_request_ends_no_fourth_target(self):
+        """Guards against a request that is sent on beside equal sound ones."""
+        options = argparse.Namespace(
+            way="two at once, equal content", faults=False
+        )
+        report = asyncio.run(
+            processes.run(
+                seed=1,
+                seconds=9.0,
+                controls=3,
+                entries=3,
+                soak_class=one_request.OneRequestSoak.variant(options, 1),
+            )
+        )
+        self.assertEqual([], report["violations"])
+        self.assertGreaterEqual(max(report["ends"]), 2)
+
     def test_cut_hosts_serve_as_the_others(self):
         """Guards against hosts that serve nothing while they are cut off."""
         report = asyncio.run(
