Read-through: no wait for the examination of a refused connection

Found by reading. A request whose connection was refused waited for the examination that its refusal started, up to 0.2 s behind a cut path, for the sake of other requests' attempts. And a host that had ever observed an end computed the digest of each request from then on, as its evidence was dropped only with the next end; now with each renewal."

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -141,6 +141,7 @@
                 acknowledged are returned.
         """
         now = clock.now()
+        self._quarantine.drop_old(now)
         self._renewing = tuple(
             report
             for report in self._reports
@@ -500,18 +501,19 @@
         )
         await self._send_report(message, now)
 
-    async def record_refused(
+    def record_refused(
         self, registration: registry_lib.Registration, *, is_engine: bool
     ) -> None:
-        """Examines a process that refuses connections or left the table.
+        """Examines a process that takes no connections, if that is of use.
 
-        Only if that settles attempts there.
+        The request that could not connect does not wait for it.
         """
         process = open_attempts_lib.TargetProcess.of(registration)
         if self._attempts.unsettled(process, clock.now()):
-            await self.examine(
+            examination = self.examine(
                 registration, is_engine=is_engine, sent_at=float("inf")
             )
+            self._start_task(examination, "examine_refused")
 
     def record_replaced(self, registration: registry_lib.Registration) -> None:
         """Reports the end of a process whose successor the table shows."""
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -172,9 +172,7 @@
         needed, also if no leader can be told.
         """
         self._own.record_end(process, open_seconds, now, sends=sends)
-        self._own.drop_old(now)
         self._own_requests.record_end(process, requests, now)
-        self._own_requests.drop_old(now)
         self.record_doubt(process, requests, now)
         for key in self._suspects & open_seconds.keys():
             if not crash_keys.is_part(key):
@@ -190,6 +188,11 @@
     ) -> None:
         """Records that a process may have ended under some requests."""
         self._own_doubts.record_end(process, requests, now)
+
+    def drop_old(self, now: float) -> None:
+        """Drops this host's evidence that is too old."""
+        self._own.drop_old(now)
+        self._own_requests.drop_old(now)
         self._own_doubts.drop_old(now)
 
     def possible_ends(self, request: request_index.CallerRequest) -> int:
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -192,7 +192,7 @@
                     isinstance(result, attempt_results.BrokenAttempt)
                     and not result.bytes_sent
                 ):
-                    await self._crash_reporter.record_refused(
+                    self._crash_reporter.record_refused(
                         registration, is_engine=is_engine
                     )
             case open_attempts.AttemptEnd.UNSETTLED if not (
