--- a/benchmarks/soak/crashes.py
+++ b/benchmarks/soak/crashes.py
@@ -114,9 +114,13 @@
     Attributes:
         draws: Source of the draws beside those of the faults.
         keeps_address: Whether targets start again at their address.
+        target_class: Class of the targets.
+        target_count: Number of targets.
     """
 
     keeps_address = False
+    target_class: type[Target] = Target
+    target_count = _TARGETS
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -141,7 +145,7 @@
         super().__init__(**options)
         self.draws = random.Random(f"crashes of {options['seed']}")
         self._targets = [
-            Target(
+            self.target_class(
                 soak=self,
                 name=f"t{number}",
                 random_source=self._random,
@@ -153,7 +157,7 @@
                 sender_of=self._sender_of,
                 lateness=self._lateness,
             )
-            for number in range(_TARGETS)
+            for number in range(self.target_count)
         ]
         self._stream_callers = []
         self._ends: dict[str, list[float]] = collections.defaultdict(list)
--- a/benchmarks/soak/one_request.py
+++ b/benchmarks/soak/one_request.py
@@ -27,7 +27,6 @@
 _MAX_ENDS = 3
 # Sent before the third end, and read by its target after it.
 _IN_FLIGHT_SECONDS = 0.05
-_TARGETS = 8
 _SOUND_CALLERS = 8
 _SOUND_PAUSE_SECONDS = (0.0, 0.2)
 # Share of the sound requests whose content is that of the request that ends
@@ -124,6 +123,8 @@
 
     way = WAYS["repeated"]
     has_faults = False
+    target_class = Target
+    target_count = 8
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -150,21 +151,6 @@
 
     def __init__(self, **options) -> None:
         super().__init__(**options)
-        self._targets = [
-            Target(
-                soak=self,
-                name=f"t{number}",
-                random_source=self._random,
-                controls=[
-                    f"{p.ip}:{processes.CONTROL_PORT}" for p in self._controls
-                ],
-                is_excused=self._is_excused,
-                streams_random=self.draws,
-                sender_of=self._sender_of,
-                lateness=self._lateness,
-            )
-            for number in range(_TARGETS)
-        ]
         self._exits: dict[str, list[float]] = collections.defaultdict(list)
         self._received: dict[str, list[tuple[float, bool]]] = (
             collections.defaultdict(list)
--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -491,7 +491,7 @@
         requests = self._open_requests(attempts, now)
         if not requests:
             return
-        self._quarantine.record_doubt(process, requests, now)
+        self._quarantine.record_possible_end(process, requests, now)
         message = site_messages.ProcessEnded(
             host=self._host,
             target=process.target,
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -34,7 +34,7 @@
         self._listed_requests: dict[str, site_messages.ListedRequest] = {}
         self._own_requests = request_evidence.RequestEvidence()
         # Also ends that are not proved; only the leader learns of disproof.
-        self._own_doubts = request_evidence.RequestEvidence()
+        self._own_possible_ends = request_evidence.RequestEvidence()
 
     @property
     def revision(self) -> site_messages.Position:
@@ -50,7 +50,7 @@
             and not self._listed_requests
             and self._own.is_empty
             and self._own_requests.is_empty
-            and self._own_doubts.is_empty
+            and self._own_possible_ends.is_empty
         )
 
     @property
@@ -173,35 +173,37 @@
         """
         self._own.record_end(process, open_seconds, now, sends=sends)
         self._own_requests.record_end(process, requests, now)
-        self.record_doubt(process, requests, now)
+        self.record_possible_end(process, requests, now)
         for key in self._suspects & open_seconds.keys():
             if not crash_keys.is_part(key):
                 self._quarantined[key] = (
                     now + crash_evidence.REQUEST_QUARANTINE_SECONDS
                 )
 
-    def record_doubt(
+    def record_possible_end(
         self,
         process: open_attempts.TargetProcess,
         requests: Collection[site_messages.OpenRequest],
         now: float,
     ) -> None:
         """Records that a process may have ended under some requests."""
-        self._own_doubts.record_end(process, requests, now)
+        self._own_possible_ends.record_end(process, requests, now)
 
     def drop_old(self, now: float) -> None:
         """Drops this host's evidence that is too old."""
         self._own.drop_old(now)
         self._own_requests.drop_old(now)
-        self._own_doubts.drop_old(now)
+        self._own_possible_ends.drop_old(now)
 
     def possible_ends(self, request: request_index.CallerRequest) -> int:
         """Returns how many processes may have ended under a request.
 
         The leader alone learns which of them have not.
         """
-        own = self._own_doubts.find(request)
-        return max(self.ends(request), self._own_doubts.ends(own) if own else 0)
+        own = self._own_possible_ends.find(request)
+        return max(
+            self.ends(request), self._own_possible_ends.ends(own) if own else 0
+        )
 
     def record_answered(
         self, keys: Collection[str], now: float
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -283,7 +283,7 @@
         await self.reporter.examine(TARGET, is_engine=False)
         self.assertIsNotNone(self.reporter.quarantined_until(self.keys))
 
-    async def test_host_without_a_leader_counts_ends_in_doubt(self):
+    async def test_host_without_a_leader_counts_possible_ends(self):
         """Guards against one send more of each host while leaders change."""
         self.keys._call.headers["X-Deadline-Ms"] = "9000"
         self.keys._call.arrived_at = clock.now()
