Grant no attempt before hosts have reported theirs at a new request

Cause, by the order of the lines: the first of three tries ended its target; its host asked for a further attempt and got it before the other two, which were open, had been reported as open. Change: while the list of a first end is being pushed, grants wait for it and 20 ms more, in which hosts report. test_open_attempts_are_known_before_the_first_grant failed before.

--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -32,6 +32,8 @@
 # Time for which changes are collected that need not be known before the next
 # end.
 _PUSH_PAUSE_SECONDS = 0.01
+# Time within which hosts report their open attempts at a listed request.
+_HOLD_SECONDS = 0.02
 
 
 class QuarantineManager:
@@ -191,10 +193,17 @@
             await self._push_changes(frozenset({key}), "trial")
         return site_messages.GiveTrial(is_granted=is_granted)
 
-    def grant_attempt(
+    async def grant_attempt(
         self, message: site_messages.AskAttempt
     ) -> site_messages.GiveAttempt:
-        """Grants an attempt at a request unless it could be a fourth end."""
+        """Grants an attempt at a request unless it could be a fourth end.
+
+        Not before hosts have reported the attempts that they had sent when the
+        request was listed.
+        """
+        if self._push_task is not None and not self._push_task.done():
+            await asyncio.shield(self._push_task)
+            await asyncio.sleep(_HOLD_SECONDS)
         request = message.request
         key = self._requests.find(
             request_index.CallerRequest(
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -262,7 +262,7 @@
             case site_messages.AskAttempt():
                 if not self._replicator.is_leader:
                     return messages.NotLeader(address="")
-                return self._quarantine.grant_attempt(message)
+                return await self._quarantine.grant_attempt(message)
             case site_messages.HoldAttempts(attempts=attempts):
                 self._quarantine.hold_attempts(attempts)
                 return site_messages.EvidenceRecorded()
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -224,6 +224,31 @@
             self.assertFalse(evidence.grant(key, "late"))
 
 
+class LeaderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_open_attempts_are_known_before_the_first_grant(self):
+        """Guards against a retry that is granted beside tries sent before."""
+        managers = []
+
+        async def push(table):
+            # Each host reports what it has open once it has the table.
+            (listed,) = table.requests
+            held = ((listed.key, "a1"), (listed.key, "a2"))
+            asyncio.get_running_loop().call_soon(
+                managers[0].hold_attempts, held
+            )
+
+        managers.append(quarantine_manager.QuarantineManager(term=1, push=push))
+        await managers[0].record_end(
+            site_messages.ProcessEnded(
+                host="e0", target="t0", started_at_ms=1, requests=(request(),)
+            )
+        )
+        answer = await managers[0].grant_attempt(
+            site_messages.AskAttempt(request=request(), attempt="a3")
+        )
+        self.assertFalse(answer.is_granted)
+
+
 class LeaderLoadTest(unittest.IsolatedAsyncioTestCase):
     async def test_ends_of_many_requests_are_pushed_together(self):
         """Guards against a push to all hosts for each report of a lost rack."""
