Log when departures of targets begin, are acknowledged and answered

The lines of today cannot tell a departure that waits for hosts from one whose call has ended, nor from one that was cancelled by an outdated report: only leave_not_everywhere is logged, without hosts. The leader logs the beginning with the hosts that lag, and the acknowledgement with its waits; control hosts log each call of a target that departs. No change of behaviour.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
 from typing import NamedTuple
 
@@ -24,6 +26,8 @@
 # received an evacuation. Their leases may end within the bound anyway, but an
 # operator may shut down the domain as soon as it is acknowledged.
 _EVACUATION_WAIT_SECONDS = 0.7
+# Hosts that one log line names.
+_MAX_LOGGED_HOSTS = 8
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -63,7 +67,7 @@
         lease: float,
         version: int,
         evacuations: int,
-        positions: Callable[[], Iterable[site_messages.Position]],
+        positions: Callable[[], Mapping[str, site_messages.Position]],
     ) -> None:
         """Starts without waiting changes.
 
@@ -71,7 +75,8 @@
             lease: Duration of the entry hosts' leases.
             version: Configuration version at the start of the term.
             evacuations: Revision of the evacuations at the start of the term.
-            positions: Returns the table position of each host with a lease.
+            positions: Returns the table position of each host with a lease, by
+                name.
         """
         self._lease = lease
         self._term_started_at = clock.now()
@@ -196,18 +201,41 @@
             bound: Seconds after the acknowledgement within which the target
                 must receive no new requests.
         """
+        called_at = clock.now()
         departure = self._departures.setdefault(
-            target, _Departure(clock.now(), position)
+            target, _Departure(called_at, position)
         )
+        if departure.started_at == called_at:
+            logs.event(
+                "departure_started",
+                target=target,
+                position=position.number,
+                lagging=_format_hosts(self._lagging_hosts(position)),
+            )
         is_everywhere = await self._wait_for_hosts(
-            lambda: all(
-                held >= departure.position for held in self._positions()
-            ),
+            lambda: not self._lagging_hosts(departure.position),
             started_at=departure.started_at,
             bound=bound,
         )
+        now = clock.now()
+        logs.event(
+            "departure_acknowledged",
+            target=target,
+            started_s=now - departure.started_at,
+            waited_s=now - called_at,
+        )
         if not is_everywhere:
-            logs.warn("leave_not_everywhere", target=target)
+            logs.warn(
+                "leave_not_everywhere",
+                target=target,
+                lagging=_format_hosts(self._lagging_hosts(departure.position)),
+            )
+
+    def _lagging_hosts(self, position: site_messages.Position) -> list[str]:
+        """Returns the hosts with a lease that have an earlier table."""
+        return [
+            host for host, held in self._positions().items() if held < position
+        ]
 
     async def _wait_for_hosts(
         self,
@@ -242,3 +270,9 @@
             except TimeoutError:
                 return False
         return True
+
+
+def _format_hosts(hosts: Sequence[str]) -> str:
+    """Returns the names of some hosts for a log line, and how many there are."""
+    names = ",".join(sorted(hosts)[:_MAX_LOGGED_HOSTS])
+    return f"{len(hosts)}:{names}"
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -296,18 +296,34 @@
 
     async def register(self, registration: registry_lib.Registration) -> bool:
         """Forwards a target's report; returns whether the leader has it."""
+        received_at = clock.now()
         answer = await self._control.call(
             site_messages.Register(registration=registration),
             seconds=_ANSWER_TIMEOUT_SECONDS,
         )
-        return isinstance(answer, site_messages.Registered)
+        is_registered = isinstance(answer, site_messages.Registered)
+        if registration.draining:
+            _log_departure(registration.name, received_at, is_registered)
+        return is_registered
 
     async def deregister(self, name: str) -> bool:
         """Forwards a deregistration; returns whether the leader has it."""
+        received_at = clock.now()
         answer = await self._control.call(
             site_messages.Deregister(name=name), seconds=_ANSWER_TIMEOUT_SECONDS
         )
-        return isinstance(answer, site_messages.Registered)
+        is_registered = isinstance(answer, site_messages.Registered)
+        _log_departure(name, received_at, is_registered)
+        return is_registered
+
+
+def _log_departure(target: str, received_at: float, is_answered: bool) -> None:
+    """Logs the outcome of one call of a target that departs."""
+    logs.event(
+        "departure_answered" if is_answered else "departure_unanswered",
+        target=target,
+        seconds=clock.now() - received_at,
+    )
 
 
 def _founder_identity(address: str) -> str:
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -151,7 +151,9 @@
             lease=settings.lease_seconds,
             version=leader_context.replicator.state.document.version,
             evacuations=self._evacuations.revision,
-            positions=lambda: [s.position for s in self._sessions.values()],
+            positions=lambda: {
+                name: s.position for name, s in self._sessions.items()
+            },
         )
 
     @property
