--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -22,10 +22,12 @@
 from endivestream.process import site_leader
 from endivestream.process import site_settings
 from endivestream.request import credit_shares as credit_shares_lib
+from endivestream.request import quarantine as quarantine_lib
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import members as members_lib
 from endivestream.version import state as state_lib
+import msgspec
 import zmq
 
 from tests import test_document
@@ -76,8 +78,10 @@
             match_index=lambda identity: 1,
         )
         self.on_applied = lambda command, result: None
+        self.proposals = 0
 
     async def propose(self, command):
+        self.proposals += 1
         result = self.state.apply(1, command)
         self.on_applied(command, result)
         return result
@@ -158,6 +162,9 @@
         self.version_at = {}
         self.evacuations = evacuations_lib.EvacuationRecord(-1)
         self.documents = 0
+        self.quarantine = quarantine_lib.Quarantine()
+        self.quarantine_updates = 0
+        self.quarantine_bytes = 0
         self.position = site_messages.Position()
         self.frames = 0
         self.size = 0
@@ -206,6 +213,12 @@
                 self.loads.append((clock.now(), loads))
 
     def _apply_update(self, update):
+        if update.quarantine is not None:
+            self.quarantine.set_table(update.quarantine, clock.now())
+            self.quarantine_updates += 1
+            self.quarantine_bytes += len(
+                msgspec.msgpack.encode(update.quarantine)
+            )
         self.documents += update.document is not None
         if (
             update.document is not None
@@ -271,7 +284,8 @@
             self._site.unanswered += 1
             return None
 
-    async def renew(self):
+    async def renew(self, **fields):
+        """Renews the lease; fields are further ones of the message."""
         if self.is_frozen:
             return None
         sent_at = clock.now()
@@ -282,6 +296,8 @@
                 position=self.position,
                 relay=self.relay,
                 evacuations=self.evacuations.revision,
+                quarantine=self.quarantine.revision,
+                **fields,
             )
         )
         if isinstance(answer, site_messages.Renewed):
@@ -414,15 +430,22 @@
         )
         self.granted_sends += getattr(answer, "send_in", None) is not None
 
-    async def drain_target(self, target):
+    async def drain_target(self, target, *, started_at_ms=1):
         """Drains a target; returns the time at which that was confirmed."""
         self._draining_targets.add(target)
-        registration = self._registration(target)
+        registration = self.registration(target, started_at_ms=started_at_ms)
         await self.leader_role.handle(
             b"c1", site_messages.Register(registration=registration)
         )
         return clock.now()
 
+    async def deregister_target(self, target):
+        """Deregisters a target; returns when that was confirmed."""
+        await self.leader_role.handle(
+            b"c1", site_messages.Deregister(name=target)
+        )
+        return clock.now()
+
     async def evacuate(self, domain):
         """Evacuates a domain; returns the time at which that was confirmed."""
         command = evacuations_lib.SetEvacuation(
@@ -435,22 +458,27 @@
         )
         return clock.now()
 
-    async def report(self, target, *, loaded=()):
-        registration = self._registration(target, loaded=loaded)
+    async def report(self, target, *, loaded=(), started_at_ms=1):
+        registration = self.registration(
+            target, loaded=loaded, started_at_ms=started_at_ms
+        )
         self.wire.deliver(
             b"c1", site_messages.Register(registration=registration), 0
         )
 
-    def _registration(self, target, *, loaded=()):
+    def registration(
+        self, target, *, loaded=(), started_at_ms=1, draining=False
+    ):
+        """Returns the next report of a target."""
         self._reports += 1
         return registry_lib.Registration(
             name=target,
             service="llm",
             address=f"{target}:1",
             domain="a",
-            started_at_ms=1,
+            started_at_ms=started_at_ms,
             report_number=self._reports,
-            draining=target in self._draining_targets,
+            draining=draining or target in self._draining_targets,
             loaded=tuple(registry_lib.Loaded(model) for model in loaded),
         )
 
--- /dev/null
+++ b/tests/test_target_departures.py
@@ -0,0 +1,115 @@
+"""Tests of departures of targets: when the leader acknowledges them."""
+
+import asyncio
+import unittest
+
+from endivestream import clock
+from endivestream import site_messages
+from soak import virtual_time
+
+from tests import leader_site
+
+HOSTS = 69
+TARGETS = 34
+REPORT_SECONDS = leader_site.SETTINGS.report
+# Targets wait one second for an answer before they call again.
+CALL_SECONDS = 1.0
+# A host that cannot be reached may send until its lease ends.
+LONGEST_WAIT_SECONDS = (
+    leader_site.SETTINGS.lease_seconds - leader_site.SETTINGS.bounds.drain
+)
+
+
+class TargetDeparturesTest(unittest.TestCase):
+    def _run(self, scenario, *, hosts=HOSTS, targets=TARGETS):
+        async def run():
+            site = await leader_site.Site(
+                hosts=hosts, targets=targets, domains=4
+            ).start()
+            try:
+                site.follow_relays()
+                site.run_hosts(every=0.3, credit=0)
+                site.run_targets(changes=0)
+                await asyncio.sleep(5.0)
+                return await scenario(site)
+            finally:
+                await site.close()
+
+        with virtual_time.running() as runner:
+            return runner.run(run())
+
+    async def _depart(self, site, depart, *, patience=5.0):
+        """Repeats a target's call; returns the seconds until its answer."""
+        started_at = clock.now()
+        while clock.now() - started_at < patience:
+            called_at = clock.now()
+            try:
+                async with asyncio.timeout(CALL_SECONDS):
+                    await depart()
+                return clock.now() - started_at
+            except TimeoutError:
+                await asyncio.sleep(called_at + CALL_SECONDS - clock.now())
+        return float("inf")
+
+    def _deliver(self, site, registration):
+        site.wire.deliver(
+            b"c1", site_messages.Register(registration=registration), 0
+        )
+
+    def _check_departure_beside_outdated_reports(self, depart):
+        async def run(site):
+            site.hosts[7].is_cut_off = True
+            outdated = site.registration("t1")
+
+            async def deliver_outdated():
+                self._deliver(site, outdated)
+
+            await site.report("t1")
+            await asyncio.sleep(0.1)
+            site.run_periodically(REPORT_SECONDS, deliver_outdated, delay=0.5)
+            return await self._depart(site, lambda: depart(site))
+
+        self.assertLessEqual(
+            self._run(run), LONGEST_WAIT_SECONDS + CALL_SECONDS
+        )
+
+    def test_outdated_reports_do_not_delay_an_announced_departure(self):
+        """Guards against a wait that starts anew with each late report."""
+        self._check_departure_beside_outdated_reports(
+            lambda site: site.drain_target("t1")
+        )
+
+    def test_reports_under_way_do_not_delay_a_deregistration(self):
+        """Guards against the same for a target that has deregistered."""
+        self._check_departure_beside_outdated_reports(
+            lambda site: site.deregister_target("t1")
+        )
+
+    def test_outdated_departure_does_not_acknowledge_that_of_a_new_process(
+        self,
+    ):
+        """Guards against an acknowledgement before hosts know of it."""
+
+        async def run(site):
+            outdated = site.registration("t1", draining=True)
+            await site.report("t1", started_at_ms=2)
+            await asyncio.sleep(0.5)
+            self._deliver(site, outdated)
+            await asyncio.sleep(0.5)
+            site.hosts[7].is_cut_off = True
+            lease_until = site.hosts[7].lease_until
+            confirmed_at = await site.drain_target("t1", started_at_ms=2)
+            return lease_until - confirmed_at
+
+        self.assertLessEqual(self._run(run), leader_site.SETTINGS.bounds.drain)
+
+    def test_repeated_deregistration_is_committed_once(self):
+        """Guards against log entries and table updates for each call."""
+
+        async def run(site):
+            site.hosts[7].is_cut_off = True
+            before = site.log.proposals
+            await self._depart(site, lambda: site.deregister_target("t1"))
+            return site.log.proposals - before
+
+        self.assertEqual(self._run(run), 1)
