Bound what a report of an ended process costs the leader

Cause: states of keys were derived for each question, rounds by sorting all ends, sends by summing all hosts, explanations by comparing all pairs. Change: rounds and sums are kept with the record; keys with more than single ends are kept apart; which parts others explain is determined once after a change. A property test holds explanations to their definition.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -273,6 +273,6 @@
 
 
 def _format_hosts(hosts: Sequence[str]) -> str:
-    """Returns the names of some hosts for a log line, and how many there are."""
+    """Returns the number of some hosts, and names for a log line."""
     names = ",".join(sorted(hosts)[:_MAX_LOGGED_HOSTS])
     return f"{len(hosts)}:{names}"
--- a/packages/endivestream/src/endivestream/request/crash_evidence.py
+++ b/packages/endivestream/src/endivestream/request/crash_evidence.py
@@ -92,32 +92,26 @@
 
     Attributes:
         ends: Processes that ended under it. Reports arrive in any order.
+        rounds: Number of rounds in which they ended.
         is_restored: Whether a previous leader has had the verdict.
         last_end_at: Time of the last end.
         quarantined_until: End of the quarantine; of a part, when it may be
             tried.
         trials: Number of trials of a part.
         sends: Number of requests with a part that each host has sent.
+        all_sends: Their sum.
     """
 
     ends: dict[open_attempts.TargetProcess, _End] = dataclasses.field(
         default_factory=dict
     )
+    rounds: int = 0
     is_restored: bool = False
     last_end_at: float = float("-inf")
     quarantined_until: float = float("-inf")
     trials: int = 0
     sends: dict[str, int] = dataclasses.field(default_factory=dict)
-
-    @property
-    def rounds(self) -> int:
-        """Number of rounds."""
-        rounds, round_at = 0, float("-inf")
-        for end in sorted(self.ends.values()):
-            if end.sent_at >= round_at:
-                rounds += 1
-                round_at = end.ended_at
-        return rounds
+    all_sends: int = 0
 
     @property
     def trial_seconds(self) -> float:
@@ -138,14 +132,12 @@
             len(self.ends) >= _PART_PROCESSES and self.rounds >= _PART_ROUNDS
         )
 
-    def is_explained_by(self, other: _Record) -> bool:
-        """Whether another part explains all ends under a part."""
-        return (
-            other.has_part_verdict
-            and not self.is_restored
-            and self.ends.keys() <= other.ends.keys()
-            and sum(other.sends.values()) < sum(self.sends.values())
-        )
+    def set_sends(self, host: str, sends: int) -> bool:
+        """Sets how many requests a host sent; returns whether that is new."""
+        before = self.sends.get(host, 0)
+        self.sends[host] = sends
+        self.all_sends += sends - before
+        return sends != before
 
     def add_end(self, process: open_attempts.TargetProcess, end: _End) -> bool:
         """Adds the end of a process; returns whether that is new evidence.
@@ -162,8 +154,16 @@
             del self.ends[next(iter(self.ends))]
         self.ends[process] = merged
         self.last_end_at = max(self.last_end_at, merged.ended_at)
+        self._count_rounds()
         return True
 
+    def _count_rounds(self) -> None:
+        self.rounds, round_at = 0, float("-inf")
+        for end in sorted(self.ends.values()):
+            if end.sent_at >= round_at:
+                self.rounds += 1
+                round_at = end.ended_at
+
     def extend_quarantine(self, key: str, now: float) -> None:
         """Sets the end of the quarantine after another end of a process."""
         if not crash_keys.is_part(key):
@@ -182,8 +182,13 @@
         self._records: collections.OrderedDict[str, _Record] = (
             collections.OrderedDict()
         )
-        # Parts under which enough processes have ended.
+        # Keys with more than single ends against them, in the order in which
+        # they got it.
+        self._notable: dict[str, None] = {}
+        # Parts under which enough processes have ended, and which of them
+        # others explain; None while that has to be determined.
         self._verdicts: set[str] = set()
+        self._explained: frozenset[str] | None = frozenset()
 
     @property
     def is_empty(self) -> bool:
@@ -224,54 +229,80 @@
             seconds_ago: How long ago the process ended.
 
         Returns:
-            The keys whose state has changed.
+            The keys whose state may have changed. That of parts also follows
+            from the evidence against others.
         """
         ended_at = now - seconds_ago
-        # The state of a part also follows from that of the others.
-        affected = self._verdicts | open_seconds.keys()
-        before = {key: self.state(key, now) for key in affected}
+        changed = set()
         for key, seconds in open_seconds.items():
             record = self._records.setdefault(key, _Record())
             self._records.move_to_end(key)
-            record.sends[host] = (sends or {}).get(key, 0)
-            if record.add_end(process, _End(ended_at, ended_at - seconds)):
+            has_new_sends = record.set_sends(host, (sends or {}).get(key, 0))
+            is_new = record.add_end(process, _End(ended_at, ended_at - seconds))
+            if is_new:
                 record.extend_quarantine(key, now)
                 self._update_verdict(key)
+                if key in self._notable:
+                    changed.add(key)
+            if key in self._verdicts and (is_new or has_new_sends):
+                self._explained = None
+                changed |= self._verdicts
         while len(self._records) > _MAX_KEYS:
-            self._drop(self._oldest_key(now))
-        return frozenset(
-            key
-            for key, state in before.items()
-            if self.state(key, now) != state
-        )
+            self._drop(self._oldest_key())
+        return frozenset(changed)
 
-    def _oldest_key(self, now: float) -> str:
+    def _oldest_key(self) -> str:
         """Returns the key whose evidence is dropped first."""
-        observed = (
-            key
-            for key in self._records
-            if self.state(key, now) == KeyState.OBSERVED
-        )
+        observed = (key for key in self._records if key not in self._notable)
         return next(observed, next(iter(self._records)))
 
+    def is_notable(self, key: str) -> bool:
+        """Returns whether a key is a suspect, quarantined, or was."""
+        return key in self._notable
+
     def _update_verdict(self, key: str) -> None:
-        if crash_keys.is_part(key) and self._records[key].has_part_verdict:
+        record = self._records[key]
+        if record.is_suspect(key) or record.is_restored:
+            self._notable[key] = None
+        if crash_keys.is_part(key) and record.has_part_verdict:
             self._verdicts.add(key)
+            self._explained = None
 
     def _drop(self, key: str) -> bool:
         """Drops the evidence against a key; returns whether there was any."""
-        self._verdicts.discard(key)
+        if key in self._verdicts:
+            self._verdicts.remove(key)
+            self._explained = None
+        self._notable.pop(key, None)
         return self._records.pop(key, None) is not None
 
     def _is_quarantined(self, key: str, now: float) -> bool:
         record = self._records[key]
         if not crash_keys.is_part(key):
             return now < record.quarantined_until
-        return key in self._verdicts and not any(
-            record.is_explained_by(self._records[other])
-            for other in self._verdicts
-            if other != key
-        )
+        return key in self._verdicts and key not in self._explained_parts()
+
+    def _explained_parts(self) -> frozenset[str]:
+        """Returns the parts with a verdict whose ends another one explains."""
+        if self._explained is None:
+            explained = set()
+            # Records of which one with fewer requests may explain others.
+            rarer: list[_Record] = []
+            equal: list[_Record] = []
+            records = [(key, self._records[key]) for key in self._verdicts]
+            for key, record in sorted(records, key=lambda r: r[1].all_sends):
+                if equal and equal[0].all_sends < record.all_sends:
+                    rarer += equal
+                    equal = []
+                equal.append(record)
+                ends, count = record.ends.keys(), len(record.ends)
+                if not record.is_restored and any(
+                    len(other.ends) >= count and ends <= other.ends.keys()
+                    for other in rarer
+                ):
+                    explained.add(key)
+            self._explained = frozenset(explained)
+        return self._explained
 
     def record_answered(
         self, keys: Iterable[str], now: float
@@ -279,18 +310,13 @@
         """Drops the evidence against keys whose requests were answered.
 
         Returns:
-            The keys that had evidence against them, and those whose state has
-            changed because no other key explains their ends now.
+            The keys that had evidence against them, and those that may have
+            been explained by one of these.
         """
-        before = {key: self.state(key, now) for key in self._verdicts}
+        verdicts = frozenset(self._verdicts)
         dropped = {key for key in list(keys) if self._drop(key)}
         return frozenset(
-            dropped
-            | {
-                key
-                for key, state in before.items()
-                if self.state(key, now) != state
-            }
+            dropped | (self._verdicts if dropped & verdicts else set())
         )
 
     def restore(
@@ -338,6 +364,7 @@
         """Returns whether one request with a quarantined part may be sent."""
         # A leader that has just been elected may not know the key yet.
         record = self._records.setdefault(key, _Record())
+        self._notable[key] = None
         if now < record.quarantined_until:
             return False
         record.last_end_at = max(record.last_end_at, now)
@@ -351,17 +378,22 @@
         if record is not None:
             record.quarantined_until = max(record.quarantined_until, until)
 
+    def entry(
+        self, key: str, now: float
+    ) -> site_messages.QuarantineEntry | None:
+        """Returns a suspect or quarantined key; None for any other."""
+        if self.state(key, now) == KeyState.OBSERVED:
+            return None
+        return site_messages.QuarantineEntry(
+            key=key,
+            is_quarantined=self._is_quarantined(key, now),
+            seconds=max(0.0, self._records[key].quarantined_until - now),
+        )
+
     def entries(self, now: float) -> tuple[site_messages.QuarantineEntry, ...]:
         """Returns all suspects and quarantined keys."""
-        return tuple(
-            site_messages.QuarantineEntry(
-                key=key,
-                is_quarantined=self._is_quarantined(key, now),
-                seconds=max(0.0, record.quarantined_until - now),
-            )
-            for key, record in self._records.items()
-            if self.state(key, now) != KeyState.OBSERVED
-        )
+        entries = (self.entry(key, now) for key in self._notable)
+        return tuple(entry for entry in entries if entry is not None)
 
     def drop_old(self, now: float) -> bool:
         """Drops evidence that is too old; returns whether any was dropped."""
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -164,6 +164,43 @@
         self._end(evidence, 5, "part:shared", sends={"part:shared": 51})
         self.assertEqual(QUARANTINED, evidence.state("part:shared", 6.0))
 
+    @hypothesis.given(
+        ends=st.lists(
+            st.tuples(
+                st.integers(0, 4), st.sets(st.integers(0, 4)), st.integers(0, 3)
+            ),
+            max_size=12,
+        )
+    )
+    def test_explanations_are_those_of_the_definition(self, ends):
+        """Guards against a verdict that depends on the order of reports."""
+        evidence = crash_evidence.CrashEvidence()
+        for number, (target, parts, sends) in enumerate(ends):
+            keys = {f"part:{part}": 0.5 for part in parts}
+            evidence.record_end(
+                process(target),
+                keys,
+                float(number),
+                sends={key: sends + len(key) * n for n, key in enumerate(keys)},
+                host=f"e{number % 2}",
+            )
+        records = {
+            key: record
+            for key, record in evidence._records.items()
+            if record.has_part_verdict
+        }
+        for key, record in records.items():
+            is_explained = any(
+                sum(other.sends.values()) < sum(record.sends.values())
+                and record.ends.keys() <= other.ends.keys()
+                for other in records.values()
+            )
+            self.assertEqual(
+                is_explained,
+                evidence.state(key, 99.0)
+                != crash_evidence.KeyState.QUARANTINED,
+            )
+
     def test_later_attempt_at_another_host_begins_a_round(self):
         """Guards against an end whose first report is of an older attempt."""
         evidence = crash_evidence.CrashEvidence()
