Do not restore evidence that a host has from the same leader

A host whose renewals are answered late finds the same leader again and sends the table it has from it; keys that were disproved since then came back, were disproved again, and each change was pushed twice. Late answers make more hosts find the leader: the load feeds itself. Class: acting on a message that is outdated (the same as an outdated report that cancels a departure). Change: quarantined keys and listed requests of a renewal are merged only if the host has its table from another term. test_host_that_finds_the_same_leader_restores_no_evidence failed before.

--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -261,9 +261,12 @@
 
     def restore(self, renewal: site_messages.Renew) -> None:
         """Merges evidence that this leader may lack, as a host has it."""
-        now = clock.now()
-        changed = self._evidence.restore(renewal.quarantined, now)
-        changed |= self._requests.restore(renewal.listed_requests, now)
+        changed: frozenset[str] = frozenset()
+        # What a host has from this leader may have been disproved since.
+        if renewal.quarantine.term != self._term:
+            now = clock.now()
+            changed = self._evidence.restore(renewal.quarantined, now)
+            changed |= self._requests.restore(renewal.listed_requests, now)
         for report in renewal.ends:
             changed |= self._add_end(report)
         self._updates.record(changed, "renewal", is_urgent=True)
