Report answers under suspects once, with the next renewal

Change: a key is reported once a second; suspects with the renewal, as no request is refused for them; quarantined keys at once.

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -37,6 +37,8 @@
 
 # A leader acknowledges within milliseconds; callers wait for it.
 _REPORT_SECONDS = 0.25
+# Time after which an answer is reported again if its key is still suspected.
+_ANSWERED_RETRY_SECONDS = 1.0
 # Time after which a host asks for a trial again.
 _TRIAL_RETRY_SECONDS = 1.0
 # Time for which the end of a process is remembered.
@@ -100,7 +102,11 @@
         self._grant_numbers = itertools.count()
         # Listed requests, and whether several processes ended under them.
         self._listed: frozenset[tuple[str, bool]] = frozenset()
-        # Those in the renewal that is under way.
+        # Keys whose requests were answered: those to report with the next
+        # renewal, and when others were reported.
+        self._answered: dict[str, None] = {}
+        self._answered_reported_at: dict[str, float] = {}
+        # Reports in the renewal that is under way.
         self._renewing: tuple[_Report, ...] = ()
 
     @property
@@ -153,6 +159,11 @@
             for report in self._renewing
         )
 
+    def take_answered(self) -> tuple[str, ...]:
+        """Returns the suspected keys that were answered, for a renewal."""
+        answered, self._answered = self._answered, {}
+        return tuple(answered)
+
     def mark_reported(self) -> None:
         """Records that the leader has answered the last renewal."""
         for report in self._renewing:
@@ -164,9 +175,9 @@
         now = clock.now()
         if self._quarantine.set_table(table, now):
             self._report_answered(
-                key
-                for key in self._quarantine.known_keys
-                if self._answers.is_answered(key, now)
+                entry.key
+                for entry in table.entries
+                if self._answers.is_answered(entry.key, now)
             )
             listed = frozenset(
                 (each.key, each.ends > 1) for each in table.requests
@@ -284,13 +295,32 @@
         )
 
     def _report_answered(self, keys: Iterable[str]) -> None:
-        """Reports those keys to the leader that are suspected wrongly."""
+        """Reports those keys to the leader that are suspected wrongly.
+
+        Requests with quarantined ones are refused until it knows; what is only
+        suspected is reported with the next renewal.
+        """
         if self._quarantine.is_empty:
             return
-        disproved = self._quarantine.record_answered(tuple(keys), clock.now())
-        if disproved:
+        now = clock.now()
+        disproved = self._quarantine.record_answered(tuple(keys), now)
+        due = {
+            key
+            for key in disproved
+            if now - self._answered_reported_at.get(key, float("-inf"))
+            >= _ANSWERED_RETRY_SECONDS
+        }
+        if not due:
+            return
+        self._answered_reported_at = {
+            key: reported_at
+            for key, reported_at in self._answered_reported_at.items()
+            if now - reported_at < _ANSWERED_RETRY_SECONDS
+        } | dict.fromkeys(due, now)
+        self._answered |= dict.fromkeys(due)
+        if any(map(self._quarantine.is_quarantined, due)):
             message = site_messages.Answered(
-                host=self._host, keys=tuple(disproved)
+                host=self._host, keys=self.take_answered()
             )
             self._start_task(
                 self._request_leader(message, seconds=_REPORT_SECONDS),
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -426,6 +426,7 @@
             listed_requests=(
                 self._crash_reporter.listed_requests() if is_new_leader else ()
             ),
+            answered=self._crash_reporter.take_answered(),
         )
 
     def _on_leader_push(self, message: messages.Message) -> None:
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -66,6 +66,10 @@
             for each in self._listed_requests.values()
         )
 
+    def is_quarantined(self, key: str) -> bool:
+        """Returns whether the leader has quarantined a key."""
+        return key in self._quarantined
+
     def set_table(
         self, table: site_messages.QuarantineTable, now: float
     ) -> bool:
