Report everything to a leader once a term

Cause: a host whose renewal is answered late forgets who leads and takes the same leader, found again, for a new one.

--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -54,7 +54,7 @@
             context: The process's zmq context.
             every: Seconds between renewals.
             renewal: Builds the next renewal; its argument is whether the
-                renewal goes to a host that was not the leader so far.
+                renewal goes to another host than the last leader.
             on_renewed: Called with each answer to a renewal.
             on_push: Called with each message that the leader pushes.
             meter: Records the event loop time spent on messages.
@@ -69,6 +69,8 @@
         self._on_push = on_push
         self._links: dict[str, links.Link] = {}
         self._leader = ""
+        # Address of the host that last answered as the leader.
+        self._last_leader = ""
         # Addresses last received from a leader; excludes the configured ones.
         self._leader_controls: tuple[str, ...] = ()
         self._lease_until = float("-inf")
@@ -183,7 +185,7 @@
         sent_at = clock.now()
         try:
             answer = await self._link(address).request(
-                self._build_renewal(address != self._leader),
+                self._build_renewal(address != self._last_leader),
                 seconds=_ANSWER_TIMEOUT_SECONDS,
             )
         except links.LinkDownError:
@@ -193,7 +195,7 @@
                 if self._leader != address:
                     logs.event("leader_found", peer=address)
                     self._close_links(keep=[address])
-                self._leader = address
+                self._leader = self._last_leader = address
                 if answer.controls:
                     self._leader_controls = answer.controls
                     self._update_controls(answer.controls)
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -117,6 +117,10 @@
         self._credit_shares = credit_shares_lib.CreditShares()
         self._table: routes_lib.Table | None = None
         self._position = site_messages.Position()
+        # Term of the leader that has everything that it may lack, and whether
+        # the renewal under way contains that.
+        self._reported_term = 0
+        self._reports_everything = False
         # Revision of the evacuations in force here; -1 before the first lease.
         self._evacuations_revision = -1
         self._entry_hosts: tuple[site_messages.EntryHost, ...] = ()
@@ -382,8 +386,13 @@
 
     # Exchange with the leader.
 
-    def _build_renewal(self, is_new_leader: bool) -> site_messages.Renew:
+    def _build_renewal(self, is_other_host: bool) -> site_messages.Renew:
         now = clock.now()
+        # One that has been found again in the same term lacks nothing.
+        is_new_leader = (
+            is_other_host or self._position.term != self._reported_term
+        )
+        self._reports_everything = is_new_leader
         rates = self._demand.rates(now)
         demand = tuple(
             site_messages.Demand(
@@ -474,6 +483,10 @@
             self._take_news(renewed.table_update)
         if renewed.loads is not None:
             self._view.set_loads(renewed.loads, now)
+        if self._reports_everything:
+            self._reported_term = self._position.term
+        elif self._position.term != self._reported_term:
+            self._watch.renew_now()
         self._drop_unlisted(now)
         if self._previous_lease_until < now:
             # The lease had expired, and requests wait for a new one.
