Keep departures of targets by process, apart from outdated reports

What was seen, in virtual time: one entry host cut off, outdated reports of a target each 1.2 s; its departure is never acknowledged (12 s), announced or deregistered. And a new fault, found by reading for the same cause: after an outdated report of an earlier process, which announced its departure, that of the next process is acknowledged at once. A host that had not received it could send for 3.9 s more; the bound is 2.0 s in that test. Cause: Register acted on reports that the registry had refused. An outdated one that accepts requests cancelled the departure, so that the wait began anew; an outdated one that departs left a departure that stood for the next process. Class: acting on a message that was refused as outdated. Change: departures are a room of their own (process/target_departures), by process and kind. Only a report that the registry takes cancels one; a departure stands for its process and earlier ones. The wait ends when the leases of the hosts that lag have ended, counted from their last renewals before it, instead of from its begin.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -11,16 +11,15 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
-from typing import NamedTuple
 
 from endivestream import clock
 from endivestream import logs
 from endivestream import site_messages
+from endivestream.process import target_departures
 
 # Minimum time for which an acknowledgement waits for hosts that have not
 # received an evacuation. Their leases may end within the bound anyway, but an
@@ -46,18 +45,6 @@
     pending_hosts: set[str]
 
 
-class _Departure(NamedTuple):
-    """Deregistration of a target.
-
-    Attributes:
-        started_at: When the target deregistered.
-        position: First position of the table without the target.
-    """
-
-    started_at: float
-    position: site_messages.Position
-
-
 class Confirmations:
     """Changes that wait for entry hosts during one term of leadership."""
 
@@ -91,7 +78,6 @@
             started_at=self._term_started_at,
             pending_hosts=set(),
         )
-        self._departures: dict[str, _Departure] = {}
         self._state_changed = asyncio.Event()
 
     @property
@@ -136,15 +122,6 @@
         self._evacuations.pending_hosts.discard(host)
         self._state_changed.set()
 
-    def cancel_departure(self, target: str) -> None:
-        """Records that a target is registered, and cancels its departure."""
-        self._departures.pop(target, None)
-
-    def retain_targets(self, targets: Collection[str]) -> None:
-        """Removes the departures of all targets except these."""
-        for name in [n for n in self._departures if n not in targets]:
-            del self._departures[name]
-
     # Waiting changes.
 
     async def wait_for_configuration(self, *, bound: float) -> None:
@@ -156,7 +133,7 @@
         """
         everywhere = await self._wait_for_hosts(
             lambda: not self._rollout.pending_hosts,
-            started_at=self._rollout.started_at,
+            due=lambda: self._rollout.started_at + self._lease - bound,
             bound=bound,
         )
         if not everywhere:
@@ -174,10 +151,11 @@
                 to an evacuated domain.
         """
         rollout = self._evacuations
+        bound = min(bound, self._lease - _EVACUATION_WAIT_SECONDS)
         everywhere = await self._wait_for_hosts(
             lambda: not rollout.pending_hosts,
-            started_at=rollout.started_at,
-            bound=min(bound, self._lease - _EVACUATION_WAIT_SECONDS),
+            due=lambda: rollout.started_at + self._lease - bound,
+            bound=bound,
         )
         if not everywhere:
             logs.warn(
@@ -187,50 +165,50 @@
             )
 
     async def wait_for_departure(
-        self,
-        target: str,
-        position: site_messages.Position,
-        *,
-        bound: float,
+        self, departure: target_departures.Departure, *, bound: float
     ) -> None:
         """Waits until a target's departure may be confirmed to it.
 
         Args:
-            target: The target's name.
-            position: First position of the table without the target.
+            departure: The departure.
             bound: Seconds after the acknowledgement within which the target
                 must receive no new requests.
         """
         called_at = clock.now()
-        departure = self._departures.setdefault(
-            target, _Departure(called_at, position)
-        )
-        if departure.started_at == called_at:
-            logs.event(
-                "departure_started",
-                target=target,
-                position=position.number,
-                lagging=_format_hosts(self._lagging_hosts(position)),
-            )
+
+        def lagging() -> list[str]:
+            return self._lagging_hosts(departure.position)
+
         is_everywhere = await self._wait_for_hosts(
-            lambda: not self._lagging_hosts(departure.position),
-            started_at=departure.started_at,
+            lambda: not lagging(),
+            due=lambda: departure.leases_end_at(lagging(), self._lease) - bound,
             bound=bound,
         )
         now = clock.now()
         logs.event(
             "departure_acknowledged",
-            target=target,
-            started_s=now - departure.started_at,
+            target=departure.target,
+            started_s=now - departure.began_at,
             waited_s=now - called_at,
         )
         if not is_everywhere:
             logs.warn(
                 "leave_not_everywhere",
-                target=target,
-                lagging=_format_hosts(self._lagging_hosts(departure.position)),
+                target=departure.target,
+                lagging=_format_hosts(lagging()),
             )
 
+    def log_departure(self, departure: target_departures.Departure) -> None:
+        """Logs that a departure has begun, and which hosts it waits for."""
+        logs.event(
+            "departure_started",
+            target=departure.target,
+            born=departure.started_at_ms,
+            removed=departure.is_removal,
+            position=departure.position.number,
+            lagging=_format_hosts(self._lagging_hosts(departure.position)),
+        )
+
     def _lagging_hosts(self, position: site_messages.Position) -> list[str]:
         """Returns the hosts with a lease that have an earlier table."""
         return [
@@ -241,14 +219,15 @@
         self,
         is_everywhere: Callable[[], bool],
         *,
-        started_at: float,
+        due: Callable[[], float],
         bound: float,
     ) -> bool:
         """Waits until all known hosts have received a change.
 
         Args:
             is_everywhere: Returns whether all hosts have received the change.
-            started_at: When the change was made.
+            due: Returns from when the change may be confirmed although hosts
+                lack it.
             bound: Seconds after the acknowledgement within which the change
                 must be in force.
 
@@ -256,19 +235,19 @@
             True if all hosts have received the change; False if the change may
             be confirmed because all leases without it expire in time.
         """
-        max_wait = max(0.0, self._lease - bound)
         # Hosts that have not contacted this leader yet may act on a lease from
         # the previous one.
         await asyncio.sleep(
-            max(0.0, self._term_started_at + max_wait - clock.now())
+            max(0.0, self._term_started_at + self._lease - bound - clock.now())
         )
         while not is_everywhere():
             self._state_changed.clear()
             try:
-                async with asyncio.timeout(started_at + max_wait - clock.now()):
+                async with asyncio.timeout(due() - clock.now()):
                     await self._state_changed.wait()
             except TimeoutError:
-                return False
+                if clock.now() >= due():
+                    return False
         return True
 
 
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -33,6 +33,7 @@
 from endivestream.process import quarantine_manager
 from endivestream.process import site_settings
 from endivestream.process import table_updates
+from endivestream.process import target_departures
 from endivestream.request import repeats as repeats_lib
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
@@ -145,6 +146,7 @@
             term=leader_context.replicator.term,
             push=self._table_updates.push_quarantine,
         )
+        self._departures = target_departures.TargetDepartures()
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
             version=leader_context.replicator.state.document.version,
@@ -301,11 +303,7 @@
             case site_messages.ReadEvacuations():
                 return site_messages.EvacuationsRead(record=self._evacuations)
             case site_messages.Register(registration=registration):
-                self._register(registration)
-                if registration.draining:
-                    await self._wait_for_departure(registration.name)
-                else:
-                    self._confirmations.cancel_departure(registration.name)
+                await self._handle_report(registration)
                 return site_messages.Registered()
             case site_messages.Deregister(name=name):
                 await self._deregister(name)
@@ -419,6 +417,19 @@
 
     # Targets.
 
+    async def _handle_report(
+        self, registration: registry_lib.Registration
+    ) -> None:
+        is_accepted = self._register(registration)
+        if registration.draining:
+            await self._wait_for_departure(
+                self._begin_departure(
+                    registration.name, registration.started_at_ms
+                )
+            )
+        elif is_accepted:
+            self._departures.cancel(registration.name)
+
     async def _deregister(self, name: str) -> None:
         """Notifies entry hosts that a target departs and commits that.
 
@@ -426,32 +437,61 @@
         notified even if it has not reported to this leader.
         """
         started_at = self._registry.started_at_ms(name)
-        was_known = self._registry.deregister(name, clock.now())
-        logs.event(
-            "target_deregistered",
-            target=name,
-            born=started_at,
-            known=was_known,
-        )
-        self._targets_changed([name])
+        departure = self._departures.find(name)
+        if (
+            departure is None
+            or not departure.is_removal
+            or not departure.is_of(started_at)
+            # A later process, or this one, has reported since.
+            or self._registry.find(name) is not None
+        ):
+            was_known = self._registry.deregister(name, clock.now())
+            logs.event(
+                "target_deregistered",
+                target=name,
+                born=started_at,
+                known=was_known,
+            )
+            self._departures.cancel(name)
+            self._targets_changed([name])
+            departure = self._begin_departure(name, started_at, is_removal=True)
         await self._replicator.propose(
-            departures_lib.Depart(name=name, started_at_ms=started_at)
+            departures_lib.Depart(
+                name=name, started_at_ms=departure.started_at_ms
+            )
         )
-        await self._wait_for_departure(name)
+        await self._wait_for_departure(departure)
 
-    async def _wait_for_departure(self, name: str) -> None:
-        await self._confirmations.wait_for_departure(
+    def _begin_departure(
+        self, name: str, started_at_ms: int | None, *, is_removal: bool = False
+    ) -> target_departures.Departure:
+        known = self._departures.find(name)
+        departure = self._departures.begin(
             name,
-            self._table_updates.position,
-            bound=self._settings.bounds.drain,
+            started_at_ms=started_at_ms,
+            is_removal=is_removal,
+            position=self._table_updates.position,
+            renewals={n: s.last_renewal for n, s in self._sessions.items()},
+            now=clock.now(),
+        )
+        if departure is not known:
+            self._confirmations.log_departure(departure)
+        return departure
+
+    async def _wait_for_departure(
+        self, departure: target_departures.Departure
+    ) -> None:
+        await self._confirmations.wait_for_departure(
+            departure, bound=self._settings.bounds.drain
         )
 
-    def _register(self, registration: registry_lib.Registration) -> None:
+    def _register(self, registration: registry_lib.Registration) -> bool:
+        """Records a target's report; returns False if it is outdated."""
         now = clock.now()
         previous = self._registry.find(registration.name)
         changed = self._registry.add(registration, now)
         if not changed:
-            return
+            return False
         if self._quarantine.has_unproved_end(registration):
             self._quarantine.record_report(registration)
         self._software_history.record(registration, now)
@@ -482,6 +522,7 @@
             )
         if changed:
             self._targets_changed(changed)
+        return True
 
     def _report_software(
         self, service: str, seconds: float
@@ -728,7 +769,7 @@
         sessions = self._registry.sessions
         known_names = {*sessions, *self._registry.departed}
         self._table_updates.retain_targets(known_names)
-        self._confirmations.retain_targets(known_names)
+        self._departures.retain(known_names)
         self._limited_sends.retain(sessions.keys(), now)
         for name, session in sessions.items():
             if (
--- a/tests/test_target_departures.py
+++ b/tests/test_target_departures.py
@@ -5,6 +5,8 @@
 
 from endivestream import clock
 from endivestream import site_messages
+import hypothesis
+from hypothesis import strategies as st
 from soak import virtual_time
 
 from tests import leader_site
@@ -113,3 +115,75 @@
             return site.log.proposals - before
 
         self.assertEqual(self._run(run), 1)
+
+    @hypothesis.settings(max_examples=40)
+    @hypothesis.given(
+        is_removal=st.booleans(),
+        cut_hosts=st.lists(
+            st.tuples(st.integers(0, 9), st.floats(0.0, 2.0)), max_size=3
+        ),
+        lost_calls=st.lists(st.booleans(), max_size=2),
+        outdated=st.lists(
+            st.tuples(
+                st.floats(0.0, 3.0), st.sampled_from(["ready", "former"])
+            ),
+            max_size=12,
+        ),
+    )
+    def test_departures_are_acknowledged_in_time_and_not_too_early(
+        self, is_removal, cut_hosts, lost_calls, outdated
+    ):
+        """Guards against late acknowledgements and premature ones."""
+
+        async def run(site):
+            reports = {
+                "ready": site.registration("t1", started_at_ms=2),
+                "former": site.registration("t1", draining=True),
+            }
+            await site.report("t1", started_at_ms=2)
+            await asyncio.sleep(0.1)
+            pending = []
+            for host, seconds in cut_hosts:
+                pending.append(self._at(seconds, self._cut, site.hosts[host]))
+            for seconds, kind in outdated:
+                pending.append(
+                    self._at(seconds, self._deliver, site, reports[kind])
+                )
+            await asyncio.sleep(1.0)
+            lost = list(lost_calls)
+
+            async def depart():
+                if is_removal:
+                    await site.deregister_target("t1")
+                else:
+                    await site.drain_target("t1", started_at_ms=2)
+                if lost and lost.pop():
+                    await asyncio.sleep(CALL_SECONDS)
+
+            waited = await self._depart(site, depart)
+            acknowledged_at = clock.now()
+            leases = [
+                host.lease_until - acknowledged_at
+                for host in site.hosts
+                if "t1" in host.targets
+                and not host.targets["t1"].registration.draining
+            ]
+            await asyncio.gather(*pending)
+            return waited, max(leases, default=0.0)
+
+        waited, longest_lease = self._run(run, hosts=10, targets=4)
+        calls = 1 + sum(lost_calls)
+        self.assertLessEqual(
+            waited, LONGEST_WAIT_SECONDS + calls * CALL_SECONDS
+        )
+        self.assertLessEqual(longest_lease, leader_site.SETTINGS.bounds.drain)
+
+    def _at(self, seconds, action, *arguments):
+        async def run():
+            await asyncio.sleep(seconds)
+            action(*arguments)
+
+        return asyncio.create_task(run())
+
+    def _cut(self, host):
+        host.is_cut_off = True
