Commit a repeated deregistration once

What was seen: a target repeats its call each second until it is answered; each call was an entry in the log, a change of the table and a push to all hosts (5 entries for one departure with one host cut off), on the busiest host. Change: the calls of one departure share its commit, which is made anew only if it failed. test_repeated_deregistration_is_committed_once failed before.

--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -455,11 +455,18 @@
             self._departures.cancel(name)
             self._targets_changed([name])
             departure = self._begin_departure(name, started_at, is_removal=True)
-        await self._replicator.propose(
-            departures_lib.Depart(
-                name=name, started_at_ms=departure.started_at_ms
+        commit = departure.commit
+        if commit is None or (
+            commit.done() and (commit.cancelled() or commit.exception())
+        ):
+            commit = departure.commit = asyncio.create_task(
+                self._replicator.propose(
+                    departures_lib.Depart(
+                        name=name, started_at_ms=departure.started_at_ms
+                    )
+                )
             )
-        )
+        await asyncio.shield(commit)
         await self._wait_for_departure(departure)
 
     def _begin_departure(
