Bound what endless answers of targets cost, in bytes and in time

What was open, by reading and by a stand-in that plays 13 phases at full speed and a byte at a time: - 300 answers whose callers read nothing took 523 MB (64 chunks of 64 KB each); - bodies of reports, orders and queries for a process's start had no limit but the gigabyte of any body; those of orders, of service calls and of refusals on the project's own interface none in time, as each byte ended the silence; - an event without end was kept up to 1 MB on resumable routes and had no limit on others; a byte a second ended the silence of a stream. Change: 64 KB are buffered for a caller, an event has 256 KB at most on all routes; a stream of events progresses with the end of an event, another body with a kilobyte; answers to the process itself have a limit in bytes and a total time. Reading stops while a caller does not read, and its time does not count as the target's silence, so a long answer is not cut. The memory of 300 endless answers failed before (523 MB, bound 150 MB), as the test of silence hung. Status lines, headers, interim responses and chunk sizes were bounded already; their tests passed before, too, as far as they could run.

--- a/packages/endivestream/src/endivestream/connection/engines.py
+++ b/packages/endivestream/src/endivestream/connection/engines.py
@@ -129,8 +129,7 @@
                     connect_seconds=seconds,
                 )
                 head = await exchange.head(seconds=seconds)
-                parts = [c async for c in exchange.chunks(silence=seconds)]
-                return head.status, b"".join(parts)
+                return head.status, await exchange.body(seconds=seconds)
         except (exchange_lib.ExchangeError, TimeoutError):
             return None
         finally:
--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -36,8 +36,16 @@
 # request sent while the target closes the connection may have run, and then it
 # cannot be sent again.
 _IDLE_MARGIN_SECONDS = 0.7
-# Chunks buffered for a slow caller before reading from the target stops.
+# Chunks and bytes buffered for a slow caller before reading from the target
+# stops, and the largest chunk.
 _MAX_BUFFERED_CHUNKS = 64
+_MAX_BUFFERED_BYTES = 64 * 1024
+_CHUNK_BYTES = 32 * 1024
+# Bytes of a body that count as progress; fewer do not end a silence.
+_PROGRESS_BYTES = 1024
+# Largest head of an answer, and body of an answer to this process.
+_MAX_HEAD_BYTES = 64 * 1024
+MAX_OWN_BODY_BYTES = 1024 * 1024
 
 
 class ExchangeError(Exception):
@@ -118,6 +126,9 @@
         self.parts: asyncio.Queue[Head | bytes | None] = asyncio.Queue(
             _MAX_BUFFERED_CHUNKS
         )
+        self._buffered_bytes = 0
+        self._has_room = asyncio.Event()
+        self._has_room.set()
         self.is_complete = False
         self.framing = Framing.LENGTH
         self.ending: Ending | None = None
@@ -139,8 +150,19 @@
             await self.parts.put(Head(start_line.code, headers))
 
     async def data_received(self, chunk: bytes) -> None:
+        await self._has_room.wait()
+        self._buffered_bytes += len(chunk)
+        if self._buffered_bytes >= _MAX_BUFFERED_BYTES:
+            self._has_room.clear()
         await self.parts.put(chunk)
 
+    def record_taken(self, part: Head | bytes | None) -> None:
+        """Records that a part has been taken from the queue."""
+        if isinstance(part, bytes):
+            self._buffered_bytes -= len(part)
+            if self._buffered_bytes < _MAX_BUFFERED_BYTES:
+                self._has_room.set()
+
     def finish(self) -> None:
         self.is_complete = True
 
@@ -431,19 +453,14 @@
             async with asyncio.timeout(seconds):
                 other.send(method, path, headers, b"")
                 head = await other.head(seconds=seconds)
-                parts = [
-                    part
-                    async for part in other.chunks(
-                        silence=seconds, keeps_connection=True
-                    )
-                ]
+                body = await other.body(seconds=seconds, keeps_connection=True)
         except (ExchangeError, TimeoutError) as error:
             raise ExchangeError(f"{path}: {error!r}", sent=False) from error
         else:
             self._stream, other._stream = other._stream, None
             if self._stream is None:
                 raise ExchangeError(f"{path}: connection closed", sent=False)
-            return head.status, b"".join(parts)
+            return head.status, body
         finally:
             other.close()
 
@@ -462,7 +479,8 @@
             is_client=True,
             params=http1connection.HTTP1ConnectionParameters(
                 no_keep_alive=False,
-                max_header_size=64 * 1024,
+                chunk_size=_CHUNK_BYTES,
+                max_header_size=_MAX_HEAD_BYTES,
                 max_body_size=1024 * 1024 * 1024,
             ),
         )
@@ -532,22 +550,31 @@
         """Yields the parts of the body up to its verified end.
 
         Args:
-            silence: Seconds without a byte after which the connection is
+            silence: Seconds without progress after which the connection is
                 considered dead: a device between the two ends may have dropped
-                its state, and then no error is ever reported.
+                its state, and then no error is ever reported. A stream of
+                events progresses with the end of an event, another body with
+                the next bytes, unless they are very few.
             keeps_connection: Whether a reusable connection stays acquired.
 
         Raises:
-            ExchangeError: The body ended early, or no byte arrived in time.
+            ExchangeError: The body ended early, made no progress in time, or
+                contains an event that is too long.
         """
+        progress_at = clock.now()
+        pending_bytes = 0
         while True:
-            part = await self._next_part(silence)
+            part = await self._next_part(silence - (clock.now() - progress_at))
             if part is None:
                 break
             assert isinstance(part, bytes)
-            if self._reader.events is not None:
-                self._reader.events.feed(part)
+            pending_bytes += len(part)
+            if self._find_progress(part, pending_bytes):
+                progress_at, pending_bytes = clock.now(), 0
+            yielded_at = clock.now()
             yield part
+            # The time that the receiver takes is none of the target's.
+            progress_at += clock.now() - yielded_at
         end = self.answer_end
         if end is None or not end.is_complete:
             self.close()
@@ -558,18 +585,74 @@
             )
         self._finish(keeps_connection=keeps_connection)
 
+    def _find_progress(self, part: bytes, pending_bytes: int) -> bool:
+        """Returns whether a part of the body is progress.
+
+        Raises:
+            ExchangeError: An event is too long.
+        """
+        events = self._reader.events
+        if events is None:
+            return pending_bytes >= _PROGRESS_BYTES
+        if events.feed(part):
+            return True
+        if pending_bytes > sse.MAX_EVENT_BYTES:
+            self._reader.ending = Ending.INVALID
+            self.close()
+            raise ExchangeError(
+                f"{pending_bytes} bytes without the end of an event", sent=True
+            )
+        return False
+
+    async def body(
+        self,
+        *,
+        seconds: float,
+        max_bytes: int = MAX_OWN_BODY_BYTES,
+        keeps_connection: bool = False,
+    ) -> bytes:
+        """Returns the whole body.
+
+        Args:
+            seconds: Timeout for the whole body.
+            max_bytes: Largest body.
+            keeps_connection: Whether a reusable connection stays acquired.
+
+        Raises:
+            ExchangeError: The body ended early, not in time, or is too large.
+        """
+        body = bytearray()
+        try:
+            async with asyncio.timeout(seconds):
+                async for part in self.chunks(
+                    silence=seconds, keeps_connection=keeps_connection
+                ):
+                    body += part
+                    if len(body) > max_bytes:
+                        raise ExchangeError(
+                            f"the body exceeds {max_bytes} bytes", sent=True
+                        )
+        except (ExchangeError, TimeoutError) as error:
+            self.close()
+            raise ExchangeError(str(error) or "timeout", sent=True) from error
+        return bytes(body)
+
     async def _next_part(self, seconds: float) -> Head | bytes | None:
         parts = self._reader.parts
         if not parts.empty():
-            return parts.get_nowait()
+            part = parts.get_nowait()
+            self._reader.record_taken(part)
+            return part
         try:
-            async with asyncio.timeout(seconds):
-                return await parts.get()
+            async with asyncio.timeout(max(0.0, seconds)):
+                part = await parts.get()
+                self._reader.record_taken(part)
+                return part
         except TimeoutError:
             self._reader.ending = Ending.SILENT
             self.close()
             raise ExchangeError(
-                f"no bytes received for {seconds:.1f} s", sent=True
+                f"no progress within {max(0.0, seconds):.1f} s", sent=True
             ) from None
 
     def _finish(self, *, keeps_connection: bool) -> None:
--- a/packages/endivestream/src/endivestream/connection/sse.py
+++ b/packages/endivestream/src/endivestream/connection/sse.py
@@ -10,7 +10,7 @@
 
 # Maximum size of an event. An event has one token or a final summary, so a
 # larger one is a fault.
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 
 DONE = b"[DONE]"
 
--- a/packages/endivestream/src/endivestream/process/placer.py
+++ b/packages/endivestream/src/endivestream/process/placer.py
@@ -19,6 +19,7 @@
 # fencing token. It was lost or is late; a repeated load has no further effect.
 _RESEND_SECONDS = 5.0
 _ORDER_TIMEOUT_SECONDS = 2.0
+_MAX_LOGGED_BYTES = 256
 
 
 class Placer:
@@ -217,11 +218,10 @@
                 connect_seconds=_ORDER_TIMEOUT_SECONDS,
             )
             head = await exchange.head(seconds=_ORDER_TIMEOUT_SECONDS)
-            body = b""
-            async for chunk in exchange.chunks(silence=_ORDER_TIMEOUT_SECONDS):
-                body += chunk
+            body = await exchange.body(seconds=_ORDER_TIMEOUT_SECONDS)
             if head.status != 200:
-                logs.warn("order_refused", url=url, why=body.decode())
+                why = body[:_MAX_LOGGED_BYTES].decode(errors="replace")
+                logs.warn("order_refused", url=url, why=why)
         except exchange_lib.ExchangeError as error:
             # The order is lost or late: its memory stays reserved, and it is
             # sent again.
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -27,6 +27,7 @@
 
 # Statuses that a target sends before it starts to run a request.
 _NOT_STARTED_STATUSES = (429, 503)
+_MAX_ERROR_BYTES = 4096
 
 
 class _Delta(msgspec.Struct):
@@ -280,14 +281,14 @@
     async def _read_error(
         self, exchange: exchange_lib.Exchange, status: int
     ) -> _AttemptFailed | _Rejected:
-        body = b""
-        async for chunk in exchange.chunks(
-            silence=self._requests.stream_silence_seconds
-        ):
-            body = (body + chunk)[:4096]
+        body = await exchange.body(
+            seconds=self._requests.stream_silence_seconds
+        )
         if status in _NOT_STARTED_STATUSES or status >= 500:
             return _AttemptFailed(cause=f"status {status}", sent=True)
-        return _Rejected(status=status, detail=_error_text(body))
+        return _Rejected(
+            status=status, detail=_error_text(body[:_MAX_ERROR_BYTES])
+        )
 
     async def _relay_event(
         self, event: sse.Event, name: bytes
--- a/packages/endivestream/src/endivestream/request/relay_sender.py
+++ b/packages/endivestream/src/endivestream/request/relay_sender.py
@@ -127,8 +127,7 @@
                 return None
             # An older build does not know the header of relayed streams.
             return attempt_results.NotRelayed("unsupported", 503, None)
-        async for _ in exchange.chunks(silence=_CONNECT_SECONDS):
-            pass
+        await exchange.body(seconds=_CONNECT_SECONDS)
         retry_after = None
         text = head.headers.get(self._names.retry_after)
         if text is not None:
--- a/packages/endivestream/src/endivestream/request/service_calls.py
+++ b/packages/endivestream/src/endivestream/request/service_calls.py
@@ -263,16 +263,11 @@
             seconds = self._requests.service_seconds
             head = await exchange.head(seconds=seconds)
             self._attempts.record_answer(head)
-            body = bytearray()
-            async for chunk in exchange.chunks(silence=seconds):
-                body += chunk
-                if len(body) > _MAX_ANSWER_BYTES:
-                    raise exchange_lib.ExchangeError(
-                        f"the answer exceeds {_MAX_ANSWER_BYTES} bytes",
-                        sent=True,
-                    )
+            body = await exchange.body(
+                seconds=seconds, max_bytes=_MAX_ANSWER_BYTES
+            )
             content_type = head.headers.get("Content-Type", "")
-            return Answer(head.status, content_type, bytes(body))
+            return Answer(head.status, content_type, body)
         except exchange_lib.ExchangeError as error:
             return error
         finally:
