Soak and simulation of departures with late reports

python -m soak.departures: targets of real processes announce that they leave, or deregister first, with copies of their heartbeats that arrive up to 4 s late at any control host, beside faults of the soak of processes. Reported are departures that wait over 5 s while control hosts were stable, and requests later than the drain time after an acknowledgement.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	$(BIN)/python -m soak.versions --seeds 50
 	$(BIN)/python -m soak.crashes --seeds 50
 	$(BIN)/python -m soak.one_request --seeds 50
+	$(BIN)/python -m soak.departures --seeds 50
 
 clean:
 	rm -rf $(VENV)
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -6,6 +6,7 @@
 
 from soak import crashes
 from soak import cuts
+from soak import departures
 from soak import one_request
 from soak import processes
 from soak import versions
@@ -33,6 +34,20 @@
         self.assertEqual([], report["violations"])
         self.assertGreater(report["versions"]["named goes on"], 0)
 
+    def test_departures_are_acknowledged_beside_late_reports(self):
+        """Guards against departures that late reports delay or shorten."""
+        report = asyncio.run(
+            processes.run(
+                seed=1,
+                seconds=10.0,
+                controls=3,
+                entries=3,
+                soak_class=departures.DepartureSoak,
+            )
+        )
+        self.assertEqual([], report["violations"])
+        self.assertGreater(len(report["acknowledged"]), 0)
+
     def test_requests_that_end_targets_are_quarantined(self):
         """Guards against requests that end one target after the other."""
         report = asyncio.run(
