--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -1,9 +1,9 @@
 """Departures of targets: `python -m soak.departures`.
 
 Targets announce that they leave, or deregister first, are served for the drain
-time after the acknowledgement, deregister and start again under their id. Copies
-of their heartbeats arrive up to seconds late, at any control host, also those
-of a former process. Beside that come the faults of the soak of processes.
+time after the acknowledgement, deregister and start again under their id.
+Copies of their heartbeats arrive up to seconds late, at any control host, also
+those of a former process. Beside that come the faults of the soak of processes.
 Reported are departures without an acknowledgement in time while all control
 hosts were stable, and requests that reach a target later than the drain time
 after it.
@@ -207,7 +207,7 @@
             )
 
     async def _run(self, seconds: float) -> None:
-        departing = asyncio.create_task(self._depart_targets())
+        departing = asyncio.create_task(self._depart_targets(seconds))
         try:
             await super()._run(seconds)
         finally:
@@ -215,8 +215,10 @@
             for task in self._departures:
                 task.cancel()
 
-    async def _depart_targets(self) -> None:
-        while True:
+    async def _depart_targets(self, seconds: float) -> None:
+        """Makes targets depart, until the time to recover."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
             await asyncio.sleep(self._random.uniform(0.3, 1.2))
             target = self._random.choice(self._targets)
             self._departures.append(asyncio.create_task(target.depart()))
