Encode the configuration once for the answers to all renewals

Relays of ten megabits take longer than half a second to forward it, so hosts get it with their renewals, too. Change: the leader keeps the encoded configuration; its answers contain these bytes. The test counts encodings of the configuration by the leader; before, it was encoded inside each answer, which the test shows as none.

--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections.abc import Iterable
 import dataclasses
+import typing
 
 import msgspec
 
@@ -125,6 +126,8 @@
             sessions=lambda: self._registry.sessions,
             on_targets_changed=self._targets_changed,
         )
+        # Version of the configuration that has been encoded, and its bytes.
+        self._encoded = (-1, msgspec.Raw())
         self._tasks: list[asyncio.Task[None]] = []
         self._push = leader_context.push
         self._push_tasks: set[asyncio.Task[None]] = set()
@@ -662,7 +665,7 @@
         is_push_in_flight = had_session and since_push < _PUSH_IN_FLIGHT_SECONDS
         if message.version < version and not is_push_in_flight:
             update = msgspec.structs.replace(
-                update or empty_update, document=document
+                update or empty_update, document=self._encoded_document()
             )
         members = self._replicator.replica.members.all
         controls = tuple(member.address for member in members)
@@ -682,6 +685,20 @@
             interval_seconds=self._renew_seconds,
         )
 
+    def _encoded_document(self) -> document_lib.Document | None:
+        """Returns the configuration, encoded once for the answers to all hosts.
+
+        Raw bytes stand for the value in a message that is encoded.
+        """
+        document = self._document
+        if document is None:
+            return None
+        version, encoded = self._encoded
+        if version != document.version:
+            encoded = msgspec.Raw(msgspec.msgpack.encode(document))
+            self._encoded = document.version, encoded
+        return typing.cast(document_lib.Document, encoded)
+
     def _relay_of(self, session: _EntryHostSession) -> str:
         """Returns the relay that a host receives pushes from, or empty.
 
--- a/tests/test_leader_load.py
+++ b/tests/test_leader_load.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from endivestream import clock
+from endivestream.version import document as document_lib
+import msgspec
 from soak import virtual_time
 
 from tests import leader_site
@@ -281,6 +284,33 @@
 
         self.assertEqual(self._run(renew_during_changes), [7] * HOSTS)
 
+    def test_a_document_is_encoded_once_for_all_renewals(self):
+        """Guards against a leader that encodes a large one for each host."""
+
+        async def renew_without_pushes(site):
+            await site.apply_document(1, routes=1300)
+            for host in site.hosts:
+                host.version = 0
+            await asyncio.sleep(1.0)
+            answers = []
+            with mock.patch.object(
+                msgspec.msgpack, "encode", wraps=msgspec.msgpack.encode
+            ) as encode:
+                for host in site.hosts:
+                    answers.append(await host.renew())
+                encoded = [
+                    call.args[0]
+                    for call in encode.call_args_list
+                    if isinstance(call.args[0], document_lib.Document)
+                ]
+            versions = {host.version for host in site.hosts}
+            return len(encoded), versions, answers
+
+        encoded, versions, answers = self._run(renew_without_pushes)
+        self.assertEqual({1}, versions)
+        self.assertEqual(HOSTS, len(answers))
+        self.assertEqual(1, encoded)
+
     def test_a_host_that_missed_a_document_receives_it_with_a_renewal(self):
         """Guards against a document that never arrives after a lost push."""
 
