Soak: requests count from when they were received

Trace: the host's lines show that it had selected five requests for that target within 1 ms (since_selected_ms of their refusals, counted back, is 52.340 for each), 0.45 s before it read the first refusal. The target read and answered them one after the other until 53.374, because the search for the sender of each request takes the soak's loop 0.05 to 0.4 s; the lateness that the report names was not yet recorded. So the requests were sent before the refusal was: allowed. Change: a request counts from when the loop had received its bytes. That is still later than its arrival, so nothing that was a violation by its true time is missed.

--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -20,6 +20,7 @@
 import sys
 import time
 
+from soak import arrivals
 from soak import callers
 from soak import processes
 from soak import targets
@@ -161,7 +162,7 @@
     async def _answer(self, message, sender, writer) -> None:
         if self._acknowledged_at is not None:
             request = message.headers.get("Attempt-Id", "")
-            self._check(sender(), request, time.monotonic())
+            self._check(sender(), request, arrivals.received_at(writer))
         await super()._answer(message, sender, writer)
 
 
--- a/benchmarks/soak/targets.py
+++ b/benchmarks/soak/targets.py
@@ -10,6 +10,7 @@
 import random
 import time
 
+from soak import arrivals
 from soak import callers
 from soak import promises
 from soak import streams
@@ -78,7 +79,7 @@
         self._backoffs.clear()
         self._drain_announced_at.clear()
         self._born = int(time.time() * 1000)
-        self._server = await asyncio.start_server(
+        self._server = await arrivals.start_server(
             self._serve, "127.0.0.1", self._port
         )
         host, port = self._server.sockets[0].getsockname()
@@ -185,7 +186,7 @@
         is_announcing = self._is_draining or now < self._refuses_until
         host = sender() if has_duties or is_announcing else ""
         if host:
-            self._check(host, request, now)
+            self._check(host, request, arrivals.received_at(writer))
         if self._is_draining:
             headers["Server-Leaving"] = "1"
             self._drain_announced_at.setdefault(host, now)
