--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -28,15 +28,14 @@
 from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
+from endivestream.process import departure_manager
 from endivestream.process import limited_sends
 from endivestream.process import membership_manager as membership_manager_lib
 from endivestream.process import planner_lease_manager
 from endivestream.process import quarantine_manager
 from endivestream.process import site_settings
 from endivestream.process import table_updates
-from endivestream.process import target_departures
 from endivestream.request import repeats as repeats_lib
-from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
 from endivestream.version import state as state_lib
@@ -149,7 +148,6 @@
             term=leader_context.replicator.term,
             push=self._table_updates.push_quarantine,
         )
-        self._departures = target_departures.TargetDepartures()
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
             version=leader_context.replicator.state.document.version,
@@ -158,6 +156,17 @@
                 name: s.position for name, s in self._sessions.items()
             },
         )
+        self._departures = departure_manager.DepartureManager(
+            registry=self._registry,
+            replicator=leader_context.replicator,
+            confirmations=self._confirmations,
+            bound=settings.bounds.drain,
+            position=lambda: self._table_updates.position,
+            renewals=lambda: {
+                name: s.last_renewal for name, s in self._sessions.items()
+            },
+            on_targets_changed=self._targets_changed,
+        )
 
     @property
     def _renew_seconds(self) -> float:
@@ -306,10 +315,12 @@
             case site_messages.ReadEvacuations():
                 return site_messages.EvacuationsRead(record=self._evacuations)
             case site_messages.Register(registration=registration):
-                await self._handle_report(registration)
+                await self._departures.handle_report(
+                    registration, is_accepted=self._register(registration)
+                )
                 return site_messages.Registered()
             case site_messages.Deregister(name=name):
-                await self._deregister(name)
+                await self._departures.deregister(name)
                 return site_messages.Registered()
             case messages.Join(member=member):
                 self._membership_manager.join(member)
@@ -420,81 +431,6 @@
 
     # Targets.
 
-    async def _handle_report(
-        self, registration: registry_lib.Registration
-    ) -> None:
-        is_accepted = self._register(registration)
-        if registration.draining:
-            await self._wait_for_departure(
-                self._begin_departure(
-                    registration.name, registration.started_at_ms
-                )
-            )
-        elif is_accepted:
-            self._departures.cancel(registration.name)
-
-    async def _deregister(self, name: str) -> None:
-        """Notifies entry hosts that a target departs and commits that.
-
-        Entry hosts may know the target from the previous leader, so they are
-        notified even if it has not reported to this leader.
-        """
-        started_at = self._registry.started_at_ms(name)
-        departure = self._departures.find(name)
-        if (
-            departure is None
-            or not departure.is_removal
-            or not departure.is_of(started_at)
-            # A later process, or this one, has reported since.
-            or self._registry.find(name) is not None
-        ):
-            was_known = self._registry.deregister(name, clock.now())
-            logs.event(
-                "target_deregistered",
-                target=name,
-                born=started_at,
-                known=was_known,
-            )
-            self._departures.cancel(name)
-            self._targets_changed([name])
-            departure = self._begin_departure(name, started_at, is_removal=True)
-        commit = departure.commit
-        if commit is None or (
-            commit.done() and (commit.cancelled() or commit.exception())
-        ):
-            commit = departure.commit = asyncio.create_task(
-                self._replicator.propose(
-                    departures_lib.Depart(
-                        name=name, started_at_ms=departure.started_at_ms
-                    )
-                )
-            )
-        await asyncio.shield(commit)
-        await self._wait_for_departure(departure)
-
-    def _begin_departure(
-        self, name: str, started_at_ms: int | None, *, is_removal: bool = False
-    ) -> target_departures.Departure:
-        known = self._departures.find(name)
-        departure = self._departures.begin(
-            name,
-            started_at_ms=started_at_ms,
-            is_removal=is_removal,
-            position=self._table_updates.position,
-            renewals={n: s.last_renewal for n, s in self._sessions.items()},
-            now=clock.now(),
-        )
-        if departure is not known:
-            self._confirmations.log_departure(departure)
-        return departure
-
-    async def _wait_for_departure(
-        self, departure: target_departures.Departure
-    ) -> None:
-        await self._confirmations.wait_for_departure(
-            departure, bound=self._settings.bounds.drain
-        )
-
     def _register(self, registration: registry_lib.Registration) -> bool:
         """Records a target's report; returns False if it is outdated."""
         now = clock.now()
