--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -73,7 +73,11 @@
                 "address": self._address,
                 "zone": "a",
                 "slots": 50,
-                "state": "draining" if self._is_leaving else "ready",
+                "state": (
+                    "draining"
+                    if self._is_leaving or self._is_draining
+                    else "ready"
+                ),
                 "seq": self._reports,
                 "born": self._born,
             }
