--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -18,6 +18,7 @@
 import dataclasses
 import itertools
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
@@ -49,6 +50,10 @@
 # Requests that one log line names.
 _MAX_LOGGED_REQUESTS = 16
 
+_Entry = TypeVar(
+    "_Entry", site_messages.QuarantineEntry, site_messages.ListedRequest
+)
+
 
 @dataclasses.dataclass(eq=False, kw_only=True)
 class _Report:
@@ -102,6 +107,9 @@
         self._grant_numbers = itertools.count()
         # Listed requests, and whether several processes ended under them.
         self._listed: frozenset[tuple[str, bool]] = frozenset()
+        # What was known under a leader that may have been replaced.
+        self._kept_entries: tuple[site_messages.QuarantineEntry, ...] = ()
+        self._kept_requests: tuple[site_messages.ListedRequest, ...] = ()
         # Keys whose requests were answered: those to report with the next
         # renewal, and when others were reported.
         self._answered: dict[str, None] = {}
@@ -130,11 +138,26 @@
 
     def entries(self) -> tuple[site_messages.QuarantineEntry, ...]:
         """Returns the quarantined keys, for a leader that may lack them."""
-        return self._quarantine.entries(clock.now())
+        entries = self._quarantine.entries(clock.now())
+        return _merge_by_key(entries, self._kept_entries)
 
     def listed_requests(self) -> tuple[site_messages.ListedRequest, ...]:
         """Returns the listed requests, for a leader that may lack them."""
-        return self._quarantine.listed_requests(clock.now())
+        listed = self._quarantine.listed_requests(clock.now())
+        return _merge_by_key(listed, self._kept_requests)
+
+    def keep_table(self) -> None:
+        """Keeps what is known now, before the answer of a leader is applied.
+
+        The table of a leader that was replaced is needed by the next one.
+        """
+        self._kept_entries = self.entries()
+        self._kept_requests = self.listed_requests()
+
+    def drop_kept(self) -> None:
+        """Drops what was kept: the leader is the same, or has got it."""
+        self._kept_entries = ()
+        self._kept_requests = ()
 
     def take_reports(
         self, *, everything: bool
@@ -670,3 +693,11 @@
             for each in message.requests
         ),
     )
+
+
+def _merge_by_key(
+    entries: tuple[_Entry, ...], older: tuple[_Entry, ...]
+) -> tuple[_Entry, ...]:
+    """Returns entries, and older ones with other keys."""
+    keys = {entry.key for entry in entries}
+    return entries + tuple(each for each in older if each.key not in keys)
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -479,13 +479,17 @@
         self._crash_reporter.mark_reported()
         for grant in renewed.grants:
             self._credit_shares.apply_grant(grant, now)
+        if not self._reports_everything:
+            self._crash_reporter.keep_table()
         if renewed.table_update is not None:
             self._take_news(renewed.table_update)
         if renewed.loads is not None:
             self._view.set_loads(renewed.loads, now)
         if self._reports_everything:
             self._reported_term = self._position.term
-        elif self._position.term != self._reported_term:
+        if self._position.term == self._reported_term:
+            self._crash_reporter.drop_kept()
+        else:
             self._watch.renew_now()
         self._drop_unlisted(now)
         if self._previous_lease_until < now:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 from unittest import mock
 
+from endivestream import site_messages
+
 from tests import crash_site
 from tests import test_cut_hosts
 
@@ -103,3 +105,38 @@
         for entry in self.entries:
             reply = await self._send(entry, path="/x/", body=b"sound")
             self.assertEqual((200, b"done"), (reply.status, reply.body))
+
+    async def test_leader_elected_again_at_its_address_gets_the_quarantine(
+        self,
+    ):
+        """Guards against a table that replaces what its leader has to get."""
+        entry = self.entries[0]
+        term = entry._position.term
+        key = "content:7"
+
+        def renewed(term, *entries):
+            position = site_messages.Position(term, 900)
+            return site_messages.Renewed(
+                seconds=4.0,
+                version=0,
+                table_update=site_messages.News(
+                    position=position,
+                    base_position=None,
+                    quarantine=site_messages.QuarantineTable(
+                        revision=position, entries=entries
+                    ),
+                ),
+            )
+
+        # Nothing else runs between these steps.
+        entry._reported_term = term
+        entry._build_renewal(False)
+        entry._apply_renewal(
+            renewed(term, site_messages.QuarantineEntry(key, True, 9.0))
+        )
+        entry._build_renewal(False)
+        entry._apply_renewal(renewed(term + 1))
+        renewal = entry._build_renewal(False)
+        self.assertEqual([key], [each.key for each in renewal.quarantined])
+        entry._apply_renewal(renewed(term + 1))
+        self.assertEqual((), entry._build_renewal(False).quarantined)
