Report the revision of a quarantine that a host keeps for the next leader

It names the one that was kept; the leader merges it and answers with its whole table. The test now passes the renewal on to a leader; it failed before.

--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -108,6 +108,7 @@
         # Listed requests, and whether several processes ended under them.
         self._listed: frozenset[tuple[str, bool]] = frozenset()
         # What was known under a leader that may have been replaced.
+        self._kept_revision: site_messages.Position | None = None
         self._kept_entries: tuple[site_messages.QuarantineEntry, ...] = ()
         self._kept_requests: tuple[site_messages.ListedRequest, ...] = ()
         # Keys whose requests were answered: those to report with the next
@@ -124,8 +125,8 @@
 
     @property
     def revision(self) -> site_messages.Position:
-        """Revision of the quarantine that applies here."""
-        return self._quarantine.revision
+        """Revision of the quarantine that renewals report."""
+        return self._kept_revision or self._quarantine.revision
 
     @property
     def quarantined_keys(self) -> int:
@@ -151,11 +152,13 @@
 
         The table of a leader that was replaced is needed by the next one.
         """
+        self._kept_revision = self.revision
         self._kept_entries = self.entries()
         self._kept_requests = self.listed_requests()
 
     def drop_kept(self) -> None:
         """Drops what was kept: the leader is the same, or has got it."""
+        self._kept_revision = None
         self._kept_entries = ()
         self._kept_requests = ()
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from endivestream import site_messages
+from endivestream.process import quarantine_manager
 
 from tests import crash_site
 from tests import test_cut_hosts
@@ -138,5 +139,11 @@
         entry._apply_renewal(renewed(term + 1))
         renewal = entry._build_renewal(False)
         self.assertEqual([key], [each.key for each in renewal.quarantined])
+        leader = quarantine_manager.QuarantineManager(
+            term=term + 1, push=mock.AsyncMock()
+        )
+        leader.restore(renewal)
+        self.assertTrue(leader._updates.is_pending(key))
+        await leader.close()
         entry._apply_renewal(renewed(term + 1))
         self.assertEqual((), entry._build_renewal(False).quarantined)
