--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -93,7 +93,9 @@
         )
         self._departure_calls = departure_calls.DepartureCalls(
             call=self._control.call,
-            longest_wait=settings.lease_seconds - settings.bounds.drain,
+            longest_wait=max(
+                0.0, settings.lease_seconds - settings.bounds.drain
+            ),
         )
         self._planner_lease_holder = planner_lease_holder.PlannerLeaseHolder(
             host=settings.host_identity,
