Known red: an outdated report after a change of leader ends a departure

What was seen, in virtual time: a target's announced departure is acknowledged, the leader changes, a report from before the announcement arrives late at the next one: all 69 hosts list the target as accepting requests, until its next report. Cause, by reading: an announced departure is in the leader's memory alone; the next leader has no report to compare the outdated one with. Deregistrations are in the log.

--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -325,6 +325,7 @@
         self._by_peer = {host.peer: host for host in self.hosts}
         self._reports = 0
         self._draining_targets = set()
+        self._silent_targets = set()
         self._tasks = []
         self._server = links.Server(
             address="tcp://c0",
@@ -430,6 +431,12 @@
         )
         self.granted_sends += getattr(answer, "send_in", None) is not None
 
+    def deliver_report(self, registration):
+        """Has a report of a target arrive at the leader."""
+        self.wire.deliver(
+            b"c1", site_messages.Register(registration=registration), 0
+        )
+
     async def drain_target(self, target, *, started_at_ms=1):
         """Drains a target; returns the time at which that was confirmed."""
         self._draining_targets.add(target)
@@ -484,7 +491,14 @@
         )
         return clock.now()
 
+    def silence(self, target):
+        """Ends the periodic reports of a target."""
+        self._silent_targets.add(target)
+
     async def report(self, target, *, loaded=(), started_at_ms=1):
+        """Sends the next report of a target."""
+        if target in self._silent_targets:
+            return
         registration = self.registration(
             target, loaded=loaded, started_at_ms=started_at_ms
         )
--- a/tests/test_target_departures.py
+++ b/tests/test_target_departures.py
@@ -55,18 +55,13 @@
                 await asyncio.sleep(called_at + CALL_SECONDS - clock.now())
         return float("inf")
 
-    def _deliver(self, site, registration):
-        site.wire.deliver(
-            b"c1", site_messages.Register(registration=registration), 0
-        )
-
     def _check_departure_beside_outdated_reports(self, depart):
         async def run(site):
             site.hosts[7].is_cut_off = True
             outdated = site.registration("t1")
 
             async def deliver_outdated():
-                self._deliver(site, outdated)
+                site.deliver_report(outdated)
 
             await site.report("t1")
             await asyncio.sleep(0.1)
@@ -98,7 +93,7 @@
             outdated = site.registration("t1", draining=True)
             await site.report("t1", started_at_ms=2)
             await asyncio.sleep(0.5)
-            self._deliver(site, outdated)
+            site.deliver_report(outdated)
             await asyncio.sleep(0.5)
             site.hosts[7].is_cut_off = True
             lease_until = site.hosts[7].lease_until
@@ -134,6 +129,29 @@
             )
         )
 
+    def test_outdated_report_to_the_next_leader_ends_no_departure(self):
+        """Guards against requests to a target after its acknowledgement."""
+
+        async def run(site):
+            outdated = site.registration("t1")
+            await site.report("t1")
+            await asyncio.sleep(0.1)
+            await site.drain_target("t1")
+            # Its further reports do not reach the next leader.
+            site.silence("t1")
+            await site.change_leader(pause=0.6)
+            await asyncio.sleep(1.0)
+            site.deliver_report(outdated)
+            await asyncio.sleep(1.0)
+            return [
+                host.name
+                for host in site.hosts
+                if "t1" in host.targets
+                and not host.targets["t1"].registration.draining
+            ]
+
+        self.assertEqual([], self._run(run))
+
     def test_repeated_deregistration_is_committed_once(self):
         """Guards against log entries and table updates for each call."""
 
@@ -176,7 +194,7 @@
                 pending.append(self._at(seconds, self._cut, site.hosts[host]))
             for seconds, kind in outdated:
                 pending.append(
-                    self._at(seconds, self._deliver, site, reports[kind])
+                    self._at(seconds, site.deliver_report, reports[kind])
                 )
             await asyncio.sleep(1.0)
             lost = list(lost_calls)
