Record announced departures in the log

What was seen, in virtual time: a target's announced departure is acknowledged, the leader changes, a report from before the announcement arrives late: all 69 hosts list the target as accepting requests until its next report. Cause: an announced departure was in the leader's memory alone, so the next leader had nothing to compare the outdated report with; deregistrations are in the log. Change: an announcement is committed before it is acknowledged, once a departure, with the order of its report. A later leader lists the target as removed until it reports again, and refuses reports up to that order that do not announce a departure. Tried and dropped: the time of the entry as the begin of the wait, which would end the wait of two leaders; a target that takes its announcement back and repeats it could then be acknowledged too early.

--- a/packages/endivestream/src/endivestream/connection/registry.py
+++ b/packages/endivestream/src/endivestream/connection/registry.py
@@ -110,12 +110,29 @@
         return registration.started_at_ms <= self.started_at_ms
 
 
+class _Announcement(NamedTuple):
+    """Report of a target to an earlier leader that it departs.
+
+    Attributes:
+        order: Order of the report.
+        since: When it was recorded.
+    """
+
+    order: tuple[int, int]
+    since: float
+
+    def covers(self, registration: Registration) -> bool:
+        """Whether a report is outdated by it."""
+        return not registration.draining and registration.order <= self.order
+
+
 class Registry:
     """Table of targets by name. Times are seconds of one clock."""
 
     def __init__(self) -> None:
         self._sessions: dict[str, Session] = {}
         self._departures: dict[str, _Departure] = {}
+        self._announcements: dict[str, _Announcement] = {}
 
     def __repr__(self) -> str:
         return f"<Registry of {len(self._sessions)} targets>"
@@ -144,6 +161,9 @@
         gone = self._departures.get(registration.name)
         if gone is not None and gone.covers(registration):
             return []
+        announcement = self._announcements.get(registration.name)
+        if announcement is not None and announcement.covers(registration):
+            return []
         known = self._sessions.get(registration.name)
         if known is not None and known.registration.order >= registration.order:
             return []
@@ -198,10 +218,32 @@
         self._departures[name] = _Departure(started_at_ms, now)
         return False
 
+    def announce(
+        self, name: str, started_at_ms: int, report_number: int, now: float
+    ) -> None:
+        """Records that a process has announced its departure earlier.
+
+        Reports from before that are outdated, also if the table has no later
+        one yet.
+
+        Args:
+            name: Id of the target.
+            started_at_ms: Start time of its process.
+            report_number: Number of the report that announced it.
+            now: The time.
+        """
+        order = (started_at_ms, report_number)
+        self._announcements[name] = _Announcement(order, now)
+
     @property
     def departed(self) -> tuple[str, ...]:
-        """Names of the targets that recently departed or were replaced."""
-        return tuple(self._departures.keys() - self._sessions.keys())
+        """Names of the targets that recently departed or were replaced.
+
+        Those that announced it to an earlier leader are among them until they
+        report again.
+        """
+        names = self._departures.keys() | self._announcements.keys()
+        return tuple(names - self._sessions.keys())
 
     def started_at_ms(self, name: str) -> int | None:
         """Returns the start time of a target in the table, or None."""
@@ -225,6 +267,11 @@
         for name, gone in list(self._departures.items()):
             if now - gone.since > _DEPARTURE_KEPT_SECONDS:
                 del self._departures[name]
+        self._announcements = {
+            name: announcement
+            for name, announcement in self._announcements.items()
+            if now - announcement.since <= _DEPARTURE_KEPT_SECONDS
+        }
         return silent
 
     def adopt(self, registrations: Iterable[Registration], now: float) -> None:
--- a/packages/endivestream/src/endivestream/process/departure_manager.py
+++ b/packages/endivestream/src/endivestream/process/departure_manager.py
@@ -68,9 +68,12 @@
                 says nothing about the process that departs.
         """
         if registration.draining:
-            await self._wait(
-                self._begin(registration.name, registration.started_at_ms)
+            departure = self._begin(
+                registration.name, registration.started_at_ms
             )
+            if is_accepted:
+                await self._commit(departure, registration.report_number)
+            await self._wait(departure)
         elif is_accepted:
             self._departures.cancel(registration.name)
 
@@ -90,6 +93,15 @@
             or self._registry.find(name) is not None
         ):
             departure = self._remove(name, started_at)
+        await self._commit(departure)
+        await self._wait(departure)
+
+    async def _commit(
+        self,
+        departure: target_departures.Departure,
+        report_number: int | None = None,
+    ) -> None:
+        """Waits until a departure is in the log, for all of its calls."""
         commit = departure.commit
         if commit is None or (
             commit.done() and (commit.cancelled() or commit.exception())
@@ -97,12 +109,13 @@
             commit = departure.commit = asyncio.create_task(
                 self._replicator.propose(
                     departures_lib.Depart(
-                        name=name, started_at_ms=departure.started_at_ms
+                        name=departure.target,
+                        started_at_ms=departure.started_at_ms,
+                        report_number=report_number,
                     )
                 )
             )
         await asyncio.shield(commit)
-        await self._wait(departure)
 
     def _remove(
         self, name: str, started_at_ms: int | None
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -101,6 +101,14 @@
             started_at,
         ) in leader_context.replicator.state.departures.start_times_ms.items():
             self._registry.deregister(name, self._started_at, started_at)
+        announcements = leader_context.replicator.state.departures.announcements
+        for name, announcement in announcements.items():
+            self._registry.announce(
+                name,
+                announcement.started_at_ms,
+                announcement.report_number,
+                self._started_at,
+            )
         self._software_history = software_history.SoftwareHistory()
         self._silent_targets: set[str] = set()
         self._sessions: dict[str, _EntryHostSession] = {}
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -65,6 +65,7 @@
     credit: tuple[int, dict[str, credit_lib.CreditLevel]]
     document: document_lib.Document | None = None
     departures: dict[str, int | None] = {}
+    announcements: dict[str, departures_lib.Announcement] = {}
     seat: planner_lease_lib.PlannerLeaseRecord = (
         planner_lease_lib.PlannerLeaseRecord()
     )
@@ -95,7 +96,7 @@
         ledger: Loaded and reserved memory of targets.
         credit: Credit of the teams, without what is reserved for the leader.
         document: The configuration document, which is replaced as a unit.
-        departures: Targets that have deregistered.
+        departures: Targets that have deregistered or announced it.
         planner_lease: Planner lease: the host that places models.
         evacuations: Failure domains whose targets get no requests.
     """
@@ -159,6 +160,7 @@
                 credit=self.credit.snapshot(),
                 document=self.document.current,
                 departures=self.departures.start_times_ms,
+                announcements=self.departures.announcements,
                 seat=self.planner_lease.record,
                 evacuations=self.evacuations.record,
             )
@@ -172,6 +174,6 @@
         self.ledger.restore(snapshot.ledger)
         self.credit.restore(snapshot.credit)
         self.document.current = snapshot.document
-        self.departures.restore(snapshot.departures)
+        self.departures.restore(snapshot.departures, snapshot.announcements)
         self.planner_lease.record = snapshot.seat
         self.evacuations.record = snapshot.evacuations
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -31,6 +31,21 @@
         self.assertNotIn("t0", self.departures.start_times_ms)
         self.assertEqual(self.departures.start_times_ms["t599"], 599)
 
+    def test_the_latest_announcement_is_kept_over_a_snapshot(self):
+        """Guards against a leader that takes an older report for a newer."""
+        state = state_lib.State()
+        for born, number in ((7, 3), (7, 2), (4, 9)):
+            state.apply(
+                1,
+                departures_lib.Depart(
+                    name="t1", started_at_ms=born, report_number=number
+                ),
+            )
+        other = state_lib.State()
+        other.restore(state.snapshot())
+        self.assertEqual({"t1": (7, 3)}, other.departures.announcements)
+        self.assertEqual({}, other.departures.start_times_ms)
+
     def test_departures_are_part_of_a_snapshot(self):
         """Guards against a replica without departures after a snapshot."""
         state = state_lib.State()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -33,6 +33,18 @@
         )
         self.assertTrue(self.registry.find("t1").registration.draining)
 
+    def test_report_from_before_an_earlier_announcement_is_outdated(self):
+        """Guards against requests to a target after a change of leader."""
+        self.registry.announce("t1", 1, 5, 1.0)
+        self.assertEqual(("t1",), self.registry.departed)
+        late = make_registration(report_number=4)
+        self.assertEqual([], self.registry.add(late, 2.0))
+        again = make_registration(report_number=6, draining=True)
+        self.assertEqual(["t1"], self.registry.add(again, 3.0))
+        self.assertEqual((), self.registry.departed)
+        later = make_registration(started_at_ms=2)
+        self.assertEqual(["t1"], self.registry.add(later, 4.0))
+
     def test_report_sent_before_deregistration_does_not_restore_target(self):
         """Requests must not go to an address that another service may use.
 
