--- a/packages/endivestream/src/endivestream/request/queue_deadlines.py
+++ b/packages/endivestream/src/endivestream/request/queue_deadlines.py
@@ -84,7 +84,7 @@
 
 
 def confirmation_deadline(*, arrived_at: float, deadline: float) -> float:
-    """Returns the time until which a request waits for a confirmation.
+    """Returns the time until which a request waits for the leader.
 
     The leader confirms that this host has the newest configuration.
 
--- a/packages/endivestream/src/endivestream/version/ledger.py
+++ b/packages/endivestream/src/endivestream/version/ledger.py
@@ -80,7 +80,7 @@
 
 
 class LedgerUpdated(msgspec.Struct, frozen=True, kw_only=True, tag="Noted"):
-    """The registration or confirmation was applied."""
+    """The target or its load was recorded."""
 
 
 Result = MemoryReserved | LedgerRejected | LedgerUpdated
