--- a/benchmarks/crash_requests.py
+++ b/benchmarks/crash_requests.py
@@ -20,7 +20,7 @@
 import statistics
 from typing import NamedTuple
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
 from endivestream.request import crash_evidence
 from endivestream.request import open_attempts
 from endivestream.request import request_evidence
@@ -319,7 +319,7 @@
         changed |= self._requests.record_end(
             process,
             [
-                site_messages.OpenRequest(
+                quarantine_messages.OpenRequest(
                     content=each.content,
                     left=each.deadline - now,
                     open_seconds=now - each.sent_at,
--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -25,6 +25,7 @@
 from endivestream import clock
 from endivestream import messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import departure_calls
 from soak import virtual_time
@@ -134,7 +135,7 @@
                 host.is_frozen = False
                 host.incarnation += 1
                 host.targets = {}
-                host.position = site_messages.Position()
+                host.position = table_position.Position()
 
     case.tasks = [asyncio.create_task(restart())]
     await asyncio.sleep(case.random.uniform(0.0, 3.0))
--- a/benchmarks/replay/site.py
+++ b/benchmarks/replay/site.py
@@ -13,6 +13,7 @@
 import dataclasses
 import random
 
+from endivestream import placement_messages
 from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
 from endivestream.process import demand_table
@@ -272,7 +273,7 @@
                 objectives = waiting.get((number, model), [])
                 self._demand.record_demand(
                     str(number),
-                    site_messages.Demand(
+                    placement_messages.Demand(
                         "s",
                         model,
                         "",
--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -18,7 +18,7 @@
 
 from endivestream import clock
 from endivestream import logs
-from endivestream import site_messages
+from endivestream import table_position
 from endivestream.process import target_departures
 
 # Minimum time for which an acknowledgement waits for hosts that have not
@@ -54,7 +54,7 @@
         lease: float,
         version: int,
         evacuations: int,
-        positions: Callable[[], Mapping[str, site_messages.Position]],
+        positions: Callable[[], Mapping[str, table_position.Position]],
     ) -> None:
         """Starts without waiting changes.
 
@@ -209,7 +209,7 @@
             lagging=_format_hosts(self._lagging_hosts(departure.position)),
         )
 
-    def _lagging_hosts(self, position: site_messages.Position) -> list[str]:
+    def _lagging_hosts(self, position: table_position.Position) -> list[str]:
         """Returns the hosts with a lease that have an earlier table."""
         return [
             host for host, held in self._positions().items() if held < position
--- a/packages/endivestream/src/endivestream/process/crash_reporter.py
+++ b/packages/endivestream/src/endivestream/process/crash_reporter.py
@@ -25,7 +25,8 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import messages
-from endivestream import site_messages
+from endivestream import quarantine_messages
+from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import process_probe
 from endivestream.connection import registry as registry_lib
@@ -51,7 +52,9 @@
 _MAX_LOGGED_REQUESTS = 16
 
 _Entry = TypeVar(
-    "_Entry", site_messages.QuarantineEntry, site_messages.ListedRequest
+    "_Entry",
+    quarantine_messages.QuarantineEntry,
+    quarantine_messages.ListedRequest,
 )
 
 
@@ -65,7 +68,7 @@
         is_acknowledged: Whether a leader has acknowledged it.
     """
 
-    message: site_messages.ProcessEnded
+    message: quarantine_messages.ProcessEnded
     ended_at: float
     is_acknowledged: bool = False
 
@@ -108,9 +111,9 @@
         # Listed requests, and whether several processes ended under them.
         self._listed: frozenset[tuple[str, bool]] = frozenset()
         # What was known under a leader that may have been replaced.
-        self._kept_revision: site_messages.Position | None = None
-        self._kept_entries: tuple[site_messages.QuarantineEntry, ...] = ()
-        self._kept_requests: tuple[site_messages.ListedRequest, ...] = ()
+        self._kept_revision: table_position.Position | None = None
+        self._kept_entries: tuple[quarantine_messages.QuarantineEntry, ...] = ()
+        self._kept_requests: tuple[quarantine_messages.ListedRequest, ...] = ()
         # Keys whose requests were answered: those to report with the next
         # renewal, and when others were reported.
         self._answered: dict[str, None] = {}
@@ -124,7 +127,7 @@
         return self._counts
 
     @property
-    def revision(self) -> site_messages.Position:
+    def revision(self) -> table_position.Position:
         """Revision of the quarantine that renewals report."""
         return self._kept_revision or self._quarantine.revision
 
@@ -137,12 +140,12 @@
         """Cancels examinations in progress."""
         await tasks.cancel((*self._examinations.values(), *self._tasks))
 
-    def entries(self) -> tuple[site_messages.QuarantineEntry, ...]:
+    def entries(self) -> tuple[quarantine_messages.QuarantineEntry, ...]:
         """Returns the quarantined keys, for a leader that may lack them."""
         entries = self._quarantine.entries(clock.now())
         return _merge_by_key(entries, self._kept_entries)
 
-    def listed_requests(self) -> tuple[site_messages.ListedRequest, ...]:
+    def listed_requests(self) -> tuple[quarantine_messages.ListedRequest, ...]:
         """Returns the listed requests, for a leader that may lack them."""
         listed = self._quarantine.listed_requests(clock.now())
         return _merge_by_key(listed, self._kept_requests)
@@ -164,7 +167,7 @@
 
     def take_reports(
         self, *, everything: bool
-    ) -> tuple[site_messages.ProcessEnded, ...]:
+    ) -> tuple[quarantine_messages.ProcessEnded, ...]:
         """Returns reports for a renewal.
 
         Args:
@@ -196,7 +199,7 @@
             report.is_acknowledged = True
         self._renewing = ()
 
-    def set_table(self, table: site_messages.QuarantineTable) -> None:
+    def set_table(self, table: quarantine_messages.QuarantineTable) -> None:
         """Applies the leader's quarantine; reports what disproves it."""
         now = clock.now()
         if self._quarantine.set_table(table, now):
@@ -237,7 +240,7 @@
                 attempt.grant = grant.attempt
                 held.append((key, grant.attempt))
         if held:
-            message = site_messages.HoldAttempts(attempts=tuple(held))
+            message = quarantine_messages.HoldAttempts(attempts=tuple(held))
             self._start_task(
                 self._request_leader(message, seconds=_REPORT_SECONDS),
                 "hold_attempts",
@@ -272,10 +275,11 @@
             case [(key, until)] if crash_keys.is_part(key) and until <= now:
                 self._quarantine.postpone_trial(key, now + _TRIAL_RETRY_SECONDS)
                 answer = await self._request_leader(
-                    site_messages.AskTrial(key=key), seconds=_REPORT_SECONDS
+                    quarantine_messages.AskTrial(key=key),
+                    seconds=_REPORT_SECONDS,
                 )
                 match answer:
-                    case site_messages.GiveTrial(is_granted=True):
+                    case quarantine_messages.GiveTrial(is_granted=True):
                         keys.trial_key = key
                         logs.event(
                             "quarantine_trial", request=keys.request, key=key
@@ -345,7 +349,7 @@
         } | dict.fromkeys(due, now)
         self._answered |= dict.fromkeys(due)
         if any(map(self._quarantine.is_quarantined, due)):
-            message = site_messages.Answered(
+            message = quarantine_messages.Answered(
                 host=self._host, keys=self.take_answered()
             )
             self._start_task(
@@ -383,8 +387,8 @@
             return True
         attempt = self._new_attempt(keys)
         answer = await self._request_leader(
-            site_messages.AskAttempt(
-                request=site_messages.OpenRequest(
+            quarantine_messages.AskAttempt(
+                request=quarantine_messages.OpenRequest(
                     content=request.content,
                     left=request.deadline - clock.now(),
                     is_shared=request.is_shared,
@@ -394,7 +398,9 @@
             seconds=_REPORT_SECONDS,
         )
         match answer:
-            case site_messages.GiveAttempt(is_granted=is_granted, key=key):
+            case quarantine_messages.GiveAttempt(
+                is_granted=is_granted, key=key
+            ):
                 if is_granted and key:
                     keys.grant = crash_keys.Grant(key, attempt)
                 return is_granted
@@ -410,7 +416,7 @@
         """Returns a grant, before another host asks for one."""
         grant, keys.grant = keys.grant, None
         if grant is not None:
-            message = site_messages.ReleaseAttempt(
+            message = quarantine_messages.ReleaseAttempt(
                 key=grant.key, attempt=grant.attempt
             )
             await self._request_leader(message, seconds=_REPORT_SECONDS)
@@ -548,7 +554,7 @@
         if not requests:
             return
         self._quarantine.record_possible_end(process, requests, now)
-        message = site_messages.ProcessEnded(
+        message = quarantine_messages.ProcessEnded(
             host=self._host,
             target=process.target,
             started_at_ms=process.started_at_ms,
@@ -629,7 +635,7 @@
             open=len(attempts),
             answered_contents=answered,
         )
-        message = site_messages.ProcessEnded(
+        message = quarantine_messages.ProcessEnded(
             host=self._host,
             target=process.target,
             started_at_ms=process.started_at_ms,
@@ -640,13 +646,13 @@
         await self._send_report(message, now)
 
     async def _send_report(
-        self, message: site_messages.ProcessEnded, now: float
+        self, message: quarantine_messages.ProcessEnded, now: float
     ) -> None:
         report = _Report(message=message, ended_at=now)
         self._reports.append(report)
         answer = await self._request_leader(message, seconds=_REPORT_SECONDS)
         match answer:
-            case site_messages.EvidenceRecorded():
+            case quarantine_messages.EvidenceRecorded():
                 report.is_acknowledged = True
             case _:
                 logs.warn("process_end_unreported", target=message.target)
@@ -663,7 +669,7 @@
 
     def _open_requests(
         self, attempts: Collection[open_attempts_lib.Attempt], now: float
-    ) -> tuple[site_messages.OpenRequest, ...]:
+    ) -> tuple[quarantine_messages.OpenRequest, ...]:
         """Returns the callers' requests of some attempts."""
         by_request: dict[
             request_index.CallerRequest, list[open_attempts_lib.Attempt]
@@ -673,7 +679,7 @@
             if request is not None:
                 by_request.setdefault(request, []).append(attempt)
         return tuple(
-            site_messages.OpenRequest(
+            quarantine_messages.OpenRequest(
                 content=request.content,
                 left=request.deadline - now,
                 open_seconds=now - max(each.sent_at for each in same),
@@ -685,8 +691,8 @@
 
 
 def _as_of(
-    message: site_messages.ProcessEnded, seconds_ago: float
-) -> site_messages.ProcessEnded:
+    message: quarantine_messages.ProcessEnded, seconds_ago: float
+) -> quarantine_messages.ProcessEnded:
     """Returns a report as it is sent later."""
     return msgspec.structs.replace(
         message,
--- a/packages/endivestream/src/endivestream/process/credit_allocator.py
+++ b/packages/endivestream/src/endivestream/process/credit_allocator.py
@@ -25,8 +25,8 @@
 import dataclasses
 import math
 
+from endivestream import limit_messages
 from endivestream import logs
-from endivestream import site_messages
 from endivestream.request import credit_shares as credit_shares_lib
 from endivestream.version import document as document_lib
 
@@ -241,8 +241,8 @@
         self._buckets = buckets
 
     def handle_report(
-        self, host: str, need: site_messages.Need, now: float
-    ) -> site_messages.Grant | None:
+        self, host: str, need: limit_messages.Need, now: float
+    ) -> limit_messages.Grant | None:
         """Records a host's report and grants credit; None if not limited."""
         bucket = self._buckets.get(need.team)
         if bucket is None:
@@ -268,12 +268,12 @@
     def request_credit(
         self,
         host: str,
-        need: site_messages.Need,
+        need: limit_messages.Need,
         now: float,
         *,
         timely_within: float = 0.0,
         max_wait_seconds: float = 0.0,
-    ) -> site_messages.Grant | None:
+    ) -> limit_messages.Grant | None:
         """Grants credit for one request; None if the team has no limit.
 
         Credit reserved for later is taken out of the bucket immediately, so no
@@ -323,14 +323,14 @@
 
     def _allocate(
         self, host: str, bucket: _Bucket, credit: float, short: float
-    ) -> site_messages.Grant:
+    ) -> limit_messages.Grant:
         bucket.level -= credit
         bucket.held.set(host, bucket.held.of(host) + credit)
         return self._create_grant(host, bucket, credit, short)
 
     def _create_grant(
         self, host: str, bucket: _Bucket, credit: float, short: float
-    ) -> site_messages.Grant:
+    ) -> limit_messages.Grant:
         # Whole numbers take less space in a packed frame.
         rate = float(
             math.floor(
@@ -340,6 +340,6 @@
             )
         )
         max_credit = float(math.floor(bucket.max_credit(host)))
-        return site_messages.Grant(
+        return limit_messages.Grant(
             bucket.team.name, credit, rate, short, max_credit
         )
--- a/packages/endivestream/src/endivestream/process/credit_requests.py
+++ b/packages/endivestream/src/endivestream/process/credit_requests.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream import tasks
 from endivestream.connection import watch as watch_lib
 
@@ -36,8 +36,8 @@
         answer: Set to the grant, or to None if the leader did not answer.
     """
 
-    wanted: site_messages.CreditRequest
-    answer: asyncio.Future[site_messages.Grant | None]
+    wanted: limit_messages.CreditRequest
+    answer: asyncio.Future[limit_messages.Grant | None]
 
 
 class CreditRequester:
@@ -48,7 +48,7 @@
         *,
         watch: watch_lib.LeaderSession,
         host: str,
-        on_unclaimed: Callable[[site_messages.Grant], None],
+        on_unclaimed: Callable[[limit_messages.Grant], None],
     ) -> None:
         """Sends no request yet.
 
@@ -65,8 +65,8 @@
         self._in_flight: set[asyncio.Task[None]] = set()
 
     async def request(
-        self, wanted: site_messages.CreditRequest
-    ) -> site_messages.Grant | None:
+        self, wanted: limit_messages.CreditRequest
+    ) -> limit_messages.Grant | None:
         """Requests credit; returns None if the leader did not answer."""
         answer = asyncio.get_running_loop().create_future()
         self._queue.append(_PendingRequest(wanted=wanted, answer=answer))
@@ -87,13 +87,13 @@
             self._send_batches()
 
     async def _exchange(self, batch: list[_PendingRequest]) -> None:
-        message = site_messages.AskCredit(
+        message = limit_messages.AskCredit(
             host=self._host,
             credit_requests=tuple(request.wanted for request in batch),
         )
         answer = await self._watch.request(message, seconds=_TIMEOUT_SECONDS)
-        grants: tuple[site_messages.Grant | None, ...] = ()
-        if isinstance(answer, site_messages.GiveCredit):
+        grants: tuple[limit_messages.Grant | None, ...] = ()
+        if isinstance(answer, limit_messages.GiveCredit):
             grants = answer.grants
         if len(grants) != len(batch):
             grants = (None,) * len(batch)
--- a/packages/endivestream/src/endivestream/process/demand_table.py
+++ b/packages/endivestream/src/endivestream/process/demand_table.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from endivestream import site_messages
+from endivestream import placement_messages
 from endivestream.version import plan_types
 
 # Time for which the last availability of a model or adapter is remembered.
@@ -54,7 +54,7 @@
         return f"<DemandTable of {len(self._entries)} models and adapters>"
 
     def record_demand(
-        self, host: str, report: site_messages.Demand, now: float
+        self, host: str, report: placement_messages.Demand, now: float
     ) -> None:
         """Adds an entry host's demand for one model or adapter."""
         key = (report.service, report.model, report.adapter)
--- a/packages/endivestream/src/endivestream/process/departure_manager.py
+++ b/packages/endivestream/src/endivestream/process/departure_manager.py
@@ -10,7 +10,7 @@
 
 from endivestream import clock
 from endivestream import logs
-from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import target_departures
@@ -28,7 +28,7 @@
         replicator: replicate.Replicator,
         confirmations: confirmations_lib.Confirmations,
         bound: float,
-        position: Callable[[], site_messages.Position],
+        position: Callable[[], table_position.Position],
         renewals: Callable[[], Mapping[str, float]],
         on_targets_changed: Callable[[Iterable[str]], None],
     ) -> None:
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -25,7 +25,10 @@
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import messages
+from endivestream import peer_messages
+from endivestream import placement_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
@@ -116,7 +119,7 @@
         )
         self._credit_shares = credit_shares_lib.CreditShares()
         self._table: routes_lib.Table | None = None
-        self._position = site_messages.Position()
+        self._position = table_position.Position()
         # Term of the leader that has everything that it may lack, and whether
         # the renewal under way contains that.
         self._reported_term = 0
@@ -395,7 +398,7 @@
         self._reports_everything = is_new_leader
         rates = self._demand.rates(now)
         demand = tuple(
-            site_messages.Demand(
+            placement_messages.Demand(
                 *key,
                 rates.get(key, 0.0),
                 len(self._waiting_objectives.get(key, ())),
@@ -456,14 +459,14 @@
         self, peer: bytes, message: messages.Message
     ) -> messages.Message | None:
         match message:
-            case site_messages.AskTurn():
+            case peer_messages.AskTurn():
                 return self._prefill_turn_service.grant_turn(message)
-            case site_messages.Follow():
+            case peer_messages.Follow():
                 return self._push_relay.handle_follow(peer, message)
-            case site_messages.RecordOrigins(records=records):
+            case peer_messages.RecordOrigins(records=records):
                 self._origin_directory.store(records)
-                return site_messages.OriginsRecorded()
-            case site_messages.FindOrigin(attempt=attempt):
+                return peer_messages.OriginsRecorded()
+            case peer_messages.FindOrigin(attempt=attempt):
                 return self._origin_directory.find_here(attempt)
         logs.warn(
             "unexpected_message",
@@ -594,7 +597,7 @@
             if successor is not None and successor.name != name:
                 self._crash_reporter.record_replaced(previous)
 
-    def _has_reached(self, after: site_messages.Position) -> bool:
+    def _has_reached(self, after: table_position.Position) -> bool:
         """Returns whether this host's table includes a position."""
         return (
             after.term == self._position.term
@@ -699,11 +702,11 @@
             # of a second.
             rate = self._demand.rates(now).get(key, 0.0)
             unserved = self._unserved.unserved_seconds(key, now)
-            demand = site_messages.Demand(
+            demand = placement_messages.Demand(
                 *key, rate, 1, work.route.objective, unserved
             )
             self._send_to_leader(
-                site_messages.Missing(
+                placement_messages.Missing(
                     host=self._settings.name, demand=(demand,)
                 )
             )
@@ -727,7 +730,7 @@
         waiting = self._waiting_bound.setdefault(key, [])
         waiting.append(work.route.objective)
         if len(waiting) == 1:
-            message = site_messages.Missing(
+            message = placement_messages.Missing(
                 host=self._settings.name,
                 demand=(),
                 bound_demand=(_bound_demand(key, waiting),),
@@ -773,8 +776,10 @@
 
 def _bound_demand(
     key: tuple[str, str, str, str], objectives: Sequence[float]
-) -> site_messages.BoundDemand:
-    return site_messages.BoundDemand(*key, len(objectives), min(objectives))
+) -> placement_messages.BoundDemand:
+    return placement_messages.BoundDemand(
+        *key, len(objectives), min(objectives)
+    )
 
 
 def _listen(
--- a/packages/endivestream/src/endivestream/process/entry_credit.py
+++ b/packages/endivestream/src/endivestream/process/entry_credit.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.connection import watch as watch_lib
 from endivestream.process import credit_requests
 from endivestream.request import credit_shares as credit_shares_lib
@@ -96,12 +96,12 @@
 
     async def _request_credit(
         self, team: str, cost: float, *, timely_within: float, patience: float
-    ) -> site_messages.Grant | None:
+    ) -> limit_messages.Grant | None:
         """Requests credit from the leader; None if it did not answer."""
         balance = self._credit_shares.balance(team)
-        need = site_messages.Need(team, 0.0, balance, cost)
+        need = limit_messages.Need(team, 0.0, balance, cost)
         grant = await self._credit_requester.request(
-            site_messages.CreditRequest(need, timely_within, patience)
+            limit_messages.CreditRequest(need, timely_within, patience)
         )
         if grant is None:
             # Without a leader, the call above returns immediately.
@@ -113,7 +113,7 @@
         self._credit_shares.apply_grant(immediate_grant, clock.now())
         return grant
 
-    def _return_unclaimed(self, grant: site_messages.Grant) -> None:
+    def _return_unclaimed(self, grant: limit_messages.Grant) -> None:
         """Returns to the team the credit of a disconnected caller's request."""
         if grant.usable_in:
             loop = asyncio.get_running_loop()
@@ -121,7 +121,7 @@
         else:
             self._credit_shares.apply_grant(grant, clock.now())
 
-    async def _wait_for_reservation(self, grant: site_messages.Grant) -> bool:
+    async def _wait_for_reservation(self, grant: limit_messages.Grant) -> bool:
         """Waits for reserved credit; returns whether it is still valid."""
         due_at = clock.now() + grant.usable_in
         try:
@@ -135,7 +135,7 @@
             raise
         return self._is_reservation_valid()
 
-    def _return_reserved(self, grant: site_messages.Grant) -> None:
+    def _return_reserved(self, grant: limit_messages.Grant) -> None:
         if self._is_reservation_valid():
             self._credit_shares.refund(grant.team, grant.credit)
 
--- a/packages/endivestream/src/endivestream/process/entry_rate_limits.py
+++ b/packages/endivestream/src/endivestream/process/entry_rate_limits.py
@@ -8,8 +8,8 @@
 from collections.abc import Mapping
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import logs
-from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
 from endivestream.connection import watch as watch_lib
 from endivestream.request import rate_limits as rate_limits_lib
@@ -110,14 +110,14 @@
             self._last_notified_at = now
             self._notify_leader()
 
-    def merge(self, limits: Iterable[site_messages.RateLimit]) -> None:
+    def merge(self, limits: Iterable[limit_messages.RateLimit]) -> None:
         """Merges limits that the leader has pushed."""
         for name in self._limits.merge(limits, clock.now()):
             _log_rate_limit(name, self._limits.rates.get(name), "leader")
 
     def report(
         self, *, everything: bool
-    ) -> tuple[site_messages.RateLimit, ...]:
+    ) -> tuple[limit_messages.RateLimit, ...]:
         """Returns limits to report to the leader with a renewal.
 
         Args:
@@ -170,8 +170,8 @@
             return None
         age = self._limits.age(registration.name, now)
         answer = await self._watch.request(
-            site_messages.AskSend(
-                limit=site_messages.RateLimit(
+            limit_messages.AskSend(
+                limit=limit_messages.RateLimit(
                     registration.name,
                     registration.started_at_ms,
                     reported_rate,
@@ -183,9 +183,9 @@
             seconds=_TIMEOUT_SECONDS,
         )
         match answer:
-            case site_messages.GiveSend(send_in=float(wait)):
+            case limit_messages.GiveSend(send_in=float(wait)):
                 return await self._wait_for_send(registration, rate, now, wait)
-            case site_messages.GiveSend(retry_in=again):
+            case limit_messages.GiveSend(retry_in=again):
                 self._outcomes["denied"] += 1
                 logs.event(
                     "send_denied",
--- a/packages/endivestream/src/endivestream/process/entry_repeats.py
+++ b/packages/endivestream/src/endivestream/process/entry_repeats.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.connection import watch as watch_lib
 from endivestream.process import site_settings
 from endivestream.request import repeats as repeats_lib
@@ -57,10 +57,10 @@
         if self._backoff_until.get(service, 0.0) > clock.now():
             return False
         answer = await self._watch.request(
-            site_messages.AskRepeat(service=service), seconds=_TIMEOUT_SECONDS
+            limit_messages.AskRepeat(service=service), seconds=_TIMEOUT_SECONDS
         )
         granted = (
-            isinstance(answer, site_messages.GiveRepeat) and answer.granted
+            isinstance(answer, limit_messages.GiveRepeat) and answer.granted
         )
         if not granted:
             self._backoff_until[service] = clock.now() + _BACKOFF_SECONDS
--- a/packages/endivestream/src/endivestream/process/limited_sends.py
+++ b/packages/endivestream/src/endivestream/process/limited_sends.py
@@ -11,8 +11,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
+from endivestream import limit_messages
 from endivestream import logs
-from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
 from endivestream.request import cold_targets
 from endivestream.request import rate_limits as rate_limits_lib
@@ -51,12 +51,12 @@
 
     def records(
         self, now: float, targets: Collection[str] | None
-    ) -> tuple[site_messages.RateLimit, ...]:
+    ) -> tuple[limit_messages.RateLimit, ...]:
         """Returns the reported limits of some targets, or of all."""
         return self._limits.records(now, targets)
 
     def merge(
-        self, limits: Iterable[site_messages.RateLimit], now: float
+        self, limits: Iterable[limit_messages.RateLimit], now: float
     ) -> None:
         """Merges targets' rate limits as reported by entry hosts."""
         current = [
@@ -78,8 +78,8 @@
             self._on_limits_changed(changed, self._limits.rates)
 
     def grant(
-        self, message: site_messages.AskSend, *, hosts: int, now: float
-    ) -> site_messages.GiveSend:
+        self, message: limit_messages.AskSend, *, hosts: int, now: float
+    ) -> limit_messages.GiveSend:
         """Answers a host that wants to send a request to a limited target.
 
         Args:
@@ -97,7 +97,7 @@
         if rate is None:
             # The limit has ended, or belongs to another start of the target;
             # the table update with this change is already in flight.
-            return site_messages.GiveSend(send_in=0.0)
+            return limit_messages.GiveSend(send_in=0.0)
         decision = self._slots.take(
             limit.target,
             limit.started_at_ms,
@@ -108,9 +108,9 @@
         )
         match decision:
             case send_slots.Granted(wait=wait):
-                return site_messages.GiveSend(send_in=wait)
+                return limit_messages.GiveSend(send_in=wait)
             case send_slots.Denied(seconds=seconds):
-                return site_messages.GiveSend(retry_in=seconds)
+                return limit_messages.GiveSend(retry_in=seconds)
 
     def count_send(self, target: str, now: float) -> None:
         """Counts an order or query that was sent without a grant."""
--- a/packages/endivestream/src/endivestream/process/origin_directory.py
+++ b/packages/endivestream/src/endivestream/process/origin_directory.py
@@ -22,6 +22,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import loop_meter
+from endivestream import peer_messages
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import addresses
@@ -81,7 +82,7 @@
         self._writable_hosts: tuple[_Holder, ...] = ()
         self._links: dict[str, links.Link] = {}
         self._acknowledged_at: dict[str, float] = {}
-        self._batches: dict[str, list[site_messages.OriginRecord]] = {}
+        self._batches: dict[str, list[peer_messages.OriginRecord]] = {}
         self._counts: collections.Counter[str] = collections.Counter()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -139,14 +140,14 @@
                 continue
             self._table.record(attempt, origin, clock.now(), seconds)
             self._counts["recorded"] += 1
-            record = site_messages.OriginRecord(attempt, origin, seconds)
+            record = peer_messages.OriginRecord(attempt, origin, seconds)
             for holder in self._holders(attempt, self._writable_hosts):
                 batch = self._batches.setdefault(holder.address, [])
                 batch.append(record)
                 if len(batch) == 1:
                     self._start_task(self._send_later(holder.address))
 
-    def store(self, records: Iterable[site_messages.OriginRecord]) -> None:
+    def store(self, records: Iterable[peer_messages.OriginRecord]) -> None:
         """Stores copies of another host's records."""
         for record in records:
             self._counts["stored"] += 1
@@ -154,10 +155,10 @@
                 record.attempt, record.origin, clock.now(), record.seconds
             )
 
-    def find_here(self, attempt: str) -> site_messages.OriginFound:
+    def find_here(self, attempt: str) -> peer_messages.OriginFound:
         """Answers another host's query from this host's records."""
         origin = self._table.find(attempt, clock.now())
-        return site_messages.OriginFound(origin=origin)
+        return peer_messages.OriginFound(origin=origin)
 
     async def find(self, attempt: str) -> resumptions.Lookup:
         """Returns where the stream of an attempt began, if that is known."""
@@ -197,16 +198,16 @@
     async def _query(self, address: str, attempt: str) -> resumptions.Lookup:
         try:
             answer = await self._link(address).request(
-                site_messages.FindOrigin(attempt=attempt),
+                peer_messages.FindOrigin(attempt=attempt),
                 seconds=_ANSWER_TIMEOUT_SECONDS,
             )
         except links.LinkDownError as error:
             logs.warn("origin_unanswered", peer=address, why=error)
             return resumptions.Lookup(resumptions.Source.UNCONFIRMED)
         match answer:
-            case site_messages.OriginFound(origin=None):
+            case peer_messages.OriginFound(origin=None):
                 return resumptions.Lookup(resumptions.Source.ABSENT)
-            case site_messages.OriginFound(origin=origin):
+            case peer_messages.OriginFound(origin=origin):
                 return resumptions.Lookup(resumptions.Source.HOLDER, origin)
         logs.warn("unexpected_message", message=type(answer).__name__)
         return resumptions.Lookup(resumptions.Source.UNCONFIRMED)
@@ -226,7 +227,7 @@
         records = self._batches.pop(address, None)
         if not records:
             return
-        message = site_messages.RecordOrigins(records=tuple(records))
+        message = peer_messages.RecordOrigins(records=tuple(records))
         link, now = self._link(address), clock.now()
         acknowledged_at = self._acknowledged_at.get(address, now)
         self._acknowledged_at.setdefault(address, now)
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -20,7 +20,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import loop_meter
-from endivestream import site_messages
+from endivestream import placement_messages
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
@@ -115,7 +115,7 @@
         self._demand = demand_table.DemandTable()
         # Resumed streams that wait for models, by entry host.
         self._bound_demand: dict[
-            str, tuple[site_messages.BoundDemand, ...]
+            str, tuple[placement_messages.BoundDemand, ...]
         ] = {}
         self._uses = use_table.UseTable()
         # Targets that fail, by the entry host that reported them.
@@ -203,7 +203,7 @@
         self._wake_up.set()
 
     def replace_demand(
-        self, host: str, demand: Iterable[site_messages.Demand]
+        self, host: str, demand: Iterable[placement_messages.Demand]
     ) -> None:
         """Replaces the demand of an entry host."""
         self._demand.remove_host(host)
@@ -211,7 +211,7 @@
             self._demand.record_demand(host, entry, clock.now())
 
     def add_waiting_demand(
-        self, host: str, demand: Iterable[site_messages.Demand]
+        self, host: str, demand: Iterable[placement_messages.Demand]
     ) -> None:
         """Adds demand of waiting requests and plans immediately."""
         for entry in demand:
@@ -219,13 +219,13 @@
         self._wake_up.set()
 
     def replace_bound_demand(
-        self, host: str, demand: Iterable[site_messages.BoundDemand]
+        self, host: str, demand: Iterable[placement_messages.BoundDemand]
     ) -> None:
         """Replaces the resumed streams of an entry host that wait."""
         self._bound_demand[host] = tuple(demand)
 
     def add_bound_demand(
-        self, host: str, demand: Iterable[site_messages.BoundDemand]
+        self, host: str, demand: Iterable[placement_messages.BoundDemand]
     ) -> None:
         """Adds resumed streams that wait, and plans immediately."""
         self._bound_demand[host] = (
@@ -235,7 +235,7 @@
         self._wake_up.set()
 
     def replace_uses(
-        self, host: str, uses: Iterable[site_messages.Use]
+        self, host: str, uses: Iterable[placement_messages.Use]
     ) -> None:
         """Replaces the running requests of an entry host."""
         uses = tuple(uses)
@@ -299,13 +299,13 @@
 
     def pending_loads(
         self, target: str
-    ) -> tuple[site_messages.LoadingModel, ...]:
+    ) -> tuple[placement_messages.LoadingModel, ...]:
         """Returns the models being loaded on a target, with the time left."""
         worker = self._workers.get(target)
         if worker is None or worker.step is None:
             return ()
         remaining = max(0.0, worker.expected_ready_at - clock.now())
-        return (site_messages.LoadingModel(worker.step.model, remaining),)
+        return (placement_messages.LoadingModel(worker.step.model, remaining),)
 
     def usable_adapters(self, target: str) -> tuple[str, ...]:
         """Returns the adapters usable on a target, as `MODEL/ADAPTER`."""
--- a/packages/endivestream/src/endivestream/process/planner_lease_holder.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_holder.py
@@ -15,10 +15,13 @@
 from collections.abc import Iterable
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import messages
+from endivestream import placement_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.process import planner as planner_lib
@@ -71,7 +74,7 @@
         self._document = document
         self._evacuated_domains = evacuated_domains
         self._document_version = 0
-        self._position = site_messages.Position()
+        self._position = table_position.Position()
         self._fence = 0
         self._lease_until = float("-inf")
         self._orders_from = float("-inf")
@@ -110,10 +113,12 @@
         while True:
             requested_at = clock.now()
             answer = await self._call(
-                site_messages.AskSeat(host=self._host, position=self._position),
+                placement_messages.AskSeat(
+                    host=self._host, position=self._position
+                ),
                 seconds=_ANSWER_TIMEOUT_SECONDS,
             )
-            if not isinstance(answer, site_messages.ToldSeat):
+            if not isinstance(answer, placement_messages.ToldSeat):
                 await asyncio.sleep(_RETRY_SECONDS)
                 continue
             if answer.holder != self._host:
@@ -125,14 +130,14 @@
     async def _stop_placing(self) -> None:
         """Ends the lease on this host and closes the planner."""
         self._lease_until = float("-inf")
-        self._position = site_messages.Position()
+        self._position = table_position.Position()
         planner, self._planner = self._planner, None
         if planner is not None:
             logs.event("seat_left", fence=self._fence)
             await planner.close()
 
     async def _handle_lease(
-        self, answer: site_messages.ToldSeat, requested_at: float
+        self, answer: placement_messages.ToldSeat, requested_at: float
     ) -> None:
         """Applies an answer that grants the lease to this host."""
         if self._planner is not None and answer.fence != self._fence:
@@ -179,39 +184,41 @@
     def _start_full_feed(
         self,
         planner: planner_lib.Planner,
-        items: Iterable[site_messages.PlannerFeedItem],
+        items: Iterable[placement_messages.PlannerFeedItem],
     ) -> None:
         """Removes hosts that are missing from a full feed."""
         listed_hosts = {
             item.host
             for item in items
-            if isinstance(item, site_messages.FeedDemand)
+            if isinstance(item, placement_messages.FeedDemand)
         }
         for host in self._known_hosts - listed_hosts:
             planner.remove_host(host)
         self._known_hosts = listed_hosts
 
     def _apply_feed_item(
-        self, planner: planner_lib.Planner, item: site_messages.PlannerFeedItem
+        self,
+        planner: planner_lib.Planner,
+        item: placement_messages.PlannerFeedItem,
     ) -> None:
         match item:
-            case site_messages.FeedDemand(host=host):
+            case placement_messages.FeedDemand(host=host):
                 self._known_hosts.add(host)
                 planner.replace_demand(host, item.demand)
                 planner.replace_bound_demand(host, item.bound_demand)
                 planner.replace_uses(host, item.uses)
                 planner.replace_failing_targets(host, item.failing)
-            case site_messages.Missing(host=host, demand=demand):
+            case placement_messages.Missing(host=host, demand=demand):
                 planner.add_waiting_demand(host, demand)
                 planner.add_bound_demand(host, item.bound_demand)
-            case site_messages.FeedHostRemoved(host=host):
+            case placement_messages.FeedHostRemoved(host=host):
                 self._known_hosts.discard(host)
                 planner.remove_host(host)
-            case site_messages.FeedTargetReport(registration=registration):
+            case placement_messages.FeedTargetReport(registration=registration):
                 planner.apply_report(registration)
-            case site_messages.FeedRateLimits(rates=rates):
+            case placement_messages.FeedRateLimits(rates=rates):
                 planner.set_rate_limits(rates)
-            case site_messages.FeedTargets():
+            case placement_messages.FeedTargets():
                 planner.set_targets(
                     item.names, set(item.silent), complete=item.complete
                 )
@@ -220,7 +227,7 @@
         """Reports a request to a target, which counts against its limit."""
         self._run_in_background(
             self._call(
-                site_messages.CountSend(target=target),
+                limit_messages.CountSend(target=target),
                 seconds=_UPDATE_TIMEOUT_SECONDS,
             )
         )
@@ -232,7 +239,7 @@
             return
         self._update_number += 1
         updates = tuple(
-            site_messages.PlacementUpdate(
+            placement_messages.PlacementUpdate(
                 target=target,
                 number=self._update_number,
                 unloading=planner.closing_models(target),
@@ -241,7 +248,7 @@
             )
             for target in targets
         )
-        message = site_messages.TellNotices(
+        message = placement_messages.TellNotices(
             fence=self._fence, placement_updates=updates
         )
         self._run_in_background(self._send_to_leader(message))
@@ -253,7 +260,9 @@
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
 
-    async def _send_to_leader(self, message: site_messages.TellNotices) -> None:
+    async def _send_to_leader(
+        self, message: placement_messages.TellNotices
+    ) -> None:
         answer = await self._call(message, seconds=_UPDATE_TIMEOUT_SECONDS)
         if not isinstance(answer, site_messages.Registered):
             # The next leader receives the updates of all targets.
--- a/packages/endivestream/src/endivestream/process/planner_lease_manager.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_manager.py
@@ -16,7 +16,9 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import placement_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import use_table
 from endivestream.version import planner_lease as planner_lease_lib
@@ -74,14 +76,14 @@
         # sender. Numbers start at the sender's boot clock, so they are
         # comparable only under the same token.
         self._placement_updates: dict[
-            str, tuple[int, site_messages.PlacementUpdate]
+            str, tuple[int, placement_messages.PlacementUpdate]
         ] = {}
-        self._demand_by_host: dict[str, site_messages.FeedDemand] = {}
+        self._demand_by_host: dict[str, placement_messages.FeedDemand] = {}
         # Hosts that reported missing models since their last renewal.
         self._hosts_with_missing: set[str] = set()
-        self._target_list = site_messages.FeedTargets()
-        self._rate_limits = site_messages.FeedRateLimits(rates={})
-        self._feed_items: list[site_messages.PlannerFeedItem] = []
+        self._target_list = placement_messages.FeedTargets()
+        self._rate_limits = placement_messages.FeedRateLimits(rates={})
+        self._feed_items: list[placement_messages.PlannerFeedItem] = []
         # Number of the first feed item that is kept.
         self._first_number = 1
         self._feed_changed = asyncio.Event()
@@ -106,7 +108,9 @@
 
     def forward_report(self, registration: registry_lib.Registration) -> None:
         """Forwards a target's report."""
-        self._append(site_messages.FeedTargetReport(registration=registration))
+        self._append(
+            placement_messages.FeedTargetReport(registration=registration)
+        )
 
     def set_targets(self, silent: Iterable[str], *, complete: bool) -> None:
         """Forwards the list of targets.
@@ -121,7 +125,7 @@
             # one that has not yet reported to this leader.
             for name in self._placement_updates.keys() - names:
                 del self._placement_updates[name]
-        targets = site_messages.FeedTargets(
+        targets = placement_messages.FeedTargets(
             names=tuple(sorted(names)),
             silent=tuple(sorted(silent)),
             complete=complete,
@@ -132,14 +136,14 @@
 
     def set_rate_limits(self, rates: dict[str, float]) -> None:
         """Forwards the rate limits of targets."""
-        self._rate_limits = site_messages.FeedRateLimits(rates=rates)
+        self._rate_limits = placement_messages.FeedRateLimits(rates=rates)
         self._append(self._rate_limits)
 
     def forward_demand(self, message: site_messages.Renew) -> None:
         """Forwards the demand and uses counted by an entry host."""
         host = message.host.name
         self._uses.note(host, message.uses)
-        demand = site_messages.FeedDemand(
+        demand = placement_messages.FeedDemand(
             host=host,
             demand=message.demand,
             uses=message.uses,
@@ -152,7 +156,9 @@
             self._demand_by_host[host] = demand
             self._append(demand)
 
-    def forward_missing_models(self, message: site_messages.Missing) -> None:
+    def forward_missing_models(
+        self, message: placement_messages.Missing
+    ) -> None:
         """Forwards demand for missing models without waiting for a renewal."""
         # The next renewal ends this demand, also if it equals the last one.
         self._hosts_with_missing.add(message.host)
@@ -163,9 +169,9 @@
         self._uses.forget(host)
         self._hosts_with_missing.discard(host)
         if self._demand_by_host.pop(host, None) is not None:
-            self._append(site_messages.FeedHostRemoved(host=host))
+            self._append(placement_messages.FeedHostRemoved(host=host))
 
-    def _append(self, item: site_messages.PlannerFeedItem) -> None:
+    def _append(self, item: placement_messages.PlannerFeedItem) -> None:
         self._feed_items.append(item)
         if len(self._feed_items) > _MAX_FEED_ITEMS:
             dropped = len(self._feed_items) // 2
@@ -183,14 +189,16 @@
         """Returns the load of each target from all entry hosts."""
         return self._uses.total_loads()
 
-    def placement_update(self, target: str) -> site_messages.PlacementUpdate:
+    def placement_update(
+        self, target: str
+    ) -> placement_messages.PlacementUpdate:
         """Returns the last placement update of a target."""
         if target in self._placement_updates:
             return self._placement_updates[target][1]
-        return site_messages.PlacementUpdate(target=target)
+        return placement_messages.PlacementUpdate(target=target)
 
     def store_placement_updates(
-        self, message: site_messages.TellNotices
+        self, message: placement_messages.TellNotices
     ) -> None:
         """Stores placement updates of the holder; ignores outdated ones."""
         if message.fence != self._lease_record.fence:
@@ -209,13 +217,15 @@
             self._on_targets_changed(updated)
 
     async def handle_lease_request(
-        self, message: site_messages.AskSeat
-    ) -> site_messages.ToldSeat:
+        self, message: placement_messages.AskSeat
+    ) -> placement_messages.ToldSeat:
         """Answers a request for the lease, or for new feed items."""
         if self._lease_record.holder != message.host:
             await self._appoint_if_vacant(message.host)
             if self._lease_record.holder != message.host:
-                return site_messages.ToldSeat(holder=self._lease_record.holder)
+                return placement_messages.ToldSeat(
+                    holder=self._lease_record.holder
+                )
         self._holder_seen_at = clock.now()
         await self._record_pause_end()
         position = message.position
@@ -227,32 +237,34 @@
         # After the wait, so that items appended meanwhile are included.
         is_full = self._needs_full_feed(position)
         items = self._full_feed() if is_full else self._items_after(position)
-        return site_messages.ToldSeat(
+        return placement_messages.ToldSeat(
             holder=message.host,
             fence=self._lease_record.fence,
             seconds=PLANNER_LEASE_SECONDS,
             wait=max(0.0, self._orders_from - clock.now()),
-            position=site_messages.Position(
+            position=table_position.Position(
                 self._replicator.term, self._last_number
             ),
             is_complete_state=is_full,
             items=tuple(items),
         )
 
-    def _needs_full_feed(self, position: site_messages.Position) -> bool:
+    def _needs_full_feed(self, position: table_position.Position) -> bool:
         """Whether the feed cannot be continued from a position."""
         is_kept = self._first_number - 1 <= position.number <= self._last_number
         return position.term != self._replicator.term or not is_kept
 
     def _items_after(
-        self, position: site_messages.Position
-    ) -> list[site_messages.PlannerFeedItem]:
+        self, position: table_position.Position
+    ) -> list[placement_messages.PlannerFeedItem]:
         return self._feed_items[position.number + 1 - self._first_number :]
 
-    def _full_feed(self) -> list[site_messages.PlannerFeedItem]:
+    def _full_feed(self) -> list[placement_messages.PlannerFeedItem]:
         """Returns the full feed for a holder without state."""
         reports = [
-            site_messages.FeedTargetReport(registration=session.registration)
+            placement_messages.FeedTargetReport(
+                registration=session.registration
+            )
             for session in self._sessions().values()
         ]
         return [
--- a/packages/endivestream/src/endivestream/process/prefill_turn_service.py
+++ b/packages/endivestream/src/endivestream/process/prefill_turn_service.py
@@ -16,6 +16,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream import loop_meter
+from endivestream import peer_messages
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import addresses
@@ -60,7 +61,7 @@
         self._links: dict[str, links.Link] = {}
         self._skip_owner_until: dict[str, float] = {}
         # Samples of engines owned by other hosts, for the next request there.
-        self._unsent_samples: dict[str, list[site_messages.PrefillSample]] = {}
+        self._unsent_samples: dict[str, list[peer_messages.PrefillSample]] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -103,7 +104,7 @@
         samples = self._unsent_samples.setdefault(target, [])
         if len(self._unsent_samples) > _MAX_SAMPLED_ENGINES:
             del self._unsent_samples[next(iter(self._unsent_samples))]
-        samples.append(site_messages.PrefillSample(tokens, seconds))
+        samples.append(peer_messages.PrefillSample(tokens, seconds))
         del samples[:-_MAX_UNSENT_SAMPLES]
 
     async def request_turn(
@@ -116,7 +117,7 @@
             return self._turns.take(target, tokens, rank, now)
         if self._skip_owner_until.get(owner, now) > now:
             return 0.0
-        request = site_messages.AskTurn(
+        request = peer_messages.AskTurn(
             target=target,
             tokens=tokens,
             rank=rank,
@@ -131,14 +132,14 @@
             self._skip_owner_until[owner] = clock.now() + _SKIP_OWNER_SECONDS
             return 0.0
         match answer:
-            case site_messages.GiveTurn(seconds=seconds):
+            case peer_messages.GiveTurn(seconds=seconds):
                 return seconds
         logs.warn("unexpected_message", message=type(answer).__name__)
         return 0.0
 
     def grant_turn(
-        self, message: site_messages.AskTurn
-    ) -> site_messages.GiveTurn:
+        self, message: peer_messages.AskTurn
+    ) -> peer_messages.GiveTurn:
         """Answers a request for a prefill turn at an engine owned here."""
         for sample in message.samples:
             self._turns.record_start(
@@ -147,7 +148,7 @@
         wait = self._turns.take(
             message.target, message.tokens, message.rank, clock.now()
         )
-        return site_messages.GiveTurn(seconds=wait)
+        return peer_messages.GiveTurn(seconds=wait)
 
     def _link(self, address: str) -> links.Link:
         link = self._links.get(address)
--- a/packages/endivestream/src/endivestream/process/push_relay.py
+++ b/packages/endivestream/src/endivestream/process/push_relay.py
@@ -17,6 +17,7 @@
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import messages
+from endivestream import peer_messages
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import links
@@ -113,8 +114,8 @@
         self._hosts_changed.set()
 
     def handle_follow(
-        self, peer: bytes, message: site_messages.Follow
-    ) -> site_messages.Following:
+        self, peer: bytes, message: peer_messages.Follow
+    ) -> peer_messages.Following:
         """Answers a host that requests to follow this one."""
         is_relay = (
             self._host in self._domain_relays.relays and self._has_lease()
@@ -123,7 +124,7 @@
             self._followers[message.host] = (peer, clock.now())
         else:
             self._followers.pop(message.host, None)
-        return site_messages.Following(relays=is_relay)
+        return peer_messages.Following(relays=is_relay)
 
     async def _run(self) -> None:
         while True:
@@ -171,14 +172,14 @@
         """Requests relayed pushes from a host; returns whether it accepts."""
         try:
             answer = await link.request(
-                site_messages.Follow(host=self._host),
+                peer_messages.Follow(host=self._host),
                 seconds=_ANSWER_TIMEOUT_SECONDS,
             )
         except links.LinkDownError as error:
             logs.warn("relay_unanswered", peer=link.address, why=error)
             return False
         match answer:
-            case site_messages.Following(relays=relays):
+            case peer_messages.Following(relays=relays):
                 return relays
         logs.warn("unexpected_message", message=type(answer).__name__)
         return False
--- a/packages/endivestream/src/endivestream/process/quarantine_manager.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_manager.py
@@ -16,7 +16,9 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import quarantine_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import quarantine_updates
 from endivestream.request import crash_evidence
@@ -44,7 +46,7 @@
         self,
         *,
         term: int,
-        push: Callable[[site_messages.QuarantineTable], Awaitable[None]],
+        push: Callable[[quarantine_messages.QuarantineTable], Awaitable[None]],
     ) -> None:
         """Starts without evidence.
 
@@ -68,27 +70,27 @@
         await self._updates.close()
 
     @property
-    def revision(self) -> site_messages.Position:
+    def revision(self) -> table_position.Position:
         """Revision of the table that hosts have, or get with a push."""
         return self._updates.revision
 
     @property
-    def table(self) -> site_messages.QuarantineTable:
+    def table(self) -> quarantine_messages.QuarantineTable:
         """The table that hosts have, or get with a push."""
         return self._updates.table
 
     def update_since(
-        self, revision: site_messages.Position
-    ) -> site_messages.QuarantineTable | None:
+        self, revision: table_position.Position
+    ) -> quarantine_messages.QuarantineTable | None:
         """Returns the update that a host at a revision lacks, if any."""
         return self._updates.update_since(revision)
 
     @property
-    def entries(self) -> tuple[site_messages.QuarantineEntry, ...]:
+    def entries(self) -> tuple[quarantine_messages.QuarantineEntry, ...]:
         """All suspects and quarantined keys, for operators."""
         table = self.table
         return table.entries + tuple(
-            site_messages.QuarantineEntry(
+            quarantine_messages.QuarantineEntry(
                 key=each.key,
                 is_quarantined=each.ends >= request_evidence.MAX_ENDS,
                 seconds=max(0.0, each.left + request_evidence.KEPT_SECONDS),
@@ -97,15 +99,15 @@
         )
 
     async def record_end(
-        self, report: site_messages.ProcessEnded
-    ) -> site_messages.EvidenceRecorded:
+        self, report: quarantine_messages.ProcessEnded
+    ) -> quarantine_messages.EvidenceRecorded:
         """Records the end of a target process that a host reports."""
         changed = self._add_end(report)
         is_urgent = any(map(self._is_urgent, changed))
         self._updates.record(changed, f"end of {report.target}")
         if is_urgent:
             await self._updates.flush()
-        return site_messages.EvidenceRecorded()
+        return quarantine_messages.EvidenceRecorded()
 
     def _is_urgent(self, key: str) -> bool:
         """Returns whether the next end must not happen before hosts know."""
@@ -114,7 +116,9 @@
             return self._requests.state(key) != observed
         return self._evidence.is_notable(key)
 
-    def _add_end(self, report: site_messages.ProcessEnded) -> frozenset[str]:
+    def _add_end(
+        self, report: quarantine_messages.ProcessEnded
+    ) -> frozenset[str]:
         process = open_attempts.TargetProcess(
             report.target, report.started_at_ms
         )
@@ -161,7 +165,7 @@
         why = f"reports of {registration.name}"
         self._updates.record(changed, why, is_urgent=True)
 
-    def _log_evidence(self, report: site_messages.ProcessEnded) -> None:
+    def _log_evidence(self, report: quarantine_messages.ProcessEnded) -> None:
         """Logs requests under which further processes have ended."""
         for key in report.open_seconds:
             counts = self._evidence.counts(key)
@@ -177,11 +181,11 @@
             )
 
     async def record_answered(
-        self, report: site_messages.Answered
-    ) -> site_messages.EvidenceRecorded:
+        self, report: quarantine_messages.Answered
+    ) -> quarantine_messages.EvidenceRecorded:
         """Drops evidence against keys whose requests were answered."""
         self.drop_answered(report.host, report.keys)
-        return site_messages.EvidenceRecorded()
+        return quarantine_messages.EvidenceRecorded()
 
     def drop_answered(self, host: str, keys: Sequence[str]) -> None:
         """Drops evidence against keys whose requests a host got answered."""
@@ -191,17 +195,17 @@
         changed = self._evidence.record_answered(keys, clock.now())
         self._updates.record(changed, f"answer at {host}", is_urgent=is_urgent)
 
-    async def grant_trial(self, key: str) -> site_messages.GiveTrial:
+    async def grant_trial(self, key: str) -> quarantine_messages.GiveTrial:
         """Grants one request with a quarantined key, if a trial is due."""
         is_granted = self._evidence.start_trial(key, clock.now())
         if is_granted:
             self._updates.record([key], "trial")
             await self._updates.flush()
-        return site_messages.GiveTrial(is_granted=is_granted)
+        return quarantine_messages.GiveTrial(is_granted=is_granted)
 
     async def grant_attempt(
-        self, message: site_messages.AskAttempt
-    ) -> site_messages.GiveAttempt:
+        self, message: quarantine_messages.AskAttempt
+    ) -> quarantine_messages.GiveAttempt:
         """Grants an attempt at a request unless it could be a fourth end.
 
         Not before hosts have reported the attempts that they had sent when the
@@ -229,24 +233,28 @@
             key=key or "",
             ends=self._requests.ends(key) if key else 0,
         )
-        return site_messages.GiveAttempt(is_granted=is_granted, key=key or "")
+        return quarantine_messages.GiveAttempt(
+            is_granted=is_granted, key=key or ""
+        )
 
     def hold_attempts(self, attempts: Sequence[tuple[str, str]]) -> None:
         """Records attempts that were sent without a grant."""
         for key, attempt in attempts:
             self._requests.hold(key, attempt)
 
-    def release_attempt(self, message: site_messages.ReleaseAttempt) -> None:
+    def release_attempt(
+        self, message: quarantine_messages.ReleaseAttempt
+    ) -> None:
         """Records that no target can end under an attempt any more."""
         self._requests.release(message.key, message.attempt)
 
     async def set_key(
         self, key: str, *, is_quarantined: bool
-    ) -> site_messages.QuarantineRead:
+    ) -> quarantine_messages.QuarantineRead:
         """Applies an operator's decision on a key."""
         now = clock.now()
         if is_quarantined:
-            entry = site_messages.QuarantineEntry(
+            entry = quarantine_messages.QuarantineEntry(
                 key=key,
                 is_quarantined=True,
                 seconds=_OPERATOR_QUARANTINE_SECONDS,
@@ -257,7 +265,7 @@
             changed |= self._requests.drop([key])
         self._updates.record(changed, "operator")
         await self._updates.flush()
-        return site_messages.QuarantineRead(entries=self.entries)
+        return quarantine_messages.QuarantineRead(entries=self.entries)
 
     def restore(self, renewal: site_messages.Renew) -> None:
         """Merges evidence that this leader may lack, as a host has it."""
--- a/packages/endivestream/src/endivestream/process/quarantine_updates.py
+++ b/packages/endivestream/src/endivestream/process/quarantine_updates.py
@@ -20,7 +20,8 @@
 
 from endivestream import clock
 from endivestream import logs
-from endivestream import site_messages
+from endivestream import quarantine_messages
+from endivestream import table_position
 from endivestream import tasks
 
 # Time for which changes are collected.
@@ -72,7 +73,7 @@
         self,
         *,
         term: int,
-        push: Callable[[site_messages.QuarantineTable], Awaitable[None]],
+        push: Callable[[quarantine_messages.QuarantineTable], Awaitable[None]],
         current: Callable[[Iterable[str]], Mapping[str, Published | None]],
         format_state: Callable[[str], str],
     ) -> None:
@@ -107,9 +108,9 @@
         self._task: asyncio.Task[None] | None = None
 
     @property
-    def revision(self) -> site_messages.Position:
+    def revision(self) -> table_position.Position:
         """Revision of the table that hosts have, or get with a push."""
-        return site_messages.Position(self._term, self._number)
+        return table_position.Position(self._term, self._number)
 
     @property
     def keys(self) -> Iterable[str]:
@@ -117,7 +118,7 @@
         return self._published.keys()
 
     @property
-    def table(self) -> site_messages.QuarantineTable:
+    def table(self) -> quarantine_messages.QuarantineTable:
         """The whole table."""
         return self._format_update(self._published, base=None)
 
@@ -166,8 +167,8 @@
         await waiter
 
     def update_since(
-        self, revision: site_messages.Position
-    ) -> site_messages.QuarantineTable | None:
+        self, revision: table_position.Position
+    ) -> quarantine_messages.QuarantineTable | None:
         """Returns the update that a host lacks that has sent a renewal.
 
         Returns:
@@ -232,7 +233,7 @@
                 self._is_urgent = False
                 return
 
-    def _publish(self) -> site_messages.QuarantineTable | None:
+    def _publish(self) -> quarantine_messages.QuarantineTable | None:
         """Applies recorded changes; returns the update, if there is any."""
         reasons, self._changed = self._changed, {}
         changed: dict[str, Published] = {}
@@ -279,22 +280,22 @@
         self,
         entries: Mapping[str, Published],
         *,
-        base: site_messages.Position | None,
+        base: table_position.Position | None,
         removed: Iterable[str] = (),
-    ) -> site_messages.QuarantineTable:
+    ) -> quarantine_messages.QuarantineTable:
         now = clock.now()
-        return site_messages.QuarantineTable(
+        return quarantine_messages.QuarantineTable(
             revision=self.revision,
             base=base,
             entries=tuple(
-                site_messages.QuarantineEntry(
+                quarantine_messages.QuarantineEntry(
                     key, each.is_quarantined, max(0.0, each.until - now)
                 )
                 for key, each in entries.items()
                 if not each.ends
             ),
             requests=tuple(
-                site_messages.ListedRequest(
+                quarantine_messages.ListedRequest(
                     key, each.until - now, each.ends, each.proved
                 )
                 for key, each in entries.items()
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -19,6 +19,7 @@
 from endivestream import findings
 from endivestream import logs
 from endivestream import loop_meter
+from endivestream import quarantine_messages
 from endivestream import site_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
@@ -272,13 +273,15 @@
 
     async def read_quarantine(
         self,
-    ) -> tuple[site_messages.QuarantineEntry, ...] | None:
+    ) -> tuple[quarantine_messages.QuarantineEntry, ...] | None:
         """Returns suspects and quarantined keys; None if uncertain."""
-        return await self._quarantine_entries(site_messages.ReadQuarantine())
+        return await self._quarantine_entries(
+            quarantine_messages.ReadQuarantine()
+        )
 
     async def set_quarantine(
         self, key: str, *, is_quarantined: bool
-    ) -> tuple[site_messages.QuarantineEntry, ...] | None:
+    ) -> tuple[quarantine_messages.QuarantineEntry, ...] | None:
         """Quarantines a key, or drops the evidence against it.
 
         Args:
@@ -289,17 +292,20 @@
             All suspects and quarantined keys after it; None if uncertain.
         """
         return await self._quarantine_entries(
-            site_messages.SetQuarantine(key=key, is_quarantined=is_quarantined)
+            quarantine_messages.SetQuarantine(
+                key=key, is_quarantined=is_quarantined
+            )
         )
 
     async def _quarantine_entries(
         self,
-        message: site_messages.ReadQuarantine | site_messages.SetQuarantine,
-    ) -> tuple[site_messages.QuarantineEntry, ...] | None:
+        message: quarantine_messages.ReadQuarantine
+        | quarantine_messages.SetQuarantine,
+    ) -> tuple[quarantine_messages.QuarantineEntry, ...] | None:
         answer = await self._control.call(
             message, seconds=_ANSWER_TIMEOUT_SECONDS
         )
-        if isinstance(answer, site_messages.QuarantineRead):
+        if isinstance(answer, quarantine_messages.QuarantineRead):
             return answer.entries
         return None
 
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -17,10 +17,14 @@
 import msgspec
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import messages
+from endivestream import placement_messages
+from endivestream import quarantine_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import addresses
 from endivestream.connection import registry as registry_lib
@@ -75,7 +79,7 @@
     host: site_messages.EntryHost
     peer: bytes
     last_renewal: float
-    position: site_messages.Position
+    position: table_position.Position
     relay: str = ""
     reported_teams: frozenset[str] = frozenset()
 
@@ -256,16 +260,16 @@
         match message:
             case site_messages.Renew():
                 return self._handle_renewal(peer, message)
-            case site_messages.AskCredit(host=host, credit_requests=requests):
+            case limit_messages.AskCredit(host=host, credit_requests=requests):
                 grants = tuple(
                     self._grant_credit(host, request) for request in requests
                 )
-                return site_messages.GiveCredit(grants=grants)
-            case site_messages.AskRepeat(service=service):
+                return limit_messages.GiveCredit(grants=grants)
+            case limit_messages.AskRepeat(service=service):
                 return self._grant_retry(service)
-            case site_messages.AskSend():
+            case limit_messages.AskSend():
                 return self._grant_send(message)
-            case site_messages.CountSend(target=target):
+            case limit_messages.CountSend(target=target):
                 self._limited_sends.count_send(target, clock.now())
                 return None
             case site_messages.Confirm():
@@ -276,35 +280,35 @@
                     message.evacuations,
                 )
                 return None
-            case site_messages.ProcessEnded():
+            case quarantine_messages.ProcessEnded():
                 return await self._record_process_end(message)
-            case site_messages.AskTrial(key=key):
+            case quarantine_messages.AskTrial(key=key):
                 if not self._replicator.is_leader:
                     return messages.NotLeader(address="")
                 return await self._quarantine.grant_trial(key)
-            case site_messages.AskAttempt():
+            case quarantine_messages.AskAttempt():
                 if not self._replicator.is_leader:
                     return messages.NotLeader(address="")
                 return await self._quarantine.grant_attempt(message)
-            case site_messages.HoldAttempts(attempts=attempts):
+            case quarantine_messages.HoldAttempts(attempts=attempts):
                 self._quarantine.hold_attempts(attempts)
-                return site_messages.EvidenceRecorded()
-            case site_messages.ReleaseAttempt():
+                return quarantine_messages.EvidenceRecorded()
+            case quarantine_messages.ReleaseAttempt():
                 self._quarantine.release_attempt(message)
-                return site_messages.EvidenceRecorded()
-            case site_messages.ReadQuarantine():
+                return quarantine_messages.EvidenceRecorded()
+            case quarantine_messages.ReadQuarantine():
                 entries = self._quarantine.entries
-                return site_messages.QuarantineRead(entries=entries)
-            case site_messages.SetQuarantine():
+                return quarantine_messages.QuarantineRead(entries=entries)
+            case quarantine_messages.SetQuarantine():
                 return await self._set_quarantine(message)
-            case site_messages.Answered():
+            case quarantine_messages.Answered():
                 return await self._quarantine.record_answered(message)
-            case site_messages.Missing():
+            case placement_messages.Missing():
                 self._lease_manager.forward_missing_models(message)
                 return None
-            case site_messages.AskSeat():
+            case placement_messages.AskSeat():
                 return await self._lease_manager.handle_lease_request(message)
-            case site_messages.TellNotices():
+            case placement_messages.TellNotices():
                 self._lease_manager.store_placement_updates(message)
                 return site_messages.Registered()
             case site_messages.Apply(document=document):
@@ -338,15 +342,15 @@
         return None
 
     async def _record_process_end(
-        self, report: site_messages.ProcessEnded
-    ) -> site_messages.EvidenceRecorded | messages.NotLeader:
+        self, report: quarantine_messages.ProcessEnded
+    ) -> quarantine_messages.EvidenceRecorded | messages.NotLeader:
         if not self._replicator.is_leader:
             return messages.NotLeader(address="")
         return await self._quarantine.record_end(report)
 
     async def _set_quarantine(
-        self, decision: site_messages.SetQuarantine
-    ) -> site_messages.QuarantineRead | messages.NotLeader:
+        self, decision: quarantine_messages.SetQuarantine
+    ) -> quarantine_messages.QuarantineRead | messages.NotLeader:
         if not self._replicator.is_leader:
             return messages.NotLeader(address="")
         return await self._quarantine.set_key(
@@ -355,7 +359,7 @@
 
     def _grant_retry(
         self, service: str
-    ) -> site_messages.GiveRepeat | messages.NotLeader:
+    ) -> limit_messages.GiveRepeat | messages.NotLeader:
         if not self._replicator.is_leader:
             # Another leader may already grant retries from the same allowance.
             return messages.NotLeader(address="")
@@ -370,11 +374,11 @@
                 )
             )
         granted = budget.spend(clock.now(), hosts=len(self._sessions))
-        return site_messages.GiveRepeat(granted=granted)
+        return limit_messages.GiveRepeat(granted=granted)
 
     def _grant_send(
-        self, message: site_messages.AskSend
-    ) -> site_messages.GiveSend | messages.NotLeader:
+        self, message: limit_messages.AskSend
+    ) -> limit_messages.GiveSend | messages.NotLeader:
         if not self._replicator.is_leader:
             # Another leader may already grant sends to the same target.
             return messages.NotLeader(address="")
@@ -394,8 +398,8 @@
             self._table_updates.record_targets(reported)
 
     def _grant_credit(
-        self, host: str, request: site_messages.CreditRequest
-    ) -> site_messages.Grant:
+        self, host: str, request: limit_messages.CreditRequest
+    ) -> limit_messages.Grant:
         need = request.need
         grant = self._credit_allocator.request_credit(
             host,
@@ -406,7 +410,7 @@
         )
         if grant is None:
             # This leader has no limit for the team (yet): credit is not short.
-            grant = site_messages.Grant(need.team, need.wanted, 0.0, 0.0)
+            grant = limit_messages.Grant(need.team, need.wanted, 0.0, 0.0)
         return grant
 
     async def _apply(
@@ -582,7 +586,7 @@
     def _renewal_answer(
         self,
         message: site_messages.Renew,
-        grants: list[site_messages.Grant | None],
+        grants: list[limit_messages.Grant | None],
         *,
         had_session: bool,
     ) -> site_messages.Renewed | messages.NotLeader:
@@ -661,7 +665,7 @@
         self,
         host: str,
         version: int,
-        position: site_messages.Position,
+        position: table_position.Position,
         evacuations: int,
     ) -> None:
         """Records which configuration, table and evacuations a host uses."""
--- a/packages/endivestream/src/endivestream/process/table_updates.py
+++ b/packages/endivestream/src/endivestream/process/table_updates.py
@@ -31,8 +31,11 @@
 from typing import NamedTuple
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import messages
+from endivestream import quarantine_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream import tasks
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
@@ -73,7 +76,7 @@
         table_entry: Callable[[str], site_messages.Target | None],
         full_table: Callable[[], TableSnapshot],
         rate_limits: Callable[
-            [Collection[str] | None], tuple[site_messages.RateLimit, ...]
+            [Collection[str] | None], tuple[limit_messages.RateLimit, ...]
         ],
     ) -> None:
         """Pushes nothing before `start`.
@@ -110,9 +113,9 @@
         self._push_tasks: set[asyncio.Task[None]] = set()
 
     @property
-    def position(self) -> site_messages.Position:
+    def position(self) -> table_position.Position:
         """Position of a table that contains all changes so far."""
-        return site_messages.Position(self._term, self._last_change)
+        return table_position.Position(self._term, self._last_change)
 
     def start(self) -> None:
         """Starts pushing updates."""
@@ -159,7 +162,7 @@
     # Updates.
 
     def update_since(
-        self, position: site_messages.Position
+        self, position: table_position.Position
     ) -> site_messages.News | None:
         """Returns the update for a host at a position; None if up to date."""
         if position == self.position:
@@ -210,7 +213,7 @@
         self._push_ahead(evacuations=record)
 
     async def push_quarantine(
-        self, quarantine: site_messages.QuarantineTable
+        self, quarantine: quarantine_messages.QuarantineTable
     ) -> None:
         """Pushes the quarantine to direct peers, ahead of batched changes."""
         await self._push_ahead(quarantine=quarantine)
@@ -220,9 +223,9 @@
         *,
         document: document_lib.Document | None = None,
         evacuations: evacuations_lib.EvacuationRecord | None = None,
-        quarantine: site_messages.QuarantineTable | None = None,
+        quarantine: quarantine_messages.QuarantineTable | None = None,
     ) -> asyncio.Task[None]:
-        pushed_position = site_messages.Position(self._term, self._last_pushed)
+        pushed_position = table_position.Position(self._term, self._last_pushed)
         update = site_messages.News(
             position=pushed_position,
             base_position=pushed_position,
@@ -249,7 +252,7 @@
 
     async def _push_changes(self) -> None:
         """Pushes the changes since the last push to direct peers."""
-        pushed_position = site_messages.Position(self._term, self._last_pushed)
+        pushed_position = table_position.Position(self._term, self._last_pushed)
         self._last_pushed = self._last_change
         update = self.update_since(pushed_position)
         if update is not None:
--- a/packages/endivestream/src/endivestream/process/target_departures.py
+++ b/packages/endivestream/src/endivestream/process/target_departures.py
@@ -18,7 +18,7 @@
 import dataclasses
 from typing import Any
 
-from endivestream import site_messages
+from endivestream import table_position
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -41,7 +41,7 @@
     started_at_ms: int | None
     is_removal: bool
     began_at: float
-    position: site_messages.Position
+    position: table_position.Position
     renewals: Mapping[str, float]
     commit: asyncio.Task[Any] | None = None
 
@@ -86,7 +86,7 @@
         *,
         started_at_ms: int | None,
         is_removal: bool,
-        position: site_messages.Position,
+        position: table_position.Position,
         renewals: Mapping[str, float],
         now: float,
     ) -> Departure:
--- a/packages/endivestream/src/endivestream/process/use_table.py
+++ b/packages/endivestream/src/endivestream/process/use_table.py
@@ -9,14 +9,14 @@
 
 from collections.abc import Iterable
 
-from endivestream import site_messages
+from endivestream import placement_messages
 
 
 class UseTable:
     """Requests that run on targets, by the entry host that sent them."""
 
     def __init__(self) -> None:
-        self._uses: dict[str, tuple[site_messages.Use, ...]] = {}
+        self._uses: dict[str, tuple[placement_messages.Use, ...]] = {}
         # Requests by target; those in the prefill phase count twice.
         self._loads: dict[str, int] = {}
         # Requests by target and model.
@@ -27,7 +27,7 @@
     def __repr__(self) -> str:
         return f"<UseTable of {len(self._uses)} hosts>"
 
-    def note(self, host: str, uses: Iterable[site_messages.Use]) -> None:
+    def note(self, host: str, uses: Iterable[placement_messages.Use]) -> None:
         """Replaces the report of an entry host."""
         uses = tuple(uses)
         previous = self._uses.get(host, ())
@@ -41,7 +41,9 @@
         """Removes the report of an entry host that was removed."""
         self._add_uses(self._uses.pop(host, ()), -1)
 
-    def _add_uses(self, uses: Iterable[site_messages.Use], sign: int) -> None:
+    def _add_uses(
+        self, uses: Iterable[placement_messages.Use], sign: int
+    ) -> None:
         for use in uses:
             _add(self._loads, use.target, sign * _load(use))
             models = self._running.setdefault(use.target, {})
@@ -81,7 +83,7 @@
         return loads
 
 
-def _load(use: site_messages.Use) -> int:
+def _load(use: placement_messages.Use) -> int:
     return use.running + use.starting
 
 
--- a/packages/endivestream/src/endivestream/request/crash_evidence.py
+++ b/packages/endivestream/src/endivestream/request/crash_evidence.py
@@ -24,7 +24,7 @@
 import enum
 from typing import NamedTuple
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
 from endivestream.request import crash_keys
 from endivestream.request import open_attempts
 
@@ -320,7 +320,7 @@
         )
 
     def restore(
-        self, entries: Iterable[site_messages.QuarantineEntry], now: float
+        self, entries: Iterable[quarantine_messages.QuarantineEntry], now: float
     ) -> frozenset[str]:
         """Merges a quarantine that another process has kept.
 
@@ -380,17 +380,19 @@
 
     def entry(
         self, key: str, now: float
-    ) -> site_messages.QuarantineEntry | None:
+    ) -> quarantine_messages.QuarantineEntry | None:
         """Returns a suspect or quarantined key; None for any other."""
         if self.state(key, now) == KeyState.OBSERVED:
             return None
-        return site_messages.QuarantineEntry(
+        return quarantine_messages.QuarantineEntry(
             key=key,
             is_quarantined=self._is_quarantined(key, now),
             seconds=max(0.0, self._records[key].quarantined_until - now),
         )
 
-    def entries(self, now: float) -> tuple[site_messages.QuarantineEntry, ...]:
+    def entries(
+        self, now: float
+    ) -> tuple[quarantine_messages.QuarantineEntry, ...]:
         """Returns all suspects and quarantined keys."""
         entries = (self.entry(key, now) for key in self._notable)
         return tuple(entry for entry in entries if entry is not None)
--- a/packages/endivestream/src/endivestream/request/credit_shares.py
+++ b/packages/endivestream/src/endivestream/request/credit_shares.py
@@ -12,7 +12,7 @@
 import dataclasses
 import math
 
-from endivestream import site_messages
+from endivestream import limit_messages
 
 # A host requests credit for this many seconds of its recent demand: longer than
 # an election, so that the share does not run out while there is no leader.
@@ -123,7 +123,7 @@
         share = self._shares.setdefault(team, _CreditShare(last_cost=cost))
         share.balance += cost
 
-    def needs(self, now: float) -> tuple[site_messages.Need, ...]:
+    def needs(self, now: float) -> tuple[limit_messages.Need, ...]:
         """Returns the credit needs to report and starts a new report period.
 
         Idle teams are omitted once their credit has been returned. Amounts are
@@ -153,7 +153,7 @@
             if not is_idle or returned:
                 balance = float(math.ceil(share.balance))
                 needs.append(
-                    site_messages.Need(
+                    limit_messages.Need(
                         team, returned, balance, float(round(wanted))
                     )
                 )
@@ -161,7 +161,7 @@
                 del self._shares[team]
         return tuple(needs)
 
-    def apply_grant(self, grant: site_messages.Grant, now: float) -> None:
+    def apply_grant(self, grant: limit_messages.Grant, now: float) -> None:
         """Applies a grant of the leader to a team's share."""
         share = self._shares.setdefault(grant.team, _CreditShare())
         share.balance += grant.credit
--- a/packages/endivestream/src/endivestream/request/quarantine.py
+++ b/packages/endivestream/src/endivestream/request/quarantine.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
+from endivestream import table_position
 from endivestream.request import crash_evidence
 from endivestream.request import crash_keys
 from endivestream.request import open_attempts
@@ -25,19 +26,19 @@
     """What one entry host knows about keys of requests."""
 
     def __init__(self) -> None:
-        self._revision = site_messages.Position()
+        self._revision = table_position.Position()
         self._quarantined: dict[str, float] = {}
         self._suspects: frozenset[str] = frozenset()
         self._own = crash_evidence.CrashEvidence()
         # Requests of callers that the leader lists, and ends under them.
         self._listed = request_index.RequestIndex()
-        self._listed_requests: dict[str, site_messages.ListedRequest] = {}
+        self._listed_requests: dict[str, quarantine_messages.ListedRequest] = {}
         self._own_requests = request_evidence.RequestEvidence()
         # Also ends that are not proved; only the leader learns of disproof.
         self._own_possible_ends = request_evidence.RequestEvidence()
 
     @property
-    def revision(self) -> site_messages.Position:
+    def revision(self) -> table_position.Position:
         """Revision of the leader's table that applies here."""
         return self._revision
 
@@ -71,7 +72,7 @@
         return key in self._quarantined
 
     def set_table(
-        self, table: site_messages.QuarantineTable, now: float
+        self, table: quarantine_messages.QuarantineTable, now: float
     ) -> bool:
         """Applies an update of the leader's table.
 
@@ -124,7 +125,7 @@
 
     def listed_requests(
         self, now: float
-    ) -> tuple[site_messages.ListedRequest, ...]:
+    ) -> tuple[quarantine_messages.ListedRequest, ...]:
         """Returns the requests that the leader lists, for the next leader."""
         return tuple(
             each._replace(left=self._listed.left(key, now))
@@ -175,10 +176,12 @@
         known = self.known_keys
         return bool(known) and not known.isdisjoint(keys.all)
 
-    def entries(self, now: float) -> tuple[site_messages.QuarantineEntry, ...]:
+    def entries(
+        self, now: float
+    ) -> tuple[quarantine_messages.QuarantineEntry, ...]:
         """Returns the leader's quarantined keys, for the next leader."""
         return tuple(
-            site_messages.QuarantineEntry(
+            quarantine_messages.QuarantineEntry(
                 key=key, is_quarantined=True, seconds=max(0.0, until - now)
             )
             for key, until in self._quarantined.items()
@@ -191,7 +194,7 @@
         open_seconds: Mapping[str, float],
         sends: Mapping[str, int],
         now: float,
-        requests: Collection[site_messages.OpenRequest] = (),
+        requests: Collection[quarantine_messages.OpenRequest] = (),
     ) -> None:
         """Records the end of a process that this host has observed.
 
@@ -210,7 +213,7 @@
     def record_possible_end(
         self,
         process: open_attempts.TargetProcess,
-        requests: Collection[site_messages.OpenRequest],
+        requests: Collection[quarantine_messages.OpenRequest],
         now: float,
     ) -> None:
         """Records that a process may have ended under some requests."""
--- a/packages/endivestream/src/endivestream/request/rate_limits.py
+++ b/packages/endivestream/src/endivestream/request/rate_limits.py
@@ -13,7 +13,7 @@
 import dataclasses
 import math
 
-from endivestream import site_messages
+from endivestream import limit_messages
 
 # The end of a limit is kept for this time, so that older reports do not restore
 # the limit.
@@ -112,7 +112,7 @@
         )
 
     def merge(
-        self, limits: Iterable[site_messages.RateLimit], now: float
+        self, limits: Iterable[limit_messages.RateLimit], now: float
     ) -> list[str]:
         """Merges another host's limits; returns targets whose limit changed."""
         return [
@@ -143,7 +143,7 @@
 
     def records(
         self, now: float, targets: Collection[str] | None = None
-    ) -> tuple[site_messages.RateLimit, ...]:
+    ) -> tuple[limit_messages.RateLimit, ...]:
         """Returns the latest reports, for other hosts.
 
         Args:
@@ -151,7 +151,7 @@
             targets: Targets to include; all if None.
         """
         return tuple(
-            site_messages.RateLimit(
+            limit_messages.RateLimit(
                 name,
                 report.born,
                 report.rate,
--- a/packages/endivestream/src/endivestream/request/request_evidence.py
+++ b/packages/endivestream/src/endivestream/request/request_evidence.py
@@ -22,7 +22,7 @@
 import itertools
 from typing import NamedTuple
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
 from endivestream.request import open_attempts
 from endivestream.request import request_index
 
@@ -177,7 +177,7 @@
     def record_end(
         self,
         process: open_attempts.TargetProcess,
-        requests: Iterable[site_messages.OpenRequest],
+        requests: Iterable[quarantine_messages.OpenRequest],
         now: float,
         *,
         seconds_ago: float = 0.0,
@@ -273,7 +273,9 @@
         if record is not None:
             record.grants.discard(attempt)
 
-    def listed(self, now: float) -> tuple[site_messages.ListedRequest, ...]:
+    def listed(
+        self, now: float
+    ) -> tuple[quarantine_messages.ListedRequest, ...]:
         """Returns the requests that hosts have to know of."""
         single_ends = (
             key
@@ -285,7 +287,7 @@
             *itertools.islice(single_ends, _MAX_LISTED_SINGLE_ENDS),
         )
         return tuple(
-            site_messages.ListedRequest(
+            quarantine_messages.ListedRequest(
                 key=key,
                 left=self._index.left(key, now),
                 ends=self._records[key].count,
@@ -295,7 +297,7 @@
         )
 
     def restore(
-        self, entries: Iterable[site_messages.ListedRequest], now: float
+        self, entries: Iterable[quarantine_messages.ListedRequest], now: float
     ) -> frozenset[str]:
         """Merges the verdicts of another leader.
 
--- a/packages/endivestream/src/endivestream/request/target_selection.py
+++ b/packages/endivestream/src/endivestream/request/target_selection.py
@@ -14,6 +14,7 @@
 import hashlib
 from typing import NamedTuple
 
+from endivestream import placement_messages
 from endivestream import site_messages
 from endivestream.connection import registry as registry_lib
 from endivestream.request import cold_targets
@@ -757,10 +758,10 @@
             or not self._states[name].is_healthy(now)
         )
 
-    def uses(self) -> tuple[site_messages.Use, ...]:
+    def uses(self) -> tuple[placement_messages.Use, ...]:
         """Returns the running requests by target, model and adapter."""
         return tuple(
-            site_messages.Use(
+            placement_messages.Use(
                 name,
                 model,
                 adapter,
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -12,8 +12,10 @@
 from unittest import mock
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import links
 from endivestream.connection import registry as registry_lib
 from endivestream.connection import relays as relays_lib
@@ -165,7 +167,7 @@
         self.quarantine = quarantine_lib.Quarantine()
         self.quarantine_updates = 0
         self.quarantine_bytes = 0
-        self.position = site_messages.Position()
+        self.position = table_position.Position()
         self.frames = 0
         self.size = 0
         self.lease_until = 0.0
@@ -423,8 +425,8 @@
     async def request_send(self, host, target, rate):
         """Requests a send to a target with a rate limit."""
         answer = await host.request(
-            site_messages.AskSend(
-                limit=site_messages.RateLimit(target, 1, rate, 0.0),
+            limit_messages.AskSend(
+                limit=limit_messages.RateLimit(target, 1, rate, 0.0),
                 max_wait_seconds=1.0,
             ),
             seconds=0.15,
--- a/tests/placement_site.py
+++ b/tests/placement_site.py
@@ -13,7 +13,7 @@
 import random
 
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import placement_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import planner as planner_lib
@@ -352,7 +352,7 @@
     def _demand(self):
         rates = self._meters.rates(clock.now())
         return [
-            site_messages.Demand(
+            placement_messages.Demand(
                 *key,
                 rates.get(key, 0.0),
                 len(self._waiting.get(key, ())),
@@ -364,12 +364,12 @@
 
     def _uses(self):
         return [
-            site_messages.Use(engine.name, model, "", count)
+            placement_messages.Use(engine.name, model, "", count)
             for engine in self.engines
             for model, count in engine.running.items()
             if count and "/" not in model
         ] + [
-            site_messages.Use(engine.name, *name.split("/"), count)
+            placement_messages.Use(engine.name, *name.split("/"), count)
             for engine in self.engines
             for name, count in engine.running.items()
             if count and "/" in name
@@ -464,7 +464,7 @@
         if len(self._waiting[key]) == 1 and self.planner is not None:
             rate = self._meters.rates(clock.now()).get(key, 0.0)
             unserved = self._unserved.unserved_seconds(key, clock.now())
-            demand = site_messages.Demand(
+            demand = placement_messages.Demand(
                 *key, rate, 1, ROUTE.objective, unserved
             )
             self.planner.add_waiting_demand("h1", [demand])
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -6,7 +6,8 @@
 
 import crash_parts
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import quarantine_messages
+from endivestream import table_position
 from endivestream.connection import process_probe
 from endivestream.connection import registry as registry_lib
 from endivestream.process import crash_reporter
@@ -286,10 +287,12 @@
         return self.reporter.record_sent(TARGET, self.keys)
 
     def _set_suspects(self, *keys):
-        entries = [site_messages.QuarantineEntry(k, False, 0.0) for k in keys]
+        entries = [
+            quarantine_messages.QuarantineEntry(k, False, 0.0) for k in keys
+        ]
         self.reporter.set_table(
-            site_messages.QuarantineTable(
-                revision=site_messages.Position(1, 1), entries=tuple(entries)
+            quarantine_messages.QuarantineTable(
+                revision=table_position.Position(1, 1), entries=tuple(entries)
             )
         )
 
@@ -338,12 +341,12 @@
             await self.reporter.examine(
                 target, is_engine=False, sent_at=attempt.sent_at
             )
-        listed = site_messages.ListedRequest(
+        listed = quarantine_messages.ListedRequest(
             "request:" + self.keys.caller_request.content, 9.0, 1
         )
         self.reporter.set_table(
-            site_messages.QuarantineTable(
-                revision=site_messages.Position(1, 1), requests=(listed,)
+            quarantine_messages.QuarantineTable(
+                revision=table_position.Position(1, 1), requests=(listed,)
             )
         )
         self.assertFalse(await self.reporter.acquire_attempt(self.keys))
@@ -418,7 +421,9 @@
         with mock.patch.object(clock, "now", return_value=9.0):
             for _ in range(3):
                 await self.reporter.acquire_trial(self.keys)
-        self.assertEqual([site_messages.AskTrial(key="part:5c")], self.messages)
+        self.assertEqual(
+            [quarantine_messages.AskTrial(key="part:5c")], self.messages
+        )
 
     async def test_suspected_requests_are_examined_without_a_length(self):
         """Guards against a shared request that no answer can clear."""
@@ -442,9 +447,9 @@
         """Guards against sound requests that are refused until a renewal."""
         key = self.keys.content_key
         self.reporter.set_table(
-            site_messages.QuarantineTable(
-                revision=site_messages.Position(1, 1),
-                entries=(site_messages.QuarantineEntry(key, True, 9.0),),
+            quarantine_messages.QuarantineTable(
+                revision=table_position.Position(1, 1),
+                entries=(quarantine_messages.QuarantineEntry(key, True, 9.0),),
             )
         )
         self.reporter.record_answered(self._send())
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
 from endivestream.request import target_selection
 
 from tests import crash_site
@@ -56,7 +56,7 @@
         self.assertEqual(1, entry._crash_reporter.quarantined_keys)
         keys = ("part:bad0", "part:c0ffee")
         await entry._watch.request(
-            site_messages.Answered(host="e0", keys=keys), seconds=9.0
+            quarantine_messages.Answered(host="e0", keys=keys), seconds=9.0
         )
         await self._wait_until(
             lambda: all(
@@ -99,7 +99,7 @@
         )
         await self._wait_until(lambda: entry.running)
         await self.entries[1]._watch.request(
-            site_messages.ProcessEnded(
+            quarantine_messages.ProcessEnded(
                 host="e1",
                 target="x9",
                 started_at_ms=1,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,7 +3,9 @@
 import asyncio
 from unittest import mock
 
+from endivestream import quarantine_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.process import quarantine_manager
 
 from tests import crash_site
@@ -116,14 +118,14 @@
         key = "content:7"
 
         def renewed(term, *entries):
-            position = site_messages.Position(term, 900)
+            position = table_position.Position(term, 900)
             return site_messages.Renewed(
                 seconds=4.0,
                 version=0,
                 table_update=site_messages.News(
                     position=position,
                     base_position=None,
-                    quarantine=site_messages.QuarantineTable(
+                    quarantine=quarantine_messages.QuarantineTable(
                         revision=position, entries=entries
                     ),
                 ),
@@ -133,7 +135,7 @@
         entry._reported_term = term
         entry._build_renewal(False)
         entry._apply_renewal(
-            renewed(term, site_messages.QuarantineEntry(key, True, 9.0))
+            renewed(term, quarantine_messages.QuarantineEntry(key, True, 9.0))
         )
         entry._build_renewal(False)
         entry._apply_renewal(renewed(term + 1))
--- a/tests/test_credit_shares.py
+++ b/tests/test_credit_shares.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.process import credit_allocator as credit_allocator_lib
 from endivestream.request import credit_shares as credit_shares_lib
 from endivestream.request import repeats
@@ -71,7 +71,7 @@
             return
         if host not in self.cut_off_hosts and self.allocator is not None:
             balance = credit_shares.balance("band")
-            need = site_messages.Need("band", 0.0, balance, cost)
+            need = limit_messages.Need("band", 0.0, balance, cost)
             credit_shares.apply_grant(
                 self.allocator.request_credit(host, need, self.now), self.now
             )
@@ -121,7 +121,7 @@
 
     def test_a_host_keeps_no_share_of_a_team_it_stopped_reporting(self):
         """Guards against a lost last report reducing other hosts' credit."""
-        need = site_messages.Need("band", 0.0, 0.0, 2 * BURST)
+        need = limit_messages.Need("band", 0.0, 0.0, 2 * BURST)
         self.site.allocator.handle_report("h0", need, self.site.now)
         shared_max = self.site.allocator.handle_report(
             "h1", need, self.site.now
@@ -139,7 +139,7 @@
         """Guards against a grant that arrives after the team was dropped."""
         self._renew(40)
         credit_shares = self.site.hosts["h0"]
-        grant = site_messages.Grant("band", 10.0, 0.0, 0.0)
+        grant = limit_messages.Grant("band", 10.0, 0.0, 0.0)
         credit_shares.apply_grant(grant, self.site.now)
         self._renew(40)
         self.assertEqual(credit_shares.needs(self.site.now), ())
@@ -159,7 +159,7 @@
         cost=COST,
         host="h0",
     ):
-        need = site_messages.Need("band", 0.0, 0.0, cost)
+        need = limit_messages.Need("band", 0.0, 0.0, cost)
         return self.allocator.request_credit(
             host,
             need,
@@ -170,7 +170,7 @@
 
     def report(self, demand, now=0.0):
         wanted = demand * credit_shares_lib.CREDIT_AHEAD_SECONDS
-        need = site_messages.Need("band", 0.0, 0.0, wanted)
+        need = limit_messages.Need("band", 0.0, 0.0, wanted)
         self.allocator.handle_report("h1", need, now)
 
     def test_a_backlog_after_an_outage_is_served_in_order(self):
@@ -196,7 +196,7 @@
         self.report(RATE / 2)
         reserved = [self.request_credit(0.0) for _ in range(5)]
         self.assertEqual(5, sum(g.usable_in > 0 for g in reserved))
-        need = site_messages.Need("band", 0.0, 0.0, RATE)
+        need = limit_messages.Need("band", 0.0, 0.0, RATE)
         for now in (0.1, 0.3, 0.49):
             self.assertEqual(
                 0.0, self.allocator.handle_report("h2", need, now).credit
@@ -253,7 +253,7 @@
         for tick in range(100):
             now = tick * 0.01
             for cost in (COST, COST / 10, COST / 10):
-                need = site_messages.Need("band", 0.0, 0.0, cost)
+                need = limit_messages.Need("band", 0.0, 0.0, cost)
                 grant = allocator.request_credit("h0", need, now)
                 granted += grant.credit
                 completed = need._replace(wanted=0.0)
@@ -277,7 +277,7 @@
         now, grants = 0.0, []
         for pause, cost, patience in requests:
             now += pause
-            need = site_messages.Need("band", 0.0, 0.0, cost)
+            need = limit_messages.Need("band", 0.0, 0.0, cost)
             grant = allocator.request_credit(
                 "h0", need, now, timely_within=0.0, max_wait_seconds=patience
             )
@@ -434,7 +434,7 @@
         """
         allocator = credit_allocator_lib.CreditAllocator()
         allocator.set_teams((team(),), 0.0, start_full=False)
-        need = site_messages.Need("band", 0.0, 0.0, COST)
+        need = limit_messages.Need("band", 0.0, 0.0, COST)
         grant = allocator.request_credit("h0", need, 0.0)
         self.assertEqual(grant.credit, 0.0)
         self.assertAlmostEqual(grant.available_in, COST / RATE)
@@ -448,10 +448,10 @@
         allocator = credit_allocator_lib.CreditAllocator()
         allocator.set_teams((team(),), 0.0, start_full=True)
         allocator.handle_report(
-            "h0", site_messages.Need("band", 0, 0, 700.0), 0.0
+            "h0", limit_messages.Need("band", 0, 0, 700.0), 0.0
         )
         allocator.handle_report(
-            "h0", site_messages.Need("band", 0, 700.0, 700.0), 60.0
+            "h0", limit_messages.Need("band", 0, 700.0, 700.0), 60.0
         )
         self.assertLessEqual(allocator.levels["band"], BURST - 700.0)
 
--- a/tests/test_entry_credit.py
+++ b/tests/test_entry_credit.py
@@ -1,7 +1,7 @@
 import asyncio
 import unittest
 
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.process import entry_credit
 from endivestream.request import credit_shares as credit_shares_lib
 from endivestream.version import document as document_lib
@@ -26,9 +26,9 @@
             return None
         self.batch_sizes.append(len(message.credit_requests))
         await asyncio.sleep(self.answer_seconds)
-        return site_messages.GiveCredit(
+        return limit_messages.GiveCredit(
             grants=tuple(
-                site_messages.Grant("band", each.need.wanted, 0.0, 0.0)
+                limit_messages.Grant("band", each.need.wanted, 0.0, 0.0)
                 for each in message.credit_requests
             )
         )
--- a/tests/test_entry_repeats.py
+++ b/tests/test_entry_repeats.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.process import entry_repeats
 from endivestream.process import site_settings
 
@@ -27,7 +27,7 @@
 
     async def test_granted_repeat_does_not_delay_next_repeat(self):
         """Guards against a backoff after a repeat that was granted."""
-        self.answers = [site_messages.GiveRepeat(granted=True)] * 2
+        self.answers = [limit_messages.GiveRepeat(granted=True)] * 2
         for _ in range(2):
             self.assertTrue(await self.repeats.request("desk"))
 
@@ -36,7 +36,7 @@
 
         Every failed request would then send a request for a repeat.
         """
-        self.answers = [None, site_messages.GiveRepeat(granted=True)]
+        self.answers = [None, limit_messages.GiveRepeat(granted=True)]
         for _ in range(50):
             self.assertFalse(await self.repeats.request("desk"))
         self.assertEqual(self.requests, 1)
@@ -46,8 +46,8 @@
     async def test_backoff_applies_to_one_service(self):
         """Guards against services that lose repeats to another's failures."""
         self.answers = [
-            site_messages.GiveRepeat(granted=False),
-            site_messages.GiveRepeat(granted=True),
+            limit_messages.GiveRepeat(granted=False),
+            limit_messages.GiveRepeat(granted=True),
         ]
         self.assertFalse(await self.repeats.request("desk"))
         self.assertTrue(await self.repeats.request("models"))
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from endivestream import clock
+from endivestream import placement_messages
 from endivestream import site_messages
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import process_probe
@@ -1112,7 +1113,7 @@
         The model will be loaded in 50 s; the caller's deadline is 9 s.
         """
         self._serve_model()
-        coming = (site_messages.LoadingModel("m", 50.0),)
+        coming = (placement_messages.LoadingModel("m", 50.0),)
         await self._start_target(standin.says(standin.answer()), loading=coming)
         reply = await self.caller.ask(X_Model="m", X_Deadline_Ms=9000)
         self.assertEqual(reply.status, 503)
--- a/tests/test_leader_session.py
+++ b/tests/test_leader_session.py
@@ -4,6 +4,7 @@
 
 from endivestream import messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import links
 from endivestream.connection import watch
 
@@ -42,7 +43,7 @@
             return site_messages.Renew(
                 host=site_messages.EntryHost("e1", 1, "a", "e1:1", False),
                 version=0,
-                position=site_messages.Position(),
+                position=table_position.Position(),
             )
 
         session = watch.LeaderSession(
--- a/tests/test_limited_hosts.py
+++ b/tests/test_limited_hosts.py
@@ -10,7 +10,9 @@
 import unittest
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import control as control_lib
 from endivestream.process import entry_rate_limits
@@ -59,7 +61,7 @@
         self.frozen_until = 0.0
         self.is_cut_off = False
         self._site = site
-        self._position = site_messages.Position()
+        self._position = table_position.Position()
         self._leader = None
         self._is_renewing = False
         self.limits = rate_limits_lib.RateLimits()
@@ -355,7 +357,7 @@
             before = dict(site.leader_role._limited_sends.rates)
             site.target.started_at_ms += 1
             await site.report()
-            outdated = site_messages.RateLimit("t1", 1, 1.5, 0.0)
+            outdated = limit_messages.RateLimit("t1", 1, 1.5, 0.0)
             site.leader_role._limited_sends.merge([outdated], clock.now())
             limits_after = dict(site.leader_role._limited_sends.rates)
             planner_rates = site.leader_role._lease_manager._rate_limits.rates
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -4,14 +4,14 @@
 import zlib
 
 from endivestream import messages
-from endivestream import site_messages
+from endivestream import placement_messages
 import hypothesis
 from hypothesis import strategies as st
 import msgspec
 
 WORDS = st.text(max_size=12)
 DEMAND = st.builds(
-    site_messages.Demand,
+    placement_messages.Demand,
     service=WORDS,
     model=WORDS,
     adapter=WORDS,
@@ -24,7 +24,7 @@
 
 def frame(demand):
     return messages.Envelope(
-        7, site_messages.Missing(host="e1", demand=tuple(demand))
+        7, placement_messages.Missing(host="e1", demand=tuple(demand))
     )
 
 
@@ -37,7 +37,7 @@
 
     def test_demand_for_many_models_is_compressed(self):
         demand = [
-            site_messages.Demand("desk", f"model-{n}", "", 0.2, 0, 0.0)
+            placement_messages.Demand("desk", f"model-{n}", "", 0.2, 0, 0.0)
             for n in range(40)
         ]
         plain = msgspec.msgpack.encode(frame(demand))
@@ -51,7 +51,9 @@
         continues.
         """
         encoded = messages.encode(
-            frame([site_messages.Demand("desk", "m" * 500, "", 0.2, 0, 0.0)])
+            frame(
+                [placement_messages.Demand("desk", "m" * 500, "", 0.2, 0, 0.0)]
+            )
         )
         bomb = zlib.compress(b"\0" * (messages._MAX_FRAME_BYTES + 1))
         for data in (encoded[:-3], b"\x78rubbish", b"", b"\xff", bomb):
--- a/tests/test_planner_lease.py
+++ b/tests/test_planner_lease.py
@@ -9,7 +9,9 @@
 from unittest import mock
 
 from endivestream import clock
+from endivestream import placement_messages
 from endivestream import site_messages
+from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import planner_lease_holder
 from endivestream.process import planner_lease_manager
@@ -70,8 +72,8 @@
 
     async def _request_lease(self, host, position=None):
         return await self.manager.handle_lease_request(
-            site_messages.AskSeat(
-                host=host, position=position or site_messages.Position()
+            placement_messages.AskSeat(
+                host=host, position=position or table_position.Position()
             )
         )
 
@@ -209,7 +211,7 @@
         answer = await self._request_lease("m1")
         self.assertTrue(answer.is_complete_state)
         self.manager.forward_missing_models(
-            site_messages.Missing(host="e1", demand=())
+            placement_messages.Missing(host="e1", demand=())
         )
         answer = await self._request_lease("m1", answer.position)
         self.assertFalse(answer.is_complete_state)
@@ -229,14 +231,14 @@
         answer = await self._request_lease("m1")
         for _ in range(planner_lease_manager._MAX_FEED_ITEMS + 1):
             self.manager.forward_missing_models(
-                site_messages.Missing(host="e1", demand=())
+                placement_messages.Missing(host="e1", demand=())
             )
         answer = await self._request_lease("m1", answer.position)
         self.assertTrue(answer.is_complete_state)
         reports = [
             item
             for item in answer.items
-            if isinstance(item, site_messages.FeedTargetReport)
+            if isinstance(item, placement_messages.FeedTargetReport)
         ]
         self.assertEqual(
             [registration], [item.registration for item in reports]
@@ -253,11 +255,11 @@
         )
         self.sessions["t1"] = registry_lib.Session(registration, 0.0)
         for number, closing in ((2, ("m",)), (1, ())):
-            update = site_messages.PlacementUpdate(
+            update = placement_messages.PlacementUpdate(
                 target="t1", number=number, unloading=closing
             )
             self.manager.store_placement_updates(
-                site_messages.TellNotices(
+                placement_messages.TellNotices(
                     fence=fence, placement_updates=(update,)
                 )
             )
@@ -298,21 +300,23 @@
         self.assertEqual((), self.manager.placement_update("t1").adapters)
 
     def _send_update(self, fence, number, **fields):
-        update = site_messages.PlacementUpdate(
+        update = placement_messages.PlacementUpdate(
             target="t1", number=number, **fields
         )
         self.manager.store_placement_updates(
-            site_messages.TellNotices(fence=fence, placement_updates=(update,))
+            placement_messages.TellNotices(
+                fence=fence, placement_updates=(update,)
+            )
         )
 
     async def test_a_placement_update_of_a_previous_holder_is_ignored(self):
         """Guards against decisions of a host that has lost the lease."""
         fence = (await self._request_lease("m1")).fence
-        update = site_messages.PlacementUpdate(
+        update = placement_messages.PlacementUpdate(
             target="t1", number=9, unloading=("m",)
         )
         self.manager.store_placement_updates(
-            site_messages.TellNotices(
+            placement_messages.TellNotices(
                 fence=fence - 1, placement_updates=(update,)
             )
         )
@@ -399,7 +403,7 @@
     def __init__(self, name, test):
         self.name = name
         self.test = test
-        self.position = site_messages.Position()
+        self.position = table_position.Position()
         self.lease_until = float("-inf")
         self.orders_from = float("-inf")
         self.is_cut_off = False
@@ -410,7 +414,7 @@
             return
         requested_at = self.test.now
         answer = await self.test.manager.handle_lease_request(
-            site_messages.AskSeat(host=self.name, position=self.position)
+            placement_messages.AskSeat(host=self.name, position=self.position)
         )
         if answer.holder == self.name:
             self.position = answer.position
@@ -507,7 +511,7 @@
 
     async def _call(self, message, *, seconds):
         self.sent.append(message)
-        if isinstance(message, site_messages.AskSeat):
+        if isinstance(message, placement_messages.AskSeat):
             return await self.answers.get()
         return site_messages.Registered()
 
@@ -518,7 +522,7 @@
 
     async def _put_answer(self, **fields):
         grant = {"holder": "m1", "fence": 5, "seconds": 60.0, **fields}
-        await self.answers.put(site_messages.ToldSeat(**grant))
+        await self.answers.put(placement_messages.ToldSeat(**grant))
 
     async def test_a_holder_orders_only_while_its_lease_is_valid(self):
         """Guards against orders before the first lease or after the last."""
@@ -550,17 +554,17 @@
         registration = registry_lib.Registration(
             name="t1", service="s", address="a", domain="d"
         )
-        report = site_messages.FeedTargetReport(registration=registration)
+        report = placement_messages.FeedTargetReport(registration=registration)
         for term in (1, 2):
             await self._put_answer(
-                position=site_messages.Position(term, 1),
+                position=table_position.Position(term, 1),
                 is_complete_state=True,
                 items=(report,),
             )
         await self._wait_until(
             lambda: (
                 sum(
-                    isinstance(m, site_messages.TellNotices)
+                    isinstance(m, placement_messages.TellNotices)
                     and [n.target for n in m.placement_updates] == ["t1"]
                     for m in self.sent
                 )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, str(_FOLDER))
 
 import calls  # noqa: E402
-from endivestream import site_messages  # noqa: E402
+from endivestream import quarantine_messages  # noqa: E402
 from endivestream.process import site_control  # noqa: E402
 from endivestream.version import evacuations as evacuations_lib  # noqa: E402
 from tornado import testing  # noqa: E402
@@ -29,7 +29,7 @@
 
     async def set_quarantine(self, key, *, is_quarantined):
         if is_quarantined:
-            self.quarantined[key] = site_messages.QuarantineEntry(
+            self.quarantined[key] = quarantine_messages.QuarantineEntry(
                 key, True, 9.0
             )
         else:
--- a/tests/test_quarantine_load.py
+++ b/tests/test_quarantine_load.py
@@ -6,7 +6,8 @@
 import unittest
 
 from endivestream import clock
-from endivestream import site_messages
+from endivestream import quarantine_messages
+from endivestream import table_position
 from endivestream.process import crash_reporter
 from endivestream.process import quarantine_manager
 from endivestream.request import crash_evidence
@@ -28,7 +29,7 @@
 
 def report(number, target, host, *, parts=(), is_proved=True):
     """Returns a host's report of the end of a process with one request."""
-    return site_messages.ProcessEnded(
+    return quarantine_messages.ProcessEnded(
         host=host,
         target=target,
         started_at_ms=1,
@@ -36,7 +37,9 @@
         | dict.fromkeys((f"part:{part:x}" for part in parts), 0.5),
         sends={f"part:{part:x}": 1 + part % 7 for part in parts},
         requests=(
-            site_messages.OpenRequest(f"{number:x}", 9.0, open_seconds=0.5),
+            quarantine_messages.OpenRequest(
+                f"{number:x}", 9.0, open_seconds=0.5
+            ),
         ),
         is_proved=is_proved,
     )
@@ -114,7 +117,7 @@
             self.assertTrue(stale)
             keys = tuple(entry.key for entry in stale)
             await site.hosts[1].request(
-                site_messages.Answered(host="e1", keys=keys)
+                quarantine_messages.Answered(host="e1", keys=keys)
             )
             await asyncio.sleep(1.0)
             revision = host.quarantine.revision
@@ -140,10 +143,10 @@
         )
         self.addAsyncCleanup(reporter.close)
         reporter.set_table(
-            site_messages.QuarantineTable(
-                revision=site_messages.Position(1, 1),
+            quarantine_messages.QuarantineTable(
+                revision=table_position.Position(1, 1),
                 entries=(
-                    site_messages.QuarantineEntry(
+                    quarantine_messages.QuarantineEntry(
                         key="content:7", is_quarantined=False, seconds=0.0
                     ),
                 ),
@@ -152,7 +155,9 @@
         for _ in range(30):
             reporter._report_answered(["content:7"])
             await asyncio.sleep(0)
-        answered = [m for m in sent if isinstance(m, site_messages.Answered)]
+        answered = [
+            m for m in sent if isinstance(m, quarantine_messages.Answered)
+        ]
         self.assertLessEqual(len(answered), 1)
 
 
@@ -263,7 +268,7 @@
                     case "answer":
                         keys = (f"content:{which:x}", f"part:{which % 4:x}")
                         await manager.record_answered(
-                            site_messages.Answered(host="e0", keys=keys)
+                            quarantine_messages.Answered(host="e0", keys=keys)
                         )
                     case "lose":
                         has_lost[which] = value
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -1,13 +1,13 @@
 import unittest
 
-from endivestream import site_messages
+from endivestream import limit_messages
 from endivestream.request import rate_limits
 import hypothesis
 from hypothesis import strategies as st
 
 
 def said(rate, age=0.0, born=1, target="t1"):
-    return site_messages.RateLimit(target, born, rate, age)
+    return limit_messages.RateLimit(target, born, rate, age)
 
 
 class ParseTest(unittest.TestCase):
--- a/tests/test_request_evidence.py
+++ b/tests/test_request_evidence.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from endivestream import site_messages
+from endivestream import quarantine_messages
 from endivestream.process import quarantine_manager
 from endivestream.request import open_attempts
 from endivestream.request import request_evidence
@@ -19,7 +19,7 @@
 
 
 def request(left=9.0, *attempts):
-    return site_messages.OpenRequest("c0", left, attempts=attempts)
+    return quarantine_messages.OpenRequest("c0", left, attempts=attempts)
 
 
 class RequestIndexTest(unittest.TestCase):
@@ -239,12 +239,12 @@
 
         managers.append(quarantine_manager.QuarantineManager(term=1, push=push))
         await managers[0].record_end(
-            site_messages.ProcessEnded(
+            quarantine_messages.ProcessEnded(
                 host="e0", target="t0", started_at_ms=1, requests=(request(),)
             )
         )
         answer = await managers[0].grant_attempt(
-            site_messages.AskAttempt(request=request(), attempt="a3")
+            quarantine_messages.AskAttempt(request=request(), attempt="a3")
         )
         self.assertFalse(answer.is_granted)
 
@@ -257,7 +257,7 @@
         await asyncio.gather(
             *(
                 manager.record_end(
-                    site_messages.ProcessEnded(
+                    quarantine_messages.ProcessEnded(
                         host=f"e{number}",
                         target="t0",
                         started_at_ms=1,
--- a/tests/test_site_planner.py
+++ b/tests/test_site_planner.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from endivestream import site_messages
+from endivestream import placement_messages
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import adapter_placer
@@ -228,7 +228,7 @@
         )
 
     def _request(self, model, adapter="", waiting=1):
-        demand = site_messages.Demand("s", model, adapter, 1, waiting, 0.8)
+        demand = placement_messages.Demand("s", model, adapter, 1, waiting, 0.8)
         self.planner.add_waiting_demand("h1", (demand,))
 
     async def _until(self, condition):
@@ -250,7 +250,9 @@
         """Guards against cancelling running loads on a change of leader."""
         engine = Engine("e1", "ab")
         self._start(engine)
-        self.planner.replace_uses("h1", [site_messages.Use("e1", "b", "", 1)])
+        self.planner.replace_uses(
+            "h1", [placement_messages.Use("e1", "b", "", 1)]
+        )
         self._request("c")
         await self._until(lambda: self.planner.closing_models("e1"))
         closing = self.planner.closing_models("e1")
@@ -288,7 +290,7 @@
         planner_lib._RUNS_TIMEOUT_SECONDS = 30.0
         engine = Engine("e1", "ab")
         self._start(engine)
-        uses = [site_messages.Use("e1", model, "", 1) for model in "ab"]
+        uses = [placement_messages.Use("e1", model, "", 1) for model in "ab"]
         self.planner.replace_uses("h1", uses)
         self._request("c")
         await self._until(lambda: self.planner.closing_models("e1"))
@@ -388,7 +390,7 @@
             self._start(slow)
             self.fake.engines["e2"] = idle
             idle.report = lambda: self._report(idle)
-            uses = [site_messages.Use("e1", m, "", 9) for m in "ab"]
+            uses = [placement_messages.Use("e1", m, "", 9) for m in "ab"]
             self.planner.replace_uses("h1", uses)
             self._request("c")
             await self._until(lambda: self.planner.pending_loads("e1"))
--- a/tests/test_use_table.py
+++ b/tests/test_use_table.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from endivestream import site_messages
+from endivestream import placement_messages
 from endivestream.process import use_table
 import hypothesis
 from hypothesis import strategies as st
 
 HOSTS = st.sampled_from(("e0", "e1", "e2"))
 USE = st.builds(
-    site_messages.Use,
+    placement_messages.Use,
     target=st.sampled_from(("t0", "t1")),
     model=st.sampled_from(("m0", "m1")),
     adapter=st.just(""),
