--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -30,6 +30,7 @@
 from endivestream.version import members as members_lib
 from endivestream.version import state as state_lib
 import msgspec
+from soak import virtual_time
 import zmq
 
 from tests import test_document
@@ -309,6 +310,20 @@
         return answer
 
 
+def run(scenario, *, hosts, targets, domains=1):
+    """Returns what a scenario returns for a site in virtual time."""
+
+    async def run_site():
+        site = await Site(hosts=hosts, targets=targets, domains=domains).start()
+        try:
+            return await scenario(site)
+        finally:
+            await site.close()
+
+    with virtual_time.running() as runner:
+        return runner.run(run_site())
+
+
 class Site:
     """A leader, its entry hosts and its targets."""
 
