Log the way of a configuration from control host to acknowledgement

Cause: of a change that had no acknowledgement, no line said when a control host received it, when the leader was asked for it, which hosts lagged, or that the call ended without an answer.

Change: configuration_received and configuration_answered or configuration_unanswered at the control host, configuration_requested, configuration_acknowledged at the leader; configuration_not_everywhere names the lagging hosts. No decision changes.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -11,9 +11,9 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Sequence
 import dataclasses
 
 from endivestream import clock
@@ -131,16 +131,25 @@
             bound: Seconds after the acknowledgement within which it must be in
                 force.
         """
+        called_at = clock.now()
         everywhere = await self._wait_for_hosts(
             lambda: not self._rollout.pending_hosts,
             due=lambda: self._rollout.started_at + self._lease - bound,
             bound=bound,
         )
+        rollout = self._rollout
+        logs.event(
+            "configuration_acknowledged",
+            version=rollout.version,
+            started_s=clock.now() - rollout.started_at,
+            waited_s=clock.now() - called_at,
+        )
         if not everywhere:
             logs.warn(
                 "configuration_not_everywhere",
-                version=self._rollout.version,
-                lacking=len(self._rollout.pending_hosts),
+                version=rollout.version,
+                lacking=len(rollout.pending_hosts),
+                lagging=_format_hosts(rollout.pending_hosts),
             )
 
     async def wait_for_evacuations(self, *, bound: float) -> None:
@@ -251,7 +260,7 @@
         return True
 
 
-def _format_hosts(hosts: Sequence[str]) -> str:
+def _format_hosts(hosts: Collection[str]) -> str:
     """Returns the number of some hosts, and names for a log line."""
     names = ",".join(sorted(hosts)[:_MAX_LOGGED_HOSTS])
     return f"{len(hosts)}:{names}"
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -195,11 +195,24 @@
     async def apply(self, document: document_lib.Document) -> bool:
         """Commits a document through the leader; False if uncertain."""
         received_at = clock.now()
+        logs.event(
+            "configuration_received",
+            version=document.version,
+            routes=len(document.routes),
+            bytes=len(document.source),
+        )
         answer = await self._control.call(
             site_messages.Apply(document=document),
             seconds=_APPLY_TIMEOUT_SECONDS,
         )
         is_applied = isinstance(answer, site_messages.Applied)
+        logs.event(
+            "configuration_answered"
+            if is_applied
+            else "configuration_unanswered",
+            version=document.version,
+            seconds=clock.now() - received_at,
+        )
         if is_applied:
             self._metrics.observe_acknowledgement(
                 "configuration", clock.now() - received_at
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -418,6 +418,11 @@
     ) -> site_messages.Applied:
         document_state = self._replicator.state.document
         version = document_state.version
+        logs.event(
+            "configuration_requested",
+            version=document.version,
+            committed=version,
+        )
         if document.version > version:
             result = await self._replicator.propose(
                 document_lib.ApplyDocument(document=document)
