--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -82,9 +82,13 @@
         )
         self.on_applied = lambda command, result: None
         self.proposals = 0
+        # Time until a proposal is committed.
+        self.commit_seconds = 0.0
 
     async def propose(self, command):
         self.proposals += 1
+        if self.commit_seconds:
+            await asyncio.sleep(self.commit_seconds)
         result = self.state.apply(1, command)
         self.on_applied(command, result)
         return result
@@ -173,6 +177,7 @@
         self.size = 0
         self.lease_until = 0.0
         self.is_cut_off = False
+        self.loses_pushes = False
         self.credit = entry_credit.EntryCredit(
             credit_shares=credit_shares_lib.CreditShares(),
             watch=self,
@@ -205,6 +210,8 @@
             if answer is not None and not answer.done():
                 answer.set_result(envelope.body)
             return
+        if self.loses_pushes:
+            return
         if not from_relay:
             for follower in self.followers:
                 if follower.relay == self.name:
--- /dev/null
+++ b/tests/test_configuration_acknowledgements.py
@@ -0,0 +1,188 @@
+"""Tests of configuration changes: when the leader acknowledges them."""
+
+import asyncio
+import unittest
+
+from endivestream import clock
+from endivestream import site_messages
+
+from tests import leader_site
+from tests import test_document
+
+HOSTS = 69
+TARGETS = 34
+BOUNDS = leader_site.SETTINGS.bounds
+# Operators wait one second for an answer before they call again.
+CALL_SECONDS = 1.0
+# Time within which the platform wants an acknowledgement.
+ACKNOWLEDGED_SECONDS = 5.0
+# A host that cannot be reached acts on an older configuration until its lease
+# ends.
+LONGEST_WAIT_SECONDS = leader_site.SETTINGS.lease_seconds - BOUNDS.config
+COMMIT_SECONDS = 0.03
+
+
+class ConfigurationAcknowledgementsTest(unittest.TestCase):
+    def _run(self, scenario, *, hosts=HOSTS, targets=TARGETS):
+        async def run(site):
+            site.log.commit_seconds = COMMIT_SECONDS
+            site.follow_relays()
+            site.run_hosts(every=0.3, credit=0)
+            site.run_targets(changes=0)
+            await asyncio.sleep(5.0)
+            return await scenario(site)
+
+        return leader_site.run(run, hosts=hosts, targets=targets, domains=4)
+
+    def _message(self, version):
+        return site_messages.Apply(document=test_document.document(version))
+
+    async def _apply(self, site, version):
+        """Applies a change; returns the seconds until its acknowledgement."""
+        started_at = clock.now()
+        await site.call_leader(self._message(version))
+        return clock.now() - started_at
+
+    async def _apply_series(self, site, *, count, interval):
+        """Applies changes at an interval; returns the seconds of each."""
+        waits = []
+        for version in range(1, count + 1):
+            waits.append(asyncio.create_task(self._apply(site, version)))
+            await asyncio.sleep(interval)
+        return await asyncio.gather(*waits)
+
+    async def _darken_in_a_row(self, site, *, seconds, at_a_time=3):
+        """Makes some hosts at a time unreachable for a while."""
+        for first in range(0, HOSTS - at_a_time, at_a_time):
+            hosts = site.hosts[first : first + at_a_time]
+            for host in hosts:
+                host.is_frozen = True
+            await asyncio.sleep(seconds)
+            for host in hosts:
+                host.is_frozen = False
+
+    def test_later_changes_do_not_postpone_an_acknowledgement(self):
+        """Guards against a change that waits for all that come after it."""
+
+        async def run(site):
+            site.hosts[7].is_frozen = True
+            return await self._apply_series(site, count=12, interval=0.33)
+
+        self.assertLessEqual(
+            max(self._run(run)), LONGEST_WAIT_SECONDS + CALL_SECONDS
+        )
+
+    def test_changes_are_acknowledged_while_hosts_fail_in_a_row(self):
+        """Guards against the same while there always is a lagging host."""
+
+        async def run(site):
+            failing = asyncio.create_task(
+                self._darken_in_a_row(site, seconds=1.15)
+            )
+            waits = await self._apply_series(site, count=24, interval=0.33)
+            failing.cancel()
+            return waits
+
+        self.assertLessEqual(
+            max(self._run(run)), LONGEST_WAIT_SECONDS + CALL_SECONDS
+        )
+
+    def test_a_silent_host_delays_no_further_change(self):
+        """Guards against the wait for one lease with each new change."""
+
+        async def run(site):
+            site.hosts[7].is_frozen = True
+            await asyncio.sleep(LONGEST_WAIT_SECONDS)
+            return await self._apply(site, 1)
+
+        self.assertLess(self._run(run), CALL_SECONDS)
+
+    def test_a_repeated_change_is_committed_once(self):
+        """Guards against log entries for calls while a change is proposed."""
+
+        async def run(site):
+            before = site.log.proposals
+            await asyncio.gather(self._apply(site, 1), self._apply(site, 1))
+            return site.log.proposals - before
+
+        self.assertEqual(1, self._run(run))
+
+    def _check_change_over_two_leaders(self, *, is_host_silent):
+        async def run(site):
+            site.hosts[7].is_frozen = is_host_silent
+            applying = asyncio.create_task(self._apply(site, 1))
+            for _ in range(2):
+                await asyncio.sleep(1.5)
+                await site.change_leader(pause=0.6)
+            return await applying
+
+        self.assertLessEqual(self._run(run), ACKNOWLEDGED_SECONDS)
+
+    def test_a_change_is_acknowledged_over_two_changes_of_leader(self):
+        """Guards against a wait that starts anew with each leader."""
+        self._check_change_over_two_leaders(is_host_silent=False)
+
+    def test_a_silent_host_does_not_delay_a_change_over_two_leaders(self):
+        """Guards against the same beside a host that does not return."""
+        self._check_change_over_two_leaders(is_host_silent=True)
+
+    def test_a_former_leader_answers_waiting_calls(self):
+        """Guards against calls that wait at a host that no longer leads."""
+
+        async def run(site):
+            site.hosts[7].is_frozen = True
+            call = asyncio.create_task(
+                site.leader_role.handle(b"c1", self._message(1))
+            )
+            await asyncio.sleep(0.2)
+            await site.change_leader(pause=0.0)
+            changed_at = clock.now()
+            await call
+            return clock.now() - changed_at
+
+        self.assertLess(self._run(run), CALL_SECONDS)
+
+    def test_a_host_without_pushes_receives_changes_of_a_series(self):
+        """Guards against renewals without any change while changes go on."""
+
+        async def run(site):
+            host = site.hosts[7]
+            host.loses_pushes = True
+            applying = asyncio.create_task(
+                self._apply_series(site, count=24, interval=0.33)
+            )
+            await asyncio.sleep(24 * 0.33)
+            version = host.version
+            await applying
+            return version
+
+        self.assertGreater(self._run(run), 0)
+
+    def test_a_renewal_beside_a_push_extends_no_lease_without_the_change(self):
+        """Guards against an old configuration in force past the bound."""
+
+        async def run(site):
+            host = site.hosts[7]
+            host.loses_pushes = True
+            applying = asyncio.create_task(self._apply(site, 1))
+            await asyncio.sleep(0.45)
+            host.is_frozen = True
+            await applying
+            self.assertEqual(0, host.version)
+            return host.lease_until - clock.now()
+
+        self.assertLessEqual(self._run(run), BOUNDS.config)
+
+    def test_a_later_evacuation_does_not_postpone_an_acknowledgement(self):
+        """Guards against a wait for confirmations that name a later one."""
+
+        async def run(site):
+            site.log.commit_seconds = 0.0
+            started_at = clock.now()
+            waits = []
+            for domain in ("a", "b"):
+                waits.append(asyncio.create_task(site.evacuate(domain)))
+                await asyncio.sleep(0)
+            return await waits[0] - started_at
+
+        self.assertLess(self._run(run), leader_site.SETTINGS.renew_seconds)
