Acknowledge each change by its own hosts and their leases

What callers saw: a change of configuration that had no acknowledgement for up to 10 s in a series of changes while hosts fail, and that waited 1.7 s for each host that was silent already.

Cause: a promise about one change was tied to the newest of its kind. The wait named no version; each commit started it anew, for all hosts and for the longest lease. The other way round, the answer to a renewal left a configuration out for 0.5 s after the newest push, so in a series a host without pushes never got any, and its lease was extended without the change, after which it acted on the old one for up to 2.9 s after an acknowledgement that promises 2.5 s. Evacuations waited for confirmations of their own revision only.

Change: process/rollouts.py: a change of any kind (configuration, evacuations, table) has its own rollout: the hosts that held a lease without it when it was made, and when those leases end. A host that has a later change has this one. Departures use the same. A configuration is left out of an answer only while all that the host lacks is younger than 0.5 s and not acknowledged, and the lease granted meanwhile counts for these.

Ways that lost: no extension of the lease while a push is in flight: in a long series each renewal of a sound host may meet one, and its lease would lapse. A wait that ends for a remainder below the resolution of the event loop's clock spins for ever in virtual time; it sleeps at least 1 ms now.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -1,266 +1,230 @@
-"""Decides when a change may be confirmed to its author.
+"""Decides when a change may be acknowledged to its author.
 
-A confirmed change is in force on all entry hosts within a bound. An entry host
-that the leader cannot reach acts on the old state until its lease expires,
-which is later. A change is therefore confirmed once all hosts have received it,
-or once the last lease without it expires within the bound. Times are in
-seconds.
+An acknowledged change is in force on all entry hosts within a bound. Each
+change waits for the hosts that held a lease without it when it was made, until
+they have received it or their leases end within the bound; later changes do
+not prolong the wait. Times are in seconds.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Mapping
-import dataclasses
+import contextlib
+from typing import Any
+import weakref
 
 from endivestream import clock
 from endivestream import logs
-from endivestream import table_position
-from endivestream.process import target_departures
+from endivestream.process import rollouts as rollouts_lib
 
 # Minimum time for which an acknowledgement waits for hosts that have not
 # received an evacuation. Their leases may end within the bound anyway, but an
 # operator may shut down the domain as soon as it is acknowledged.
-_EVACUATION_WAIT_SECONDS = 0.7
+EVACUATION_WAIT_SECONDS = 0.7
+# A shorter wait may not advance the clock.
+_MIN_WAIT_SECONDS = 0.001
+# Holder of the leases that an unknown host may have from a former leader.
+_UNKNOWN_HOST = "unknown"
+# A pushed configuration counts as in flight for this long. After that, a host
+# that does not have it yet receives it with the answer to its next renewal.
+_PUSH_IN_FLIGHT_SECONDS = 0.5
 # Hosts that one log line names.
 _MAX_LOGGED_HOSTS = 8
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Rollout:
-    """Distribution of a replicated change to entry hosts.
-
-    Attributes:
-        version: The version of the configuration, or the revision of the
-            evacuations.
-        started_at: When it was committed, or found by a new leader.
-        pending_hosts: Hosts that may act on an older version.
-    """
-
-    version: int
-    started_at: float
-    pending_hosts: set[str]
+# Events of an acknowledgement, and of one that some hosts have not confirmed.
+_EVENTS = {
+    rollouts_lib.Kind.CONFIGURATION: (
+        "configuration_acknowledged",
+        "configuration_not_everywhere",
+    ),
+    rollouts_lib.Kind.EVACUATIONS: (
+        "evacuations_acknowledged",
+        "evacuations_not_everywhere",
+    ),
+    rollouts_lib.Kind.TABLE: ("departure_acknowledged", "leave_not_everywhere"),
+}
 
 
 class Confirmations:
     """Changes that wait for entry hosts during one term of leadership."""
 
     def __init__(
-        self,
-        *,
-        lease: float,
-        version: int,
-        evacuations: int,
-        positions: Callable[[], Mapping[str, table_position.Position]],
+        self, *, lease: float, progress: rollouts_lib.Progress
     ) -> None:
-        """Starts without waiting changes.
+        """Starts with the changes of former leaders.
 
         Args:
             lease: Duration of the entry hosts' leases.
-            version: Configuration version at the start of the term.
-            evacuations: Revision of the evacuations at the start of the term.
-            positions: Returns the table position of each host with a lease, by
-                name.
+            progress: The newest change of each kind in the log.
         """
-        self._lease = lease
-        self._term_started_at = clock.now()
-        self._positions = positions
-        self._rollout = _Rollout(
-            version=version,
-            started_at=self._term_started_at,
-            pending_hosts=set(),
-        )
-        self._evacuations = _Rollout(
-            version=evacuations,
-            started_at=self._term_started_at,
-            pending_hosts=set(),
+        now = clock.now()
+        # Hosts that have not contacted this leader yet may act on a lease from
+        # the previous one.
+        self._leases = rollouts_lib.HeldLeases(
+            duration=lease, former_ends={_UNKNOWN_HOST: now + lease}
         )
-        self._state_changed = asyncio.Event()
-
-    @property
-    def rollout_started_at(self) -> float:
-        """When the newest configuration was committed, or the term began."""
-        return self._rollout.started_at
+        self._rollouts = {
+            kind: rollouts_lib.Rollouts(kind) for kind in rollouts_lib.Kind
+        }
+        # Set when a rollout that is waited for may be due earlier.
+        self._changed: weakref.WeakKeyDictionary[
+            rollouts_lib.Rollout, asyncio.Event
+        ] = weakref.WeakKeyDictionary()
+        self._is_closed = False
+        self.begin(rollouts_lib.Kind.CONFIGURATION, progress.version)
+        self.begin(rollouts_lib.Kind.EVACUATIONS, progress.evacuations)
+
+    def close(self) -> None:
+        """Ends all waits; their changes are not acknowledged."""
+        self._is_closed = True
+        self._signal(list(self._changed))
 
     # Events received by the leader.
 
-    def note_committed(self, version: int, hosts: Iterable[str]) -> None:
-        """Records a new configuration that none of these hosts has yet."""
-        self._rollout = _Rollout(
-            version=version, started_at=clock.now(), pending_hosts=set(hosts)
-        )
-
-    def note_evacuations(self, revision: int, hosts: Iterable[str]) -> None:
-        """Records changed evacuations that none of these hosts has yet."""
-        self._evacuations = _Rollout(
-            version=revision, started_at=clock.now(), pending_hosts=set(hosts)
+    def begin(
+        self, kind: rollouts_lib.Kind, number: rollouts_lib.Number
+    ) -> rollouts_lib.Rollout:
+        """Returns the rollout of a change that was just made."""
+        now = clock.now()
+        return self._rollouts[kind].begin(
+            number, self._leases.without(kind, number, now), now
         )
 
-    def note_acknowledged(
-        self, host: str, version: int, evacuations: int
+    def record_progress(
+        self, host: str, progress: rollouts_lib.Progress
     ) -> None:
-        """Records what a host acts on; it may also have a newer table."""
-        if evacuations >= self._evacuations.version:
-            self._evacuations.pending_hosts.discard(host)
-        rollout = self._rollout
-        if version >= rollout.version and host in rollout.pending_hosts:
-            rollout.pending_hosts.discard(host)
-            if not rollout.pending_hosts:
-                logs.event(
-                    "configuration_everywhere",
-                    version=rollout.version,
-                    seconds=clock.now() - rollout.started_at,
-                )
-        self._state_changed.set()
-
-    def remove_host(self, host: str) -> None:
-        """Records that a host's lease has expired."""
-        self._rollout.pending_hosts.discard(host)
-        self._evacuations.pending_hosts.discard(host)
-        self._state_changed.set()
-
-    # Waiting changes.
-
-    async def wait_for_configuration(self, *, bound: float) -> None:
-        """Waits until the newest configuration may be confirmed.
+        """Records what a host acts on."""
+        if not self._leases.record(host, progress):
+            return
+        for kind in rollouts_lib.Kind:
+            changed = list(self._rollouts[kind].remove(host, progress))
+            self._signal(changed)
+            if kind == rollouts_lib.Kind.CONFIGURATION:
+                _log_everywhere(changed)
+
+    def renew_lease(self, host: str, *, without_pushes: bool) -> bool:
+        """Records that a host gets a lease.
 
         Args:
-            bound: Seconds after the acknowledgement within which it must be in
-                force.
-        """
-        called_at = clock.now()
-        everywhere = await self._wait_for_hosts(
-            lambda: not self._rollout.pending_hosts,
-            due=lambda: self._rollout.started_at + self._lease - bound,
-            bound=bound,
-        )
-        rollout = self._rollout
-        logs.event(
-            "configuration_acknowledged",
-            version=rollout.version,
-            started_s=clock.now() - rollout.started_at,
-            waited_s=clock.now() - called_at,
-        )
-        if not everywhere:
-            logs.warn(
-                "configuration_not_everywhere",
-                version=rollout.version,
-                lacking=len(rollout.pending_hosts),
-                lagging=_format_hosts(rollout.pending_hosts),
-            )
-
-    async def wait_for_evacuations(self, *, bound: float) -> None:
-        """Waits until the newest evacuations may be confirmed.
+            host: The host, whose progress has been recorded.
+            without_pushes: Whether the host may get it without configurations
+                that are being pushed to it.
 
-        Args:
-            bound: Seconds after the acknowledgement within which no host sends
-                to an evacuated domain.
+        Returns:
+            Whether its answer needs no configuration. Otherwise the answer must
+            contain the newest one.
         """
-        rollout = self._evacuations
-        bound = min(bound, self._lease - _EVACUATION_WAIT_SECONDS)
-        everywhere = await self._wait_for_hosts(
-            lambda: not rollout.pending_hosts,
-            due=lambda: rollout.started_at + self._lease - bound,
-            bound=bound,
+        now = clock.now()
+        version = self._leases.progress(host).version
+        configurations = self._rollouts[rollouts_lib.Kind.CONFIGURATION]
+        missed = configurations.missed(version)
+        is_omitted = missed is not None and all(
+            without_pushes
+            and not rollout.is_acknowledged
+            and now - rollout.began_at < _PUSH_IN_FLIGHT_SECONDS
+            for rollout in missed
         )
-        if not everywhere:
-            logs.warn(
-                "evacuations_not_everywhere",
-                revision=rollout.version,
-                lacking=len(rollout.pending_hosts),
-            )
-
-    async def wait_for_departure(
-        self, departure: target_departures.Departure, *, bound: float
-    ) -> None:
-        """Waits until a target's departure may be confirmed to it.
-
-        Args:
-            departure: The departure.
-            bound: Seconds after the acknowledgement within which the target
-                must receive no new requests.
-        """
-        called_at = clock.now()
+        end = self._leases.renew(host, now)
+        if is_omitted:
+            for rollout in missed or ():
+                rollout.extend(host, end)
+        return is_omitted
 
-        def lagging() -> list[str]:
-            return self._lagging_hosts(departure.position)
+    def remove_host(self, host: str) -> None:
+        """Records that a host no longer acts on any state."""
+        self._leases.remove([host])
+        for each in self._rollouts.values():
+            self._signal(each.remove_from_all(host))
 
-        is_everywhere = await self._wait_for_hosts(
-            lambda: not lagging(),
-            due=lambda: departure.leases_end_at(lagging(), self._lease) - bound,
-            bound=bound,
-        )
+    def drop_old(self) -> None:
+        """Forgets leases and changes that are too old to matter."""
         now = clock.now()
-        logs.event(
-            "departure_acknowledged",
-            target=departure.target,
-            started_s=now - departure.began_at,
-            waited_s=now - called_at,
-        )
-        if not is_everywhere:
-            logs.warn(
-                "leave_not_everywhere",
-                target=departure.target,
-                lagging=_format_hosts(lagging()),
-            )
+        self._leases.drop_ended(now)
+        for each in self._rollouts.values():
+            each.drop_complete(now)
 
-    def log_departure(self, departure: target_departures.Departure) -> None:
-        """Logs that a departure has begun, and which hosts it waits for."""
-        logs.event(
-            "departure_started",
-            target=departure.target,
-            born=departure.started_at_ms,
-            removed=departure.is_removal,
-            position=departure.position.number,
-            lagging=_format_hosts(self._lagging_hosts(departure.position)),
-        )
+    def _signal(self, changed: Iterable[rollouts_lib.Rollout]) -> None:
+        for rollout in changed:
+            if rollout in self._changed:
+                self._changed[rollout].set()
+
+    # Waiting changes.
 
-    def _lagging_hosts(self, position: table_position.Position) -> list[str]:
-        """Returns the hosts with a lease that have an earlier table."""
-        return [
-            host for host, held in self._positions().items() if held < position
-        ]
+    def find(
+        self, kind: rollouts_lib.Kind, number: rollouts_lib.Number
+    ) -> rollouts_lib.Rollout | None:
+        """Returns the rollout of a change; None if no host can lack it."""
+        return self._rollouts[kind].find(number)
 
-    async def _wait_for_hosts(
+    async def wait(
         self,
-        is_everywhere: Callable[[], bool],
+        rollout: rollouts_lib.Rollout | None,
         *,
-        due: Callable[[], float],
         bound: float,
+        min_wait: float = 0.0,
+        **fields: Any,
     ) -> bool:
-        """Waits until all known hosts have received a change.
+        """Waits until a change may be acknowledged.
 
         Args:
-            is_everywhere: Returns whether all hosts have received the change.
-            due: Returns from when the change may be confirmed although hosts
-                lack it.
-            bound: Seconds after the acknowledgement within which the change
-                must be in force.
+            rollout: Its rollout; None if no host can lack it.
+            bound: Seconds after the acknowledgement within which no host may
+                act on an older state.
+            min_wait: Seconds after the change for which hosts that lack it are
+                waited for although their leases end within the bound.
+            **fields: Fields of the log lines that name the change.
 
         Returns:
-            True if all hosts have received the change; False if the change may
-            be confirmed because all leases without it expire in time.
+            Whether it may be acknowledged; False if the term has ended.
         """
-        # Hosts that have not contacted this leader yet may act on a lease from
-        # the previous one.
-        await asyncio.sleep(
-            max(0.0, self._term_started_at + self._lease - bound - clock.now())
+        if rollout is None:
+            return not self._is_closed
+        called_at = clock.now()
+        changed = self._changed.setdefault(rollout, asyncio.Event())
+        while not self._is_closed:
+            seconds = rollout.due_at(bound, min_wait=min_wait) - clock.now()
+            if seconds <= 0:
+                break
+            changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(seconds, _MIN_WAIT_SECONDS)):
+                    await changed.wait()
+        if self._is_closed:
+            return False
+        rollout.acknowledge()
+        now = clock.now()
+        acknowledged, not_everywhere = _EVENTS[rollout.kind]
+        logs.event(
+            acknowledged,
+            **fields,
+            started_s=now - rollout.began_at,
+            waited_s=now - called_at,
         )
-        while not is_everywhere():
-            self._state_changed.clear()
-            try:
-                async with asyncio.timeout(due() - clock.now()):
-                    await self._state_changed.wait()
-            except TimeoutError:
-                if clock.now() >= due():
-                    return False
+        lagging = rollout.lagging(now)
+        if lagging:
+            logs.warn(
+                not_everywhere,
+                **fields,
+                lacking=len(lagging),
+                lagging=format_hosts(lagging),
+                leases_end_s=rollout.last_end - now,
+            )
         return True
 
 
-def _format_hosts(hosts: Collection[str]) -> str:
+def _log_everywhere(changed: Iterable[rollouts_lib.Rollout]) -> None:
+    now = clock.now()
+    for rollout in changed:
+        if not rollout.lagging(now):
+            logs.event(
+                "configuration_everywhere",
+                version=rollout.number,
+                seconds=now - rollout.began_at,
+            )
+
+
+def format_hosts(hosts: Collection[str]) -> str:
     """Returns the number of some hosts, and names for a log line."""
     names = ",".join(sorted(hosts)[:_MAX_LOGGED_HOSTS])
     return f"{len(hosts)}:{names}"
--- a/packages/endivestream/src/endivestream/process/departure_manager.py
+++ b/packages/endivestream/src/endivestream/process/departure_manager.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
-from collections.abc import Mapping
 
 from endivestream import clock
 from endivestream import logs
 from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import confirmations as confirmations_lib
+from endivestream.process import rollouts as rollouts_lib
 from endivestream.process import target_departures
 from endivestream.version import departures as departures_lib
 from endivestream.version import replicate
@@ -29,7 +29,6 @@
         confirmations: confirmations_lib.Confirmations,
         bound: float,
         position: Callable[[], table_position.Position],
-        renewals: Callable[[], Mapping[str, float]],
         on_targets_changed: Callable[[Iterable[str]], None],
     ) -> None:
         """Starts without departures.
@@ -41,7 +40,6 @@
             bound: Seconds after an acknowledgement within which a target must
                 receive no new requests.
             position: Returns the position of the table now.
-            renewals: Returns when each host renewed its lease last.
             on_targets_changed: Called when targets have left the table.
         """
         self._registry = registry
@@ -49,7 +47,6 @@
         self._confirmations = confirmations
         self._bound = bound
         self._position = position
-        self._renewals = renewals
         self._on_targets_changed = on_targets_changed
         self._departures = target_departures.TargetDepartures()
 
@@ -140,15 +137,23 @@
             name,
             started_at_ms=started_at_ms,
             is_removal=is_removal,
-            position=self._position(),
-            renewals=self._renewals(),
-            now=clock.now(),
+            begin_rollout=lambda: self._confirmations.begin(
+                rollouts_lib.Kind.TABLE, self._position()
+            ),
         )
         if departure is not known:
-            self._confirmations.log_departure(departure)
+            lagging = departure.rollout.lagging(clock.now())
+            logs.event(
+                "departure_started",
+                target=departure.target,
+                born=departure.started_at_ms,
+                removed=departure.is_removal,
+                position=self._position().number,
+                lagging=confirmations_lib.format_hosts(lagging),
+            )
         return departure
 
     async def _wait(self, departure: target_departures.Departure) -> None:
-        await self._confirmations.wait_for_departure(
-            departure, bound=self._bound
+        await self._confirmations.wait(
+            departure.rollout, bound=self._bound, target=departure.target
         )
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -37,6 +37,7 @@
 from endivestream.process import membership_manager as membership_manager_lib
 from endivestream.process import planner_lease_manager
 from endivestream.process import quarantine_manager
+from endivestream.process import rollouts as rollouts_lib
 from endivestream.process import site_settings
 from endivestream.process import table_updates
 from endivestream.request import repeats as repeats_lib
@@ -55,9 +56,6 @@
 # An entry host without a renewal for this many renewal intervals leaves the
 # list of hosts that callers are sent to.
 _SILENT_HOST_INTERVALS = 4
-# A pushed configuration counts as in flight for this long. After that, a host
-# that does not have it yet receives it with the answer to its next renewal.
-_PUSH_IN_FLIGHT_SECONDS = 0.5
 # A voter that is silent for this long is replaced by a learner that has caught
 # up with the log.
 _REPLACE_VOTER_SECONDS = 1.5
@@ -162,11 +160,10 @@
         )
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
-            version=leader_context.replicator.state.document.version,
-            evacuations=self._evacuations.revision,
-            positions=lambda: {
-                name: s.position for name, s in self._sessions.items()
-            },
+            progress=rollouts_lib.Progress(
+                version=leader_context.replicator.state.document.version,
+                evacuations=self._evacuations.revision,
+            ),
         )
         self._departures = departure_manager.DepartureManager(
             registry=self._registry,
@@ -174,9 +171,6 @@
             confirmations=self._confirmations,
             bound=settings.bounds.drain,
             position=lambda: self._table_updates.position,
-            renewals=lambda: {
-                name: s.last_renewal for name, s in self._sessions.items()
-            },
             on_targets_changed=self._targets_changed,
         )
 
@@ -224,8 +218,8 @@
                     teams=len(document.teams),
                 )
                 self._set_document(document, start_full=True)
-                self._confirmations.note_committed(
-                    document.version, self._sessions
+                self._confirmations.begin(
+                    rollouts_lib.Kind.CONFIGURATION, document.version
                 )
                 self._table_updates.push_document(document)
             case (
@@ -238,8 +232,8 @@
                     evacuated=domain in record.domains,
                     revision=record.revision,
                 )
-                self._confirmations.note_evacuations(
-                    record.revision, self._sessions
+                self._confirmations.begin(
+                    rollouts_lib.Kind.EVACUATIONS, record.revision
                 )
                 if domain not in record.domains:
                     self._limited_sends.assume_cold(domain, clock.now())
@@ -430,8 +424,12 @@
             assert isinstance(result, document_lib.DocumentApplied), result
             version = result.version
         # Otherwise this version or a newer one is committed already.
-        await self._confirmations.wait_for_configuration(
-            bound=self._settings.bounds.config
+        await self._confirmations.wait(
+            self._confirmations.find(
+                rollouts_lib.Kind.CONFIGURATION, document.version
+            ),
+            bound=self._settings.bounds.config,
+            version=document.version,
         )
         return site_messages.Applied(version=version)
 
@@ -441,8 +439,14 @@
         result = await self._replicator.propose(command)
         assert isinstance(result, evacuations_lib.EvacuationSet), result
         if command.domain in result.record.domains:
-            await self._confirmations.wait_for_evacuations(
-                bound=self._settings.bounds.evacuation
+            revision = result.record.revision
+            await self._confirmations.wait(
+                self._confirmations.find(
+                    rollouts_lib.Kind.EVACUATIONS, revision
+                ),
+                bound=self._settings.bounds.evacuation,
+                min_wait=confirmations_lib.EVACUATION_WAIT_SECONDS,
+                revision=revision,
             )
         return site_messages.EvacuationsRead(record=result.record)
 
@@ -614,9 +618,10 @@
             update = msgspec.structs.replace(
                 update or empty_update, quarantine=quarantine_update
             )
-        since_push = clock.now() - self._confirmations.rollout_started_at
-        is_push_in_flight = had_session and since_push < _PUSH_IN_FLIGHT_SECONDS
-        if message.version < version and not is_push_in_flight:
+        needs_none = self._confirmations.renew_lease(
+            _lease_holder(message.host), without_pushes=had_session
+        )
+        if message.version < version and not needs_none:
             update = msgspec.structs.replace(
                 update or empty_update, document=self._encoded_document()
             )
@@ -677,7 +682,10 @@
         session = self._sessions.get(host)
         if session is not None:
             session.position = max(session.position, position)
-        self._confirmations.note_acknowledged(host, version, evacuations)
+            self._confirmations.record_progress(
+                _lease_holder(session.host),
+                rollouts_lib.Progress(version, evacuations, position),
+            )
 
     def _update_live_hosts(self, now: float) -> None:
         """Records a table change if the set of live entry hosts changed."""
@@ -701,6 +709,7 @@
 
     def _sweep_once(self, now: float) -> None:
         self._expire_hosts(now)
+        self._confirmations.drop_old()
         self._quarantine.drop_old()
         self._update_silent_targets(now)
         if (
@@ -735,7 +744,6 @@
         for name, session in list(self._sessions.items()):
             if now - session.last_renewal > self._settings.lease_seconds:
                 del self._sessions[name]
-                self._confirmations.remove_host(name)
                 self._credit_allocator.remove_host(name)
                 self._lease_manager.remove_host(name)
                 logs.warn("entry_host_expired", peer=name)
@@ -760,6 +768,15 @@
             self._targets_changed(changed)
 
 
+def _lease_holder(host: site_messages.EntryHost) -> str:
+    """Returns the identity of a machine that holds a lease.
+
+    A machine that replaces a lost one may have the same name, but listens on
+    another address.
+    """
+    return f"{host.name}@{host.address}"
+
+
 def _is_same_for_hosts(
     before: registry_lib.Registration, after: registry_lib.Registration
 ) -> bool:
--- a/packages/endivestream/src/endivestream/process/target_departures.py
+++ b/packages/endivestream/src/endivestream/process/target_departures.py
@@ -1,24 +1,21 @@
 """Departures of targets, and when they may be acknowledged. Pure.
 
 A target that departs may stop some time after the acknowledgement, so no host
-may send to it after that time. A host that has received the table without it
-sends nothing; any other one until its lease ends, which it renewed before the
-departure: the answer to each later renewal contains the table. Calls of a
-target are repeated, and reports arrive late and out of order. A departure
-belongs to one process; only a newer one, or a newer report that takes it back,
-ends it. Times are seconds.
+may send to it after that time: the table without it is rolled out to all hosts.
+Calls of a target are repeated, and reports arrive late and out of order. A
+departure belongs to one process; only a newer one, or a newer report that takes
+it back, ends it.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 from typing import Any
 
-from endivestream import table_position
+from endivestream.process import rollouts as rollouts_lib
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -31,36 +28,16 @@
             clock; None if it is unknown.
         is_removal: Whether it has deregistered; otherwise it has announced
             that.
-        began_at: When the leader learned of it.
-        position: First position of the table without the target.
-        renewals: When each host had renewed its lease last before that.
+        rollout: Rollout of the table without the target.
         commit: Commit of the deregistration to the log.
     """
 
     target: str
     started_at_ms: int | None
     is_removal: bool
-    began_at: float
-    position: table_position.Position
-    renewals: Mapping[str, float]
+    rollout: rollouts_lib.Rollout
     commit: asyncio.Task[Any] | None = None
 
-    def leases_end_at(self, lagging: Iterable[str], lease: float) -> float:
-        """Returns when the leases of hosts with an older table have ended.
-
-        Args:
-            lagging: The hosts.
-            lease: Duration of a lease.
-        """
-        return max(
-            (
-                self.renewals[host] + lease
-                for host in lagging
-                if host in self.renewals
-            ),
-            default=self.began_at,
-        )
-
     def is_of(self, started_at_ms: int | None) -> bool:
         """Returns whether it is of a process, or of a newer one."""
         return (
@@ -86,9 +63,7 @@
         *,
         started_at_ms: int | None,
         is_removal: bool,
-        position: table_position.Position,
-        renewals: Mapping[str, float],
-        now: float,
+        begin_rollout: Callable[[], rollouts_lib.Rollout],
     ) -> Departure:
         """Returns the departure of a process, which may have begun before.
 
@@ -96,9 +71,7 @@
             target: Name of the target.
             started_at_ms: Start time of the process; None if it is unknown.
             is_removal: Whether it has deregistered.
-            position: Position of the table now.
-            renewals: When each host renewed its lease last.
-            now: Current time.
+            begin_rollout: Returns the rollout of the table as it is now.
         """
         known = self._by_target.get(target)
         if (
@@ -111,9 +84,7 @@
             target=target,
             started_at_ms=started_at_ms,
             is_removal=is_removal,
-            began_at=now,
-            position=position,
-            renewals=dict(renewals),
+            rollout=begin_rollout(),
         )
         return departure
 
