End the waits of a leader that no longer leads

What callers saw: a change or a departure whose call waited at a former leader was answered by the next one only after that wait, up to 1.7 s later.

Cause: a closed leader role went on waiting for hosts that renew elsewhere. If the same host led again meanwhile, the former role's answer would even have counted: whether the host leads is asked of the replica, not of the role.

Change: closing the role ends its waits, and their calls are answered as by a host that does not lead, so control hosts ask the next one at once. AwaitVersion asks for the acknowledgement of a committed version.

--- a/packages/endivestream/src/endivestream/process/departure_manager.py
+++ b/packages/endivestream/src/endivestream/process/departure_manager.py
@@ -9,6 +9,8 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream import messages
+from endivestream import site_messages
 from endivestream import table_position
 from endivestream.connection import registry as registry_lib
 from endivestream.process import confirmations as confirmations_lib
@@ -56,7 +58,7 @@
 
     async def handle_report(
         self, registration: registry_lib.Registration, *, is_accepted: bool
-    ) -> None:
+    ) -> site_messages.Registered | messages.NotLeader:
         """Waits until a departure that a target announces is acknowledged.
 
         Args:
@@ -70,11 +72,14 @@
             )
             if is_accepted:
                 await self._commit(departure, registration.report_number)
-            await self._wait(departure)
-        elif is_accepted:
+            return await self._confirm(departure)
+        if is_accepted:
             self._departures.cancel(registration.name)
+        return site_messages.Registered()
 
-    async def deregister(self, name: str) -> None:
+    async def deregister(
+        self, name: str
+    ) -> site_messages.Registered | messages.NotLeader:
         """Notifies entry hosts that a target departs and commits that.
 
         Entry hosts may know the target from the previous leader, so they are
@@ -91,7 +96,7 @@
         ):
             departure = self._remove(name, started_at)
         await self._commit(departure)
-        await self._wait(departure)
+        return await self._confirm(departure)
 
     async def _commit(
         self,
@@ -153,7 +158,12 @@
             )
         return departure
 
-    async def _wait(self, departure: target_departures.Departure) -> None:
-        await self._confirmations.wait(
+    async def _confirm(
+        self, departure: target_departures.Departure
+    ) -> site_messages.Registered | messages.NotLeader:
+        is_confirmed = await self._confirmations.wait(
             departure.rollout, bound=self._bound, target=departure.target
         )
+        if not is_confirmed:
+            return messages.NotLeader(address="")
+        return site_messages.Registered()
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -29,6 +29,7 @@
 from endivestream.connection import addresses
 from endivestream.connection import registry as registry_lib
 from endivestream.connection import software_history
+from endivestream.process import configuration_manager
 from endivestream.process import confirmations as confirmations_lib
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
@@ -165,6 +166,13 @@
                 evacuations=self._evacuations.revision,
             ),
         )
+        self._configurations = configuration_manager.ConfigurationManager(
+            replicator=leader_context.replicator,
+            confirmations=self._confirmations,
+            bounds=settings.bounds,
+            push_document=self._table_updates.push_document,
+            push_evacuations=self._table_updates.push_evacuations,
+        )
         self._departures = departure_manager.DepartureManager(
             registry=self._registry,
             replicator=leader_context.replicator,
@@ -196,7 +204,8 @@
         self._tasks = [tasks.start(self._sweep(), "sweep")]
 
     async def close(self) -> None:
-        """Stops; requests that still wait end at their own deadlines."""
+        """Stops; calls that wait for hosts are answered as by no leader."""
+        self._confirmations.close()
         await tasks.cancel((*self._tasks, *self._push_tasks))
         await self._quarantine.close()
         await self._table_updates.close()
@@ -211,33 +220,15 @@
                 document_lib.ApplyDocument(document=document),
                 document_lib.DocumentApplied(changed=True),
             ):
-                logs.event(
-                    "configuration",
-                    version=document.version,
-                    routes=len(document.routes),
-                    teams=len(document.teams),
-                )
                 self._set_document(document, start_full=True)
-                self._confirmations.begin(
-                    rollouts_lib.Kind.CONFIGURATION, document.version
-                )
-                self._table_updates.push_document(document)
+                self._configurations.record_document(document)
             case (
                 evacuations_lib.SetEvacuation(domain=domain),
                 evacuations_lib.EvacuationSet(changed=True, record=record),
             ):
-                logs.event(
-                    "evacuation",
-                    domain=domain,
-                    evacuated=domain in record.domains,
-                    revision=record.revision,
-                )
-                self._confirmations.begin(
-                    rollouts_lib.Kind.EVACUATIONS, record.revision
-                )
                 if domain not in record.domains:
                     self._limited_sends.assume_cold(domain, clock.now())
-                self._table_updates.push_evacuations(record)
+                self._configurations.record_evacuations(domain, record)
 
     def _set_document(
         self, document: document_lib.Document, *, start_full: bool
@@ -306,7 +297,9 @@
                 self._lease_manager.store_placement_updates(message)
                 return site_messages.Registered()
             case site_messages.Apply(document=document):
-                return await self._apply(document)
+                return await self._configurations.apply(document)
+            case site_messages.AwaitVersion(version=version):
+                return await self._configurations.confirm(version)
             case site_messages.AskVersion():
                 current = self._replicator.state.document
                 return site_messages.ToldVersion(version=current.version)
@@ -317,17 +310,15 @@
                 source = current.source if current else b""
                 return site_messages.DocumentRead(source=source)
             case site_messages.Evacuate(command=command):
-                return await self._evacuate(command)
+                return await self._configurations.evacuate(command)
             case site_messages.ReadEvacuations():
                 return site_messages.EvacuationsRead(record=self._evacuations)
             case site_messages.Register(registration=registration):
-                await self._departures.handle_report(
+                return await self._departures.handle_report(
                     registration, is_accepted=self._register(registration)
                 )
-                return site_messages.Registered()
             case site_messages.Deregister(name=name):
-                await self._departures.deregister(name)
-                return site_messages.Registered()
+                return await self._departures.deregister(name)
             case messages.Join(member=member):
                 self._membership_manager.join(member)
                 return messages.Noted()
@@ -407,49 +398,6 @@
             grant = limit_messages.Grant(need.team, need.wanted, 0.0, 0.0)
         return grant
 
-    async def _apply(
-        self, document: document_lib.Document
-    ) -> site_messages.Applied:
-        document_state = self._replicator.state.document
-        version = document_state.version
-        logs.event(
-            "configuration_requested",
-            version=document.version,
-            committed=version,
-        )
-        if document.version > version:
-            result = await self._replicator.propose(
-                document_lib.ApplyDocument(document=document)
-            )
-            assert isinstance(result, document_lib.DocumentApplied), result
-            version = result.version
-        # Otherwise this version or a newer one is committed already.
-        await self._confirmations.wait(
-            self._confirmations.find(
-                rollouts_lib.Kind.CONFIGURATION, document.version
-            ),
-            bound=self._settings.bounds.config,
-            version=document.version,
-        )
-        return site_messages.Applied(version=version)
-
-    async def _evacuate(
-        self, command: evacuations_lib.SetEvacuation
-    ) -> site_messages.EvacuationsRead:
-        result = await self._replicator.propose(command)
-        assert isinstance(result, evacuations_lib.EvacuationSet), result
-        if command.domain in result.record.domains:
-            revision = result.record.revision
-            await self._confirmations.wait(
-                self._confirmations.find(
-                    rollouts_lib.Kind.EVACUATIONS, revision
-                ),
-                bound=self._settings.bounds.evacuation,
-                min_wait=confirmations_lib.EVACUATION_WAIT_SECONDS,
-                revision=revision,
-            )
-        return site_messages.EvacuationsRead(record=result.record)
-
     # Targets.
 
     def _register(self, registration: registry_lib.Registration) -> bool:
--- a/packages/endivestream/src/endivestream/site_messages.py
+++ b/packages/endivestream/src/endivestream/site_messages.py
@@ -215,8 +215,20 @@
     document: document_lib.Document
 
 
+class AwaitVersion(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Waits until a committed configuration is in force; see `Apply`.
+
+    Attributes:
+        version: Version of the configuration, which the sender's log contains.
+    """
+
+    version: int
+
+
 class Applied(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Answer to `Apply`.
+    """Answer to `Apply` and `AwaitVersion`.
+
+    It is sent once the change may be acknowledged.
 
     Attributes:
         version: Version of the configuration in force.
@@ -350,6 +362,7 @@
     | AskSoftware
     | ToldSoftware
     | Apply
+    | AwaitVersion
     | Applied
     | Register
     | Deregister
