Join proposals of a configuration that is being committed

Cause: a repeated change was compared with the committed version only. A repetition before the commit appended the whole document again, to all replicas and disks, at the time when they are slowest.

Change: a call for a version that is being committed, or for an older one, waits for that proposal.

Evidence: test_a_repeated_change_is_committed_once, two entries before, one now.

--- a/packages/endivestream/src/endivestream/process/configuration_manager.py
+++ b/packages/endivestream/src/endivestream/process/configuration_manager.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 from endivestream import logs
@@ -41,6 +42,8 @@
         self._bounds = bounds
         self._push_document = push_document
         self._push_evacuations = push_evacuations
+        # Configurations that are being committed, by version.
+        self._proposals: dict[int, asyncio.Task[object]] = {}
 
     def record_document(self, document: document_lib.Document) -> None:
         """Rolls out a configuration that was just committed."""
@@ -81,11 +84,32 @@
             committed=committed,
         )
         if document.version > committed:
-            await self._replicator.propose(
-                document_lib.ApplyDocument(document=document)
-            )
+            await self._commit(document)
         return await self.confirm(document.version)
 
+    async def _commit(self, document: document_lib.Document) -> None:
+        """Commits a configuration, or waits for a newer one under way."""
+        newer = [v for v in self._proposals if v >= document.version]
+        if newer:
+            proposal = self._proposals[min(newer)]
+        else:
+            proposal = asyncio.create_task(
+                self._replicator.propose(
+                    document_lib.ApplyDocument(document=document)
+                )
+            )
+            self._proposals[document.version] = proposal
+            proposal.add_done_callback(
+                lambda done: self._end_proposal(document.version, done)
+            )
+        await asyncio.shield(proposal)
+
+    def _end_proposal(self, version: int, proposal: asyncio.Task) -> None:
+        del self._proposals[version]
+        if not proposal.cancelled():
+            # Calls that still wait raise it; there may be none.
+            proposal.exception()
+
     async def confirm(
         self, version: int
     ) -> site_messages.Applied | messages.NotLeader:
