Keep calls for a configuration at control hosts until it is acknowledged

Change: the shared requests of departing targets (departure_calls) serve configurations, too: process/leader_calls.py. The request goes on when a call ends; repetitions share it and its answer. Once the version is in the control host's own log, the leader is asked for the acknowledgement of that version only, without the document. An evacuation's attempt lasts longer than its wait.

Ways that lost: one long attempt as for departures: a lost answer, after a reset connection, would cost its whole length.

--- a/benchmarks/departures.py
+++ b/benchmarks/departures.py
@@ -27,11 +27,14 @@
 from endivestream import site_messages
 from endivestream import table_position
 from endivestream.connection import registry as registry_lib
-from endivestream.process import departure_calls
+from endivestream.process import leader_calls
 from soak import virtual_time
 
 from tests import leader_site
 
+_LONGEST_WAIT_SECONDS = (
+    leader_site.SETTINGS.lease_seconds - leader_site.SETTINGS.bounds.drain
+)
 _CALL_SECONDS = 0.9
 _CALL_INTERVAL_SECONDS = 1.0
 _PATIENCE_SECONDS = 12.0
@@ -60,11 +63,7 @@
         self.leader_messages = 0
         self.site: Any = None
         self._number = 0
-        self._calls = departure_calls.DepartureCalls(
-            call=self._call_leader,
-            longest_wait=leader_site.SETTINGS.lease_seconds
-            - leader_site.SETTINGS.bounds.drain,
-        )
+        self._calls = leader_calls.LeaderCalls(call=self._call_leader)
 
     def registration(
         self, target: str, *, draining: bool, number: int | None = None
@@ -97,9 +96,14 @@
                 message = site_messages.Register(
                     registration=self.registration(target, draining=True)
                 )
-            is_acknowledged = await self._calls.is_acknowledged(
-                target, message, seconds=_CALL_SECONDS
+            answer = await self._calls.answer(
+                target,
+                lambda message=message: message,
+                seconds=_CALL_SECONDS,
+                longest_wait=_LONGEST_WAIT_SECONDS,
+                attempt_seconds=_LONGEST_WAIT_SECONDS + 1.0,
             )
+            is_acknowledged = isinstance(answer, site_messages.Registered)
             if is_acknowledged and self.random.random() >= self.answer_loss:
                 now = clock.now()
                 late = [
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -25,7 +25,7 @@
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
 from endivestream.process import control as control_lib
-from endivestream.process import departure_calls
+from endivestream.process import leader_calls
 from endivestream.process import planner_lease_holder
 from endivestream.process import settings as settings_lib
 from endivestream.process import site_leader
@@ -40,6 +40,9 @@
 # retry on another one.
 _ANSWER_TIMEOUT_SECONDS = 0.9
 _APPLY_TIMEOUT_SECONDS = 1.5
+# Time after which a leader that has not confirmed a change is asked again. A
+# document that is not committed yet is sent again with it.
+_CONFIRM_ATTEMPT_SECONDS = 1.2
 # Interval between checks of a disk that is not writable.
 _DISK_CHECK_INTERVAL_SECONDS = 0.3
 
@@ -92,12 +95,7 @@
             else "",
             meter=self._meter,
         )
-        self._departure_calls = departure_calls.DepartureCalls(
-            call=self._control.call,
-            longest_wait=max(
-                0.0, settings.lease_seconds - settings.bounds.drain
-            ),
-        )
+        self._leader_calls = leader_calls.LeaderCalls(call=self._control.call)
         self._planner_lease_holder = planner_lease_holder.PlannerLeaseHolder(
             host=settings.host_identity,
             settings=settings,
@@ -181,7 +179,7 @@
 
     async def close(self) -> None:
         """Transfers leadership and stops."""
-        await self._departure_calls.close()
+        await self._leader_calls.close()
         await self._planner_lease_holder.close()
         await self._control.close()
         await self._meter.close()
@@ -201,9 +199,12 @@
             routes=len(document.routes),
             bytes=len(document.source),
         )
-        answer = await self._control.call(
-            site_messages.Apply(document=document),
+        answer = await self._leader_calls.answer(
+            ("configuration", document.version, document.source),
+            lambda: self._configuration_message(document),
             seconds=_APPLY_TIMEOUT_SECONDS,
+            longest_wait=self._longest_wait(self._settings.bounds.config),
+            attempt_seconds=_CONFIRM_ATTEMPT_SECONDS,
         )
         is_applied = isinstance(answer, site_messages.Applied)
         logs.event(
@@ -219,6 +220,23 @@
             )
         return is_applied
 
+    def _configuration_message(
+        self, document: document_lib.Document
+    ) -> site_messages.Apply | site_messages.AwaitVersion:
+        """Returns the message that asks for a document's acknowledgement.
+
+        The leader's log contains what is committed here, so the document itself
+        is not sent again.
+        """
+        committed = self._control.replicator.state.document.version
+        if document.version <= committed:
+            return site_messages.AwaitVersion(version=document.version)
+        return site_messages.Apply(document=document)
+
+    def _longest_wait(self, bound: float) -> float:
+        """Returns for how long the leader may wait for hosts."""
+        return max(0.0, self._settings.lease_seconds - bound)
+
     async def read(self) -> bytes | None:
         """Returns the source of the newest document; None if uncertain."""
         answer = await self._control.call(
@@ -263,6 +281,7 @@
             answer = await self._control.call(
                 site_messages.Evacuate(command=command),
                 seconds=max(0.0, deadline - clock.now()),
+                attempt_seconds=_CONFIRM_ATTEMPT_SECONDS,
             )
             if not isinstance(answer, site_messages.EvacuationsRead):
                 break
@@ -327,7 +346,7 @@
         message = site_messages.Register(registration=registration)
         name = registration.name
         if registration.draining:
-            process = (name, registration.started_at_ms)
+            process = ("departure", name, registration.started_at_ms)
             return await self._depart(name, process, message)
         answer = await self._control.call(
             message, seconds=_ANSWER_TIMEOUT_SECONDS
@@ -337,7 +356,7 @@
     async def deregister(self, name: str) -> bool:
         """Forwards a deregistration; returns whether the leader has it."""
         return await self._depart(
-            name, name, site_messages.Deregister(name=name)
+            name, ("removal", name), site_messages.Deregister(name=name)
         )
 
     async def _depart(
@@ -348,9 +367,17 @@
     ) -> bool:
         """Returns whether the leader acknowledges a departure in time."""
         received_at = clock.now()
-        is_acknowledged = await self._departure_calls.is_acknowledged(
-            departure, message, seconds=_ANSWER_TIMEOUT_SECONDS
+        longest_wait = self._longest_wait(self._settings.bounds.drain)
+        answer = await self._leader_calls.answer(
+            departure,
+            lambda: message,
+            seconds=_ANSWER_TIMEOUT_SECONDS,
+            longest_wait=longest_wait,
+            # Longer than the wait for an answer, or the answer would find no
+            # request.
+            attempt_seconds=longest_wait + 1.0,
         )
+        is_acknowledged = isinstance(answer, site_messages.Registered)
         logs.event(
             "departure_answered" if is_acknowledged else "departure_unanswered",
             target=target,
