Send confirmations to the last leader while it is looked for

Cause: the leader's loop is late by 0.15 to 0.37 s, renewals time out after 0.4 s, and the host then has no leader: 1,643 leader_lost in 45 s, though the leader did not change. What a host sends meanwhile without waiting for an answer, confirmations among it, was dropped, and requests for credit, retries or a version failed at once.

Change: until another leader answers, the last one is used. One that was late with an answer mostly still leads.

--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -113,22 +113,30 @@
         self._renewal_requested.set()
 
     async def send(self, message: messages.Message) -> None:
-        """Sends the leader, if it is known, a message without an answer."""
-        if self._leader:
-            await self._link(self._leader).send(message)
+        """Sends the last known leader a message without an answer.
+
+        A leader that was late with one answer mostly still leads, and may wait
+        for this message.
+        """
+        if self._last_leader:
+            await self._link(self._last_leader).send(message)
 
     async def request(
         self, message: messages.Message, *, seconds: float
     ) -> messages.Message | None:
-        """Sends the leader a request; None if unknown or unanswered."""
-        if not self._leader:
+        """Sends the last known leader a request.
+
+        Returns:
+            Its answer; None if no leader has been found yet, or without an
+            answer.
+        """
+        address = self._last_leader
+        if not address:
             return None
         try:
-            return await self._link(self._leader).request(
-                message, seconds=seconds
-            )
+            return await self._link(address).request(message, seconds=seconds)
         except links.LinkDownError as error:
-            logs.warn("leader_unanswered", peer=self._leader, why=error)
+            logs.warn("leader_unanswered", peer=address, why=error)
             return None
 
     def _link(self, address: str) -> links.Link:
