Record the hosts that may hold a lease in the log

What callers saw: with two changes of leader within the wait for a silent host, a change had no acknowledgement for 5.9 s and a departure for 6.4 s; the bound is 5 s. With all hosts in touch, one change of leader took 2.6 s.

Cause: each leader waited anew for the longest lease, because what the former one knew, which hosts may act on an older state until when, was lost with it.

Change: the log names the hosts that renew, those that have been silent for four renewals with what is left of their leases, and drops those whose leases have ended. A leader grants no lease to a host before it is recorded as renewing; hosts that come together share one entry. A new leader waits only for hosts that it has not met yet, each until its own lease ends. Until the first complete record, after one lease of a leader, it waits as before, so a log of an older build is safe. One design for configurations, evacuations and departures, as all of them wait through the same rollouts.

Ways that lost: hosts that report until when their lease of the former leader runs: a silent host reports nothing, so the new leader still waits the longest lease for it. Asking control hosts: the former leader may be the one that failed.

Limit: a control host of an older build cannot read the new entry.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import contextlib
 from typing import Any
 import weakref
@@ -50,19 +51,32 @@
     """Changes that wait for entry hosts during one term of leadership."""
 
     def __init__(
-        self, *, lease: float, progress: rollouts_lib.Progress
+        self,
+        *,
+        lease: float,
+        former_leases: Mapping[str, float | None] | None,
+        progress: rollouts_lib.Progress,
     ) -> None:
         """Starts with the changes of former leaders.
 
         Args:
             lease: Duration of the entry hosts' leases.
+            former_leases: How long the lease of each host from a former leader
+                lasts at most, None for one that renewed; None instead of the
+                mapping if the hosts are unknown.
             progress: The newest change of each kind in the log.
         """
         now = clock.now()
         # Hosts that have not contacted this leader yet may act on a lease from
         # the previous one.
+        if former_leases is None:
+            former_leases = {_UNKNOWN_HOST: None}
         self._leases = rollouts_lib.HeldLeases(
-            duration=lease, former_ends={_UNKNOWN_HOST: now + lease}
+            duration=lease,
+            former_ends={
+                host: now + (lease if left is None else min(lease, left))
+                for host, left in former_leases.items()
+            },
         )
         self._rollouts = {
             kind: rollouts_lib.Rollouts(kind) for kind in rollouts_lib.Kind
@@ -75,6 +89,16 @@
         self.begin(rollouts_lib.Kind.CONFIGURATION, progress.version)
         self.begin(rollouts_lib.Kind.EVACUATIONS, progress.evacuations)
 
+    @property
+    def lease_ends(self) -> Mapping[str, float]:
+        """When the lease of each host ends at the latest."""
+        return self._leases.ends
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the term has ended for this role."""
+        return self._is_closed
+
     def close(self) -> None:
         """Ends all waits; their changes are not acknowledged."""
         self._is_closed = True
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/lease_recorder.py
@@ -0,0 +1,160 @@
+"""Keeps the log's record of lease holders ahead of the leases of a leader."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from endivestream import clock
+from endivestream import logs
+from endivestream import tasks
+from endivestream.version import lease_holders as lease_holders_lib
+from endivestream.version import replicate
+
+
+class LeaseRecorder:
+    """Record of lease holders during one term of leadership."""
+
+    def __init__(
+        self,
+        *,
+        replicator: replicate.Replicator,
+        lease: float,
+        lease_ends: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Starts with the record of former leaders.
+
+        Args:
+            replicator: The leader's replica.
+            lease: Duration of a lease in seconds.
+            lease_ends: Returns when the lease of each host ends.
+        """
+        self._replicator = replicator
+        self._lease = lease
+        self._lease_ends = lease_ends
+        self._started_at = clock.now()
+        # Hosts that may renew. None until a complete record is in the log: all
+        # hosts may, and the next leader waits for unknown ones.
+        self._renewing: set[str] | None = None
+        seconds = replicator.state.lease_holders.seconds
+        if seconds is not None:
+            self._renewing = {h for h, left in seconds.items() if left is None}
+        # Hosts that are to be recorded as renewing, and those being recorded.
+        self._wanted: set[str] = set()
+        self._admitting: frozenset[str] = frozenset()
+        self._admission: asyncio.Task[None] | None = None
+        self._update: asyncio.Task[None] | None = None
+
+    async def close(self) -> None:
+        """Ends the update of the record."""
+        await tasks.cancel([self._update])
+
+    async def admit(self, host: str) -> None:
+        """Waits until a host may be granted a lease.
+
+        Raises:
+            replicate.NotLeaderError: This replica does not lead.
+            replicate.LeadershipLostError: Leadership was lost meanwhile.
+            OSError: The disk failed.
+        """
+        while self._renewing is not None and host not in self._renewing:
+            self._wanted.add(host)
+            if self._admission is None:
+                self._admission = asyncio.create_task(self._admit_wanted())
+                self._admission.add_done_callback(self._end_admission)
+            await asyncio.shield(self._admission)
+
+    async def _admit_wanted(self) -> None:
+        self._admitting = frozenset(self._wanted)
+        self._wanted.clear()
+        await self._replicator.propose(
+            lease_holders_lib.RecordLeaseHolders(
+                renewing=tuple(sorted(self._admitting))
+            )
+        )
+        assert self._renewing is not None
+        self._renewing |= self._admitting
+        logs.event("lease_holders_admitted", hosts=len(self._admitting))
+
+    def _end_admission(self, admission: asyncio.Task[None]) -> None:
+        self._admission = None
+        self._admitting = frozenset()
+        if not admission.cancelled():
+            # Renewals that still wait raise it; there may be none.
+            admission.exception()
+
+    def update(self, silence: float) -> None:
+        """Records hosts that have stopped renewing, in the background.
+
+        Args:
+            silence: Seconds without a renewal after which a host counts as
+                silent.
+        """
+        if self._update is not None and not self._update.done():
+            return
+        now = clock.now()
+        command = (
+            self._first_record(now)
+            if self._renewing is None
+            else self._changes(now, silence)
+        )
+        if command is not None:
+            self._update = tasks.start(self._propose(command), "lease_holders")
+
+    def _first_record(
+        self, now: float
+    ) -> lease_holders_lib.RecordLeaseHolders | None:
+        """Returns the first record once no lease of a former leader is left."""
+        if now < self._started_at + self._lease:
+            return None
+        self._renewing = {
+            h for h, end in self._lease_ends().items() if end > now
+        }
+        return lease_holders_lib.RecordLeaseHolders(
+            renewing=tuple(sorted(self._renewing)), is_complete=True
+        )
+
+    def _changes(
+        self, now: float, silence: float
+    ) -> lease_holders_lib.RecordLeaseHolders | None:
+        assert self._renewing is not None
+        ends = self._lease_ends()
+        joining = self._wanted | self._admitting
+        silent = {
+            host: ends[host] - now
+            for host in self._renewing - joining
+            if now < ends.get(host, now) <= now + self._lease - silence
+        }
+        recorded = self._replicator.state.lease_holders.seconds or {}
+        ended = {
+            host
+            for host in recorded.keys() - joining
+            if ends.get(host, now) <= now
+        }
+        if not silent and not ended:
+            return None
+        # From now on these need a new record before they get a lease.
+        self._renewing -= silent.keys() | ended
+        return lease_holders_lib.RecordLeaseHolders(
+            silent=silent, ended=tuple(sorted(ended))
+        )
+
+    async def _propose(
+        self, command: lease_holders_lib.RecordLeaseHolders
+    ) -> None:
+        try:
+            await self._replicator.propose(command)
+        except (
+            replicate.NotLeaderError,
+            replicate.LeadershipLostError,
+            OSError,
+        ) as error:
+            logs.warn("lease_holders_not_recorded", why=repr(error))
+            return
+        logs.event(
+            "lease_holders_recorded",
+            renewing=len(command.renewing),
+            silent=",".join(command.silent),
+            ended=",".join(command.ended),
+        )
--- a/packages/endivestream/src/endivestream/process/rollouts.py
+++ b/packages/endivestream/src/endivestream/process/rollouts.py
@@ -251,6 +251,11 @@
         self._ends = dict(former_ends)
         self._progress: dict[str, Progress] = {}
 
+    @property
+    def ends(self) -> Mapping[str, float]:
+        """When the lease of each host ends at the latest."""
+        return self._ends
+
     def renew(self, host: str, now: float) -> float:
         """Records the grant of a lease; returns when it ends."""
         end = self._ends[host] = now + self._duration
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -34,6 +34,7 @@
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
 from endivestream.process import departure_manager
+from endivestream.process import lease_recorder
 from endivestream.process import limited_sends
 from endivestream.process import membership_manager as membership_manager_lib
 from endivestream.process import planner_lease_manager
@@ -161,11 +162,17 @@
         )
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
+            former_leases=leader_context.replicator.state.lease_holders.seconds,
             progress=rollouts_lib.Progress(
                 version=leader_context.replicator.state.document.version,
                 evacuations=self._evacuations.revision,
             ),
         )
+        self._lease_recorder = lease_recorder.LeaseRecorder(
+            replicator=leader_context.replicator,
+            lease=settings.lease_seconds,
+            lease_ends=lambda: self._confirmations.lease_ends,
+        )
         self._configurations = configuration_manager.ConfigurationManager(
             replicator=leader_context.replicator,
             confirmations=self._confirmations,
@@ -206,6 +213,7 @@
     async def close(self) -> None:
         """Stops; calls that wait for hosts are answered as by no leader."""
         self._confirmations.close()
+        await self._lease_recorder.close()
         await tasks.cancel((*self._tasks, *self._push_tasks))
         await self._quarantine.close()
         await self._table_updates.close()
@@ -244,6 +252,10 @@
         """Handles a message for the leader and returns the answer, if any."""
         match message:
             case site_messages.Renew():
+                await self._lease_recorder.admit(_lease_holder(message.host))
+                if self._confirmations.is_closed:
+                    # Another leader role has begun, maybe of this host.
+                    return messages.NotLeader(address="")
                 return self._handle_renewal(peer, message)
             case limit_messages.AskCredit(host=host, credit_requests=requests):
                 grants = tuple(
@@ -658,6 +670,9 @@
     def _sweep_once(self, now: float) -> None:
         self._expire_hosts(now)
         self._confirmations.drop_old()
+        self._lease_recorder.update(
+            _SILENT_HOST_INTERVALS * self._renew_seconds
+        )
         self._quarantine.drop_old()
         self._update_silent_targets(now)
         if (
--- a/packages/endivestream/src/endivestream/version/state.py
+++ b/packages/endivestream/src/endivestream/version/state.py
@@ -15,6 +15,7 @@
 from endivestream.version import departures as departures_lib
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
+from endivestream.version import lease_holders as lease_holders_lib
 from endivestream.version import ledger as ledger_lib
 from endivestream.version import planner_lease as planner_lease_lib
 
@@ -33,6 +34,7 @@
     | document_lib.ApplyDocument
     | departures_lib.Depart
     | evacuations_lib.SetEvacuation
+    | lease_holders_lib.RecordLeaseHolders
     | planner_lease_lib.GrantPlannerLease
     | planner_lease_lib.ConfirmPlannerLease
 )
@@ -51,6 +53,7 @@
     | document_lib.DocumentApplied
     | departures_lib.Departed
     | evacuations_lib.EvacuationSet
+    | lease_holders_lib.LeaseHoldersRecorded
     | planner_lease_lib.PlannerLeaseGranted
 )
 
@@ -72,6 +75,7 @@
     evacuations: evacuations_lib.EvacuationRecord = (
         evacuations_lib.EvacuationRecord()
     )
+    lease_holders: dict[str, float | None] | None = None
 
 
 _snapshot_decoder = msgspec.msgpack.Decoder(_Snapshot)
@@ -99,6 +103,7 @@
         departures: Targets that have deregistered or announced it.
         planner_lease: Planner lease: the host that places models.
         evacuations: Failure domains whose targets get no requests.
+        lease_holders: Entry hosts that may hold a lease.
     """
 
     def __init__(self) -> None:
@@ -110,6 +115,7 @@
         self.departures = departures_lib.Departures()
         self.planner_lease = planner_lease_lib.PlannerLease()
         self.evacuations = evacuations_lib.Evacuations()
+        self.lease_holders = lease_holders_lib.LeaseHolders()
 
     def __repr__(self) -> str:
         return f"<State {self.configuration!r} {self.calls!r} {self.ledger!r}>"
@@ -149,6 +155,8 @@
                 return self.planner_lease.apply(command)
             case evacuations_lib.SetEvacuation():
                 return self.evacuations.apply(command)
+            case lease_holders_lib.RecordLeaseHolders():
+                return self.lease_holders.apply(command)
 
     def snapshot(self) -> bytes:
         """Encodes the complete state."""
@@ -163,6 +171,7 @@
                 announcements=self.departures.announcements,
                 seat=self.planner_lease.record,
                 evacuations=self.evacuations.record,
+                lease_holders=self.lease_holders.seconds,
             )
         )
 
@@ -177,3 +186,4 @@
         self.departures.restore(snapshot.departures, snapshot.announcements)
         self.planner_lease.record = snapshot.seat
         self.evacuations.record = snapshot.evacuations
+        self.lease_holders.restore(snapshot.lease_holders)
