Property test of acknowledgements over changes, faults and leaders

Random series of changes, hosts that freeze, lose pushes, return and restart, and up to two changes of leader: each change is acknowledged within the longest lease and one call after the last change of leader, and never while a host with a lease that outlasts the bound lacks it.

--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -199,6 +199,16 @@
             f"tcp://{self.name}",
         )
 
+    def restart(self):
+        """Replaces the host's process by a new one, without any state."""
+        self.incarnation += 1
+        self.version = 0
+        self.evacuations = evacuations_lib.EvacuationRecord(-1)
+        self.position = table_position.Position()
+        self.targets = {}
+        self.lease_until = 0.0
+        self._answers = {}
+
     def receive_frame(self, frame, *, from_relay=False):
         if self.is_cut_off or self.is_frozen:
             return
--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -5,6 +5,8 @@
 
 from endivestream import clock
 from endivestream import site_messages
+import hypothesis
+from hypothesis import strategies as st
 
 from tests import leader_site
 from tests import test_document
@@ -186,3 +188,80 @@
             return await waits[0] - started_at
 
         self.assertLess(self._run(run), leader_site.SETTINGS.renew_seconds)
+
+    @hypothesis.settings(max_examples=25)
+    @hypothesis.given(
+        changes=st.lists(st.floats(0.0, 0.6), min_size=1, max_size=8),
+        faults=st.lists(
+            st.tuples(
+                st.floats(0.0, 4.0),
+                st.integers(0, 9),
+                st.sampled_from(["freeze", "thaw", "lose_pushes", "restart"]),
+            ),
+            max_size=8,
+        ),
+        leader_changes=st.lists(st.floats(0.3, 1.5), max_size=2),
+    )
+    def test_changes_are_acknowledged_in_time_and_not_too_early(
+        self, changes, faults, leader_changes
+    ):
+        """Guards against late acknowledgements and premature ones.
+
+        A leader must not acknowledge a change while a host with a lease that
+        outlasts the bound lacks it, and must do so within the longest lease
+        and one call after the last change of leader.
+        """
+
+        async def run(site):
+            led_at = clock.now()
+            pending = [
+                asyncio.create_task(self._fail_host(site, *fault))
+                for fault in faults
+            ]
+            calls = []
+            for version, pause in enumerate(changes, start=1):
+                calls.append(
+                    asyncio.create_task(self._apply_checked(site, version))
+                )
+                await asyncio.sleep(pause)
+            for seconds in leader_changes:
+                await asyncio.sleep(seconds)
+                await site.change_leader(pause=0.6)
+                led_at = clock.now()
+            outcomes = await asyncio.gather(*calls)
+            await asyncio.gather(*pending)
+            return led_at, outcomes
+
+        led_at, outcomes = self._run(run, hosts=10, targets=4)
+        for started_at, acknowledged_at, longest_lease in outcomes:
+            self.assertLessEqual(
+                acknowledged_at - max(led_at, started_at),
+                LONGEST_WAIT_SECONDS + CALL_SECONDS,
+            )
+            self.assertLessEqual(longest_lease, BOUNDS.config)
+
+    async def _apply_checked(self, site, version):
+        """Applies a change; returns when, and the longest lease without it."""
+        started_at = clock.now()
+        await site.call_leader(self._message(version))
+        now = clock.now()
+        leases = [
+            host.lease_until - now
+            for host in site.hosts
+            if host.version < version
+        ]
+        return started_at, now, max(leases, default=0.0)
+
+    async def _fail_host(self, site, seconds, number, fault):
+        await asyncio.sleep(seconds)
+        host = site.hosts[number]
+        match fault:
+            case "freeze":
+                host.is_frozen = True
+            case "thaw":
+                host.is_frozen = False
+                host.loses_pushes = False
+            case "lose_pushes":
+                host.loses_pushes = True
+            case "restart":
+                host.restart()
