Send one update of placements at a time

Cause: each control host has one connection to the leader, read in order.

Change: one update is under way; targets that change meanwhile share the next message, with their newest state.

--- a/packages/endivestream/src/endivestream/process/planner_lease_holder.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_holder.py
@@ -13,6 +13,7 @@
 from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 from endivestream import clock
 from endivestream import limit_messages
@@ -85,6 +86,9 @@
         self._update_number = int(clock.now() * 1e6)
         self._task: asyncio.Task[None] | None = None
         self._background_tasks: set[asyncio.Task[None]] = set()
+        # Targets whose placement updates have not been sent yet.
+        self._unsent_targets: set[str] = set()
+        self._update_task: asyncio.Task[None] | None = None
 
     @property
     def has_lease(self) -> bool:
@@ -106,7 +110,9 @@
 
     async def close(self) -> None:
         """Stops placing models; orders in flight are not tracked further."""
-        await tasks.cancel((self._task, *self._background_tasks))
+        await tasks.cancel(
+            (self._task, self._update_task, *self._background_tasks)
+        )
         await self._stop_placing()
 
     async def _run(self) -> None:
@@ -233,10 +239,25 @@
         )
 
     def _send_placement_updates(self, targets: Iterable[str]) -> None:
-        """Sends the current placement updates of targets to the leader."""
-        planner = self._planner
-        if planner is None:
-            return
+        """Sends the current placement updates of targets to the leader.
+
+        One message is under way at a time; changes meanwhile go with the next.
+        """
+        self._unsent_targets.update(targets)
+        if self._update_task is None or self._update_task.done():
+            self._update_task = tasks.start(self._send_unsent(), "notices")
+
+    async def _send_unsent(self) -> None:
+        # Changes made in one step of the planner share a message.
+        await asyncio.sleep(0)
+        while self._unsent_targets and self._planner is not None:
+            targets = sorted(self._unsent_targets)
+            self._unsent_targets.clear()
+            await self._send_updates(self._planner, targets)
+
+    async def _send_updates(
+        self, planner: planner_lib.Planner, targets: Sequence[str]
+    ) -> None:
         self._update_number += 1
         updates = tuple(
             placement_messages.PlacementUpdate(
@@ -251,7 +272,10 @@
         message = placement_messages.TellNotices(
             fence=self._fence, placement_updates=updates
         )
-        self._run_in_background(self._send_to_leader(message))
+        answer = await self._call(message, seconds=_UPDATE_TIMEOUT_SECONDS)
+        if not isinstance(answer, site_messages.Registered):
+            # The next leader receives the updates of all targets.
+            logs.warn("notices_unheard", targets=",".join(targets))
 
     def _run_in_background(
         self, work: Coroutine[object, object, object]
@@ -259,14 +283,3 @@
         task = tasks.start(work, "notices")
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
-
-    async def _send_to_leader(
-        self, message: placement_messages.TellNotices
-    ) -> None:
-        answer = await self._call(message, seconds=_UPDATE_TIMEOUT_SECONDS)
-        if not isinstance(answer, site_messages.Registered):
-            # The next leader receives the updates of all targets.
-            names = ",".join(
-                update.target for update in message.placement_updates
-            )
-            logs.warn("notices_unheard", targets=names)
