--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -136,7 +136,13 @@
 
 
 async def ask(
-    address: str, path: str, headers: dict[str, str], *, seconds: float
+    address: str,
+    path: str,
+    headers: dict[str, str],
+    *,
+    seconds: float,
+    method: str = "POST",
+    body: bytes = b"order",
 ) -> Answer | None:
     """Sends a request on a connection of its own; None without an answer.
 
@@ -145,13 +151,15 @@
         path: Path of the request.
         headers: Its headers.
         seconds: Timeout for the complete answer.
+        method: Its method.
+        body: Its body.
     """
     host, port = address.split(":")
     writer = None
     try:
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(host, port)
-            writer.write(_encode_request("POST", path, headers, b"order"))
+            writer.write(_encode_request(method, path, headers, body))
             return await read_answer(reader)
     except (OSError, TimeoutError):
         return None
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -437,15 +437,25 @@
 
     async def _change_configuration(self) -> bool:
         self._version += 1
-        document = {
-            "version": self._version,
+        control = self._random.choice(self._controls)
+        return await callers.is_ok(
+            f"{control.ip}:{CONTROL_PORT}",
+            "PUT",
+            "/config",
+            json.dumps(self._document(self._version)).encode(),
+        )
+
+    def _document(self, version: int) -> dict[str, object]:
+        """Returns the configuration of a version."""
+        return {
+            "version": version,
             "routes": [
                 {
                     "name": name,
                     "host": callers.HOSTNAME,
                     "pathPrefix": f"/{name}/",
                     "routeKind": kind,
-                    "timeoutMs": 4000 + self._version,
+                    "timeoutMs": 4000 + version,
                     "objectiveMs": 400,
                     "maxAttempts": 2,
                     "service": targets.SERVICE,
@@ -460,7 +470,7 @@
                     "pathPrefix": path,
                     "routeKind": "streaming",
                     "resumable": path == streams.RESUMED,
-                    "timeoutMs": 4000 + self._version,
+                    "timeoutMs": 4000 + version,
                     "objectiveMs": 400,
                     "gapObjectiveMs": 300,
                     "maxAttempts": 3,
@@ -471,13 +481,6 @@
             ],
             "services": [self._service()],
         }
-        control = self._random.choice(self._controls)
-        return await callers.is_ok(
-            f"{control.ip}:{CONTROL_PORT}",
-            "PUT",
-            "/config",
-            json.dumps(document).encode(),
-        )
 
     def _service(self) -> dict[str, object]:
         return {
