--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -175,6 +175,20 @@
 
         self.assertLessEqual(self._run(run), BOUNDS.config)
 
+    def test_a_returning_host_gets_an_acknowledged_change_with_its_lease(self):
+        """Guards against a lease without a change that is being pushed."""
+
+        async def run(site):
+            host = site.hosts[7]
+            host.is_frozen = host.loses_pushes = True
+            await asyncio.sleep(LONGEST_WAIT_SECONDS + 0.5)
+            await self._apply(site, 1)
+            host.is_frozen = False
+            await host.renew()
+            return host.version
+
+        self.assertEqual(1, self._run(run))
+
     def test_a_later_evacuation_does_not_postpone_an_acknowledgement(self):
         """Guards against a wait for confirmations that name a later one."""
 
