Ask the leader nothing while it is looked for

Each renewal that times out then adds requests to the queue that made it late.

Change: only what needs no answer, such as a confirmation, goes to the last leader; requests fail at once, as before.

Whether this was the cause is not shown.

--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -124,19 +124,19 @@
     async def request(
         self, message: messages.Message, *, seconds: float
     ) -> messages.Message | None:
-        """Sends the last known leader a request.
+        """Sends the leader a request; None if unknown or unanswered.
 
-        Returns:
-            Its answer; None if no leader has been found yet, or without an
-            answer.
+        While the leader is looked for, it may have no time, and requests would
+        take more of it.
         """
-        address = self._last_leader
-        if not address:
+        if not self._leader:
             return None
         try:
-            return await self._link(address).request(message, seconds=seconds)
+            return await self._link(self._leader).request(
+                message, seconds=seconds
+            )
         except links.LinkDownError as error:
-            logs.warn("leader_unanswered", peer=address, why=error)
+            logs.warn("leader_unanswered", peer=self._leader, why=error)
             return None
 
     def _link(self, address: str) -> links.Link:
