Send a configuration once to a host whose renewals wait at the leader

Cause: renewals that had waited at a late leader for more than 0.5 s after a change each got the whole configuration, although an answer with it was on its way: up to one for each renewal under way and host, compressed each time, by the leader that is late already.

Change: within 0.5 s of an answer with the newest configuration, further answers to that host leave it out and extend no lease.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
+import enum
 from typing import Any
 import weakref
 
@@ -47,6 +48,14 @@
 }
 
 
+class LeaseGrant(enum.Enum):
+    """What the answer to a renewal contains."""
+
+    LEASE = "lease"
+    LEASE_AND_CONFIGURATION = "lease_and_configuration"
+    NOTHING = "nothing"
+
+
 class Confirmations:
     """Changes that wait for entry hosts during one term of leadership."""
 
@@ -127,33 +136,35 @@
             if kind == rollouts_lib.Kind.CONFIGURATION:
                 _log_everywhere(changed)
 
-    def renew_lease(self, host: str, *, without_pushes: bool) -> bool:
-        """Records that a host gets a lease.
+    def renew_lease(
+        self, host: str, *, is_pushed: bool, is_sent: bool
+    ) -> LeaseGrant:
+        """Records that a host renews its lease; returns what it gets.
 
         Args:
             host: The host, whose progress has been recorded.
-            without_pushes: Whether the host may get it without configurations
-                that are being pushed to it.
-
-        Returns:
-            Whether its answer needs no configuration. Otherwise the answer must
-            contain the newest one.
+            is_pushed: Whether configurations are pushed to the host.
+            is_sent: Whether an answer with the newest one, and a lease, is on
+                its way to the host.
         """
         now = clock.now()
         version = self._leases.progress(host).version
         configurations = self._rollouts[rollouts_lib.Kind.CONFIGURATION]
         missed = configurations.missed(version)
-        is_omitted = missed is not None and all(
-            without_pushes
+        is_in_flight = missed is not None and all(
+            is_pushed
             and not rollout.is_acknowledged
             and now - rollout.began_at < _PUSH_IN_FLIGHT_SECONDS
             for rollout in missed
         )
+        if not is_in_flight and is_sent:
+            return LeaseGrant.NOTHING
         end = self._leases.renew(host, now)
-        if is_omitted:
-            for rollout in missed or ():
-                rollout.extend(host, end)
-        return is_omitted
+        if not is_in_flight:
+            return LeaseGrant.LEASE_AND_CONFIGURATION
+        for rollout in missed or ():
+            rollout.extend(host, end)
+        return LeaseGrant.LEASE
 
     def remove_host(self, host: str) -> None:
         """Records that a host no longer acts on any state."""
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -58,6 +58,9 @@
 # An entry host without a renewal for this many renewal intervals leaves the
 # list of hosts that callers are sent to.
 _SILENT_HOST_INTERVALS = 4
+# A configuration sent with an answer counts as in flight for this long; a host
+# may have several renewals under way.
+_DOCUMENT_IN_FLIGHT_SECONDS = 0.5
 # A voter that is silent for this long is replaced by a learner that has caught
 # up with the log.
 _REPLACE_VOTER_SECONDS = 1.5
@@ -74,6 +77,8 @@
         position: Table position that the host has reached.
         relay: Name of the relay that the host follows, or empty.
         reported_teams: Teams named in its last renewal.
+        sent_version: Version of the last configuration sent with an answer.
+        document_sent_at: When it was sent.
     """
 
     host: site_messages.EntryHost
@@ -82,6 +87,8 @@
     position: table_position.Position
     relay: str = ""
     reported_teams: frozenset[str] = frozenset()
+    sent_version: int = 0
+    document_sent_at: float = 0.0
 
 
 class SiteLeader:
@@ -536,6 +543,8 @@
             position=message.position,
             relay=message.relay,
             reported_teams=reported_teams,
+            sent_version=session.sent_version if session else 0,
+            document_sent_at=session.document_sent_at if session else 0.0,
         )
         self._record_host_state(
             host.name, message.version, message.position, message.evacuations
@@ -578,13 +587,24 @@
             update = msgspec.structs.replace(
                 update or empty_update, quarantine=quarantine_update
             )
-        needs_none = self._confirmations.renew_lease(
-            _lease_holder(message.host), without_pushes=had_session
+        session = self._sessions[message.host.name]
+        now = clock.now()
+        grant = self._confirmations.renew_lease(
+            _lease_holder(message.host),
+            is_pushed=had_session,
+            is_sent=had_session
+            and session.sent_version >= version
+            and now - session.document_sent_at < _DOCUMENT_IN_FLIGHT_SECONDS,
         )
-        if message.version < version and not needs_none:
+        if (
+            message.version < version
+            and grant == confirmations_lib.LeaseGrant.LEASE_AND_CONFIGURATION
+        ):
             update = msgspec.structs.replace(
                 update or empty_update, document=self._encoded_document()
             )
+            session.sent_version = version
+            session.document_sent_at = now
         members = self._replicator.replica.members.all
         controls = tuple(member.address for member in members)
         if addresses.digest(controls) == message.controls:
@@ -594,7 +614,11 @@
             None if is_relayed else self._lease_manager.loads(message.host.name)
         )
         return site_messages.Renewed(
-            seconds=self._settings.lease_seconds,
+            seconds=(
+                0.0
+                if grant == confirmations_lib.LeaseGrant.NOTHING
+                else self._settings.lease_seconds
+            ),
             version=version,
             table_update=update,
             grants=tuple(grant for grant in grants if grant is not None),
--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -189,6 +189,25 @@
 
         self.assertEqual(1, self._run(run))
 
+    def test_renewals_that_wait_at_the_leader_get_a_change_once(self):
+        """Guards against a document for each renewal of a late leader."""
+
+        async def run(site):
+            host = site.hosts[7]
+            host.loses_pushes = True
+            applying = asyncio.create_task(self._apply(site, 1))
+            await asyncio.sleep(0.55)
+            renewals = [host.renew() for _ in range(4)]
+            answers = await asyncio.gather(*renewals)
+            await applying
+            return sum(
+                answer.table_update is not None
+                and answer.table_update.document is not None
+                for answer in answers
+            )
+
+        self.assertLessEqual(self._run(run), 1)
+
     def test_a_later_evacuation_does_not_postpone_an_acknowledgement(self):
         """Guards against a wait for confirmations that name a later one."""
 
