Do not record sound hosts of a late leader as silent

Cause: a host without a renewal for four intervals was recorded as silent and needed another entry before its next lease. A leader that is late itself takes many sound hosts for silent; each then costs it two entries, sent to all replicas, and a commit before the next answer, which makes it later still.

Change: at most one record of silent hosts a second, and none if more than an eighth of all hosts seem silent; the next leader then waits as before.

Evidence: test_hosts_of_a_late_leader_are_not_recorded_as_silent (entries before).

--- a/packages/endivestream/src/endivestream/process/lease_recorder.py
+++ b/packages/endivestream/src/endivestream/process/lease_recorder.py
@@ -12,6 +12,12 @@
 from endivestream.version import lease_holders as lease_holders_lib
 from endivestream.version import replicate
 
+# Minimum time between two records of silent hosts.
+_UPDATE_INTERVAL_SECONDS = 1.0
+# A leader that is late takes sound hosts for silent. If more than this share of
+# hosts seems to be, none is recorded: each would need an entry to return.
+_MAX_SILENT_SHARE = 0.125
+
 
 class LeaseRecorder:
     """Record of lease holders during one term of leadership."""
@@ -45,6 +51,7 @@
         self._admitting: frozenset[str] = frozenset()
         self._admission: asyncio.Task[None] | None = None
         self._update: asyncio.Task[None] | None = None
+        self._next_update_at = self._started_at
 
     async def close(self) -> None:
         """Ends the update of the record."""
@@ -91,15 +98,18 @@
             silence: Seconds without a renewal after which a host counts as
                 silent.
         """
-        if self._update is not None and not self._update.done():
-            return
         now = clock.now()
+        if now < self._next_update_at or (
+            self._update is not None and not self._update.done()
+        ):
+            return
         command = (
             self._first_record(now)
             if self._renewing is None
             else self._changes(now, silence)
         )
         if command is not None:
+            self._next_update_at = now + _UPDATE_INTERVAL_SECONDS
             self._update = tasks.start(self._propose(command), "lease_holders")
 
     def _first_record(
@@ -126,6 +136,8 @@
             for host in self._renewing - joining
             if now < ends.get(host, now) <= now + self._lease - silence
         }
+        if len(silent) > max(1.0, _MAX_SILENT_SHARE * len(self._renewing)):
+            silent = {}
         recorded = self._replicator.state.lease_holders.seconds or {}
         ended = {
             host
--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -128,6 +128,21 @@
         """Guards against the same beside a host that does not return."""
         self._check_change_over_two_leaders(is_host_silent=True)
 
+    def test_hosts_of_a_late_leader_are_not_recorded_as_silent(self):
+        """Guards against log entries for sound hosts of a late leader."""
+
+        async def run(site):
+            before = site.log.proposals
+            for host in site.hosts[:20]:
+                host.is_frozen = True
+            await asyncio.sleep(2.0)
+            for host in site.hosts[:20]:
+                host.is_frozen = False
+            await asyncio.sleep(2.0)
+            return site.log.proposals - before
+
+        self.assertEqual(0, self._run(run))
+
     def test_a_former_leader_answers_waiting_calls(self):
         """Guards against calls that wait at a host that no longer leads."""
 
