--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -166,12 +166,6 @@
             rollout.extend(host, end)
         return LeaseGrant.LEASE
 
-    def remove_host(self, host: str) -> None:
-        """Records that a host no longer acts on any state."""
-        self._leases.remove([host])
-        for each in self._rollouts.values():
-            self._signal(each.remove_from_all(host))
-
     def drop_old(self) -> None:
         """Forgets leases and changes that are too old to matter."""
         now = clock.now()
--- a/packages/endivestream/src/endivestream/process/rollouts.py
+++ b/packages/endivestream/src/endivestream/process/rollouts.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -214,12 +213,6 @@
             if rollout.remove(host):
                 yield rollout
 
-    def remove_from_all(self, host: str) -> Iterator[Rollout]:
-        """Removes a host that no longer acts; yields as `remove`."""
-        for rollout in self._rollouts:
-            if rollout.remove(host):
-                yield rollout
-
     def drop_complete(self, now: float) -> None:
         """Forgets changes that no host lacks."""
         kept = next(
@@ -282,12 +275,8 @@
             if end > now and not self.progress(host).includes(kind, number)
         }
 
-    def remove(self, hosts: Iterable[str]) -> None:
-        """Removes hosts that no longer act."""
-        for host in hosts:
-            self._ends.pop(host, None)
-            self._progress.pop(host, None)
-
     def drop_ended(self, now: float) -> None:
         """Forgets leases that have ended."""
-        self.remove([h for h, end in self._ends.items() if end <= now])
+        for host in [h for h, end in self._ends.items() if end <= now]:
+            del self._ends[host]
+            self._progress.pop(host, None)
