--- a/benchmarks/soak/configurations.py
+++ b/benchmarks/soak/configurations.py
@@ -34,8 +34,6 @@
 _SLACK_SECONDS = 0.2
 _MAX_PAUSE_SECONDS = 0.6
 _READ_SECONDS = 1.0
-# Time in which a process starts, beside other load.
-_READY_SECONDS = 15.0
 # Share of the faults of the soak of processes; the others hit entry hosts only.
 _FAULT_SHARE = 0.15
 
@@ -61,18 +59,10 @@
         try:
             await super()._run(seconds)
             await asyncio.gather(*operators)
-            await self._wait_until_ready()
         finally:
             for operator in operators:
                 operator.cancel()
 
-    async def _wait_until_ready(self) -> None:
-        """Waits until entry hosts that were started last serve callers."""
-        deadline = time.monotonic() + _READY_SECONDS
-        while time.monotonic() < deadline and not await self.is_any_ready():
-            await asyncio.sleep(_MAX_PAUSE_SECONDS)
-        await asyncio.sleep(_MAX_PAUSE_SECONDS)
-
     async def _operate(self, end: float) -> None:
         """Sends a series of changes."""
         while time.monotonic() < end:
@@ -100,12 +90,12 @@
             await super()._draw_fault()
             return
         entry = self._random.choice(self._entries)
-        match self._random.randrange(8):
+        match self._random.randrange(3):
             case 0:
                 await entry.restart(signal.SIGKILL)
             case 1:
                 await entry.restart(signal.SIGTERM)
-            case 2 | 3:
+            case 2:
                 await entry.pause(self._random.uniform(0.5, 3.0))
 
     def _any_control(self) -> str:
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -360,20 +360,13 @@
             while not await self._change_configuration():
                 await asyncio.sleep(0.1)
             for process in self._entries:
-                while not await self._is_ready(process):
+                while not await callers.is_ok(
+                    f"{process.ip}:{_READY_PORT}", "GET", "/readyz"
+                ):
                     await asyncio.sleep(0.1)
         for caller in (*self._callers, *self._stream_callers):
             caller.start()
 
-    async def _is_ready(self, process: Process) -> bool:
-        return await callers.is_ok(
-            f"{process.ip}:{_READY_PORT}", "GET", "/readyz"
-        )
-
-    async def is_any_ready(self) -> bool:
-        """Returns whether an entry host serves callers."""
-        return any([await self._is_ready(each) for each in self._entries])
-
     async def _watch_loop(self) -> None:
         """Records when this process, with all its targets, was late."""
         while True:
