Record with each new leader that earlier leases are extended no more

Cause: a host that renewed at no leader since a long one was still recorded as renewing, because a leader of a short term records no silent host. Each next leader took it for one that may have renewed until just now, and waited for its whole lease again. A recorded rest of a lease was counted from the new leader's start, too, not from when its replica had received the record.

Change: a new leader first records that all hosts are silent, with the longest lease at most, and records each as renewing again before its first lease of the term. Each control host keeps, beside the replicated state, when it received the record of a silent host (lease_holders.ReceivedRecords), and a new leader counts off what has passed.

Way that lost: recording the lease holders anew one by one with a new leader: the same entries, and one of all their names.

--- a/packages/endivestream/src/endivestream/process/control.py
+++ b/packages/endivestream/src/endivestream/process/control.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import pathlib
 import time
@@ -27,6 +28,7 @@
 from endivestream.process import settings as settings_lib
 from endivestream.process import views
 from endivestream.version import credit as credit_lib
+from endivestream.version import lease_holders as lease_holders_lib
 from endivestream.version import members as members_lib
 from endivestream.version import protocol
 from endivestream.version import replicate
@@ -68,10 +70,14 @@
     Attributes:
         replicator: The leader's replica.
         push: Sends an unsolicited message to peers.
+        former_leases: How long the lease of each entry host from former leaders
+            lasts at most, in seconds; None for a host that renewed. None
+            instead of the mapping if the hosts are unknown.
     """
 
     replicator: replicate.Replicator
     push: Callable[[Iterable[bytes], messages.Message], Awaitable[None]]
+    former_leases: Mapping[str, float | None] | None = None
 
 
 class Control:
@@ -133,6 +139,7 @@
         # When this replica received each team's credit level, by the monotonic
         # clock.
         self._credit_received_at: dict[str, float] = {}
+        self._lease_records = lease_holders_lib.ReceivedRecords()
 
     @property
     def address(self) -> str:
@@ -207,7 +214,7 @@
             ),
             send=self._send,
             on_applied=self._on_applied,
-            on_restored=self._restart_credit_refill,
+            on_restored=self._on_restored,
             on_leadership_changed=self._on_role,
             on_failed=self._on_failed,
         )
@@ -274,7 +281,13 @@
     def _create_leader_role(self) -> LeaderRole:
         if self._leader_factory is not None:
             return self._leader_factory(
-                LeaderContext(self.replicator, self._server.push)
+                LeaderContext(
+                    self.replicator,
+                    self._server.push,
+                    self._lease_records.remaining(
+                        self.replicator.state.lease_holders.seconds, clock.now()
+                    ),
+                )
             )
         return leader_lib.Leader(
             settings=self._settings,
@@ -284,6 +297,10 @@
             credit_received_at=self._credit_received_at,
         )
 
+    def _on_restored(self) -> None:
+        self._restart_credit_refill()
+        self._lease_records.clear()
+
     def _restart_credit_refill(self) -> None:
         """Restarts the credit refill of all teams at the current time.
 
@@ -300,6 +317,10 @@
         if isinstance(command, credit_lib.ReserveCredit):
             now = time.monotonic()
             self._credit_received_at.update(dict.fromkeys(command.levels, now))
+        if isinstance(command, lease_holders_lib.RecordLeaseHolders):
+            self._lease_records.update(
+                self.replicator.state.lease_holders.seconds, clock.now()
+            )
         if self._leader_role is not None:
             self._leader_role.applied(command, result)
 
--- a/packages/endivestream/src/endivestream/process/lease_recorder.py
+++ b/packages/endivestream/src/endivestream/process/lease_recorder.py
@@ -43,9 +43,8 @@
         # Hosts that may renew. None until a complete record is in the log: all
         # hosts may, and the next leader waits for unknown ones.
         self._renewing: set[str] | None = None
-        seconds = replicator.state.lease_holders.seconds
-        if seconds is not None:
-            self._renewing = {h for h, left in seconds.items() if left is None}
+        if replicator.state.lease_holders.seconds is not None:
+            self._renewing = set()
         # Hosts that are to be recorded as renewing, and those being recorded.
         self._wanted: set[str] = set()
         self._admitting: frozenset[str] = frozenset()
@@ -53,6 +52,22 @@
         self._update: asyncio.Task[None] | None = None
         self._next_update_at = self._started_at
 
+    def start(self) -> None:
+        """Records that the leases of former leaders are extended no more.
+
+        Otherwise each of several leaders in a row would wait for the longest
+        lease of a host that renewed at none of them.
+        """
+        if self._renewing is not None:
+            self._update = tasks.start(
+                self._propose(
+                    lease_holders_lib.RecordLeaseHolders(
+                        former_seconds=self._lease
+                    )
+                ),
+                "lease_holders",
+            )
+
     async def close(self) -> None:
         """Ends the update of the record."""
         await tasks.cancel([self._update])
@@ -169,4 +184,5 @@
             renewing=len(command.renewing),
             silent=",".join(command.silent),
             ended=",".join(command.ended),
+            former=command.former_seconds is not None,
         )
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -169,7 +169,7 @@
         )
         self._confirmations = confirmations_lib.Confirmations(
             lease=settings.lease_seconds,
-            former_leases=leader_context.replicator.state.lease_holders.seconds,
+            former_leases=leader_context.former_leases,
             progress=rollouts_lib.Progress(
                 version=leader_context.replicator.state.document.version,
                 evacuations=self._evacuations.revision,
@@ -213,6 +213,7 @@
         """Starts leading with the replicated state as it is now."""
         if self._document is not None:
             self._set_document(self._document, start_full=False)
+        self._lease_recorder.start()
         self._membership_manager.start()
         self._table_updates.start()
         self._tasks = [tasks.start(self._sweep(), "sweep")]
--- a/tests/leader_site.py
+++ b/tests/leader_site.py
@@ -27,6 +27,7 @@
 from endivestream.request import quarantine as quarantine_lib
 from endivestream.version import document as document_lib
 from endivestream.version import evacuations as evacuations_lib
+from endivestream.version import lease_holders as lease_holders_lib
 from endivestream.version import members as members_lib
 from endivestream.version import state as state_lib
 import msgspec
@@ -81,6 +82,7 @@
             match_index=lambda identity: 1,
         )
         self.on_applied = lambda command, result: None
+        self._lease_records = lease_holders_lib.ReceivedRecords()
         self.proposals = 0
         # Time until a proposal is committed.
         self.commit_seconds = 0.0
@@ -90,9 +92,20 @@
         if self.commit_seconds:
             await asyncio.sleep(self.commit_seconds)
         result = self.state.apply(1, command)
+        if isinstance(command, lease_holders_lib.RecordLeaseHolders):
+            self._lease_records.update(
+                self.state.lease_holders.seconds, clock.now()
+            )
         self.on_applied(command, result)
         return result
 
+    @property
+    def former_leases(self):
+        """Leases of former leaders, as this replica knows them."""
+        return self._lease_records.remaining(
+            self.state.lease_holders.seconds, clock.now()
+        )
+
 
 def _decode_id(frame):
     return messages.decode(frame).id
@@ -378,7 +391,7 @@
         self.leader_role = site_leader.SiteLeader(
             settings=SETTINGS,
             leader_context=control_lib.LeaderContext(
-                self.log, self._server.push
+                self.log, self._server.push, self.log.former_leases
             ),
         )
         self.log.on_applied = self.leader_role.applied
@@ -490,7 +503,7 @@
         self.leader_role = site_leader.SiteLeader(
             settings=SETTINGS,
             leader_context=control_lib.LeaderContext(
-                self.log, self._server.push
+                self.log, self._server.push, self.log.former_leases
             ),
         )
         self.log.on_applied = self.leader_role.applied
--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -128,6 +128,19 @@
         """Guards against the same beside a host that does not return."""
         self._check_change_over_two_leaders(is_host_silent=True)
 
+    def test_short_terms_do_not_prolong_the_wait_for_a_silent_host(self):
+        """Guards against leaders in a row that each wait the longest lease."""
+
+        async def run(site):
+            site.hosts[7].is_frozen = True
+            applying = asyncio.create_task(self._apply(site, 1))
+            for _ in range(3):
+                await asyncio.sleep(0.7)
+                await site.change_leader(pause=0.6)
+            return await applying
+
+        self.assertLessEqual(self._run(run), ACKNOWLEDGED_SECONDS)
+
     def test_hosts_of_a_late_leader_are_not_recorded_as_silent(self):
         """Guards against log entries for sound hosts of a late leader."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -84,3 +84,25 @@
         restored = lease_holders_lib.LeaseHolders()
         restored.restore(holders.seconds)
         self.assertEqual({"e1": None, "e2": 1.5}, restored.seconds)
+
+    def test_a_new_leader_does_not_count_received_time_again(self):
+        """Guards against waits for the part of a lease that has passed."""
+        holders = lease_holders_lib.LeaseHolders()
+        records = lease_holders_lib.ReceivedRecords()
+        for now, command in [
+            (1.0, {"renewing": ("e1", "e2", "e3"), "is_complete": True}),
+            (2.0, {"silent": {"e1": 3.0}}),
+            (3.0, {"former_seconds": 4.0}),
+            (3.5, {"renewing": ("e2",)}),
+        ]:
+            holders.apply(lease_holders_lib.RecordLeaseHolders(**command))
+            records.update(holders.seconds, now)
+        self.assertEqual(
+            {"e1": 1.0, "e2": None, "e3": 3.0},
+            records.remaining(holders.seconds, 4.0),
+        )
+        records.clear()
+        self.assertEqual(
+            {"e1": 3.0, "e2": None, "e3": 4.0},
+            records.remaining(holders.seconds, 4.0),
+        )
