Split the sessions of entry hosts from the leader of a site

No behaviour changes. Tests of the leader, its load, departures, evacuations, relays, entry sites and control hosts pass.

--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -11,7 +11,6 @@
 
 import asyncio
 from collections.abc import Iterable
-import dataclasses
 import typing
 
 import msgspec
@@ -24,7 +23,6 @@
 from endivestream import placement_messages
 from endivestream import quarantine_messages
 from endivestream import site_messages
-from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import addresses
 from endivestream.connection import registry as registry_lib
@@ -34,6 +32,7 @@
 from endivestream.process import control as control_lib
 from endivestream.process import credit_allocator as credit_allocator_lib
 from endivestream.process import departure_manager
+from endivestream.process import entry_host_sessions
 from endivestream.process import lease_recorder
 from endivestream.process import limited_sends
 from endivestream.process import membership_manager as membership_manager_lib
@@ -55,42 +54,11 @@
 # is long because the target may still serve hosts that reach it although its
 # reports do not reach the leader.
 _TARGET_EXPIRY_SECONDS = 20.0
-# An entry host without a renewal for this many renewal intervals leaves the
-# list of hosts that callers are sent to.
-_SILENT_HOST_INTERVALS = 4
-# A configuration sent with an answer counts as in flight for this long; a host
-# may have several renewals under way.
-_DOCUMENT_IN_FLIGHT_SECONDS = 0.5
 # A voter that is silent for this long is replaced by a learner that has caught
 # up with the log.
 _REPLACE_VOTER_SECONDS = 1.5
 
 
-@dataclasses.dataclass(kw_only=True)
-class _EntryHostSession:
-    """The leader's state of one entry host.
-
-    Attributes:
-        host: Description of the host from its last renewal.
-        peer: Identity of the host's socket.
-        last_renewal: Time of its last renewal.
-        position: Table position that the host has reached.
-        relay: Name of the relay that the host follows, or empty.
-        reported_teams: Teams named in its last renewal.
-        sent_version: Version of the last configuration sent with an answer.
-        document_sent_at: When it was sent.
-    """
-
-    host: site_messages.EntryHost
-    peer: bytes
-    last_renewal: float
-    position: table_position.Position
-    relay: str = ""
-    reported_teams: frozenset[str] = frozenset()
-    sent_version: int = 0
-    document_sent_at: float = 0.0
-
-
 class SiteLeader:
     """The leader's state and message handlers for one term of leadership."""
 
@@ -122,7 +90,7 @@
             )
         self._software_history = software_history.SoftwareHistory()
         self._silent_targets: set[str] = set()
-        self._sessions: dict[str, _EntryHostSession] = {}
+        self._sessions = entry_host_sessions.Sessions(settings=settings)
         self._live_hosts: tuple[site_messages.EntryHost, ...] = ()
         self._credit_allocator = credit_allocator_lib.CreditAllocator()
         self._retry_budgets: dict[str, repeats_lib.SharedRepeatBudget] = {}
@@ -153,10 +121,8 @@
         self._table_updates = table_updates.TableUpdates(
             term=leader_context.replicator.term,
             push=leader_context.push,
-            peers=lambda: [s.peer for s in self._sessions.values()],
-            direct_peers=lambda: [
-                s.peer for s in self._sessions.values() if not self._relay_of(s)
-            ],
+            peers=lambda: self._sessions.peers,
+            direct_peers=lambda: self._sessions.direct_peers(clock.now()),
             table_entry=self._table_entry,
             full_table=self._full_table,
             rate_limits=lambda names: self._limited_sends.records(
@@ -196,11 +162,6 @@
             on_targets_changed=self._targets_changed,
         )
 
-    @property
-    def _renew_seconds(self) -> float:
-        """Interval between renewals of an entry host in seconds."""
-        return self._settings.renew_seconds_for(len(self._sessions))
-
     @property
     def _document(self) -> document_lib.Document | None:
         return self._replicator.state.document.current
@@ -260,7 +221,9 @@
         """Handles a message for the leader and returns the answer, if any."""
         match message:
             case site_messages.Renew():
-                await self._lease_recorder.admit(_lease_holder(message.host))
+                await self._lease_recorder.admit(
+                    entry_host_sessions.lease_holder(message.host)
+                )
                 if self._confirmations.is_closed:
                     # Another leader role has begun, maybe of this host.
                     return messages.NotLeader(address="")
@@ -277,13 +240,17 @@
             case limit_messages.CountSend(target=target):
                 self._limited_sends.count_send(target, clock.now())
                 return None
-            case site_messages.Confirm():
-                self._record_host_state(
-                    message.host,
-                    message.version,
-                    message.position,
-                    message.evacuations,
-                )
+            case site_messages.Confirm(host=host):
+                session = self._sessions.find(host)
+                if session is not None:
+                    self._record_host_state(
+                        session,
+                        rollouts_lib.Progress(
+                            message.version,
+                            message.evacuations,
+                            message.position,
+                        ),
+                    )
                 return None
             case quarantine_messages.ProcessEnded():
                 return await self._record_process_end(message)
@@ -522,33 +489,18 @@
         self, peer: bytes, message: site_messages.Renew
     ) -> site_messages.Renewed | messages.NotLeader:
         now = clock.now()
-        host = message.host
-        session = self._sessions.get(host.name)
-        if session is None or session.host != host:
-            logs.event(
-                "entry_host",
-                peer=host.name,
-                address=host.address,
-                draining=host.draining,
-                new=session is None,
-            )
-        reported_teams = frozenset(need.team for need in message.needs)
-        if session is not None:
+        host = message.host.name
+        previous = self._sessions.find(host)
+        session = self._sessions.renew(peer, message, now)
+        if previous is not None:
             self._credit_allocator.clear_teams(
-                host.name, session.reported_teams - reported_teams
+                host, previous.reported_teams - session.reported_teams
             )
-        self._sessions[host.name] = _EntryHostSession(
-            host=host,
-            peer=peer,
-            last_renewal=now,
-            position=message.position,
-            relay=message.relay,
-            reported_teams=reported_teams,
-            sent_version=session.sent_version if session else 0,
-            document_sent_at=session.document_sent_at if session else 0.0,
-        )
         self._record_host_state(
-            host.name, message.version, message.position, message.evacuations
+            session,
+            rollouts_lib.Progress(
+                message.version, message.evacuations, message.position
+            ),
         )
         # Before anything is pushed to this host: it may have limits that were
         # reported only to the previous leader.
@@ -556,18 +508,16 @@
         self._lease_manager.forward_demand(message)
         self._quarantine.restore(message)
         grants = [
-            self._credit_allocator.handle_report(host.name, need, now)
+            self._credit_allocator.handle_report(host, need, now)
             for need in message.needs
         ]
-        had_session = session is not None and session.peer == peer
-        return self._renewal_answer(message, grants, had_session=had_session)
+        return self._renewal_answer(session, message, grants)
 
     def _renewal_answer(
         self,
+        session: entry_host_sessions.Session,
         message: site_messages.Renew,
         grants: list[limit_messages.Grant | None],
-        *,
-        had_session: bool,
     ) -> site_messages.Renewed | messages.NotLeader:
         if not self._replicator.is_leader:
             # Another leader may have committed a newer configuration.
@@ -588,14 +538,11 @@
             update = msgspec.structs.replace(
                 update or empty_update, quarantine=quarantine_update
             )
-        session = self._sessions[message.host.name]
         now = clock.now()
         grant = self._confirmations.renew_lease(
-            _lease_holder(message.host),
-            is_pushed=had_session,
-            is_sent=had_session
-            and session.sent_version >= version
-            and now - session.document_sent_at < _DOCUMENT_IN_FLIGHT_SECONDS,
+            session.lease_holder,
+            is_pushed=session.is_known,
+            is_sent=session.is_document_in_flight(version, now),
         )
         if (
             message.version < version
@@ -604,13 +551,12 @@
             update = msgspec.structs.replace(
                 update or empty_update, document=self._encoded_document()
             )
-            session.sent_version = version
-            session.document_sent_at = now
+            session.record_document_sent(version, now)
         members = self._replicator.replica.members.all
         controls = tuple(member.address for member in members)
         if addresses.digest(controls) == message.controls:
             controls = ()
-        is_relayed = self._relay_of(self._sessions[message.host.name])
+        is_relayed = self._sessions.relay_of(session, now)
         loads = (
             None if is_relayed else self._lease_manager.loads(message.host.name)
         )
@@ -625,7 +571,7 @@
             grants=tuple(grant for grant in grants if grant is not None),
             controls=controls,
             loads=loads,
-            interval_seconds=self._renew_seconds,
+            interval_seconds=self._sessions.renew_seconds,
         )
 
     def _encoded_document(self) -> document_lib.Document | None:
@@ -644,44 +590,18 @@
             self._encoded = document.version, encoded
         return typing.cast(document_lib.Document, encoded)
 
-    def _relay_of(self, session: _EntryHostSession) -> str:
-        """Returns the relay that a host receives pushes from, or empty.
-
-        A host that has stopped renewing, or that follows another relay, does
-        not count as a relay, because it forwards nothing.
-        """
-        relay = self._sessions.get(session.relay)
-        if relay is None or relay.relay:
-            return ""
-        silence = _SILENT_HOST_INTERVALS * self._renew_seconds
-        return (
-            session.relay if clock.now() - relay.last_renewal <= silence else ""
-        )
-
     def _record_host_state(
         self,
-        host: str,
-        version: int,
-        position: table_position.Position,
-        evacuations: int,
+        session: entry_host_sessions.Session,
+        progress: rollouts_lib.Progress,
     ) -> None:
         """Records which configuration, table and evacuations a host uses."""
-        session = self._sessions.get(host)
-        if session is not None:
-            session.position = max(session.position, position)
-            self._confirmations.record_progress(
-                _lease_holder(session.host),
-                rollouts_lib.Progress(version, evacuations, position),
-            )
+        session.position = max(session.position, progress.position)
+        self._confirmations.record_progress(session.lease_holder, progress)
 
     def _update_live_hosts(self, now: float) -> None:
         """Records a table change if the set of live entry hosts changed."""
-        silence = _SILENT_HOST_INTERVALS * self._renew_seconds
-        live_hosts = tuple(
-            session.host
-            for _, session in sorted(self._sessions.items())
-            if now - session.last_renewal <= silence
-        )
+        live_hosts = self._sessions.live_hosts(now)
         if self._is_table_complete and live_hosts != self._live_hosts:
             self._live_hosts = live_hosts
             self._table_updates.record_entry_hosts(live_hosts)
@@ -697,9 +617,7 @@
     def _sweep_once(self, now: float) -> None:
         self._expire_hosts(now)
         self._confirmations.drop_old()
-        self._lease_recorder.update(
-            _SILENT_HOST_INTERVALS * self._renew_seconds
-        )
+        self._lease_recorder.update(self._sessions.silence)
         self._quarantine.drop_old()
         self._update_silent_targets(now)
         if (
@@ -717,8 +635,7 @@
         if now < self._loads_pushed_at + self._settings.renew_seconds:
             return
         self._loads_pushed_at = now
-        names = {self._relay_of(s) for s in self._sessions.values()}
-        peers = [self._sessions[name].peer for name in names if name]
+        peers = self._sessions.relay_peers(now)
         if peers:
             loads = site_messages.Loads(loads=self._lease_manager.total_loads())
             task = tasks.start(self._push(peers, loads), "push_loads")
@@ -731,12 +648,9 @@
         return 1.5 * self._settings.report + self._settings.renew_seconds
 
     def _expire_hosts(self, now: float) -> None:
-        for name, session in list(self._sessions.items()):
-            if now - session.last_renewal > self._settings.lease_seconds:
-                del self._sessions[name]
-                self._credit_allocator.remove_host(name)
-                self._lease_manager.remove_host(name)
-                logs.warn("entry_host_expired", peer=name)
+        for name in self._sessions.expire(now):
+            self._credit_allocator.remove_host(name)
+            self._lease_manager.remove_host(name)
 
     def _update_silent_targets(self, now: float) -> None:
         silence = _SILENT_TARGET_INTERVALS * self._settings.report
@@ -758,15 +672,6 @@
             self._targets_changed(changed)
 
 
-def _lease_holder(host: site_messages.EntryHost) -> str:
-    """Returns the identity of a machine that holds a lease.
-
-    A machine that replaces a lost one may have the same name, but listens on
-    another address.
-    """
-    return f"{host.name}@{host.address}"
-
-
 def _is_same_for_hosts(
     before: registry_lib.Registration, after: registry_lib.Registration
 ) -> bool:
