Soak of crashes: count targets that end otherwise while they run a request

The soak of processes also restarts targets. One that ends by such a fault while it runs a request with the part ends under it for the product, which cannot tell the cause, and is not counted by the soak, so the part is quarantined after fewer counted ends.

Change: the report counts these as interrupted; the test expects three ends under the part, whatever ended the target. As strict: it is the number of ends that the product can know.

--- a/benchmarks/soak/crashes.py
+++ b/benchmarks/soak/crashes.py
@@ -93,6 +93,8 @@
             )
             if self._starts == process and not self._restart_lock.locked():
                 self._soak.record_end(key, self, host)
+            else:
+                self._soak.record_interruption(key)
             # The process is gone; it writes no answer.
             await asyncio.sleep(_DOWN_SECONDS)
             return
@@ -162,6 +164,7 @@
         self._stream_callers = []
         self._ends: dict[str, list[float]] = collections.defaultdict(list)
         self._end_hosts: dict[str, list[str]] = collections.defaultdict(list)
+        self._interruptions: collections.Counter[str] = collections.Counter()
         self._arrivals: dict[str, list[tuple[float, bool]]] = (
             collections.defaultdict(list)
         )
@@ -186,6 +189,10 @@
         self._crash_tasks.add(task)
         task.add_done_callback(self._crash_tasks.discard)
 
+    def record_interruption(self, key: str) -> None:
+        """Records that a target ended otherwise while it ran a request."""
+        self._interruptions[key] += 1
+
     @property
     def _is_stable(self) -> bool:
         return all(process.is_calm(_CALM_SECONDS) for process in self._controls)
@@ -333,6 +340,7 @@
             violations.append(f"sound streams are lost: {dict(counts)}")
         report["ends"] = {
             "part": len(self._ends[_PART]),
+            "interrupted": self._interruptions[_PART],
             "requests": sorted(
                 len(ends) for key, ends in self._ends.items() if key != _PART
             ),
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -44,7 +44,9 @@
     def test_requests_that_end_targets_are_quarantined(self):
         """Guards against requests that end one target after the other."""
         report = self._run(seconds=14.0, soak_class=crashes.CrashSoak)
-        self.assertGreaterEqual(report["ends"]["part"], 3)
+        ends = report["ends"]
+        # A target may also end by a fault while it runs such a request.
+        self.assertGreaterEqual(ends["part"] + ends["interrupted"], 3)
 
     def test_one_request_ends_no_fourth_target(self):
         """Guards against a request that is sent on beside equal sound ones."""
