Extend leases up to their former end while a new leader commits slowly

Change: until a host's record is committed, its lease is extended up to the end that every leader assumes for its former lease: for a host that renewed, the longest lease after this leader's start. The record states no earlier end, so no later leader relies on less. Admissions that came during a commit follow at once.

Way that lost: a record of the hosts that have not come, 0.6 s after a leader's start: leaders with shorter terms would record nothing, as before.

--- a/packages/endivestream/src/endivestream/process/confirmations.py
+++ b/packages/endivestream/src/endivestream/process/confirmations.py
@@ -81,7 +81,6 @@
         if former_leases is None:
             former_leases = {_UNKNOWN_HOST: None}
         self._leases = rollouts_lib.HeldLeases(
-            duration=lease,
             former_ends={
                 host: now + (lease if left is None else min(lease, left))
                 for host, left in former_leases.items()
@@ -137,12 +136,13 @@
                 _log_everywhere(changed)
 
     def renew_lease(
-        self, host: str, *, is_pushed: bool, is_sent: bool
+        self, host: str, *, end: float, is_pushed: bool, is_sent: bool
     ) -> LeaseGrant:
         """Records that a host renews its lease; returns what it gets.
 
         Args:
             host: The host, whose progress has been recorded.
+            end: When the lease ends.
             is_pushed: Whether configurations are pushed to the host.
             is_sent: Whether an answer with the newest one, and a lease, is on
                 its way to the host.
@@ -159,7 +159,7 @@
         )
         if not is_in_flight and is_sent:
             return LeaseGrant.NOTHING
-        end = self._leases.renew(host, now)
+        self._leases.renew(host, end)
         if not is_in_flight:
             return LeaseGrant.LEASE_AND_CONFIGURATION
         for rollout in missed or ():
--- a/packages/endivestream/src/endivestream/process/lease_recorder.py
+++ b/packages/endivestream/src/endivestream/process/lease_recorder.py
@@ -40,6 +40,8 @@
         self._lease = lease
         self._lease_ends = lease_ends
         self._started_at = clock.now()
+        # When the leases of former leaders end at the latest.
+        self._former_ends = dict(lease_ends())
         # Hosts that may renew. None until a complete record is in the log: all
         # hosts may, and the next leader waits for unknown ones.
         self._renewing: set[str] | None = None
@@ -72,8 +74,16 @@
         """Ends the update of the record."""
         await tasks.cancel([self._update])
 
-    async def admit(self, host: str) -> None:
-        """Waits until a host may be granted a lease.
+    async def admit(self, host: str) -> float:
+        """Returns until when a host may be granted a lease.
+
+        A host that the log does not name as renewing in this term waits for
+        that record, unless it may hold a lease of a former leader for a while
+        yet: an extension up to the end that all leaders assume for that lease
+        needs no record, so hosts keep their leases while commits are slow.
+
+        Returns:
+            The latest end of the lease.
 
         Raises:
             replicate.NotLeaderError: This replica does not lead.
@@ -82,10 +92,17 @@
         """
         while self._renewing is not None and host not in self._renewing:
             self._wanted.add(host)
-            if self._admission is None:
-                self._admission = asyncio.create_task(self._admit_wanted())
-                self._admission.add_done_callback(self._end_admission)
-            await asyncio.shield(self._admission)
+            admission = self._admission or self._start_admission()
+            former_end = self._former_ends.get(host, 0.0)
+            if former_end > clock.now() + self._lease / 2:
+                return former_end
+            await asyncio.shield(admission)
+        return clock.now() + self._lease
+
+    def _start_admission(self) -> asyncio.Task[None]:
+        self._admission = asyncio.create_task(self._admit_wanted())
+        self._admission.add_done_callback(self._end_admission)
+        return self._admission
 
     async def _admit_wanted(self) -> None:
         self._admitting = frozenset(self._wanted)
@@ -102,9 +119,11 @@
     def _end_admission(self, admission: asyncio.Task[None]) -> None:
         self._admission = None
         self._admitting = frozenset()
-        if not admission.cancelled():
-            # Renewals that still wait raise it; there may be none.
-            admission.exception()
+        # Renewals that still wait raise an error; there may be none.
+        if admission.cancelled() or admission.exception() is not None:
+            return
+        if self._wanted:
+            self._start_admission()
 
     def update(self, silence: float) -> None:
         """Records hosts that have stopped renewing, in the background.
--- a/packages/endivestream/src/endivestream/process/rollouts.py
+++ b/packages/endivestream/src/endivestream/process/rollouts.py
@@ -231,16 +231,12 @@
 class HeldLeases:
     """Leases of entry hosts, and what the hosts act on."""
 
-    def __init__(
-        self, *, duration: float, former_ends: Mapping[str, float]
-    ) -> None:
+    def __init__(self, *, former_ends: Mapping[str, float]) -> None:
         """Starts with leases that former leaders have granted.
 
         Args:
-            duration: Duration of a lease.
             former_ends: When the lease of each host ends at the latest.
         """
-        self._duration = duration
         self._ends = dict(former_ends)
         self._progress: dict[str, Progress] = {}
 
@@ -249,10 +245,9 @@
         """When the lease of each host ends at the latest."""
         return self._ends
 
-    def renew(self, host: str, now: float) -> float:
-        """Records the grant of a lease; returns when it ends."""
-        end = self._ends[host] = now + self._duration
-        return end
+    def renew(self, host: str, end: float) -> None:
+        """Records the grant of a lease."""
+        self._ends[host] = end
 
     def record(self, host: str, progress: Progress) -> bool:
         """Records what a host acts on; returns whether that has changed."""
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -221,13 +221,13 @@
         """Handles a message for the leader and returns the answer, if any."""
         match message:
             case site_messages.Renew():
-                await self._lease_recorder.admit(
+                lease_end = await self._lease_recorder.admit(
                     entry_host_sessions.lease_holder(message.host)
                 )
                 if self._confirmations.is_closed:
                     # Another leader role has begun, maybe of this host.
                     return messages.NotLeader(address="")
-                return self._handle_renewal(peer, message)
+                return self._handle_renewal(peer, message, lease_end)
             case limit_messages.AskCredit(host=host, credit_requests=requests):
                 grants = tuple(
                     self._grant_credit(host, request) for request in requests
@@ -486,7 +486,7 @@
     # Entry hosts.
 
     def _handle_renewal(
-        self, peer: bytes, message: site_messages.Renew
+        self, peer: bytes, message: site_messages.Renew, lease_end: float
     ) -> site_messages.Renewed | messages.NotLeader:
         now = clock.now()
         host = message.host.name
@@ -511,13 +511,14 @@
             self._credit_allocator.handle_report(host, need, now)
             for need in message.needs
         ]
-        return self._renewal_answer(session, message, grants)
+        return self._renewal_answer(session, message, grants, lease_end)
 
     def _renewal_answer(
         self,
         session: entry_host_sessions.Session,
         message: site_messages.Renew,
         grants: list[limit_messages.Grant | None],
+        lease_end: float,
     ) -> site_messages.Renewed | messages.NotLeader:
         if not self._replicator.is_leader:
             # Another leader may have committed a newer configuration.
@@ -541,6 +542,7 @@
         now = clock.now()
         grant = self._confirmations.renew_lease(
             session.lease_holder,
+            end=lease_end,
             is_pushed=session.is_known,
             is_sent=session.is_document_in_flight(version, now),
         )
@@ -564,7 +566,7 @@
             seconds=(
                 0.0
                 if grant == confirmations_lib.LeaseGrant.NOTHING
-                else self._settings.lease_seconds
+                else lease_end - now
             ),
             version=version,
             table_update=update,
--- a/packages/endivestream/src/endivestream/version/lease_holders.py
+++ b/packages/endivestream/src/endivestream/version/lease_holders.py
@@ -1,10 +1,10 @@
 """Replicated record of the entry hosts that may hold a lease.
 
-A leader grants no lease to a host before the log names it as one that renews.
-Otherwise a new leader could not know which hosts may act on an older state
-until when, and each one would wait for the longest lease before it acknowledges
-a change (symptom: with two changes of leader, a change has no acknowledgement
-in time).
+A leader grants no lease that outlasts the one a host may have from a former
+leader before the log names the host as one that renews. Otherwise a new leader
+could not know which hosts may act on an older state until when, and each one
+would wait for the longest lease before it acknowledges a change (symptom: with
+two changes of leader, a change has no acknowledgement in time).
 """
 
 from __future__ import annotations
--- a/tests/test_configuration_acknowledgements.py
+++ b/tests/test_configuration_acknowledgements.py
@@ -141,6 +141,17 @@
 
         self.assertLessEqual(self._run(run), ACKNOWLEDGED_SECONDS)
 
+    def test_hosts_keep_their_leases_while_a_new_leader_commits_slowly(self):
+        """Guards against leases that end because a record is not committed."""
+
+        async def run(site):
+            await site.change_leader(pause=0.6)
+            site.log.commit_seconds = 4.0
+            await asyncio.sleep(4.0)
+            return min(host.lease_until for host in site.hosts) - clock.now()
+
+        self.assertGreater(self._run(run), 0.0)
+
     def test_hosts_of_a_late_leader_are_not_recorded_as_silent(self):
         """Guards against log entries for sound hosts of a late leader."""
 
@@ -261,7 +272,7 @@
             ),
             max_size=8,
         ),
-        leader_changes=st.lists(st.floats(0.3, 1.5), max_size=2),
+        leader_changes=st.lists(st.floats(0.1, 1.5), max_size=3),
     )
     def test_changes_are_acknowledged_in_time_and_not_too_early(
         self, changes, faults, leader_changes
