Forget the answer to a change once

Cause: a call that came in the moment its shared request ended took the answer before the request's own callback ran. The callback looked the request up by its change, found none, or the request of a later call, and removed that 1.5 s later: an error in a timer, or a request under way that a repetition no longer shared.

Change: the callback removes only the request that ended.

Evidence: test_a_call_as_the_answer_comes_leaves_later_requests_alone, KeyError before, passes.

--- a/benchmarks/configurations.py
+++ b/benchmarks/configurations.py
@@ -274,8 +274,18 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--hosts", type=int, default=69)
+    parser.add_argument(
+        "--cost",
+        type=float,
+        default=1.0,
+        help="event loop time of the leader, times that of a control host",
+    )
     options = parser.parse_args()
     logger.remove()
+    leader_site.READ_SECONDS *= options.cost
+    leader_site.SEND_SECONDS *= options.cost
+    leader_site.ENCODE_SECONDS *= options.cost
+    leader_site.ENCODE_SECONDS_PER_BYTE *= options.cost
     print(
         "| case | median s | worst s | over 5 s | older after it s | log "
         "| KB pushed |"
--- a/packages/endivestream/src/endivestream/process/leader_calls.py
+++ b/packages/endivestream/src/endivestream/process/leader_calls.py
@@ -67,7 +67,9 @@
                 self._request(message, longest_wait, attempt_seconds), "change"
             )
             self._requests[change] = request
-            request.add_done_callback(lambda _: self._forget_later(change))
+            request.add_done_callback(
+                lambda done: self._forget_later(change, done)
+            )
         try:
             async with asyncio.timeout(seconds):
                 answer = await asyncio.shield(request)
@@ -92,9 +94,11 @@
             )
         return answer
 
-    def _forget_later(self, change: Hashable) -> None:
-        request = self._requests.get(change)
-
+    def _forget_later(
+        self,
+        change: Hashable,
+        request: asyncio.Task[messages.Message | None],
+    ) -> None:
         def forget() -> None:
             if self._requests.get(change) is request:
                 del self._requests[change]
--- a/tests/test_leader_calls.py
+++ b/tests/test_leader_calls.py
@@ -117,3 +117,28 @@
             [MESSAGE, site_messages.AwaitVersion(version=1)],
             self._run(run, waits=[1.0, 0.1]),
         )
+
+    def test_a_call_as_the_answer_comes_leaves_later_requests_alone(self):
+        """Guards against an answer that is forgotten twice."""
+
+        async def run(leader, calls):
+            errors = []
+            asyncio.get_running_loop().set_exception_handler(
+                lambda loop, context: errors.append(context)
+            )
+            repeated = []
+
+            async def call(*args, **options):
+                repeated.append(
+                    asyncio.create_task(self._is_acknowledged(calls))
+                )
+                return site_messages.Registered()
+
+            calls = leader_calls.LeaderCalls(call=call)
+            await self._is_acknowledged(calls)
+            await asyncio.sleep(LONGEST_WAIT_SECONDS)
+            return errors, await asyncio.gather(*repeated)
+
+        errors, answers = self._run(run, waits=[0.0])
+        self.assertEqual([], errors)
+        self.assertTrue(all(answers))
