Soaks side by side: reserve the network of a run

Cause: a run's addresses come from its process id modulo 200 and its seed.

Change: a run marks its network by a socket, and takes the next one if it is marked.

Evidence: the logs of both runs name the address; both had process ids that leave 37 and seed 1. test_runs_side_by_side_share_no_address needs the new function.

--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -22,6 +22,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -38,6 +39,9 @@
 _WATCH_SECONDS = 0.02
 CONTROL_PORT, FRONT_PORT, _READY_PORT = 8080, 8000, 8001
 _INTERNAL_PORT = 7100
+# Runs side by side have networks of their own, each marked by a socket.
+_NETWORKS = 200
+_RESERVATION_PORT = 7099
 _ROUTES = {"once": "non_idempotent", "again": "idempotent"}
 _STREAM_PATHS = (streams.ONCE, streams.RESUMED)
 
@@ -203,6 +207,32 @@
             await self._process.wait()
 
 
+def reserve_network(seed: int) -> tuple[socket.socket, str]:
+    """Returns loopback addresses that no other run uses, up to the last byte.
+
+    Args:
+        seed: Seed of the run.
+
+    Returns:
+        The socket whose address marks the network as used until it is closed,
+        and the first three bytes of the addresses.
+
+    Raises:
+        OSError: All networks are in use.
+    """
+    for offset in range(_NETWORKS):
+        number = 20 + (os.getpid() + offset) % _NETWORKS
+        network = f"127.{number}.{seed % 250}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.250", _RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        return reservation, network
+    raise OSError(f"all {_NETWORKS} networks of seed {seed} are in use")
+
+
 class Soak:
     """One run: processes, targets, callers and faults.
 
@@ -233,8 +263,7 @@
         self._random = random.Random(seed)
         # Streams draw on their own, so that a seed draws the same faults.
         streams_random = random.Random(f"streams of {seed}")
-        # Runs side by side have networks of their own.
-        network = f"127.{20 + os.getpid() % 200}.{seed % 250}"
+        self._reservation, network = reserve_network(seed)
         self._processes = [
             self._process(
                 f"{network}.{number + 1}",
@@ -497,6 +526,7 @@
             await target.close()
         for process in self._processes:
             await process.close()
+        self._reservation.close()
 
     def report(self) -> dict[str, object]:
         """Returns counts of answers and all violations."""
--- a/tests/test_soak_processes.py
+++ b/tests/test_soak_processes.py
@@ -12,6 +12,16 @@
 from soak import versions
 
 
+class NetworkTest(unittest.TestCase):
+    def test_runs_side_by_side_share_no_address(self):
+        """Guards against two runs of a seed that use the same network."""
+        first, first_network = processes.reserve_network(1)
+        second, second_network = processes.reserve_network(1)
+        first.close()
+        second.close()
+        self.assertNotEqual(first_network, second_network)
+
+
 class ProcessSoakTest(unittest.TestCase):
     def _run(self, *, seconds, seed=1, soak_class=processes.Soak):
         """Runs a seed that must have no violation; returns its report."""
