Failing test: a lease that a new leader extends past what the next one assumes

Found by reading. A new leader extends a lease without a record up to the end that it assumes for the former one. For a host recorded as renewing all leaders assume at least that end. For one recorded as silent the end counts from when the leader's replica received that record: a next leader whose replica received it earlier assumes an earlier end, and could acknowledge a change while the host acts on an older state past the bound. It needs a host that returns to a leader whose replica was late or restarted, and that leader's loss before it commits the host.

--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -3,8 +3,11 @@
 import asyncio
 import unittest
 
+from endivestream import clock
+from endivestream.process import lease_recorder
 from endivestream.process import rollouts as rollouts_lib
 from endivestream.version import lease_holders as lease_holders_lib
+from soak import virtual_time
 
 from tests import leader_site
 
@@ -106,3 +109,27 @@
             {"e1": 3.0, "e2": None, "e3": 4.0},
             records.remaining(holders.seconds, 4.0),
         )
+
+    def test_a_silent_host_waits_for_its_record_at_a_new_leader(self):
+        """Guards against a lease that the next leader does not know of."""
+
+        async def run():
+            log = leader_site.Log()
+            log.commit_seconds = 0.1
+            log.state.lease_holders.apply(
+                lease_holders_lib.RecordLeaseHolders(
+                    silent={"e1": 4.0}, is_complete=True
+                )
+            )
+            former_end = clock.now() + 4.0
+            recorder = lease_recorder.LeaseRecorder(
+                replicator=log, lease=4.2, lease_ends=lambda: {"e1": former_end}
+            )
+            recorder.start()
+            await recorder.admit("e1")
+            seconds = log.state.lease_holders.seconds
+            await recorder.close()
+            return seconds
+
+        with virtual_time.running() as runner:
+            self.assertEqual({"e1": None}, runner.run(run()))
