Values that later steps cannot represent are refused at the edge

Callers saw: after one status report with a 128-bit `seq`, all entry hosts lost their leases within three seconds and answered 503; a route added later was never served.

Cause: JSON integers of any size were accepted, but messages between hosts and the log have 64 bits. The leader listed the report, and from then on each answer to a renewal with the table failed to encode (OverflowError in messages.encode, `task_failed task=answer` for each renewal; no `bad_frame` at entry hosts). TableUpdates ended with the same error for the rest of the term.

Change: connection/registration_check.py is one check of a registration, used where reports and deregistrations arrive and again by leader, planner and entry hosts, since a host of another build may accept more. Integers beyond 64 bits are faults of a configuration; JSON nested beyond the decoder's depth is malformed input wherever it is read. A command that cannot be encoded fails alone, not with its batch. A message that cannot be encoded fails like an unanswered request. Loops that serve many hosts or targets run again after a failure; restarts are logged and counted.

--- a/packages/endivestream/src/endivestream/connection/addresses.py
+++ b/packages/endivestream/src/endivestream/connection/addresses.py
@@ -1,9 +1,11 @@
-"""Selection of the hosts that a caller or target should use. Pure."""
+"""Addresses, and selection of the hosts that a caller or target uses. Pure."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 import hashlib
+import ipaddress
+from typing import NamedTuple
 import zlib
 
 from endivestream import messages
@@ -13,6 +15,47 @@
 # new addresses.
 _MIN_DOMAINS = 2
 
+_MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
+
+
+class Endpoint(NamedTuple):
+    """An address that a socket can connect to.
+
+    Attributes:
+        ip: IPv4 or IPv6 address, without brackets.
+        port: TCP port, from 1 to 65535.
+    """
+
+    ip: str
+    port: int
+
+
+def parse_endpoint(text: str) -> Endpoint | None:
+    """Parses `IP:PORT`, with an IPv6 address in brackets.
+
+    Returns:
+        The endpoint; None if no socket can connect to it.
+    """
+    host, separator, port_text = text.rpartition(":")
+    is_number = port_text.isascii() and port_text.isdigit()
+    if not separator or not is_number or len(port_text) > _MAX_PORT_DIGITS:
+        return None
+    port = int(port_text)
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    except ValueError:
+        return None
+    # A scoped address names an interface of the host that reports it.
+    if isinstance(ip, ipaddress.IPv6Address) != is_bracketed or (
+        is_bracketed and "%" in host
+    ):
+        return None
+    if ip.is_unspecified or ip.is_multicast or not 1 <= port <= _MAX_PORT:
+        return None
+    return Endpoint(str(ip), port)
+
 
 def rank(caller: str, host: str) -> bytes:
     """Returns a caller's preference for a host (rendezvous hashing).
--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -309,12 +309,36 @@
             del self._pending[request_id]
 
     async def send(self, message: messages.Message) -> None:
-        """Sends a message that is not answered."""
-        self._send(messages.Envelope(0, message))
+        """Sends a message that is not answered.
+
+        One that cannot be encoded is dropped and logged.
+        """
+        try:
+            self._send(messages.Envelope(0, message))
+        except LinkDownError:
+            pass
 
     def _send(self, envelope: messages.Envelope) -> None:
+        """Sends a frame.
+
+        Raises:
+            LinkDownError: The message cannot be encoded.
+        """
         assert self._frame_socket is not None, "not started"
-        if not self._frame_socket.send([_encode(envelope, self._meter)]):
+        try:
+            frame = _encode(envelope, self._meter)
+        except (OverflowError, TypeError, ValueError) as error:
+            type_name = type(envelope.body).__name__
+            logs.log_error(
+                "message_invalid",
+                error,
+                peer=self._address,
+                message_type=type_name,
+            )
+            raise LinkDownError(
+                f"{self._address}: {type_name} cannot be encoded"
+            ) from error
+        if not self._frame_socket.send([frame]):
             logs.warn("frame_dropped", peer=self._address)
 
     def _read(self, frames: list[bytes]) -> None:
--- a/packages/endivestream/src/endivestream/connection/watch.py
+++ b/packages/endivestream/src/endivestream/connection/watch.py
@@ -95,7 +95,7 @@
 
     def start(self) -> None:
         """Starts the search for the leader."""
-        self._task = tasks.start(self._run(), type(self).__name__)
+        self._task = tasks.start_restarting(self._run, type(self).__name__)
 
     async def close(self) -> None:
         """Ends the session and closes its links."""
--- a/packages/endivestream/src/endivestream/loop_meter.py
+++ b/packages/endivestream/src/endivestream/loop_meter.py
@@ -98,7 +98,7 @@
 
     def start(self) -> None:
         """Starts to check the lateness of the loop."""
-        self._task = tasks.start(self._run(), type(self).__name__)
+        self._task = tasks.start_restarting(self._run, type(self).__name__)
 
     async def close(self) -> None:
         """Ends the checks."""
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -18,6 +18,7 @@
 import socket
 import time
 
+import msgspec
 from tornado import httpserver
 from tornado import netutil
 import zmq.asyncio
@@ -36,6 +37,7 @@
 from endivestream.connection import links
 from endivestream.connection import process_probe
 from endivestream.connection import process_proof as process_proof_lib
+from endivestream.connection import registration_check
 from endivestream.connection import watch as watch_lib
 from endivestream.process import configuration_freshness as freshness_lib
 from endivestream.process import crash_reporter as crash_reporter_lib
@@ -600,6 +602,7 @@
         self._previous_lease_until = self._watch.lease_until
 
     def _take_news(self, news: site_messages.News) -> None:
+        news = _without_unusable(news)
         self._rate_limits.merge(news.limits)
         before = self.version, self._position, self._evacuations_revision
         if news.document is not None:
@@ -923,6 +926,27 @@
     )
 
 
+def _without_unusable(news: site_messages.News) -> site_messages.News:
+    """Returns an update without the targets that this host cannot use.
+
+    A leader of another build may list them.
+    """
+    usable = []
+    for target in news.targets:
+        problem = registration_check.find_problem(target.registration)
+        if problem:
+            logs.warn(
+                "target_ignored",
+                target=target.registration.name[:64],
+                why=problem,
+            )
+        else:
+            usable.append(target)
+    if len(usable) == len(news.targets):
+        return news
+    return msgspec.structs.replace(news, targets=tuple(usable))
+
+
 def _listen(
     front: call_lib.RequestServer,
     address: str,
--- a/packages/endivestream/src/endivestream/process/entry_host/host_load.py
+++ b/packages/endivestream/src/endivestream/process/entry_host/host_load.py
@@ -79,7 +79,9 @@
     def start(self) -> None:
         """Starts measuring."""
         if self._has_resources:
-            self._tasks = [tasks.start(self._run(), type(self).__name__)]
+            self._tasks = [
+                tasks.start_restarting(self._run, type(self).__name__)
+            ]
 
     async def close(self) -> None:
         """Stops measuring."""
--- a/packages/endivestream/src/endivestream/process/inner.py
+++ b/packages/endivestream/src/endivestream/process/inner.py
@@ -94,7 +94,11 @@
         """
         try:
             return msgspec.json.decode(self.request.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except (
+            msgspec.DecodeError,
+            UnicodeDecodeError,
+            RecursionError,
+        ) as error:
             self.send_findings(400, "invalid_body", [str(error)])
             return None
 
--- a/packages/endivestream/src/endivestream/process/membership_manager.py
+++ b/packages/endivestream/src/endivestream/process/membership_manager.py
@@ -71,7 +71,7 @@
 
     def start(self) -> None:
         """Starts making membership changes."""
-        self._task = tasks.start(self._run(), type(self).__name__)
+        self._task = tasks.start_restarting(self._run, type(self).__name__)
 
     async def close(self) -> None:
         """Stops."""
--- a/packages/endivestream/src/endivestream/process/planner.py
+++ b/packages/endivestream/src/endivestream/process/planner.py
@@ -156,7 +156,7 @@
 
     def start(self) -> None:
         """Starts planning."""
-        self._tasks = [tasks.start(self._run(), type(self).__name__)]
+        self._tasks = [tasks.start_restarting(self._run, type(self).__name__)]
 
     async def close(self) -> None:
         """Stops planning; orders already sent are not tracked further."""
--- a/packages/endivestream/src/endivestream/process/planner_lease_holder.py
+++ b/packages/endivestream/src/endivestream/process/planner_lease_holder.py
@@ -26,6 +26,7 @@
 from endivestream import table_position
 from endivestream import tasks
 from endivestream.connection import engines as engines_lib
+from endivestream.connection import registration_check
 from endivestream.process import planner as planner_lib
 from endivestream.process import site_settings
 from endivestream.version import document as document_lib
@@ -117,7 +118,7 @@
 
     def start(self) -> None:
         """Starts requesting the lease."""
-        self._task = tasks.start(self._run(), type(self).__name__)
+        self._task = tasks.start_restarting(self._run, type(self).__name__)
 
     async def close(self) -> None:
         """Stops placing models; orders in flight are not tracked further."""
@@ -232,6 +233,15 @@
                 self._known_hosts.discard(host)
                 planner.remove_host(host)
             case placement_messages.FeedTargetReport(registration=registration):
+                # A leader of another build may forward it.
+                problem = registration_check.find_problem(registration)
+                if problem:
+                    logs.warn(
+                        "registration_ignored",
+                        target=registration.name[:64],
+                        why=problem,
+                    )
+                    return
                 planner.apply_report(registration)
             case placement_messages.FeedRateLimits(rates=rates):
                 planner.set_rate_limits(rates)
--- a/packages/endivestream/src/endivestream/process/push_relay.py
+++ b/packages/endivestream/src/endivestream/process/push_relay.py
@@ -99,7 +99,7 @@
 
     def start(self) -> None:
         """Starts following a relay as soon as the hosts include one."""
-        self._task = tasks.start(self._run(), type(self).__name__)
+        self._task = tasks.start_restarting(self._run, type(self).__name__)
 
     async def close(self) -> None:
         """Stops following a relay."""
--- a/packages/endivestream/src/endivestream/process/site_leader.py
+++ b/packages/endivestream/src/endivestream/process/site_leader.py
@@ -28,6 +28,7 @@
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import addresses
+from endivestream.connection import registration_check
 from endivestream.connection import registry as registry_lib
 from endivestream.connection import software_history
 from endivestream.process import configuration_manager
@@ -214,7 +215,7 @@
         self._version_recorder.start()
         self._membership_manager.start()
         self._table_updates.start()
-        self._tasks = [tasks.start(self._sweep(), "sweep")]
+        self._tasks = [tasks.start_restarting(self._sweep, "sweep")]
 
     async def close(self) -> None:
         """Stops; calls that wait for hosts are answered as by no leader."""
@@ -349,6 +350,8 @@
             case site_messages.ReadEvacuations():
                 return site_messages.EvacuationsRead(record=self._evacuations)
             case site_messages.Register(registration=registration):
+                if not _is_usable(registration):
+                    return site_messages.Registered()
                 return await self._departures.handle_report(
                     registration, is_accepted=self._register(registration)
                 )
@@ -495,6 +498,8 @@
         changed: list[str] = []
         unknown: list[str] = []
         for registration in message.registrations:
+            if not _is_usable(registration):
+                continue
             if registration.draining:
                 # Would have to wait until the departure is acknowledged.
                 unknown.append(registration.name)
@@ -912,6 +917,19 @@
             self._targets_changed(changed)
 
 
+def _is_usable(registration: registry_lib.Registration) -> bool:
+    """Returns whether a report may be listed; a control host may accept more.
+
+    Logs why if not.
+    """
+    problem = registration_check.find_problem(registration)
+    if problem:
+        logs.warn(
+            "registration_ignored", target=registration.name[:64], why=problem
+        )
+    return not problem
+
+
 def _is_same_for_hosts(
     before: registry_lib.Registration, after: registry_lib.Registration
 ) -> bool:
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -15,6 +15,7 @@
 
 from endivestream import clock
 from endivestream import loop_meter
+from endivestream import tasks
 from endivestream.request import forward_parts
 from endivestream.request.buffering import answer_buffer
 from endivestream.request.buffering import target_memory as target_memory_lib
@@ -73,6 +74,12 @@
             lambda: meter.max_lateness,
         )
         self._registry.register(_LoopWorkCollector(meter=meter))
+        self._add_counts(
+            "task_restarts",
+            "Restarts of tasks that failed, by task",
+            "task",
+            tasks.restarts,
+        )
 
     def exposition(self) -> bytes:
         """Returns all metrics in the text format."""
--- a/packages/endivestream/src/endivestream/process/table_updates.py
+++ b/packages/endivestream/src/endivestream/process/table_updates.py
@@ -122,7 +122,7 @@
 
     def start(self) -> None:
         """Starts pushing updates."""
-        self._tasks = [tasks.start(self._run(), type(self).__name__)]
+        self._tasks = [tasks.start_restarting(self._run, type(self).__name__)]
 
     async def close(self) -> None:
         """Stops; changes that have not been pushed yet are not pushed."""
--- a/packages/endivestream/src/endivestream/request/generation.py
+++ b/packages/endivestream/src/endivestream/request/generation.py
@@ -67,7 +67,7 @@
     """
     try:
         body = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return _invalid_request(f"the body is not JSON: {error}")
     if not isinstance(body, dict):
         return _invalid_request("the body must be a JSON object")
--- a/packages/endivestream/src/endivestream/request/relay.py
+++ b/packages/endivestream/src/endivestream/request/relay.py
@@ -345,5 +345,5 @@
 def _error_text(body: bytes) -> str:
     try:
         return str(msgspec.json.decode(body)["error"]["message"])
-    except (msgspec.DecodeError, KeyError, TypeError):
+    except (msgspec.DecodeError, KeyError, TypeError, RecursionError):
         return body.decode(errors="replace")
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -80,7 +80,7 @@
     text = headers.pop(STREAM_HEADER, text)
     try:
         return msgspec.json.decode(text, type=RelayedRequest)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
@@ -98,7 +98,7 @@
     """Returns the origin that a relay host states; None without a valid one."""
     try:
         return msgspec.json.decode(text, type=stream_origins.StreamOrigin)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/packages/endivestream/src/endivestream/tasks.py
+++ b/packages/endivestream/src/endivestream/tasks.py
@@ -3,12 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Any
 
 from endivestream import logs
 
+# Delay before a failed task runs again, so that a permanent cause takes little
+# processor time.
+_RESTART_DELAY_SECONDS = 0.5
+
+_restarts: collections.Counter[str] = collections.Counter()
+
+
+def restarts() -> Mapping[str, int]:
+    """Returns how often this process restarted failed tasks, by task name."""
+    return dict(_restarts)
+
 
 def start(work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task[Any]:
     """Starts a task whose failure is logged.
@@ -25,6 +39,32 @@
     return task
 
 
+def start_restarting(
+    run: Callable[[], Coroutine[Any, Any, None]], name: str
+) -> asyncio.Task[Any]:
+    """Starts a task that runs again after a failure, until it is cancelled.
+
+    For loops that serve many hosts, targets or requests: one item that raises
+    must not end the loop for the others.
+
+    Args:
+        run: Creates the coroutine; called again after each failure. Its state
+            must allow that at any await.
+        name: Name of the task in the log and in `restarts`.
+    """
+
+    async def keep_running() -> None:
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                _restarts[name] += 1
+                logs.log_error("task_restarted", error, task=name)
+            await asyncio.sleep(_RESTART_DELAY_SECONDS)
+
+    return start(keep_running(), name)
+
+
 def _log_failure(task: asyncio.Task[Any]) -> None:
     if task.cancelled():
         return
--- a/packages/endivestream/src/endivestream/version/document.py
+++ b/packages/endivestream/src/endivestream/version/document.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import enum
 import math
 from typing import NamedTuple
@@ -16,6 +17,12 @@
 
 from endivestream import findings
 
+# Integers in messages and in the log have 64 bits.
+_MAX_INTEGER = 2**63 - 1
+_INTEGER_RANGE_MESSAGE = (
+    f"must be an integer from {-_MAX_INTEGER} to {_MAX_INTEGER}"
+)
+
 
 class Kind(enum.StrEnum):
     """Whether the requests of a route may be repeated.
@@ -374,7 +381,7 @@
 ) -> list[Fault]:
     """Returns all errors of a document; see `check`."""
     services = {service.name for service in document.services}
-    errors = []
+    errors = _check_integers(document)
     route_by_location: dict[tuple[str, str], Route] = {}
     for index, route in enumerate(document.routes):
         errors += [
@@ -400,6 +407,54 @@
     return errors + _check_keys(document.teams)
 
 
+def _check_integers(document: Document) -> list[Fault]:
+    """Finds integers that the log and messages between hosts cannot hold."""
+    sections: list[tuple[Section, tuple[msgspec.Struct, ...]]] = [
+        (Section.ROUTE, document.routes),
+        (Section.SERVICE, document.services),
+        (Section.TEAM, document.teams),
+    ]
+    errors = [
+        Fault(
+            Section.DOCUMENT, 0, "", field, f"{field} {_INTEGER_RANGE_MESSAGE}"
+        )
+        for field in _large_integers(document)
+    ]
+    for section, entries in sections:
+        for index, entry in enumerate(entries):
+            name = getattr(entry, "name", "")
+            errors += [
+                Fault(
+                    section,
+                    index,
+                    name,
+                    field,
+                    f"{field} {_INTEGER_RANGE_MESSAGE}",
+                )
+                for field in _large_integers(entry)
+            ]
+    return errors
+
+
+def _large_integers(entry: msgspec.Struct) -> Iterator[str]:
+    """Yields the fields of an entry with integers of more than 64 bits.
+
+    Of nested entries, yields the field that contains them.
+    """
+    for field in entry.__struct_fields__:
+        value = getattr(entry, field)
+        if isinstance(value, int):
+            if not -_MAX_INTEGER <= value <= _MAX_INTEGER:
+                yield field
+        elif isinstance(value, msgspec.Struct):
+            if any(_large_integers(value)):
+                yield field
+        elif field == "models" and any(
+            any(_large_integers(model)) for model in value
+        ):
+            yield field
+
+
 def _check_cold_start(service: Service) -> list[tuple[str, str]]:
     return [
         (
--- a/packages/endivestream/src/endivestream/version/document_check.py
+++ b/packages/endivestream/src/endivestream/version/document_check.py
@@ -101,13 +101,15 @@
     """Decodes a document; returns the first error if it cannot be decoded."""
     try:
         return _decoder.decode(source)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return locate_error(source, error)
 
 
-def locate_error(source: bytes, error: ValueError) -> Located:
+def locate_error(source: bytes, error: ValueError | RecursionError) -> Located:
     """Returns the position of an error of decoding a text."""
     what = str(error)
+    if isinstance(error, RecursionError):
+        return Located(0, "", "", "the text is nested too deeply")
     match = _ERROR_PATH_PATTERN.match(what)
     if isinstance(error, msgspec.ValidationError):
         path: json_lines.Path = ()
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -268,6 +268,8 @@
             LeadershipLostError: Leadership was lost; the command may be
                 committed.
             OSError: The disk failed; the command may be committed.
+            OverflowError, TypeError, ValueError: The command cannot be encoded;
+                it was not appended.
         """
         if self._closed:
             raise NotLeaderError("")
@@ -279,9 +281,23 @@
 
     def _flush_proposals(self) -> None:
         """Proposes the commands queued in this event loop iteration."""
-        batch, self._proposal_queue = self._proposal_queue, []
+        queue, self._proposal_queue = self._proposal_queue, []
         first = self.replica.last_index + 1
-        payloads = [state_lib.encode(command) for command, _ in batch]
+        batch, payloads = [], []
+        for command, future in queue:
+            try:
+                payloads.append(state_lib.encode(command))
+            except (OverflowError, TypeError, ValueError) as error:
+                # The other commands of the batch are proposed.
+                logs.log_error(
+                    "proposal_invalid", error, command=type(command).__name__
+                )
+                if not future.done():
+                    future.set_exception(error)
+                continue
+            batch.append((command, future))
+        if not batch:
+            return
         self._step(protocol.Proposed(payloads))
         accepted = not self._closed and self.replica.last_index >= first
         for offset, (_, future) in enumerate(batch):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -269,6 +269,32 @@
         read = documents.read(body)
         self.assertIsInstance(read, list | document_lib.Document)
 
+    def test_numbers_beyond_64_bits_are_found(self):
+        """Guards against a configuration that the log cannot hold."""
+        for path in (
+            ("version",),
+            ("routes", 0, "priority"),
+            ("routes", 0, "maxAttempts"),
+            ("services", 0, "maxConns"),
+            ("services", 0, "engine", "kvCapacity"),
+            ("services", 0, "engine", "models", 0, "adapters"),
+        ):
+            with self.subTest(path=path):
+                config = json.loads(json.dumps(CONFIG))
+                parent = config
+                for step in path[:-1]:
+                    parent = parent[step]
+                parent[path[-1]] = 2**64
+                found = documents.read(json.dumps(config).encode())
+                self.assertIsInstance(found, list)
+                self.assertIn("integer", str(found[0]))
+
+    def test_deeply_nested_one_is_refused(self):
+        """Guards against a recursion error without an answer that names it."""
+        body = json.dumps(CONFIG)[:-1] + ',"x":' + "[" * 100_000
+        found = documents.read(body.encode())
+        self.assertIn("nested", str(found[0]))
+
     @hypothesis.given(st.binary(max_size=40))
     def test_no_bytes_raise(self, body):
         self.assertIsInstance(documents.read(body), list)
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -4,6 +4,7 @@
 import unittest
 
 from endivestream.version import calls
+from endivestream.version import departures
 from endivestream.version import members as members_lib
 from endivestream.version import protocol
 from endivestream.version import replicate
@@ -65,6 +66,22 @@
         second = await self._started()
         self.assertEqual(len(second.state.calls), 50)
 
+    async def test_a_command_that_cannot_be_encoded_fails_alone(self):
+        """Guards against calls of the same moment that get no result."""
+        replicator = await self._started()
+        results = await asyncio.gather(
+            replicator.propose(_begin(1)),
+            replicator.propose(
+                departures.Depart(name="t", started_at_ms=2**127)
+            ),
+            replicator.propose(_begin(2)),
+            return_exceptions=True,
+        )
+        self.assertIsInstance(results[1], OverflowError)
+        self.assertEqual(len(replicator.state.calls), 2)
+        await replicator.propose(_begin(3))
+        self.assertEqual(len(replicator.state.calls), 3)
+
     async def test_failed_sync_stops_the_replicator(self):
         """Entries that a crash then loses would be acknowledged.
 
