The mark `resumable` applies to streams only

Callers saw: on a non_idempotent route marked `resumable`, requests whose answer was lost ran at a second target under the same id.

Cause: Route.is_repeatable asked for the kind or the mark, and so took a property of the route for one of the request. The header of relayed requests, the proof of a target's process, the required record of its version and the list of services with resumable streams read the mark the same way.

Change: Route.has_resumable_streams, used by all of them. `config check` reports the mark on routes without streams; such a configuration stays valid.

On the code before: test_forward fails with 2 runs instead of 1, test_entry_site with 3 runs of 2 requests, test_document and test_document_check in the new tests.

--- a/packages/endivestream/src/endivestream/request/answer_relay.py
+++ b/packages/endivestream/src/endivestream/request/answer_relay.py
@@ -148,7 +148,7 @@
         outlet = self._outlet(call, work, progress, exchange)
         stream = progress.stream
         splitter = None
-        if work.route.resumable and sse.is_event_stream(
+        if work.route.has_resumable_streams and sse.is_event_stream(
             head.headers.get("Content-Type", "")
         ):
             splitter = sse.EventSplitter()
@@ -250,7 +250,7 @@
             target=origin.target,
             born=origin.started_at_ms,
         )
-        if work.route.resumable:
+        if work.route.has_resumable_streams:
             attempts = {work.request, stream.resumes} - {""}
             seconds = stream_origins.resumable_seconds(work.route.timeout)
             self._stream_bound(attempts, origin, seconds)
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -86,7 +86,7 @@
 
 def request_header(route: document_lib.Route) -> str:
     """Returns the name of the header that marks relayed requests of a route."""
-    return STREAM_HEADER if route.resumable else REQUEST_HEADER
+    return STREAM_HEADER if route.has_resumable_streams else REQUEST_HEADER
 
 
 def encode_origin(origin: stream_origins.StreamOrigin) -> str:
--- a/packages/endivestream/src/endivestream/request/resumptions.py
+++ b/packages/endivestream/src/endivestream/request/resumptions.py
@@ -157,7 +157,7 @@
             work.route.timeout
         )
         software = await self._sole_software(
-            work.service.name, seconds, work.route.resumable
+            work.service.name, seconds, work.route.has_resumable_streams
         )
         if software is None:
             return None
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -380,7 +380,7 @@
         The process that answers on it determines the software version that a
         stream is bound to.
         """
-        if not work.route.resumable or work.service.engine is None:
+        if not work.route.has_resumable_streams or work.service.engine is None:
             return True
         if self._view.is_rate_limited(registration, clock.now()):
             # A query would count against the limit.
@@ -540,7 +540,7 @@
         origin=progress.stream.origin,
         load=work.load,
         request=progress.keys,
-        needs_record=work.route.resumable,
+        needs_record=work.route.has_resumable_streams,
     )
 
 
--- a/packages/endivestream/src/endivestream/version/document.py
+++ b/packages/endivestream/src/endivestream/version/document.py
@@ -65,7 +65,7 @@
             be sent to.
         anonymous: Whether requests need no key.
         resumable: Whether a stream may continue on another target, at a later
-            event.
+            event. Applies to streams only; see `has_resumable_streams`.
         max_event_gap: Maximum pause between events that counts as in time, in
             seconds; 0 if none is set.
         home_regions: Regions whose targets may get the requests; empty for all.
@@ -91,10 +91,15 @@
     hedge_ratio: float | None = None
     hedge_concurrency: int | None = None
 
+    @property
+    def has_resumable_streams(self) -> bool:
+        """Whether its requests are streams that may continue elsewhere."""
+        return self.kind == Kind.STREAM and self.resumable
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may be sent again after it may have run."""
-        return self.kind == Kind.IDEMPOTENT or self.resumable
+        return self.kind == Kind.IDEMPOTENT or self.has_resumable_streams
 
 
 # Most slots with which the number of running requests limits an engine. With
@@ -238,7 +243,7 @@
         return frozenset(
             weighted_service.service
             for route in self.routes
-            if route.resumable
+            if route.has_resumable_streams
             for weighted_service in route.services
         )
 
--- a/packages/endivestream/src/endivestream/version/document_check.py
+++ b/packages/endivestream/src/endivestream/version/document_check.py
@@ -233,6 +233,11 @@
             f"objective is {route.objective:g} s, above the timeout, "
             f"{route.timeout:g} s",
         )
+    if route.resumable and not route.has_resumable_streams:
+        yield (
+            "resumable",
+            f"applies to streams only, and the kind is {route.kind}",
+        )
     if teams and not route.anonymous:
         with_keys = [team for team in teams if team.keys]
         if not with_keys:
--- a/tests/test_document.py
+++ b/tests/test_document.py
@@ -31,6 +31,26 @@
     )
 
 
+class RouteTest(unittest.TestCase):
+    def test_only_idempotent_requests_and_resumable_streams_repeat(self):
+        """Guards against a flag for streams that repeats other requests."""
+        kind = document_lib.Kind
+        for case, repeats, resumes in (
+            ((kind.IDEMPOTENT, False), True, False),
+            ((kind.IDEMPOTENT, True), True, False),
+            ((kind.ONCE, False), False, False),
+            ((kind.ONCE, True), False, False),
+            ((kind.STREAM, False), False, False),
+            ((kind.STREAM, True), True, True),
+        ):
+            with self.subTest(case=case):
+                made = route(kind=case[0], resumable=case[1])
+                self.assertEqual(made.is_repeatable, repeats)
+                self.assertEqual(made.has_resumable_streams, resumes)
+                services = document(routes=[made]).resumable_services
+                self.assertEqual(services, {"desk"} if resumes else set())
+
+
 class CheckTest(unittest.TestCase):
     def _assert_finding(self, checked, expected):
         messages = [str(finding) for finding in document_lib.check(checked)]
--- a/tests/test_document_check.py
+++ b/tests/test_document_check.py
@@ -100,6 +100,14 @@
             *(("route", 0, field) for field in expected),
         )
 
+    def test_a_route_without_streams_is_not_resumable(self):
+        """Guards against a flag without effect that an operator relies on."""
+        for kind in document_lib.Kind:
+            is_stream = kind == document_lib.Kind.STREAM
+            expected = () if is_stream else ("resumable",)
+            with self.subTest(kind=kind):
+                self._check_route(*expected, kind=kind, resumable=True)
+
     def test_a_consistent_document_has_no_faults(self):
         """Guards against findings that operators learn to ignore."""
         self._assert_faults(
--- a/tests/test_entry_site.py
+++ b/tests/test_entry_site.py
@@ -35,6 +35,34 @@
         await self._wait_until(lambda: entry._watch.leader)
         self.assertEqual(set(entry._watch._links), {entry._watch.leader})
 
+    async def test_a_request_that_is_no_stream_runs_once_if_resumable(self):
+        """Guards against a request that runs twice after a lost answer."""
+        other = await standin.Target(standin.resets()).start()
+        self.addAsyncCleanup(other.close)
+        await self.target.close()
+        self.target = await standin.Target(standin.resets()).start()
+        route = test_document.route(resumable=True, max_attempts=2)
+        await self._apply(test_document.document(1, routes=[route]))
+        await self._register()
+        control = list(self.controls.values())[-1]
+        registration = registry_lib.Registration(
+            name="t2", service="desk", address=other.address, domain="a"
+        )
+        async with asyncio.timeout(30):
+            while not await control.register(registration):
+                await asyncio.sleep(0.005)
+        bounds = entry_site.BOUNDS._replace(repeat_ratio=1, repeat_slack=99)
+        entry = self._start_entry("e9", bounds=bounds)
+        self.entries.append(entry)
+        await self._wait_until(lambda: len(entry._view.targets) == 2)
+        for count in range(1, 4):
+            reply = await self._send_request(entry)
+            # 503 once both targets count as failing.
+            self.assertIn(reply.status, (502, 503))
+            runs = len(self.target.requests) + len(other.requests)
+            self.assertLessEqual(runs, count)
+        self.assertGreater(runs, 0)
+
     async def test_request_is_served_until_its_key_is_withdrawn(self):
         """Guards against requests that fail, and revoked keys that work.
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -892,6 +892,19 @@
         self.assertEqual(reply.status, 502)
         self.assertEqual(len(first.requests) + len(second.requests), 1)
 
+    async def test_a_route_marked_resumable_changes_nothing(self):
+        """Guards against requests that run twice as if they were streams."""
+        self._route(
+            test_document.route(kind=ONCE.kind, resumable=True, max_attempts=2)
+        )
+        for script in (standin.resets(), standin.says(close=True)):
+            first = await self._start_target(script)
+            second = await self._start_target(script)
+            reply = await self.caller.ask(body=b"order")
+            self.assertEqual(reply.status, 502)
+            self.assertEqual(len(first.requests) + len(second.requests), 1)
+            self.view.set_targets([], list(self.view.targets))
+
     async def test_a_refused_request_is_sent_again(self):
         """Guards against failures while a target is full.
 
