A request is answered whatever its handling raises

Callers saw: with a target listed at port 84220, requests that chose it got no status and no close until their callers left.

Cause: parsing the URL raised ValueError (`Port out of range 0-65535`) outside of the attempt's error handling. Forwarder._run handled a caller that has left and cancellation only, so the task ended without an answer, and the attempt counted as running at its target.

Change: any error is answered at once, 503 if nothing was sent and 502 otherwise, or breaks a begun answer off; RequestServer does the same for errors outside of Forwarder. Exchange takes a URL without a usable port as a failed connection and reports a header that cannot be sent as an error before the send. An answer whose reading raises ends at once. Malformed headers of relayed requests get 400.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 import enum
 import math
+import re
 import select
 from typing import Any
 from typing import NamedTuple
@@ -26,6 +27,7 @@
 from tornado import tcpclient
 
 from endivestream import clock
+from endivestream import logs
 from endivestream.connection import sse
 
 # Idle connections kept to one target: the maximum number of requests that one
@@ -48,6 +50,7 @@
 # Largest head of an answer, and body of an answer to this process.
 _MAX_HEAD_BYTES = 64 * 1024
 MAX_OWN_BODY_BYTES = 1024 * 1024
+_WHOLE_SECONDS_PATTERN = re.compile(r"[0-9]{1,9}")
 
 
 class ExchangeError(Exception):
@@ -205,8 +208,12 @@
         return None
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return max(0.0, int(value) - _IDLE_MARGIN_SECONDS)
+        if name.lower() != "timeout":
+            continue
+        # int() also accepts digits of other scripts, and refuses long texts.
+        match = _WHOLE_SECONDS_PATTERN.fullmatch(value.strip())
+        if match is not None:
+            return max(0.0, int(match[0]) - _IDLE_MARGIN_SECONDS)
     return _IDLE_SECONDS
 
 
@@ -375,10 +382,20 @@
     """One request to one target and its answer."""
 
     def __init__(self, *, pool: Pool, url: str) -> None:
-        parts = urllib.parse.urlsplit(url)
+        """Initializes an exchange; opens no connection.
+
+        Args:
+            pool: Connections to targets.
+            url: URL of the target. With one that names no port to connect to,
+                `connect` fails.
+        """
+        self._url = url
         self._pool = pool
-        self._host = parts.hostname or ""
-        self._port = parts.port or 80
+        try:
+            parts = urllib.parse.urlsplit(url)
+            self._host, self._port = parts.hostname or "", parts.port or 80
+        except ValueError:
+            self._host, self._port = "", 0
         self._reader = _Reader()
         self._stream: iostream.IOStream | None = None
         self._read_task: asyncio.Task[None] | None = None
@@ -454,6 +471,10 @@
         Raises:
             ExchangeError: There is none; `sent` is False.
         """
+        if not self._port:
+            raise ExchangeError(
+                f"{self._url!r} names no port to connect to", sent=False
+            )
         self._stream = await self._pool.acquire(
             self._host, self._port, seconds=seconds, is_new=is_new
         )
@@ -516,6 +537,8 @@
 
         Raises:
             ExchangeError: The request could not be sent; `sent` is True.
+            httputil.HTTPInputError, ValueError: A header cannot be sent; no
+                byte was.
         """
         assert self._stream is not None
         self._reader = _Reader(method=method)
@@ -549,6 +572,10 @@
         except (OSError, iostream.StreamClosedError) as error:
             self.close()
             raise ExchangeError(f"send failed: {error!r}", sent=True) from error
+        except (httputil.HTTPInputError, ValueError):
+            # Raised while the head is put together.
+            self._sent = False
+            raise
         # Read while the body is still being sent: a target may answer before
         # it has read all of it. If it then waited for its answer to be read,
         # both sides would wait for each other.
@@ -571,6 +598,12 @@
             ending = Ending.INVALID
         except (OSError, iostream.StreamClosedError):
             ending = Ending.CLOSED
+        except Exception as error:
+            # Without an end, the answer would be awaited until its timeout.
+            logs.log_error(
+                "answer_unreadable", error, peer=f"{self._host}:{self._port}"
+            )
+            ending = Ending.INVALID
         if reader.framing == Framing.CLOSE and ending == Ending.FRAMED:
             ending = Ending.CLOSED
         if ending == Ending.CLOSED and stream.error is not None:
--- a/packages/endivestream/src/endivestream/request/call.py
+++ b/packages/endivestream/src/endivestream/request/call.py
@@ -14,6 +14,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from endivestream import logs
 from endivestream import tasks
 from endivestream.request.buffering import budget as budget_lib
 
@@ -73,6 +74,7 @@
         self._connection = connection
         self._version = start_line.version
         self._head_sent = False
+        self._is_finished = False
         self._ends_with_connection = False
         self._sent_bytes = 0
 
@@ -91,6 +93,11 @@
         """Whether the status line and headers of the answer have been sent."""
         return self._head_sent
 
+    @property
+    def is_finished(self) -> bool:
+        """Whether the answer has been marked as complete."""
+        return self._is_finished
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that were written and not yet passed on to the kernel."""
@@ -101,8 +108,6 @@
         self, status: int, headers: httputil.HTTPHeaders, chunk: bytes = b""
     ) -> asyncio.Future[None]:
         """Writes the head and first bytes; the future ends with the write."""
-        self._head_sent = True
-        self._sent_bytes += len(chunk)
         self._ends_with_connection = (
             self._version == "HTTP/1.0" and "Content-Length" not in headers
         )
@@ -110,9 +115,14 @@
         response_line = httputil.ResponseStartLine(
             "HTTP/1.1", status, reason_phrase
         )
-        return self._connection.write_headers(
+        written = self._connection.write_headers(
             response_line, headers, chunk or None
         )
+        # Not before: headers that cannot be sent raise, and then another
+        # answer can be sent.
+        self._head_sent = True
+        self._sent_bytes += len(chunk)
+        return written
 
     def begin_write(self, chunk: bytes) -> asyncio.Future[None]:
         """Writes a part of the body; the future ends with the write."""
@@ -141,6 +151,7 @@
             self._connection.finish()
         except (iostream.StreamClosedError, OSError) as error:
             raise CallerDisconnectedError(str(error)) from error
+        self._is_finished = True
 
     def abort(self) -> None:
         """Closes the connection, so that the answer is visibly incomplete."""
@@ -235,11 +246,30 @@
 
     def start(self, call: Call) -> asyncio.Task[None]:
         """Starts a task that serves a request."""
-        task = tasks.start(self._serve(call), "request")
+        task = tasks.start(self._serve_to_end(call), "request")
         self._running.add(task)
         task.add_done_callback(lambda task: self._end(task, call))
         return task
 
+    async def _serve_to_end(self, call: Call) -> None:
+        """Serves a request; an error ends its answer."""
+        try:
+            await self._serve(call)
+        except CallerDisconnectedError:
+            pass
+        except Exception as error:
+            logs.log_error("request_unanswered", error, uri=call.uri[:256])
+            if call.is_finished:
+                return
+            if call.head_sent:
+                call.abort()
+                return
+            try:
+                await call.answer(500, {}, b"internal error\n")
+            except Exception:
+                call.abort()
+                raise
+
     def _end(self, task: asyncio.Task[None], call: Call) -> None:
         self._running.discard(task)
         self._passed_bytes += call.passed_bytes
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -172,12 +172,17 @@
         if relayed is None:
             await call.answer(400, {}, b"not a relayed request\n")
             return
+        try:
+            last_event = relayed.last_event.encode("latin-1")
+        except UnicodeEncodeError:
+            await call.answer(400, {}, b"not an event id\n")
+            return
         call.arrived_at -= relayed.waited
         progress = progress_lib.Progress(
             attempted_targets=list(relayed.tried),
             sent_attempts=relayed.sent_attempts,
             stream=stream_state.StreamState(
-                last_event=relayed.last_event.encode("latin-1"),
+                last_event=last_event,
                 origin=relayed.origin,
                 is_relayed=True,
             ),
@@ -203,6 +208,8 @@
                 raise
             task.uncancel()
             await self._answer_stopped(active)
+        except Exception as error:
+            await self._answer_error(active, error)
         finally:
             if progress.buffer is not None:
                 ended = progress.buffer.end_reason
@@ -337,6 +344,28 @@
         except call_lib.CallerDisconnectedError:
             progress.outcome_reason = "caller_gone"
 
+    async def _answer_error(
+        self, active: active_requests.ActiveRequest, error: Exception
+    ) -> None:
+        """Answers a request whose handling raised, or breaks its answer off."""
+        call, progress = active.call, active.progress
+        logs.log_error(
+            "request_error",
+            error,
+            request=call.headers.get(self._parts.rules.names.request, ""),
+            stage=progress.stage,
+            target=progress.target,
+        )
+        progress.outcome_reason = refusals.INTERNAL_ERROR
+        if call.is_finished:
+            return
+        try:
+            await self._answer_failure(
+                active, refusals.internal_error(progress)
+            )
+        except call_lib.CallerDisconnectedError:
+            progress.outcome_reason = "caller_gone"
+
     def _log_completion(self, active: active_requests.ActiveRequest) -> None:
         call, work, progress = active.call, active.work, active.progress
         now = clock.now()
--- a/packages/endivestream/src/endivestream/request/refusals.py
+++ b/packages/endivestream/src/endivestream/request/refusals.py
@@ -12,6 +12,9 @@
 from endivestream.request import progress as progress_lib
 from endivestream.request import queue_deadlines
 
+# Reason of a request that an unexpected error has ended.
+INTERNAL_ERROR = "internal_error"
+
 
 def not_served(
     work: admission.AdmittedRequest,
@@ -49,6 +52,24 @@
     )
 
 
+def internal_error(progress: progress_lib.Progress) -> findings.Failure:
+    """Returns the failure for a request whose handling raised an error."""
+    attempts = (progress, progress.second)
+    if any(each is not None and each.may_have_run for each in attempts):
+        return findings.Failure(
+            outcome=findings.RunState.UNKNOWN,
+            reason=INTERNAL_ERROR,
+            detail="an error ended the request, which may have run",
+            status=502,
+        )
+    return findings.not_run(
+        INTERNAL_ERROR,
+        "an error ended the request before it was sent",
+        status=503,
+        retry_after=admission.DEFAULT_RETRY_SECONDS,
+    )
+
+
 def stop_failure(
     work: admission.AdmittedRequest, progress: progress_lib.Progress
 ) -> findings.Failure:
--- a/packages/endivestream/src/endivestream/request/relay_sender.py
+++ b/packages/endivestream/src/endivestream/request/relay_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from tornado import httputil
 
@@ -133,7 +134,7 @@
         retry_after = None
         text = head.headers.get(self._names.retry_after)
         if text is not None:
-            retry_after = float(text)
+            retry_after = _parse_seconds(text)
         return attempt_results.NotRelayed(reason, head.status, retry_after)
 
     async def _relay_from_host(
@@ -158,3 +159,12 @@
         return await self._answer_relay.relay_buffered(
             call, work, progress, exchange, head
         )
+
+
+def _parse_seconds(text: str) -> float | None:
+    """Returns a time that a relay host states; None if it is not valid."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < math.inf else None
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -48,6 +48,8 @@
 # An idempotent request that gets no answer within this multiple of its
 # objective is sent to another target.
 FAILOVER_OBJECTIVES = 2.0
+# Largest deadline that is sent; targets may read it as an integer of 32 bits.
+_MAX_DEADLINE_MS = 2**31 - 1
 
 
 class BegunAttempt(NamedTuple):
@@ -365,7 +367,7 @@
             return attempt_results.BrokenAttempt(
                 error.sent, "broke_off" if error.sent else "no_way"
             )
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, Exception):
             progress.may_have_run = progress.may_have_run or exchange.sent
             raise
 
@@ -453,7 +455,8 @@
                 fields.add(name, value)
         remaining = work.deadline - clock.now()
         if math.isfinite(remaining):
-            fields[names.deadline_ms] = str(max(1, int(remaining * 1000)))
+            remaining_ms = min(remaining * 1000, _MAX_DEADLINE_MS)
+            fields[names.deadline_ms] = str(max(1, int(remaining_ms)))
         fields[names.instance] = target
         if work.team is not None:
             fields[names.team] = work.team.name
--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -17,6 +17,7 @@
 from endivestream import site_messages  # noqa: E402
 from endivestream import table_position  # noqa: E402
 from endivestream.connection import addresses  # noqa: E402
+from endivestream.connection import exchange as exchange_lib  # noqa: E402
 from endivestream.connection import registration_check  # noqa: E402
 from endivestream.connection import registry as registry_lib  # noqa: E402
 from endivestream.process import entry as entry_lib  # noqa: E402
@@ -27,6 +28,7 @@
 from hypothesis import strategies as st  # noqa: E402
 import msgspec  # noqa: E402
 import targets  # noqa: E402
+from tornado import httputil  # noqa: E402
 
 from tests import entry_site  # noqa: E402
 from tests import leader_site  # noqa: E402
@@ -219,6 +221,25 @@
         self.assertEqual("", registration_check.find_problem(_SOUND))
 
 
+class ExchangeAddressTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_url_without_a_usable_port_is_no_connection(self):
+        """Guards against an error that no attempt handles."""
+        pool = exchange_lib.Pool()
+        self.addCleanup(pool.close)
+        for url in ("http://10.0.0.1:84220/", "http://[::1/", "http://a:x/"):
+            with self.subTest(url=url):
+                exchange = exchange_lib.Exchange(pool=pool, url=url)
+                with self.assertRaises(exchange_lib.ExchangeError) as context:
+                    await exchange.start(
+                        "GET",
+                        "/",
+                        httputil.HTTPHeaders(),
+                        b"",
+                        connect_seconds=1.0,
+                    )
+                self.assertFalse(context.exception.sent)
+
+
 class OddReportSiteTest(entry_site.EntrySite):
     async def test_hosts_keep_their_leases_after_an_odd_report(self):
         """Guards against one report that makes all hosts refuse requests."""
