Names with any characters travel in headers as UTF-8

Cause: header values are written as Latin-1. The name of the team, like the ids of targets in requests and orders and the JSON of relayed requests, was put into them as it is.

Change: connection/header_text.py encodes and decodes texts of headers as UTF-8; it is used for team, target, model, adapter, key, and the headers between hosts. A path with bytes above 127 reaches the target unchanged, or is refused with 400 if it is not UTF-8. Control characters in a team's name are a fault of the configuration.

Ways that lost: to refuse such a configuration, which the protocol calls valid; percent-encoding, which targets would have to decode.

--- a/packages/endivestream/src/endivestream/connection/exchange.py
+++ b/packages/endivestream/src/endivestream/connection/exchange.py
@@ -28,6 +28,7 @@
 
 from endivestream import clock
 from endivestream import logs
+from endivestream.connection import header_text
 from endivestream.connection import sse
 
 # Idle connections kept to one target: the maximum number of requests that one
@@ -563,7 +564,9 @@
         try:
             self._write_future = asyncio.ensure_future(
                 connection.write_headers(
-                    httputil.RequestStartLine(method, path, "HTTP/1.1"),
+                    httputil.RequestStartLine(
+                        method, header_text.decode(path), "HTTP/1.1"
+                    ),
                     fields,
                     body or None,
                 )
--- a/packages/endivestream/src/endivestream/request/admission.py
+++ b/packages/endivestream/src/endivestream/request/admission.py
@@ -12,6 +12,7 @@
 
 from endivestream import clock
 from endivestream import findings
+from endivestream.connection import header_text
 from endivestream.request import call as call_lib
 from endivestream.request import names as names_lib
 from endivestream.request import routes as routes_lib
@@ -96,6 +97,9 @@
         return no_lease()
     if call.is_refused:
         return near_limit()
+    if not header_text.is_request_target(call.uri):
+        detail = "the path has bytes that are not UTF-8"
+        return findings.not_run("invalid_path", detail, status=400)
     route = table.route(call.headers.get("Host", ""), call.path)
     if route is None:
         detail = "no route matches this host name and path"
@@ -111,7 +115,9 @@
     service = table.service(routes_lib.pick_service(route, request))
     assert service is not None, "checked when the document was applied"
     given_deadline = caller_deadline(call, names)
-    model, _, adapter = call.headers.get(names.model, "").partition("/")
+    model, _, adapter = header_text.decode(
+        call.headers.get(names.model, "")
+    ).partition("/")
     tokens = _parse_tokens(call.headers.get(names.tokens, ""))
     max_running = max(1, int(service.connections * rules.share()))
     return AdmittedRequest(
@@ -186,7 +192,9 @@
 def _parse_key(authorization: str, scheme: str) -> str:
     """Returns the key in an `Authorization` header, or an empty string."""
     authorization_scheme, _, key = authorization.strip().partition(" ")
-    return key.strip() if authorization_scheme.lower() == scheme.lower() else ""
+    if authorization_scheme.lower() != scheme.lower():
+        return ""
+    return header_text.decode(key.strip())
 
 
 def caller_deadline(call: call_lib.Call, names: names_lib.HeaderNames) -> float:
--- a/packages/endivestream/src/endivestream/request/relay_hosts.py
+++ b/packages/endivestream/src/endivestream/request/relay_hosts.py
@@ -17,6 +17,7 @@
 from tornado import httputil
 
 from endivestream import site_messages
+from endivestream.connection import header_text
 from endivestream.request import stream_origins
 from endivestream.version import document as document_lib
 
@@ -69,7 +70,7 @@
 
     def encode(self) -> str:
         """Returns the value of the request's header."""
-        return msgspec.json.encode(self).decode()
+        return header_text.encode(msgspec.json.encode(self).decode())
 
 
 def take_relayed_request(
@@ -79,7 +80,9 @@
     text = headers.pop(REQUEST_HEADER, "")
     text = headers.pop(STREAM_HEADER, text)
     try:
-        return msgspec.json.decode(text, type=RelayedRequest)
+        return msgspec.json.decode(
+            header_text.decode(text), type=RelayedRequest
+        )
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
@@ -91,13 +94,15 @@
 
 def encode_origin(origin: stream_origins.StreamOrigin) -> str:
     """Returns the value of the header that states where a stream began."""
-    return msgspec.json.encode(origin).decode()
+    return header_text.encode(msgspec.json.encode(origin).decode())
 
 
 def decode_origin(text: str) -> stream_origins.StreamOrigin | None:
     """Returns the origin that a relay host states; None without a valid one."""
     try:
-        return msgspec.json.decode(text, type=stream_origins.StreamOrigin)
+        return msgspec.json.decode(
+            header_text.decode(text), type=stream_origins.StreamOrigin
+        )
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return None
 
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -19,6 +19,7 @@
 from endivestream import clock
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
+from endivestream.connection import header_text
 from endivestream.connection import process_probe
 from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import registry as registry_lib
@@ -457,9 +458,9 @@
         if math.isfinite(remaining):
             remaining_ms = min(remaining * 1000, _MAX_DEADLINE_MS)
             fields[names.deadline_ms] = str(max(1, int(remaining_ms)))
-        fields[names.instance] = target
+        fields[names.instance] = header_text.encode(target)
         if work.team is not None:
-            fields[names.team] = work.team.name
+            fields[names.team] = header_text.encode(work.team.name)
         fields[names.priority] = str(priority(work))
         last_event = progress.stream.last_event
         if last_event:
--- a/packages/endivestream/src/endivestream/version/document.py
+++ b/packages/endivestream/src/endivestream/version/document.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 import enum
 import math
+import re
 from typing import NamedTuple
 
 import msgspec
@@ -19,6 +20,7 @@
 
 # Integers in messages and in the log have 64 bits.
 _MAX_INTEGER = 2**63 - 1
+_CONTROL_CHARACTER_PATTERN = re.compile(r"[\x00-\x1f\x7f]")
 _INTEGER_RANGE_MESSAGE = (
     f"must be an integer from {-_MAX_INTEGER} to {_MAX_INTEGER}"
 )
@@ -409,6 +411,15 @@
             Fault(Section.SERVICE, index, service.name, field, message)
             for field, message in _check_cold_start(service)
         ]
+    for index, team in enumerate(document.teams):
+        if _CONTROL_CHARACTER_PATTERN.search(team.name):
+            message = (
+                f"name is {team.name[:64]!r}; valid: no control characters, as "
+                "targets receive it in a header"
+            )
+            errors.append(
+                Fault(Section.TEAM, index, team.name, "name", message)
+            )
     return errors + _check_keys(document.teams)
 
 
--- a/packages/endivestream/src/endivestream/version/document_check.py
+++ b/packages/endivestream/src/endivestream/version/document_check.py
@@ -314,6 +314,12 @@
 def _check_team(
     team: document_lib.Team, routes: tuple[document_lib.Route, ...]
 ) -> Iterator[tuple[str, str]]:
+    if team.name != team.name.strip(" \t"):
+        yield (
+            "name",
+            f"{team.name!r} begins or ends with white space, which targets do "
+            "not receive",
+        )
     if not team.keys:
         yield "keys", "no route uses it, as it has no key"
         return
