A stream runs only at a process that is proved to be the listed one

Shown by two tests of test_software_versions that fail on the code before: a rate-limited target was never asked which process it is (200 where 503 is right), and a refused report counted as proof.

Change: a rate-limited target is asked on each new connection, and the leader counts the query against its limit; an answer that is no report fails the connection. 404, 405 and 501 stand for targets without reports.

--- a/packages/endivestream/src/endivestream/connection/process_proof.py
+++ b/packages/endivestream/src/endivestream/connection/process_proof.py
@@ -20,6 +20,8 @@
 
 # An engine answers a report without a slot, within milliseconds.
 _ANSWER_SECONDS = 0.4
+# Answers of targets that have no reports.
+_UNSUPPORTED_STATUSES = frozenset({404, 405, 501})
 
 
 class ProcessProof:
@@ -40,9 +42,16 @@
 
     @property
     def results(self) -> Mapping[str, int]:
-        """Number of queries by result: `same`, `other` or `unknown`."""
+        """Number of queries by result.
+
+        `same`, `other`, `unknown` without a start time, or `unreadable`.
+        """
         return self._results
 
+    def is_queried(self, exchange: exchange_lib.Exchange) -> bool:
+        """Returns whether the process on a connection needs no query."""
+        return exchange.connection in self._started_at_ms
+
     async def started_at_ms(
         self,
         exchange: exchange_lib.Exchange,
@@ -53,12 +62,13 @@
         That of the registration if the process does not state it.
 
         Raises:
-            ExchangeError: The process does not answer; `sent` is False.
+            ExchangeError: The process does not answer with a report; `sent` is
+                False.
         """
         connection = exchange.connection
         if self._codec is None or connection is None:
             return registration.started_at_ms
-        if connection not in self._started_at_ms:
+        if not self.is_queried(exchange):
             request = self._codec.ask_report()
             status, body = await exchange.query(
                 request.method,
@@ -67,6 +77,12 @@
                 seconds=_ANSWER_SECONDS,
             )
             report = self._codec.report(body) if status == 200 else None
+            if report is None and status not in _UNSUPPORTED_STATUSES:
+                # An overloaded or starting process may be another one.
+                self._results["unreadable"] += 1
+                raise exchange_lib.ExchangeError(
+                    f"{request.path}: no report, status {status}", sent=False
+                )
             started_at_ms = report.started_at_ms if report else None
             self._started_at_ms[connection] = started_at_ms
             self._count(started_at_ms, registration)
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -24,6 +24,7 @@
 import zmq.asyncio
 
 from endivestream import clock
+from endivestream import limit_messages
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import messages
@@ -299,6 +300,9 @@
             slot_freed=self._signal_change,
             rate_limit_reported=self._rate_limits.record_answer,
             acquire_send=self._rate_limits.acquire_send,
+            query_sent=lambda target: self._send_to_leader(
+                limit_messages.CountSend(target=target)
+            ),
             prefill_delay=self._prefill_turn_service.request_turn,
             prefill_observed=self._prefill_turn_service.record_start,
             find_origin=self._origin_directory.find,
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -117,6 +117,7 @@
             answer_relay=self._answer_relay,
             process_proof=parts.process_proof,
             crash_reporter=parts.crash_reporter,
+            query_sent=parts.query_sent,
         )
         self._hedged_sender = hedged_sender.HedgedSender(
             sender=self._sender,
--- a/packages/endivestream/src/endivestream/request/forward_parts.py
+++ b/packages/endivestream/src/endivestream/request/forward_parts.py
@@ -111,6 +111,8 @@
             target, up to the given seconds, with its cold rate if it is cold.
             Returns None if it may, else the seconds after which the target may
             be tried again.
+        query_sent: Called with a rate-limited target before a query that counts
+            against its limit.
         rate_limit_reported: Called for each answer of a target with the text of
             its rate limit header; None without the header.
         prefill_delay: Returns seconds until the prefill turn of a prompt, by
@@ -172,6 +174,7 @@
     buffers: answer_buffer.AnswerBuffers | None = None
     slots: SlotSource | None = None
     target_memory: target_memory_lib.TargetMemory | None = None
+    query_sent: Callable[[str], None] = lambda target: None
 
 
 class RequestSummary(NamedTuple):
--- a/packages/endivestream/src/endivestream/request/sending.py
+++ b/packages/endivestream/src/endivestream/request/sending.py
@@ -85,6 +85,7 @@
         answer_relay: answer_relay_lib.AnswerRelay,
         process_proof: process_proof_lib.ProcessProof,
         crash_reporter: crash_reporter_lib.CrashReporter,
+        query_sent: Callable[[str], None] = lambda target: None,
     ) -> None:
         """Initializes the sender; opens no connection.
 
@@ -102,7 +103,10 @@
             answer_relay: Relays the answers.
             process_proof: Proves which processes connections belong to.
             crash_reporter: Examines targets whose answers break off.
+            query_sent: Called with a rate-limited target before a query that
+                counts against its limit.
         """
+        self._query_sent = query_sent
         self._crash_reporter = crash_reporter
         self._withdrawn_sends: collections.Counter[str] = collections.Counter()
         self._prefill_observed = prefill_observed
@@ -385,9 +389,10 @@
         """
         if not work.route.has_resumable_streams or work.service.engine is None:
             return True
-        if self._view.is_rate_limited(registration, clock.now()):
-            # A query would count against the limit.
-            return True
+        if self._view.is_rate_limited(
+            registration, clock.now()
+        ) and not self._process_proof.is_queried(exchange):
+            self._query_sent(registration.name)
         started_at_ms = await self._process_proof.started_at_ms(
             exchange, registration
         )
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -94,6 +94,7 @@
         self.sole_version = None
         self.permit_results = []
         self.permit_requests = []
+        self.queried = []
         self.permit_waits = False
         self.repeat_waits = False
         self.leaves = ""
@@ -155,6 +156,7 @@
             hedge_permits=self.hedge_permits,
             slots=self.slots,
             target_memory=self.target_memory,
+            query_sent=self.queried.append,
         )
         self.forwarder = forward_lib.Forwarder(parts=parts)
         self.is_near_limit = False
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from endivestream import clock
 from endivestream import site_messages
 from endivestream import tasks
 from endivestream.connection import engines
@@ -209,6 +210,49 @@
         self.assertEqual(body(1, 2, 3, 4), reply.body)
         self.assertEqual({"/report"}, set(self._paths(target)))
 
+    async def test_a_rate_limit_does_not_hide_a_restart(self):
+        """Guards against streams of two versions at a limited target."""
+        loaded = (registry_lib.Loaded("a"),)
+        target = await self._start_target(self._serve, loaded=loaded)
+        self.known_limits.record_answer("t1", 1, 9.0, clock.now())
+        self.started_at_ms = b"2"
+        headers = {"X_Request_Id": "a1", "X_Model": "a", "X_Deadline_Ms": 900}
+        reply = await self.caller.ask(**headers)
+        self.assertEqual(
+            (503, ["/report"]), (reply.status, self._paths(target))
+        )
+        self.assertEqual(["t1"], self.queried)
+
+    async def test_a_process_that_refuses_its_report_is_not_proved(self):
+        """Guards against an overloaded process that passes as the listed."""
+        loaded = (registry_lib.Loaded("a"),)
+
+        async def serve(request, writer):
+            if request.path == "/report":
+                writer.write(standin.answer(503))
+            else:
+                await serves_rest(request, writer)
+
+        target = await self._start_target(serve, loaded=loaded)
+        await self._start_target(self._serve, loaded=loaded, domain="far")
+        reply = await self.caller.ask(X_Request_Id="a1", X_Model="a")
+        self.assertEqual(body(1, 2, 3, 4), reply.body)
+        self.assertEqual({"/report"}, set(self._paths(target)))
+
+    async def test_a_target_without_reports_gets_streams(self):
+        """Guards against refusals where a target supports no reports."""
+        loaded = (registry_lib.Loaded("a"),)
+
+        async def serve(request, writer):
+            if request.path == "/report":
+                writer.write(standin.answer(404))
+            else:
+                await serves_rest(request, writer)
+
+        await self._start_target(serve, loaded=loaded)
+        reply = await self.caller.ask(X_Request_Id="a1", X_Model="a")
+        self.assertEqual(body(1, 2, 3, 4), reply.body)
+
 
 class OriginTableTest(unittest.TestCase):
     def test_records_are_bounded_and_conflicts_admit_nothing(self):
@@ -470,7 +514,8 @@
     async def test_older_builds_refuse_relayed_streams(self):
         """Guards against relay hosts that ignore where a stream began."""
         headers = httputil.HTTPHeaders()
-        route = test_document.route(resumable=True)
+        kind = document_lib.Kind.STREAM
+        route = test_document.route(kind=kind, resumable=True)
         text = relay_hosts.RelayedRequest(host="e0", version=1).encode()
         headers[relay_hosts.request_header(route)] = text
         self.assertNotIn(relay_hosts.REQUEST_HEADER, headers)
