--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,4 +1,4 @@
-"""Shutdown of the platform's programs, run as processes, on signals."""
+"""The platform's programs, run as processes: signals and odd reports."""
 
 import asyncio
 import json
@@ -171,6 +171,50 @@
             self.assertEqual(0, await self.edge.wait())
         self.assertEqual((502, True), (answer.status, answer.whole))
 
+    async def test_odd_status_reports_disturb_nobody(self):
+        """Guards against reports that end processes or take their leases."""
+        sound = {
+            "service": "desk",
+            "address": self.target.address,
+            "zone": "a",
+            "slots": 4,
+            "state": "ready",
+            "seq": 1,
+        }
+        deep = '{"a":' * 100_000 + "1" + "}" * 100_000
+        odd = [
+            json.dumps(sound | fields)
+            for fields in (
+                {"seq": 2**127},
+                {"born": 2**64},
+                {"slots": -(2**70)},
+                {"address": "127.0.0.1:84220"},
+                {"address": "127.0.0.1:\u00b2"},
+                {"models": [{"name": "m", "version": 2**80}]},
+                {"remainingMs": -1e300, "state": "draining"},
+            )
+        ]
+        odd.append(json.dumps(sound)[:-1] + f',"x":{deep}}}')
+        for number, text in enumerate(odd):
+            caller = await standin.Caller(self.control).start()
+            path = f"/instances/i-odd{number}"
+            async with asyncio.timeout(_TIMEOUT_SECONDS):
+                reply = await caller.ask(
+                    method="PUT", path=path, body=text.encode()
+                )
+            caller.close()
+            self.assertEqual(400, reply.status, text[:100])
+        # Longer than a lease.
+        for _ in range(60):
+            status = await self._request_status(self.ready, "GET", "/readyz")
+            self.assertEqual(200, status)
+            await asyncio.sleep(0.1)
+        self.target._scripts = [standin.says(standin.answer(body=b"done"))]
+        for _ in range(10):
+            status = await self._request_status(self.front, "POST", "/x/")
+            self.assertEqual(200, status)
+        self.assertIsNone(self.edge.returncode)
+
     async def test_sigterm_answers_the_pending_request_before_exit(self):
         """Guards against connections closed without a response at shutdown."""
         await self._check_stop(signal.SIGTERM)
