Test of unread refusals without a bound on wall time

Cause: the test. Eight turns of 0.1 s begin one after another; the ninth request is sent when all have begun. An event loop that stands still for more than 0.1 s in between sends a request before there is a refusal. Shown by a stop of 0.12 s in the fourth turn (12 where 10 are right) and in the eighth (16); 10 without. Change: the turns end a number of passes of the event loop after the refusal is written, 0 to 3, in place of 0.1 s after their start. So no request is due before the refusal, and the refusal is in turn in the socket, the stream and the exchange. Equally strict: without AwaitedAnswers.read_received, 18 requests at 0, 1 and 2 passes. With it 10 at each, and in three runs with the stop of 0.12 s.

--- a/tests/test_target_announcements.py
+++ b/tests/test_target_announcements.py
@@ -1,7 +1,6 @@
 """Tests of what targets announce in their answers about later requests."""
 
 import asyncio
-import time
 import unittest
 from unittest import mock
 
@@ -27,6 +26,7 @@
     async def asyncSetUp(self):
         await super().asyncSetUp()
         self.held_stage = ""
+        self.wait_for_turn = None
         self.is_held = asyncio.Event()
         self.released = asyncio.Event()
 
@@ -39,6 +39,8 @@
 
     async def _turn(self, target, domain, tokens, rank):
         await self._hold("turn")
+        if self.wait_for_turn is not None:
+            await self.wait_for_turn()
         return await super()._turn(target, domain, tokens, rank)
 
     async def _permit(self, registration, patience, cold_rate):
@@ -122,8 +124,17 @@
 
     async def test_no_request_while_a_refusal_is_unread(self):
         """Guards against sends of a late event loop that has not read it."""
+        # The refusal is in the socket, the stream or the exchange.
+        for passes in range(4):
+            with self.subTest(passes=passes):
+                await self._check_unread(f"t{passes}", passes)
+
+    async def _check_unread(self, name, passes):
+        """Ends turns some passes of the event loop after a refusal."""
         count = 9
         arrived = asyncio.Event()
+        refused = asyncio.Event()
+        waiting = 0
 
         async def accepts(request, writer):
             if len(target.requests) == count:
@@ -133,29 +144,32 @@
 
         async def refuses(request, writer):
             await REFUSES(request, writer)
-            if len(target.requests) == count + 1:
-                # The requests that wait for their turn are due after this.
-                time.sleep(0.3)
+            for _ in range(passes):
+                await asyncio.sleep(0)
+            refused.set()
+
+        async def wait_for_turn():
+            nonlocal waiting
+            waiting += 1
+            if waiting > 1:
+                await refused.wait()
+            else:
+                await self._wait_until(lambda: waiting == count)
 
         self._route(test_forward.ONCE, engine=test_plan.engine())
         target = await self._start_target(
             *[accepts] * count,
             refuses,
+            name=name,
             loaded=(registry_lib.Loaded("a"),),
             slots=64,
         )
-        replies = await self._ask_together(count)
-        self.assertEqual([200] * count, replies)
-        self.held_stage = "turn"
-        self.turn_seconds = 0.1
-        held = asyncio.create_task(self._ask_together(count))
-        async with asyncio.timeout(5.0):
-            while len(self.turns) < 2 * count - 1:
-                await asyncio.sleep(0.001)
-        self.turn_seconds = 0.0
-        self.released.set()
-        self.assertEqual([503] * count, await held)
+        self.assertEqual([200] * count, await self._ask_together(count))
+        self.wait_for_turn = wait_for_turn
+        self.assertEqual([503] * count, await self._ask_together(count))
+        self.wait_for_turn = None
         self.assertEqual(len(target.requests), count + 1)
+        self.view.set_targets([], [name])
 
     async def _ask_together(self, count):
         """Returns the statuses of requests on as many connections."""
