Refuse requests whose number of tokens is no such number

Cause: float() accepts nan, infinite and overflowing numbers. They stay in the moving average of the team's demand, and each report of it to the leader raises (task_restarted task=LeaderSession, ValueError in credit_shares.py), so the session ends every 0.5 s and the lease expires. Ruled out: LinkDownError and a failure of the leader (neither is in the log). Change: the header holds one or two whole numbers of at most 12 digits, once; else 400 before anything is charged. Sums of such numbers fit into 64 bits.

--- a/packages/endivestream/src/endivestream/request/admission.py
+++ b/packages/endivestream/src/endivestream/request/admission.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import math
+import re
 from typing import NamedTuple
 
 from endivestream import clock
@@ -31,6 +33,11 @@
 DEFAULT_RETRY_SECONDS = 0.5
 # The same if other hosts can serve the request immediately.
 _OTHER_HOST_RETRY_SECONDS = 0.05
+# Number of prompt tokens, and of generated tokens after a comma. Sums of such
+# numbers fit into 64 bits.
+_TOKENS_PATTERN = re.compile(
+    r"[ \t]*([0-9]{1,12})[ \t]*(?:,[ \t]*([0-9]{0,12})[ \t]*)?"
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -118,7 +125,11 @@
     model, _, adapter = header_text.decode(
         call.headers.get(names.model, "")
     ).partition("/")
-    tokens = _parse_tokens(call.headers.get(names.tokens, ""))
+    token_texts = call.headers.get_list(names.tokens)
+    tokens = _parse_tokens(token_texts)
+    if token_texts and tokens is None:
+        detail = f"{names.tokens} is not PROMPT,GENERATED in whole numbers"
+        return findings.not_run("invalid_tokens", detail, status=400)
     max_running = max(1, int(service.connections * rules.share()))
     return AdmittedRequest(
         request=request,
@@ -221,13 +232,12 @@
     generated: float
 
 
-def _parse_tokens(value: str) -> _RequestSize | None:
-    """Returns the size stated in a header, or None if it is not numeric."""
-    prompt, _, generated = value.partition(",")
-    try:
-        return _RequestSize(float(prompt), float(generated or 0))
-    except ValueError:
+def _parse_tokens(texts: Sequence[str]) -> _RequestSize | None:
+    """Returns the size in the headers of a request; None if it is invalid."""
+    match = _TOKENS_PATTERN.fullmatch(texts[0]) if len(texts) == 1 else None
+    if match is None:
         return None
+    return _RequestSize(float(match[1]), float(match[2] or 0))
 
 
 def _credit_cost(
