--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -128,7 +128,7 @@
             service="desk",
             address=self.target.address,
             domain="a",
-            started_at_ms=1,
+            started_at_ms=fields.pop("started_at_ms", 1),
             report_number=number,
             draining=draining,
             **fields,
