Count warnings and errors of a process by event

Cause: errors that broad handlers catch and registrations that are skipped were logged only, except for tasks that run again. An operator who watches the metrics saw a sound host. Change: logs.warn and logs.log_error count the event by its name; the metrics of entry and control hosts show the counts. Names are literals in the code, so the number of series is bounded. Lines that the rate limit drops are counted too.

--- a/packages/endivestream/src/endivestream/logs.py
+++ b/packages/endivestream/src/endivestream/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 import json
 import logging
@@ -29,6 +30,8 @@
     "._:/@+-,[]{}()*"
 )
 
+_problem_counts: collections.Counter[str] = collections.Counter()
+
 
 class Message(Protocol):
     """A log line as passed to a loguru sink: text with its record."""
@@ -129,12 +132,14 @@
 
 
 def warn(name: str, **fields: Any) -> None:
-    """Logs an event that requires an operator's attention."""
+    """Logs and counts an event that requires an operator's attention."""
+    _problem_counts[name] += 1
     logger.opt(depth=1).warning(line(name, fields))
 
 
 def log_error(name: str, error: BaseException, **fields: Any) -> None:
-    """Logs an unexpected error with the innermost frames of its traceback."""
+    """Logs and counts an unexpected error with its innermost frames."""
+    _problem_counts[name] += 1
     frames = traceback.extract_tb(error.__traceback__)[-_MAX_TRACEBACK_FRAMES:]
     where = " < ".join(
         f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
@@ -144,6 +149,14 @@
     logger.opt(depth=1).error(line(name, fields))
 
 
+def problem_counts() -> dict[str, int]:
+    """Returns the number of warnings and errors of this process by event.
+
+    Lines above the rate limit, which are not written, are counted too.
+    """
+    return dict(_problem_counts)
+
+
 def line(name: str, fields: dict[str, Any]) -> str:
     """Returns `event=NAME` and the fields as key=value pairs.
 
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -14,6 +14,7 @@
 from prometheus_client import core
 
 from endivestream import clock
+from endivestream import logs
 from endivestream import loop_meter
 from endivestream import tasks
 from endivestream.request import forward_parts
@@ -80,6 +81,12 @@
             "task",
             tasks.restarts,
         )
+        self._add_counts(
+            "problems",
+            "Warnings and errors in the log, by event",
+            "event",
+            logs.problem_counts,
+        )
 
     def exposition(self) -> bytes:
         """Returns all metrics in the text format."""
--- a/tests/test_site_metrics.py
+++ b/tests/test_site_metrics.py
@@ -1,5 +1,6 @@
 import unittest
 
+from endivestream import logs
 from endivestream import loop_meter
 from endivestream.process import site_metrics
 from endivestream.request import forward_parts
@@ -99,6 +100,21 @@
             )
         self.assertEqual(len(self._lines()), before)
 
+    def test_problems_in_the_log_are_counted(self):
+        """Guards against parts that fail while all metrics look sound."""
+        name = "endivestream_problems_total"
+        try:
+            raise ValueError
+        except ValueError as error:
+            for _ in range(2):
+                logs.log_error("part_failed", error)
+        logs.warn("item_skipped", item="x")
+        logs.event("all_well")
+        lines = self._lines()
+        self.assertIn(f'{name}{{event="part_failed"}} 2.0', lines)
+        self.assertIn(f'{name}{{event="item_skipped"}} 1.0', lines)
+        self.assertNotIn("all_well", "".join(lines))
+
 
 class ControlMetricsTest(unittest.TestCase):
     def test_values_are_read_when_collected(self):
