Keep links, ticks and syncs running after an error

Cause and change: - Link._keep_alive: replacing a silent connection closed the old socket, then opened the new one, which raises without free descriptors. The loop had ended and the link kept a closed socket. The new socket is opened first, and the loop runs again after an error. - Replicator._tick and _sync: an error of one step ended them. The host ran on and took no part in elections, or acknowledged no writes. They run again. An OSError still stops the log, as before. Evidence: without the changes test_a_link_recovers_from_a_lack_of_descriptors fails (no answer 10 s after descriptors are free) and test_an_error_of_one_step_does_not_end_the_log times out; both pass with them. Looked at, no change: quarantine updates (the next record starts the task, and waiters are released), probes of slot owners (every link error is LinkDownError), joins, batches of reports and of credit (one task each). Open: an error while a committed entry is applied skips the rest of its batch.

--- a/packages/endivestream/src/endivestream/connection/links.py
+++ b/packages/endivestream/src/endivestream/connection/links.py
@@ -243,7 +243,7 @@
     def start(self) -> None:
         """Opens the socket; the connection is made in the background."""
         self._connect()
-        self._tasks = [tasks.start(self._keep_alive(), "link_beat")]
+        self._tasks = [tasks.start_restarting(self._keep_alive, "link_beat")]
 
     def _connect(self) -> None:
         socket = _socket(self._context, zmq.DEALER)
@@ -378,11 +378,13 @@
 
     def _reconnect(self, silent_seconds: float) -> None:
         logs.warn("link_abandoned", peer=self._address, silent_s=silent_seconds)
-        self._reconnects += 1
         self._is_suspect = False
         assert self._frame_socket is not None
-        self._frame_socket.close()
+        replaced = self._frame_socket
+        # Raises if the process is out of descriptors.
+        self._connect()
+        self._reconnects += 1
+        replaced.close()
         # Pending answers would have arrived on the old socket. The requester
         # decides whether to send again.
         self._fail_pending("link replaced, no frames received")
-        self._connect()
--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -198,8 +198,8 @@
             seconds=clock.now() - started_at,
         )
         self._tasks = [
-            tasks.start(self._tick(), "tick"),
-            tasks.start(self._sync(), "sync"),
+            tasks.start_restarting(self._tick, "tick"),
+            tasks.start_restarting(self._sync, "sync"),
         ]
 
     def _form_system(self, founders: Sequence[members_lib.Member]) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import errno
 import socket
 import time
 import unittest
@@ -53,10 +54,13 @@
 
 
 class LinkPingsTest(unittest.TestCase):
-    def _run(self, body, **options):
+    def _run(self, body, *, failures=(), **options):
         sockets = []
+        failures = list(failures)
 
         def open_socket(context, kind):
+            if sockets and failures:
+                raise zmq.ZMQError(failures.pop())
             sockets.append(_FakeSocket())
             return sockets[-1]
 
@@ -117,6 +121,19 @@
 
         self._run(body, expects_pushes=False)
 
+    def test_a_link_recovers_from_a_lack_of_descriptors(self):
+        """Guards against a peer that is never reached again."""
+
+        async def body(link, sockets):
+            sockets[0].is_silent = True
+            with self.assertRaises(links.LinkDownError):
+                await link.request(messages.AskStatus(view="x"), seconds=3)
+            await asyncio.sleep(10)
+            await link.request(messages.AskStatus(view="x"), seconds=1)
+            self.assertEqual((link.reconnects, len(sockets)), (1, 2))
+
+        self._run(body, failures=[errno.EMFILE] * 3)
+
     def test_a_request_timeout_does_not_replace_a_working_connection(self):
         """A slow peer must not be loaded further by reconnects."""
 
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import pathlib
 import tempfile
 import unittest
@@ -82,6 +83,29 @@
         await replicator.propose(_begin(3))
         self.assertEqual(len(replicator.state.calls), 3)
 
+    async def test_an_error_of_one_step_does_not_end_the_log(self):
+        """Guards against a control host that runs and takes no part."""
+        replicator = await self._started()
+        step = replicator._replica.step
+        for event_type in (protocol.Tick, protocol.Synced):
+            failing = [event_type]
+
+            def fail_once(event, now, failing=failing):
+                if type(event) in failing:
+                    failing.clear()
+                    raise ValueError("of one step")
+                return step(event, now)
+
+            replicator._replica.step = fail_once
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.1):
+                    await replicator.propose(_begin(event_type.__name__))
+            async with asyncio.timeout(10):
+                while failing:
+                    await asyncio.sleep(0.01)
+                await replicator.propose(_begin(f"{event_type.__name__}2"))
+        self.assertEqual(len(replicator.state.calls), 4)
+
     async def test_failed_sync_stops_the_replicator(self):
         """Entries that a crash then loses would be acknowledged.
 
