Test held-back proofs of a sole software version

Cause: test_answers_arrive_after_the_new_version_has_joined did not do what its name says. Change: in its place, test_a_late_answer_serves_only_the_stream_that_asked: the leader answers v1 to the resumption of a stream that began before, the answer is held, v2 joins and a stream begins there through another host; resumptions of that stream are refused (by its attempt, another one, none, and two), and the held answer then lets the first stream go on at v1. The times for which a new leader proves nothing are patched to 3 s; the rule itself is not. Equally strict: the requests of the former test (503, nothing sent to the old target) are those of _check_refused.

--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -8,8 +8,10 @@
 import asyncio
 from unittest import mock
 
+from endivestream import site_messages
 from endivestream.connection import links
-from endivestream.process import entry as entry_lib
+from endivestream.request import resumptions
+from endivestream.request import stream_origins
 
 from tests import entry_site
 from tests import test_software_versions
@@ -25,13 +27,14 @@
         bounds = entry_site.BOUNDS._replace(repeat_window=0.1, config=60.0)
         return super()._settings(name, **{"bounds": bounds} | fields)
 
-    async def _begin_at_new_version(self, *, lost):
-        """Begins a stream at v2 through e1, while e0 is out of step.
+    async def _fall_out_of_step(self, *, lost=(), **route):
+        """Lists a target of v1, then has e0 miss all updates.
 
         Args:
             lost: What e0 does not reach: `holders`, `leader`.
+            **route: Fields of the route.
         """
-        await self._serve(max_attempts=1)
+        await self._serve(max_attempts=1, **route)
         rest = test_software_versions.serves_rest
         self.old = await self._start_target(_V1, "v1", rest)
         stale, self.other = self.entries
@@ -40,16 +43,19 @@
         self.addCleanup(missed.stop)
         self.stale = stale
         self._lose(stale, lost)
+
+    async def _begin_at_new_version(self):
+        """Begins a stream at v2 through e1."""
         self.entries = [self.other]
         self.new = await self._start_target(
             _V2, "v2", test_software_versions.breaks_off("a1", 1, 2)
         )
         # Only e1 knows that the old target takes no new streams.
         self.other._view.set_targets([], [_V1])
-        self.entries = [stale, self.other]
+        self.entries = [self.stale, self.other]
         reply = await self._send_request(self.other, X_Request_Id="a1")
         self.assertEqual(reply.body, test_software_versions.body(1, 2))
-        self.assertEqual({_V1}, set(stale._view.targets))
+        self.assertEqual({_V1}, set(self.stale._view.targets))
 
     def _lose(self, entry, lost):
         request = links.Link.request
@@ -72,11 +78,11 @@
         patch.start()
         self.addCleanup(patch.stop)
 
-    async def _resume(self, entry, number, **headers):
+    async def _resume(self, entry, number, *, deadline_ms=900, **headers):
         return await self._send_request(
             entry,
             X_Request_Id=f"b{number}",
-            X_Deadline_Ms=900,
+            X_Deadline_Ms=deadline_ms,
             Last_Event_ID=2,
             **headers,
         )
@@ -96,50 +102,74 @@
         self.assertEqual([], self.old.requests)
 
     async def test_the_host_reaches_all_but_updates(self):
-        await self._begin_at_new_version(lost=())
+        await self._fall_out_of_step()
+        await self._begin_at_new_version()
         await self._check_refused()
 
     async def test_the_host_reaches_no_holder(self):
-        await self._begin_at_new_version(lost=("holders",))
+        await self._fall_out_of_step(lost=("holders",))
+        await self._begin_at_new_version()
         await self._check_refused()
 
     async def test_the_host_reaches_no_leader(self):
-        await self._begin_at_new_version(lost=("leader",))
+        await self._fall_out_of_step(lost=("leader",))
+        await self._begin_at_new_version()
         await self._check_refused()
 
     async def test_the_host_reaches_neither(self):
-        await self._begin_at_new_version(lost=("holders", "leader"))
+        await self._fall_out_of_step(lost=("holders", "leader"))
+        await self._begin_at_new_version()
         await self._check_refused()
 
-    async def test_answers_arrive_after_the_new_version_has_joined(self):
-        """An answer of before that moment arrives after it."""
-        await self._begin_at_new_version(lost=())
-        held = asyncio.Event()
-        query = entry_lib.Entry._query_sole_software
-
-        async def query_late(entry, *arguments):
-            answer = await query(entry, *arguments)
-            await held.wait()
+    async def test_a_late_answer_serves_only_the_stream_that_asked(self):
+        """The leader proves a sole version right before another one joins."""
+        await self._fall_out_of_step(timeout=60.0)
+        watch, query = self.stale._watch, self.stale._query_sole_software
+        request = watch.request
+        asked, released = asyncio.Event(), asyncio.Event()
+        answers = []
+
+        async def request_late(message, *, seconds):
+            answer = await request(message, seconds=seconds)
+            is_question = isinstance(message, site_messages.AskSoftware)
+            if is_question and not asked.is_set():
+                answers.append(answer.versions)
+                asked.set()
+                await released.wait()
             return answer
 
-        with mock.patch.object(
-            entry_lib.Entry, "_query_sole_software", query_late
+        # A new leader would prove nothing for the usual time.
+        with (
+            mock.patch.object(resumptions, "_UNREPORTED_TARGET_SECONDS", 0.0),
+            mock.patch.object(
+                stream_origins, "resumable_seconds", lambda _: 3.0
+            ),
         ):
-            resuming = [
-                asyncio.create_task(
-                    self._resume(self.stale, n, X_Resumes=f"a{n}")
+            async with asyncio.timeout(30):
+                while await query("desk", 3.0, True) != "v1":
+                    await asyncio.sleep(0.05)
+            with mock.patch.object(watch, "request", request_late):
+                earlier = asyncio.create_task(
+                    self._resume(
+                        self.stale, 7, deadline_ms=60_000, X_Resumes="a7"
+                    )
                 )
-                for n in range(7, 10)
-            ]
-            await asyncio.sleep(0)
-            held.set()
-            for task in resuming:
-                self.assertEqual(503, (await task).status)
-        self.assertEqual([], self.old.requests)
+                async with asyncio.timeout(30):
+                    await asked.wait()
+                self.assertEqual([("v1",)], answers)
+                await self._begin_at_new_version()
+                await self._check_refused()
+                released.set()
+                reply = await earlier
+        self.assertEqual(reply.body, test_software_versions.body(3, 4))
+        self.assertEqual(
+            ["b7"], [r.headers["X-Request-Id"] for r in self.old.requests]
+        )
 
     async def test_the_stream_goes_on_where_the_version_is_listed(self):
         """Guards against refusals at hosts that are in step."""
-        await self._begin_at_new_version(lost=())
+        await self._fall_out_of_step()
+        await self._begin_at_new_version()
         self.new._scripts = [test_software_versions.serves_rest]
         reply = await self._resume(self.other, 1, X_Resumes="a1")
         self.assertEqual(reply.body, test_software_versions.body(3, 4))
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -396,9 +396,7 @@
         route = test_document.route(
             kind=document_lib.Kind.STREAM,
             resumable=True,
-            timeout=5.0,
-            objective=1.0,
-            **route,
+            **{"timeout": 5.0, "objective": 1.0} | route,
         )
         await self._apply(test_document.document(1, routes=[route]))
         await self._wait_in_force(1)
