--- a/tests/test_document_check.py
+++ b/tests/test_document_check.py
@@ -192,6 +192,8 @@
             ("burst", {"by_tokens": True, "plain_cost": 200.0, "burst": 150.0}),
             ("rate", {"rate": 0.0}),
             ("keys", {"keys": ("k", "")}),
+            ("name", {"name": "band "}),
+            ("name", {"name": " band"}),
         ):
             self._assert_faults(
                 test_document.document(teams=[team(**fields)]),
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -29,6 +29,7 @@
 from endivestream.request.waiting import slot_answers
 from endivestream.version import document as document_lib
 import msgspec
+from tornado import http1connection
 from tornado import httpserver
 from tornado import netutil
 
@@ -748,6 +749,34 @@
             reply = await self.caller.ask(X_Deadline_Ms=value)
             self.assertIn(reply.status, (503, 504), value)
 
+    async def test_an_error_while_an_answer_is_read_ends_it(self):
+        """Guards against an answer that is awaited until its timeout."""
+        self._route(test_document.route(timeout=60.0))
+        target = await self._start_target(standin.says(standin.answer()))
+        read = http1connection.HTTP1Connection.read_response
+
+        async def read_request_only(connection, delegate):
+            if connection.is_client:
+                raise RuntimeError("of one answer")
+            return await read(connection, delegate)
+
+        with mock.patch.object(
+            http1connection.HTTP1Connection, "read_response", read_request_only
+        ):
+            caller = await standin.Caller(self.address).start()
+            self.addCleanup(caller.close)
+            async with asyncio.timeout(10):
+                reply = await caller.ask()
+        self.assertEqual((502, 1), (reply.status, len(target.requests)))
+
+    async def test_a_deadline_in_the_far_future_is_limited(self):
+        """Guards against numbers that a target cannot read."""
+        self._route(test_document.route(timeout=1e15))
+        target = await self._start_target(standin.says(standin.answer()))
+        self.assertEqual((await self.caller.ask()).status, 200)
+        deadline_ms = int(target.requests[0].headers["X-Deadline-Ms"])
+        self.assertEqual(deadline_ms, 2**31 - 1)
+
     async def test_unconfirmed_routes_and_keys_are_not_denied(self):
         """A route or key of a newer configuration must not get 404 or 401.
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -121,6 +121,17 @@
 
         self._run(body, expects_pushes=False)
 
+    def test_a_message_that_cannot_be_encoded_fails_alone(self):
+        """Guards against a loop that ends for one odd message."""
+
+        async def body(link, sockets):
+            with self.assertRaisesRegex(links.LinkDownError, "AskStatus"):
+                await link.request(messages.AskStatus(view="\ud800"), seconds=1)
+            await link.request(messages.AskStatus(view="x"), seconds=1)
+            self.assertEqual(link.reconnects, 0)
+
+        self._run(body)
+
     def test_a_link_recovers_from_a_lack_of_descriptors(self):
         """Guards against a peer that is never reached again."""
 
--- a/tests/test_planner_lease.py
+++ b/tests/test_planner_lease.py
@@ -20,6 +20,7 @@
 from endivestream.version import state as state_lib
 import hypothesis
 from hypothesis import strategies as st
+import msgspec
 
 from tests import test_site_planner
 
@@ -570,6 +571,25 @@
             for m in self.sent
         )
 
+    async def test_an_odd_registration_is_skipped(self):
+        """Guards against a report of another build that ends the planning."""
+        registration = registry_lib.Registration(
+            name="t1", service="s", address="10.0.0.1:80", domain="d"
+        )
+        odd = msgspec.structs.replace(
+            registration, name="odd", address="10.0.0.1:84220"
+        )
+        await self._put_answer(
+            position=table_position.Position(1, 1),
+            is_complete_state=True,
+            items=tuple(
+                placement_messages.FeedTargetReport(registration=each)
+                for each in (odd, registration)
+            ),
+        )
+        await self._wait_until(lambda: self._count_updates() == 1)
+        self.assertTrue(self.lease_holder.has_lease)
+
     async def test_changes_while_an_update_is_under_way_share_the_next(self):
         """Guards against a queue at the leader of an update for each change."""
         release = asyncio.Event()
--- a/tests/test_relay_hosts.py
+++ b/tests/test_relay_hosts.py
@@ -239,6 +239,72 @@
         (request, *_) = older.requests
         self.assertIn(relay_hosts.STREAM_HEADER, request.headers)
 
+    async def _cut_off_from_targets(self, *scripts):
+        """Leaves only a relay host with some scripts; returns that host."""
+        unreachable = await standin.Target(standin.hangs).start()
+        self._register("t1", unreachable.address)
+        await unreachable.close()
+        relay = await standin.Target(*scripts).start()
+        self.addAsyncCleanup(relay.close)
+        port = int(relay.address.rpartition(":")[2])
+        peers = f"tcp://127.0.0.1:{port - 1}"
+        self.relay_hosts.set_hosts([entry("other", peers=peers)])
+        return relay
+
+    async def test_cut_answers_of_targets_are_not_relayed_as_whole(self):
+        """Guards against a relay host that completes a cut answer."""
+        self._route(test_forward.ONCE)
+        whole = standin.answer(body=b"whole body")
+        for length in range(len(whole)):
+            cut = standin.says(whole[:length], close=True)
+            target = await self._start_target(cut)
+            caller = await standin.Caller(self.relaying._address).start()
+            reply = await caller.ask(**self._header())
+            caller.close()
+            self.assertFalse(reply.status == 200 and reply.whole, length)
+            self.assertEqual(1, len(target.requests))
+            self.view.set_targets([], list(self.view.targets))
+
+    async def test_cut_answers_of_relay_hosts_are_not_whole(self):
+        """Guards against a cut answer of another host, framed as whole."""
+        self._route(test_forward.ONCE)
+        whole = standin.answer(body=b"whole body")
+        for length in range(len(whole)):
+            # The host is avoided for a while after a cut answer.
+            self.relay_hosts._avoided_until.clear()
+            self.relay_hosts._unserved_until.clear()
+            cut = standin.says(whole[:length], close=True)
+            relay = await self._cut_off_from_targets(cut)
+            caller = await standin.Caller(self.address).start()
+            reply = await caller.ask(X_Deadline_Ms=900)
+            caller.close()
+            self.assertFalse(reply.status == 200 and reply.whole, length)
+            self.assertEqual(1, len(relay.requests), length)
+            self.view.set_targets([], list(self.view.targets))
+
+    async def test_odd_times_of_relay_hosts_are_not_passed_on(self):
+        """Guards against callers that are told to retry at no time."""
+        self._route(test_forward.ONCE)
+        for text, expected in (
+            ("nan", None),
+            ("inf", None),
+            ("1e999", None),
+            ("-1", None),
+            ("9" * 5000, None),
+            ("soon", None),
+            ("2", 2.0),
+        ):
+            headers = {relay_hosts.FAILURE_HEADER: "all_failing"}
+            answer = standin.answer(503, Retry_After=text, **headers)
+            self.relay_hosts._avoided_until.clear()
+            self.relay_hosts._unserved_until.clear()
+            await self._cut_off_from_targets(standin.says(answer))
+            reply = await self.caller.ask(X_Deadline_Ms=900)
+            self.assertEqual(503, reply.status, text[:9])
+            seconds = float(reply.headers["Retry-After"])
+            self.assertTrue(0 <= seconds <= (expected or 1.0), text[:9])
+            self.view.set_targets([], list(self.view.targets))
+
     async def test_relay_headers_of_callers_are_not_passed_on(self):
         """Guards against callers that speak as an entry host."""
         self._route(test_forward.ONCE)
