Apply the entries after one that raises

Cause: entries are applied in the batches in which they are committed. An error of one, or of a part that is told of it (on_applied), left the loop with the applied index at that entry: the rest of the batch was never applied, and its callers waited until their timeouts. Batches differ between replicas, so the same error at all of them would leave different states. Change: the error goes to the proposer of its entry, and the entries after it are applied. Errors of on_applied are logged. A failed write or sync still stops the process. Evidence: test_an_entry_that_cannot_be_applied_fails_alone and test_an_error_after_an_entry_is_applied_ends_nothing time out without the change, and pass with it. test_replicate 9, test_consensus 17, test_control_hosts 4, test_entry_site 20 passed. Weighed: stopping the process at such an error. All control hosts would stop at the same entry, again after each restart.

--- a/packages/endivestream/src/endivestream/version/replicate.py
+++ b/packages/endivestream/src/endivestream/version/replicate.py
@@ -391,23 +391,46 @@
 
     def _apply(self, entries: list[storage_lib.Entry]) -> None:
         for entry in entries:
-            result = None
+            result: state_lib.Result | None = None
+            failure: Exception | None = None
             self._applied_index = entry.index
-            if entry.payload[:1] not in (b"", members_lib.MEMBERSHIP_PREFIX):
-                command = state_lib.decode(entry.payload)
-                result = self.state.apply(entry.index, command)
-                self._on_applied(command, result)
+            try:
+                result = self._apply_entry(entry)
+            except Exception as error:
+                # Replicas commit entries in different batches: without the
+                # rest of a batch their states would differ.
+                logs.log_error("entry_not_applied", error, index=entry.index)
+                failure = error
             pending = self._pending.pop(entry.index, None)
             if pending is None or pending.future.done():
                 continue
-            if pending.term == entry.term and result is not None:
-                pending.future.set_result(result)
-            else:
-                pending.future.set_exception(
-                    LeadershipLostError(
-                        "the entry was replaced by one of another leader"
-                    )
+            if pending.term != entry.term or (
+                result is None and failure is None
+            ):
+                failure = LeadershipLostError(
+                    "the entry was replaced by one of another leader"
                 )
+            if failure is not None:
+                pending.future.set_exception(failure)
+            else:
+                pending.future.set_result(result)
+
+    def _apply_entry(self, entry: storage_lib.Entry) -> state_lib.Result | None:
+        """Returns the result of an entry; None if it is no command."""
+        if entry.payload[:1] in (b"", members_lib.MEMBERSHIP_PREFIX):
+            return None
+        command = state_lib.decode(entry.payload)
+        result = self.state.apply(entry.index, command)
+        try:
+            self._on_applied(command, result)
+        except Exception as error:
+            logs.log_error(
+                "applied_entry_unused",
+                error,
+                index=entry.index,
+                command=type(command).__name__,
+            )
+        return result
 
     def _compact(self) -> None:
         index = self._applied_index
--- a/tests/test_replicate.py
+++ b/tests/test_replicate.py
@@ -3,6 +3,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest import mock
 
 from endivestream.version import calls
 from endivestream.version import departures
@@ -83,6 +84,36 @@
         await replicator.propose(_begin(3))
         self.assertEqual(len(replicator.state.calls), 3)
 
+    async def test_an_entry_that_cannot_be_applied_fails_alone(self):
+        """Guards against replicas that skip the rest of different batches."""
+        replicator = await self._started()
+        apply = replicator.state.apply
+
+        def fail_once(index, command):
+            if getattr(command, "key", "") == "k1":
+                raise ValueError("of one command")
+            return apply(index, command)
+
+        with mock.patch.object(replicator.state, "apply", fail_once):
+            async with asyncio.timeout(10):
+                results = await asyncio.gather(
+                    *(replicator.propose(_begin(n)) for n in range(4)),
+                    return_exceptions=True,
+                )
+        self.assertIsInstance(results[1], ValueError)
+        self.assertEqual(len(replicator.state.calls), 3)
+
+    async def test_an_error_after_an_entry_is_applied_ends_nothing(self):
+        """Guards against confirmations lost for a part that uses entries."""
+        replicator = await self._started()
+        fails = mock.Mock(side_effect=ValueError("of one user"))
+        with mock.patch.object(replicator, "_on_applied", fails):
+            async with asyncio.timeout(10):
+                await asyncio.gather(
+                    *(replicator.propose(_begin(n)) for n in range(4))
+                )
+        self.assertEqual(len(replicator.state.calls), 4)
+
     async def test_an_error_of_one_step_does_not_end_the_log(self):
         """Guards against a control host that runs and takes no part."""
         replicator = await self._started()
