--- a/tests/test_odd_reports.py
+++ b/tests/test_odd_reports.py
@@ -213,6 +213,31 @@
         entry._take_news(news)
         self.assertEqual({"t1"}, set(entry._view.targets))
 
+    def test_reports_above_the_limits_are_refused(self):
+        """Guards against a report that takes all time or memory of hosts."""
+        models = [
+            {"name": f"m{number}", "version": 1, "adapters": []}
+            for number in range(16_385)
+        ]
+        for report, part in (
+            (test_platform.BEAT | {"models": models}, "16384"),
+            (test_platform.BEAT | {"pad": "x" * 2**20}, str(2**20)),
+        ):
+            error = targets.read_beat("i-1", json.dumps(report).encode())
+            self.assertIsInstance(error, str)
+            self.assertIn(part, error)
+        # The report names three more in its other fields.
+        report = test_platform.BEAT | {"models": models[:-4]}
+        registration = targets.read_beat("i-1", json.dumps(report).encode())
+        self.assertEqual(16_381, len(registration.loaded))
+
+    def test_names_that_no_message_can_hold_are_refused(self):
+        """Guards against a deregistration that ends the leader's updates."""
+        for name in ("a" * 257, "a\r\nb", "a\x00", "\ud800"):
+            self.assertTrue(registration_check.find_name_problem(name), name)
+        for name in ("i-7f3a91c2", "Łódź", "a" * 256):
+            self.assertEqual("", registration_check.find_name_problem(name))
+
     def test_problem_names_field_value_and_valid_values(self):
         """Guards against errors that do not lead to the odd value."""
         problem = registration_check.find_problem(_ODD_REGISTRATIONS[0])
