Bound the memory of requests at each HTTP address

Callers saw: beside 150 clients that stop one byte short of the end of their bodies, most ordinary requests got no answer, and none after the crowd had left; with more such clients the process ends for want of memory.

Cause: bodies were counted only with the contract `pressure`, by payload, and a stalled body kept its part of that budget until its client closed. Addresses other than those of callers took bodies of 100 MB, the library's default, in any number. A head of many short fields takes 25 times its bytes.

A request holds its body, and its head if that is large, until its answer. Without room the unfinished requests with most bytes x seconds of silence are refused (503, no_memory), then new ones; the last tenth is for requests of at most 64 KiB. A refused request is answered at once and read to its end, so that no reset loses the answer. Bodies are collected in one buffer in place of a list of pieces.

test_buffering: requests are keyed now; its server is the bounded one.

Lost: a list of pieces that counts 50 bytes a piece (one buffer is simpler); dropping the body without an answer until the client has sent it all (a stalled client never gets one).

--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -0,0 +1,398 @@
+"""HTTP server whose clients cannot exhaust the memory of the process.
+
+Clients may stop in the middle of a head or of a body, or send bodies over the
+limit. The server bounds what they make the process
+hold, whatever they send:
+
+| held | bound | response when it is reached |
+| --- | --- | --- |
+| heads | header limit; larger ones count toward the budget of requests | \
+closed, or refused with 503 |
+| bodies | body limit, budget of requests of the process | 413; 503 |
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import enum
+import http.client
+import re
+import sys
+from typing import Any
+from typing import NamedTuple
+
+from tornado import http1connection
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+
+from endivestream import clock
+from endivestream import findings
+from endivestream import logs
+from endivestream.process import request_memory as request_memory_lib
+
+# Bytes read from a connection at a time. One that is not read on holds as many.
+_READ_BYTES = 16 * 1024
+# Memory of a field of a head: name, value and their entries. Heads up to the
+# second bound are part of what each connection takes.
+_FIELD_BYTES = 256
+_UNCOUNTED_HEAD_BYTES = 16 * 1024
+_REFUSAL_RETRY_SECONDS = 0.05
+_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
+
+
+class Limits(NamedTuple):
+    """Limits of a listener on its clients.
+
+    Attributes:
+        header_bytes: Maximum size of a head.
+        body_bytes: Maximum size of a body.
+        header_seconds: Maximum time for a head, from its first byte on.
+        idle_seconds: Maximum time without a byte, between requests and in a
+            body.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+def _as_text(failure: findings.Failure) -> tuple[str, bytes]:
+    """Returns the type and body of the answer to a refused request."""
+    body = f"{failure.reason}: {failure.detail}\n".encode()
+    return "text/plain; charset=utf-8", body
+
+
+class Refusal(NamedTuple):
+    """How the server refuses requests.
+
+    Attributes:
+        headers: Headers of refusals for lack of memory, besides the time to
+            come back.
+        retry_after: Name of the header with that time.
+        request_id: Name of the header with the id of a request, for the log.
+        encode: Returns the type and body of the answer.
+    """
+
+    headers: Mapping[str, str] = {}
+    retry_after: str = "Retry-After"
+    request_id: str = ""
+    encode: Callable[[findings.Failure], tuple[str, bytes]] = _as_text
+
+
+_PLAIN_REFUSAL = Refusal()
+
+
+class _Phase(enum.Enum):
+    """What a connection waits for."""
+
+    HEAD = enum.auto()
+    BODY = enum.auto()
+    SERVED = enum.auto()
+
+
+class _Connection:
+    """A connection and what it waits for.
+
+    Attributes:
+        stream: The connection.
+        phase: What it waits for.
+        waits_since: Time at which the client last did what it had to.
+        guard: The request that is being read or served.
+    """
+
+    def __init__(self, *, stream: iostream.IOStream, now: float) -> None:
+        self.stream = stream
+        self.phase = _Phase.HEAD
+        self.waits_since = now
+        self.guard: _RequestGuard | None = None
+
+
+class BoundedServer(httpserver.HTTPServer):
+    """Serves the clients of one listener within its bounds.
+
+    `stop` ends it.
+    """
+
+    # Tornado constructs servers by `initialize`.
+    def initialize(  # type: ignore[override]
+        self,
+        handler: Any,
+        *,
+        name: str,
+        limits: Limits,
+        memory: request_memory_lib.RequestMemory,
+        refusal: Refusal = _PLAIN_REFUSAL,
+    ) -> None:
+        """Initializes a server without connections.
+
+        Args:
+            handler: Handles the requests: an application or a delegate.
+            name: Name of the listener, in the log and in metrics.
+            limits: Limits on clients.
+            memory: Bounds the memory of the requests of the process.
+            refusal: How requests are refused for lack of memory.
+        """
+        super().initialize(handler, chunk_size=_READ_BYTES)
+        self.name = name
+        self._memory = memory
+        self._refusal = refusal
+        self._open: dict[iostream.IOStream, _Connection] = {}
+        # In the order in which the connections began to wait.
+        self._waiting: dict[_Phase, dict[_Connection, None]] = {
+            phase: {} for phase in _Phase
+        }
+        self._counts: collections.Counter[str] = collections.Counter()
+        self.set_limits(limits)
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._open)
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Number of closed connections and refused requests, by reason."""
+        return self._counts
+
+    @property
+    def limits(self) -> Limits:
+        """Limits on clients."""
+        return self._limits
+
+    def set_limits(self, limits: Limits) -> None:
+        """Applies limits to the next head, and to bodies that begin."""
+        self._limits = limits
+        self.conn_params.max_header_size = limits.header_bytes
+        # Tornado takes the time without a request for that of the head.
+        self.conn_params.header_timeout = limits.idle_seconds
+        # The server checks bodies itself, and answers with 413.
+        self.conn_params.max_body_size = sys.maxsize
+        self.max_buffer_size = limits.header_bytes + 2 * _READ_BYTES
+
+    # Connections.
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serves a new connection."""
+        connection = _Connection(stream=stream, now=clock.now())
+        self._open[stream] = connection
+        self._waiting[_Phase.HEAD][connection] = None
+        super().handle_stream(stream, address)
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Returns a delegate that reads one request within the bounds."""
+        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
+        assert isinstance(request_conn, http1connection.HTTP1Connection)
+        connection = self._open[server_conn.stream]
+        self._end_request(connection)
+        self.set_phase(connection, _Phase.HEAD)
+        return _RequestGuard(
+            server=self,
+            connection=connection,
+            request_conn=request_conn,
+            delegate=super().start_request(server_conn, request_conn),
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Releases what a closed connection held."""
+        super().on_close(server_conn)
+        assert isinstance(server_conn, http1connection.HTTP1ServerConnection)
+        connection = self._open.pop(server_conn.stream)
+        del self._waiting[connection.phase][connection]
+        self._end_request(connection)
+
+    def set_phase(self, connection: _Connection, phase: _Phase) -> None:
+        """Records that a connection begins to wait, as the last one."""
+        del self._waiting[connection.phase][connection]
+        connection.phase = phase
+        connection.waits_since = clock.now()
+        self._waiting[phase][connection] = None
+
+    # Requests.
+
+    def _end_request(self, connection: _Connection) -> None:
+        if connection.guard is not None:
+            connection.guard.release()
+            connection.guard = None
+
+    def record_refusal(
+        self, reason: str, headers: httputil.HTTPHeaders | None, **fields: Any
+    ) -> None:
+        """Counts and logs a refused request."""
+        self._counts[reason] += 1
+        name = self._refusal.request_id
+        logs.event(
+            "request_refused_for_memory"
+            if reason == request_memory_lib.NO_MEMORY
+            else "request_refused",
+            listener=self.name,
+            reason=reason,
+            request=headers.get(name, "")[:64] if headers and name else "",
+            **fields,
+        )
+
+
+class _RequestGuard(httputil.HTTPMessageDelegate):
+    """Reads one request within the bounds and passes it on.
+
+    A request that is refused is read to its end and dropped: closing the
+    connection before that could lose the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: BoundedServer,
+        connection: _Connection,
+        request_conn: http1connection.HTTP1Connection,
+        delegate: httputil.HTTPMessageDelegate,
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._request_conn = request_conn
+        self._delegate = delegate
+        self._key: int | None = None
+        self._headers: httputil.HTTPHeaders | None = None
+        self._received_bytes = 0
+        self._has_large_head = False
+        self._is_head = False
+        self._is_passed_on = False
+        self._is_refused = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        self._server.set_phase(self._connection, _Phase.BODY)
+        self._connection.guard = self
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._is_head = start_line.method == "HEAD"
+        self._headers = headers
+        self._key = self._server._memory.open(self._drop)
+        length = headers.get("Content-Length", "")
+        if _LENGTH_PATTERN.fullmatch(length) and (
+            int(length) > self._server.limits.body_bytes
+        ):
+            self._refuse_too_large()
+            return None
+        head_bytes = _head_bytes(headers)
+        self._has_large_head = head_bytes > _UNCOUNTED_HEAD_BYTES
+        if self._has_large_head and not self._hold(head_bytes):
+            return None
+        self._is_passed_on = True
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self._received_bytes += len(chunk)
+        if self._received_bytes > self._server.limits.body_bytes:
+            if not self._request_conn.stream.closed():
+                self._refuse_too_large()
+            return None
+        self._server.set_phase(self._connection, _Phase.BODY)
+        if self._is_refused or not self._hold(len(chunk)):
+            return None
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        self._server.set_phase(self._connection, _Phase.SERVED)
+        if self._is_refused:
+            self._request_conn.finish()
+            return
+        if self._key is not None:
+            self._server._memory.complete(self._key)
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        if self._is_passed_on:
+            self._is_passed_on = False
+            self._delegate.on_connection_close()
+
+    def release(self) -> None:
+        """Releases the memory of the request, after its answer."""
+        if self._key is not None:
+            self._server._memory.release(self._key)
+            self._key = None
+
+    def _hold(self, size: int) -> bool:
+        """Holds a part of the request; refuses the request without room."""
+        assert self._key is not None
+        if self._server._memory.hold(self._key, size):
+            return True
+        self._drop()
+        return False
+
+    def _drop(self) -> None:
+        """Refuses the request for lack of memory and drops what was read."""
+        refusal = self._server._refusal
+        failure = findings.not_run(
+            request_memory_lib.NO_MEMORY,
+            "this host holds as much for its clients as it may",
+            status=503,
+            retry_after=_REFUSAL_RETRY_SECONDS,
+        )
+        retry = {refusal.retry_after: f"{_REFUSAL_RETRY_SECONDS:g}"}
+        self._refuse(failure, {**refusal.headers, **retry})
+
+    def _refuse_too_large(self) -> None:
+        if self._is_refused:
+            self._request_conn.close()
+            return
+        limit = self._server.limits.body_bytes
+        failure = findings.not_run(
+            "body_too_large", f"a body may have {limit} bytes", status=413
+        )
+        self._refuse(failure, {})
+
+    def _refuse(
+        self, failure: findings.Failure, headers: Mapping[str, str]
+    ) -> None:
+        """Answers the request; drops what was read and what follows."""
+        self._is_refused = True
+        self._server.record_refusal(
+            failure.reason,
+            self._headers,
+            received=self._received_bytes,
+            held=self._server._memory.held,
+        )
+        # A body over the limit may have no end, a head is kept until the end,
+        # and a client that expects to be told to go on may send no body.
+        is_read_on = (
+            failure.status != 413
+            and not self._has_large_head
+            and "Expect" not in (self._headers or {})
+        )
+        content_type, body = self._server._refusal.encode(failure)
+        answer_headers = httputil.HTTPHeaders(dict(headers))
+        answer_headers["Content-Type"] = content_type
+        answer_headers["Content-Length"] = str(len(body))
+        if not is_read_on:
+            answer_headers["Connection"] = "close"
+        start_line = httputil.ResponseStartLine(
+            "HTTP/1.1", failure.status, http.client.responses[failure.status]
+        )
+        self._request_conn.write_headers(
+            start_line, answer_headers, None if self._is_head else body
+        )
+        self.on_connection_close()
+        self.release()
+        if not is_read_on:
+            self._request_conn.finish()
+        if self._has_large_head and self._headers is not None:
+            # The connection refers to the head until it has been closed.
+            for field in list(self._headers):
+                del self._headers[field]
+
+
+def _head_bytes(headers: httputil.HTTPHeaders) -> int:
+    """Returns the memory that the fields of a head take, in bytes."""
+    return sum(
+        _FIELD_BYTES + len(name) + len(value)
+        for name, value in headers.get_all()
+    )
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -15,12 +15,9 @@
 from collections.abc import Sequence
 import contextlib
 import math
-import socket
 import time
 
 import msgspec
-from tornado import httpserver
-from tornado import netutil
 import zmq.asyncio
 
 from endivestream import clock
@@ -40,15 +37,18 @@
 from endivestream.connection import process_proof as process_proof_lib
 from endivestream.connection import registration_check
 from endivestream.connection import watch as watch_lib
+from endivestream.process import bounded_server
 from endivestream.process import configuration_freshness as freshness_lib
 from endivestream.process import crash_reporter as crash_reporter_lib
 from endivestream.process import entry_credit
 from endivestream.process import entry_hedges
 from endivestream.process import entry_rate_limits
 from endivestream.process import entry_repeats
+from endivestream.process import listeners as listeners_lib
 from endivestream.process import origin_directory
 from endivestream.process import prefill_turn_service
 from endivestream.process import push_relay
+from endivestream.process import request_memory
 from endivestream.process import site_metrics
 from endivestream.process import site_settings
 from endivestream.process.entry_host import host_load as host_load_lib
@@ -123,6 +123,7 @@
             codec: Encodes queries to engines; None if they answer none.
         """
         self._settings = settings
+        self._names = names
         self._context = zmq.asyncio.Context()
         self._meter = loop_meter.LoopMeter()
         self._pool = exchange_lib.Pool()
@@ -317,18 +318,20 @@
             target_memory=self._target_memory,
         )
         self._forwarder = forward_lib.Forwarder(parts=parts)
-        budget = self._buffers.budget if self._buffers else None
+        self._listeners = listeners_lib.Listeners(
+            resources=settings.resources,
+            budget=self._buffers.budget if self._buffers else None,
+        )
+        self._metrics.add_listeners(self._listeners)
         self._front = call_lib.RequestServer(
             serve=self._forwarder.serve,
             now=clock.now,
             refuses_new=lambda: self._host_load.is_refusing,
-            budget=budget,
         )
         self._relay_front = call_lib.RequestServer(
             serve=self._forwarder.serve_relayed,
             now=clock.now,
             refuses_new=lambda: self._host_load.is_refusing,
-            budget=budget,
         )
         self._host_load = host_load_lib.HostLoad(
             settings=settings,
@@ -337,8 +340,7 @@
                 self._front.passed_bytes + self._relay_front.passed_bytes
             ),
         )
-        self._server: httpserver.HTTPServer | None = None
-        self._relay_server: httpserver.HTTPServer | None = None
+        self._server: bounded_server.BoundedServer | None = None
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -355,6 +357,11 @@
         """The metrics of this entry host."""
         return self._metrics
 
+    @property
+    def listeners(self) -> listeners_lib.Listeners:
+        """The HTTP listeners of the process."""
+        return self._listeners
+
     @property
     def running(self) -> int:
         """The number of requests in progress, relayed ones included."""
@@ -405,19 +412,17 @@
         Raises:
             OSError: The address cannot be used.
         """
-        has_slow_readers = self._settings.has_slow_readers
-        self._server = _listen(
-            self._front,
-            self._settings.callers,
-            has_slow_readers=has_slow_readers,
+        self._server = self._listen(
+            listeners_lib.CALLERS, self._settings.callers, self._front
         )
         relay_address = relay_hosts_lib.relay_address(self._settings.peers)
         if relay_address:
-            self._relay_server = _listen(
-                self._relay_front,
+            self._listen(
+                listeners_lib.RELAY._replace(
+                    added_header_bytes=_RELAY_HEADER_BYTES
+                ),
                 relay_address,
-                _RELAY_HEADER_BYTES,
-                has_slow_readers=has_slow_readers,
+                self._relay_front,
             )
         self._meter.start()
         self._host_load.start()
@@ -426,6 +431,32 @@
             self._push_relay.start()
         self._watch.start()
 
+    def _listen(
+        self,
+        listener: listeners_lib.Listener,
+        address: str,
+        front: call_lib.RequestServer,
+    ) -> bounded_server.BoundedServer:
+        has_slow_readers = self._settings.has_slow_readers
+        names = self._names
+        headers = {}
+        if front is self._relay_front:
+            headers = {relay_hosts_lib.FAILURE_HEADER: request_memory.NO_MEMORY}
+        return self._listeners.listen(
+            listener._replace(
+                kernel_unsent_bytes=(
+                    _KERNEL_UNSENT_BYTES if has_slow_readers else 0
+                ),
+                refusal=bounded_server.Refusal(
+                    headers=headers,
+                    retry_after=names.retry_after,
+                    request_id=names.request,
+                ),
+            ),
+            address,
+            front,
+        )
+
     def set_controls(self, controls: Sequence[str]) -> None:
         """Replaces the addresses of control hosts after changed settings."""
         self._watch.set_seeds(controls)
@@ -468,9 +499,7 @@
 
     async def close(self) -> None:
         """Closes all services and connections; aborts running requests."""
-        for server in (self._server, self._relay_server):
-            if server is not None:
-                server.stop()
+        self._listeners.close()
         await self._host_load.close()
         await self._crash_reporter.close()
         await self._freshness.close()
@@ -731,9 +760,8 @@
             loop_late_s=self._meter.lateness,
         )
         if self._server is not None:
-            limits = document.limits
             params = self._server.conn_params
-            params.header_timeout = limits.idle_seconds
+            params.header_timeout = document.limits.idle_seconds
         self._signal_change()
 
     def _apply_evacuations(
@@ -949,44 +977,3 @@
     if len(usable) == len(news.targets):
         return news
     return msgspec.structs.replace(news, targets=tuple(usable))
-
-
-def _listen(
-    front: call_lib.RequestServer,
-    address: str,
-    added_header_bytes: int = 0,
-    *,
-    has_slow_readers: bool = False,
-) -> httpserver.HTTPServer:
-    """Returns a server that reads requests on an address.
-
-    Args:
-        front: Reads the requests.
-        address: `IP:PORT`.
-        added_header_bytes: Size of headers beyond those of callers.
-        has_slow_readers: Whether the kernel takes few bytes of each answer.
-
-    Raises:
-        OSError: The address cannot be used.
-    """
-    host, port = address.rsplit(":", 1)
-    sockets = netutil.bind_sockets(int(port), host, backlog=1024)
-    if has_slow_readers:
-        for each in sockets:
-            # Accepted connections inherit it.
-            each.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_NOTSENT_LOWAT,
-                _KERNEL_UNSENT_BYTES,
-            )
-    limits = document_lib.Limits()
-    header_bytes = limits.header_bytes + added_header_bytes
-    server = httpserver.HTTPServer(
-        front,
-        max_header_size=header_bytes,
-        max_body_size=limits.body_bytes,
-        max_buffer_size=limits.body_bytes + header_bytes,
-        idle_connection_timeout=limits.idle_seconds,
-    )
-    server.add_sockets(sockets)
-    return server
--- /dev/null
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -0,0 +1,165 @@
+"""The HTTP listeners of a process, and what their clients may use of it.
+
+All listeners share the memory of the process.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import socket
+from typing import Any
+from typing import NamedTuple
+
+from tornado import netutil
+
+from endivestream.process import bounded_server
+from endivestream.process import request_memory as request_memory_lib
+from endivestream.process import site_settings
+from endivestream.request.buffering import budget as budget_lib
+from endivestream.version import document as document_lib
+
+_BACKLOG = 1024
+
+
+class Listener(NamedTuple):
+    """What one listener allows.
+
+    Attributes:
+        name: Name in the log and in metrics.
+        limits: Limits on its clients.
+        added_header_bytes: Size of headers beyond those of callers.
+        kernel_unsent_bytes: Unsent bytes of an answer that the kernel takes; 0
+            for its default.
+        refusal: How requests are refused for lack of memory.
+    """
+
+    name: str
+    limits: document_lib.Limits = document_lib.Limits()
+    added_header_bytes: int = 0
+    kernel_unsent_bytes: int = 0
+    refusal: bounded_server.Refusal = bounded_server.Refusal()
+
+
+_HEADER_BYTES = 16 * 1024
+_WITHOUT_BODY = document_lib.Limits(header_bytes=_HEADER_BYTES, body_bytes=1024)
+CALLERS = Listener("callers")
+RELAY = Listener("relay")
+CONTROL = Listener("control", document_lib.Limits(header_bytes=_HEADER_BYTES))
+DIRECTORY = Listener("directory", _WITHOUT_BODY)
+READINESS = Listener("readiness", _WITHOUT_BODY)
+METRICS = Listener("metrics", _WITHOUT_BODY)
+
+
+def bind(address: str) -> list[socket.socket]:
+    """Returns sockets that listen on `IP:PORT`.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    host, port = address.rsplit(":", 1)
+    return netutil.bind_sockets(int(port), host, backlog=_BACKLOG)
+
+
+class Listeners:
+    """The listeners of one process."""
+
+    def __init__(
+        self,
+        *,
+        resources: site_settings.HostResources,
+        budget: budget_lib.Budget | None = None,
+    ) -> None:
+        """Initializes a process without listeners.
+
+        Args:
+            resources: What the host has.
+            budget: Bounds the memory of requests; by default by the memory of
+                the host.
+        """
+        bounds = budget_lib.Bounds.of(resources.memory_mb)
+        self._memory_bytes = bounds.memory
+        self._memory = request_memory_lib.RequestMemory(
+            budget=budget or budget_lib.Budget(bounds=bounds)
+        )
+        self._servers: list[tuple[Listener, bounded_server.BoundedServer]] = []
+
+    @property
+    def memory(self) -> request_memory_lib.RequestMemory:
+        """Bounds the memory of the requests of all listeners."""
+        return self._memory
+
+    @property
+    def counts(self) -> Mapping[str, int]:
+        """Closed connections and refused requests, by listener and reason."""
+        counts: collections.Counter[str] = collections.Counter()
+        for listener, server in self._servers:
+            for reason, count in server.counts.items():
+                counts[f"{listener.name}_{reason}"] += count
+        return counts
+
+    @property
+    def connections(self) -> Mapping[str, int]:
+        """Number of open connections, by listener."""
+        counts: collections.Counter[str] = collections.Counter()
+        for listener, server in self._servers:
+            counts[listener.name] += server.connections
+        return counts
+
+    def listen(
+        self, listener: Listener, address: str, handler: Any
+    ) -> bounded_server.BoundedServer:
+        """Starts a server on an address.
+
+        Args:
+            listener: What it allows.
+            address: `IP:PORT`.
+            handler: Handles the requests: an application or a delegate.
+
+        Raises:
+            OSError: The address cannot be used.
+        """
+        return self.serve(listener, bind(address), handler)
+
+    def serve(
+        self,
+        listener: Listener,
+        sockets: Sequence[socket.socket],
+        handler: Any,
+    ) -> bounded_server.BoundedServer:
+        """Starts a server on listening sockets."""
+        for each in sockets:
+            # Accepted connections inherit the options.
+            if listener.kernel_unsent_bytes:
+                each.setsockopt(
+                    socket.IPPROTO_TCP,
+                    socket.TCP_NOTSENT_LOWAT,
+                    listener.kernel_unsent_bytes,
+                )
+        server = bounded_server.BoundedServer(
+            handler,
+            name=listener.name,
+            limits=self._limits(listener, listener.limits),
+            memory=self._memory,
+            refusal=listener.refusal,
+        )
+        server.add_sockets(sockets)
+        self._servers.append((listener, server))
+        return server
+
+    def close(self) -> None:
+        """Stops to accept connections; open ones end with their requests."""
+        for _, server in self._servers:
+            server.stop()
+
+    def _limits(
+        self, listener: Listener, limits: document_lib.Limits
+    ) -> bounded_server.Limits:
+        header_bytes = limits.header_bytes + listener.added_header_bytes
+        return bounded_server.Limits(
+            header_bytes=header_bytes,
+            body_bytes=limits.body_bytes,
+            header_seconds=limits.header_seconds,
+            idle_seconds=limits.idle_seconds,
+        )
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -28,6 +28,7 @@
 from endivestream.connection import registry as registry_lib
 from endivestream.process import control as control_lib
 from endivestream.process import leader_calls
+from endivestream.process import listeners as listeners_lib
 from endivestream.process import planner_lease_holder
 from endivestream.process import report_sender as report_sender_lib
 from endivestream.process import settings as settings_lib
@@ -87,6 +88,7 @@
         self._meter = loop_meter.LoopMeter()
         self._software_counts: collections.Counter[str] = collections.Counter()
         self._pool = exchange_lib.Pool()
+        self._listeners = listeners_lib.Listeners(resources=settings.resources)
         self._engines = engines_lib.Engines(pool=self._pool, codec=codec)
         self._control = control_lib.Control(
             settings=_control_settings(settings),
@@ -135,6 +137,12 @@
             software_counts=lambda: self._software_counts,
             meter=self._meter,
         )
+        self._metrics.add_listeners(self._listeners)
+
+    @property
+    def listeners(self) -> listeners_lib.Listeners:
+        """The HTTP listeners of the process."""
+        return self._listeners
 
     @property
     def metrics(self) -> site_metrics.ControlMetrics:
@@ -197,6 +205,7 @@
 
     async def close(self) -> None:
         """Transfers leadership and stops."""
+        self._listeners.close()
         await self._leader_calls.close()
         await self._report_sender.close()
         await self._planner_lease_holder.close()
--- a/packages/endivestream/src/endivestream/process/site_metrics.py
+++ b/packages/endivestream/src/endivestream/process/site_metrics.py
@@ -17,6 +17,7 @@
 from endivestream import logs
 from endivestream import loop_meter
 from endivestream import tasks
+from endivestream.process import listeners as listeners_lib
 from endivestream.request import forward_parts
 from endivestream.request.buffering import answer_buffer
 from endivestream.request.buffering import target_memory as target_memory_lib
@@ -88,6 +89,25 @@
             logs.problem_counts,
         )
 
+    def add_listeners(self, listeners: listeners_lib.Listeners) -> None:
+        """Registers what clients use of the process."""
+        self._gauge(
+            "request_memory_bytes",
+            "Memory held for requests that are read or served, in bytes",
+            lambda: listeners.memory.held,
+        )
+        self._gauge(
+            "connections",
+            "Open connections of clients, over all listeners",
+            lambda: sum(listeners.connections.values()),
+        )
+        self._add_counts(
+            "client_limits",
+            "Requests refused and connections closed at a limit on clients",
+            "reason",
+            lambda: listeners.counts,
+        )
+
     def exposition(self) -> bytes:
         """Returns all metrics in the text format."""
         return prometheus_client.generate_latest(self._registry)
--- a/packages/endivestream/src/endivestream/request/buffering/answer_buffer.py
+++ b/packages/endivestream/src/endivestream/request/buffering/answer_buffer.py
@@ -88,9 +88,9 @@
         self._open[key] = buffer
         return buffer
 
-    def refusal(self, call: call_lib.Call) -> findings.Failure | None:
+    def refusal(self) -> findings.Failure | None:
         """Returns the refusal of a new request that there is no room for."""
-        if not call.lacks_memory and not self._budget.is_exhausted:
+        if not self._budget.is_exhausted:
             return None
         self._counts["refused"] += 1
         return findings.not_run(
--- a/packages/endivestream/src/endivestream/request/buffering/budget.py
+++ b/packages/endivestream/src/endivestream/request/buffering/budget.py
@@ -1,9 +1,10 @@
-"""Memory that an entry host may hold for callers that read slowly.
+"""Memory that a host may hold for requests and for slow readers.
 
-Addresses this load: many callers read more slowly than targets answer, or stop
-reading, at a host with little memory. Without a bound the host is killed for
-its memory use and all its requests are lost; without any buffer the slow
-callers keep the slots of targets busy.
+Addresses these loads: many callers read more slowly than targets answer, or
+stop reading, at a host with little memory; many send large bodies, or stop in
+the middle of one. Without a bound the host is killed for its memory use and all
+its requests are lost; without any buffer the slow callers keep the slots of
+targets busy.
 
 Does no I/O and reads no clock.
 """
@@ -31,26 +32,36 @@
 # Seconds that count in addition to those for which a caller has taken nothing,
 # so that of callers that read, those with most bytes are paused first.
 _BASE_SECONDS = 1.0
+# Requests that hold more than the first may take only the second share of the
+# budget, so that large bodies leave room for small requests.
+_SMALL_REQUEST_BYTES = 64 * 1024
+_LARGE_REQUESTS_SHARE = 0.9
+# Share of the budget that is freed in addition to what a request needs, so that
+# not each piece of a body searches for requests to drop.
+_SPARE_SHARE = 1 / 16
 
 
 class Bounds(NamedTuple):
     """Bounds in bytes.
 
     Attributes:
-        total: All answers and bodies of the host.
+        total: All answers and requests of the host.
         answer: One answer.
+        memory: The whole memory of the host.
     """
 
     total: int
     answer: int
+    memory: int = 0
 
     @classmethod
     def of(cls, memory_mb: float) -> Bounds:
         """Returns the bounds for a host; 0 if its memory is not known."""
-        total = int(
-            (memory_mb or _DEFAULT_MEMORY_MB) * 1024 * 1024 * _MEMORY_SHARE
+        memory = int((memory_mb or _DEFAULT_MEMORY_MB) * 1024 * 1024)
+        total = int(memory * _MEMORY_SHARE)
+        return cls(
+            total, max(_MIN_ANSWER_BYTES, int(total * _ANSWER_SHARE)), memory
         )
-        return cls(total, max(_MIN_ANSWER_BYTES, int(total * _ANSWER_SHARE)))
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -72,14 +83,34 @@
         return self.size * (_BASE_SECONDS + max(0.0, now - self.taken_at))
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Request:
+    """A request that is being read or served.
+
+    Attributes:
+        size: Bytes held for it.
+        received_at: When its client last sent a byte.
+        is_complete: Whether it has been read completely.
+    """
+
+    size: int = 0
+    received_at: float
+    is_complete: bool = False
+
+    def weight(self, now: float) -> float:
+        """Returns how much it burdens the host: bytes x seconds of silence."""
+        return self.size * (_BASE_SECONDS + max(0.0, now - self.received_at))
+
+
 class Budget:
-    """Bytes held for answers and bodies, and what follows from them."""
+    """Bytes held for answers and requests, and what follows from them."""
 
     def __init__(self, *, bounds: Bounds) -> None:
         self._bounds = bounds
         self._answers: dict[int, _Answer] = {}
         self._answer_bytes = 0
-        self._body_bytes = 0
+        self._requests: dict[int, _Request] = {}
+        self._request_bytes = 0
         self._last_key = 0
 
     @property
@@ -89,26 +120,86 @@
 
     @property
     def held(self) -> int:
-        """Bytes held for all answers and bodies."""
-        return self._answer_bytes + self._body_bytes
+        """Bytes held for all answers and requests."""
+        return self._answer_bytes + self._request_bytes
+
+    @property
+    def held_for_requests(self) -> int:
+        """Bytes held for all requests."""
+        return self._request_bytes
 
     @property
     def is_exhausted(self) -> bool:
         """Whether new requests are refused."""
         return self.held >= self._bounds.total
 
-    # Bodies of requests.
+    # Requests.
+
+    def open_request(self, now: float) -> int:
+        """Returns the key of a new request, which holds nothing yet."""
+        self._last_key += 1
+        self._requests[self._last_key] = _Request(received_at=now)
+        return self._last_key
+
+    def hold(self, key: int, size: int, now: float) -> bool:
+        """Holds a part of a request, if there is room for it.
 
-    def hold_body(self, size: int) -> bool:
-        """Holds a part of a request's body, if there is room for it."""
-        if self.held + size > self._bounds.total:
+        Args:
+            key: The request.
+            size: Size of the part in bytes.
+            now: The time at which the part was received.
+        """
+        request = self._requests[key]
+        request.received_at = now
+        if self._lacking(request, size) > 0:
             return False
-        self._body_bytes += size
+        request.size += size
+        self._request_bytes += size
         return True
 
-    def release_body(self, size: int) -> None:
-        """Releases parts of a body that were held."""
-        self._body_bytes -= size
+    def find_droppable(self, key: int, size: int, now: float) -> list[int]:
+        """Returns the unfinished requests to drop for a part of another.
+
+        Those with the greatest weight are dropped, and none that weighs less
+        than the request that needs the room. Empty if that room cannot be made.
+        """
+        request = self._requests[key]
+        lacking = self._lacking(request, size)
+        weight = (request.size + size) * _BASE_SECONDS
+        heavier = sorted(
+            (
+                (each.weight(now), other)
+                for other, each in self._requests.items()
+                if not each.is_complete and each.weight(now) > weight
+            ),
+            reverse=True,
+        )
+        wanted = lacking + _SPARE_SHARE * self._bounds.total
+        droppable, freed = [], 0
+        for _, other in heavier:
+            if other == key:
+                continue
+            if freed >= wanted:
+                break
+            droppable.append(other)
+            freed += self._requests[other].size
+        return droppable if freed >= lacking else []
+
+    def complete_request(self, key: int) -> None:
+        """Records that a request has been read; it is not dropped any more."""
+        self._requests[key].is_complete = True
+
+    def release(self, key: int) -> None:
+        """Releases all that is held for a request."""
+        request = self._requests.pop(key, None)
+        if request is not None:
+            self._request_bytes -= request.size
+
+    def _lacking(self, request: _Request, size: int) -> float:
+        """Returns the bytes that a part of a request lacks."""
+        is_small = request.size + size <= _SMALL_REQUEST_BYTES
+        share = 1.0 if is_small else _LARGE_REQUESTS_SHARE
+        return self.held + size - share * self._bounds.total
 
     # Answers.
 
--- a/packages/endivestream/src/endivestream/request/call.py
+++ b/packages/endivestream/src/endivestream/request/call.py
@@ -16,7 +16,6 @@
 
 from endivestream import logs
 from endivestream import tasks
-from endivestream.request.buffering import budget as budget_lib
 
 # Hop-by-hop headers, which apply to a single connection and are not forwarded.
 HOP_HEADERS = frozenset(
@@ -49,8 +48,6 @@
         body: The complete body.
         arrived_at: Time at which the last byte was read.
         is_refused: Whether the host accepts no work from this connection.
-        lacks_memory: Whether the body was dropped because the host has no
-            memory for it.
     """
 
     def __init__(
@@ -62,7 +59,6 @@
         body: bytes,
         arrived_at: float,
         is_refused: bool = False,
-        lacks_memory: bool = False,
     ) -> None:
         self.method = start_line.method
         self.uri = start_line.path
@@ -70,7 +66,6 @@
         self.body = body
         self.arrived_at = arrived_at
         self.is_refused = is_refused
-        self.lacks_memory = lacks_memory
         self._connection = connection
         self._version = start_line.version
         self._head_sent = False
@@ -189,7 +184,6 @@
         serve: Callable[[Call], Awaitable[None]],
         now: Callable[[], float],
         refuses_new: Callable[[], bool] = lambda: False,
-        budget: budget_lib.Budget | None = None,
     ) -> None:
         """Initializes a server without connections.
 
@@ -198,12 +192,10 @@
             now: Returns the time.
             refuses_new: Returns whether the host accepts no work from
                 connections that are opened now.
-            budget: Bounds the memory of requests; None without a bound.
         """
         self._serve = serve
         self._now = now
         self._refuses_new = refuses_new
-        self._budget = budget
         self._running: set[asyncio.Task[None]] = set()
         # Weak: the server does not tell when it closes a connection.
         self._accepted_connections: weakref.WeakSet[object] = weakref.WeakSet()
@@ -288,10 +280,8 @@
         self._front = front
         self._connection = connection
         self._server_conn = server_conn
-        self._chunks: list[bytes] = []
-        # Bytes of the body that count toward the host's budget.
-        self._held = 0
-        self._lacks_memory = False
+        # One buffer: a list of small pieces would take far more memory.
+        self._body = bytearray()
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._task: asyncio.Task[None] | None = None
@@ -306,17 +296,7 @@
         self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        budget = self._front._budget
-        if budget is not None and not self._lacks_memory:
-            if budget.hold_body(len(chunk)):
-                self._held += len(chunk)
-            else:
-                # The rest is read and dropped: the caller gets its answer
-                # after it has sent the whole body.
-                self._lacks_memory = True
-                self._release_body()
-        if not self._lacks_memory:
-            self._chunks.append(chunk)
+        self._body += chunk
 
     def finish(self) -> None:
         assert self._start_line is not None
@@ -324,26 +304,16 @@
             connection=self._connection,
             start_line=self._start_line,
             headers=self._headers,
-            body=b"".join(self._chunks),
+            body=bytes(self._body),
             arrived_at=self._front._now(),
             is_refused=not self._front.accepts(self._server_conn),
-            lacks_memory=self._lacks_memory,
         )
-        self._chunks.clear()
+        self._body = bytearray()
         self._task = self._front.start(call)
-        if self._held:
-            self._task.add_done_callback(lambda _: self._release_body())
         # Cancels the task immediately when the caller disconnects.
         self._connection.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
         if self._task is not None:
             self._task.cancel()
-        else:
-            self._release_body()
-
-    def _release_body(self) -> None:
-        self._chunks.clear()
-        if self._front._budget is not None:
-            self._front._budget.release_body(self._held)
-        self._held = 0
+        self._body = bytearray()
--- a/packages/endivestream/src/endivestream/request/forward.py
+++ b/packages/endivestream/src/endivestream/request/forward.py
@@ -259,13 +259,12 @@
     def _memory_refusal(self, call: call_lib.Call) -> findings.Failure | None:
         """Returns the refusal of a request that there is no memory for."""
         buffers = self._parts.buffers
-        refusal = buffers.refusal(call) if buffers is not None else None
+        refusal = buffers.refusal() if buffers is not None else None
         if refusal is not None:
             logs.event(
                 "request_refused_for_memory",
                 request=call.headers.get(self._parts.rules.names.request, ""),
                 held=buffers.budget.held,
-                body_dropped=call.lacks_memory,
             )
         return refusal
 
--- a/tests/test_buffering.py
+++ b/tests/test_buffering.py
@@ -8,12 +8,13 @@
 from unittest import mock
 
 from endivestream import clock
+from endivestream.process import bounded_server
+from endivestream.process import request_memory
 from endivestream.request import call as call_lib
 from endivestream.request import queue_deadlines
 from endivestream.request.buffering import answer_buffer
 from endivestream.request.buffering import budget as budget_lib
 from endivestream.version import document as document_lib
-from tornado import httpserver
 from tornado import netutil
 
 from tests import standin
@@ -57,8 +58,9 @@
         ]
         self.assertEqual([slow], paused)
         self.assertFalse(self.budget.is_exhausted)
-        self.assertFalse(self.budget.hold_body(300))
-        self.assertTrue(self.budget.hold_body(210))
+        body = self.budget.open_request(0.0)
+        self.assertFalse(self.budget.hold(body, 300, 0.0))
+        self.assertTrue(self.budget.hold(body, 210, 0.0))
         self.assertTrue(self.budget.is_exhausted)
         self.assertFalse(self.budget.may_read(large, 0.0))
         self.assertFalse(self.budget.may_read(small, 0.0))
@@ -101,9 +103,19 @@
         parts = self.forwarder._parts._replace(buffers=self.buffers)
         self.forwarder = type(self.forwarder)(parts=parts)
         front = call_lib.RequestServer(
-            serve=self.forwarder.serve, now=clock.now, budget=self.budget
+            serve=self.forwarder.serve, now=clock.now
+        )
+        self.slow_server = bounded_server.BoundedServer(
+            front,
+            name="callers",
+            limits=bounded_server.Limits(
+                header_bytes=65536,
+                body_bytes=100 * 1024 * 1024,
+                header_seconds=10.0,
+                idle_seconds=60.0,
+            ),
+            memory=request_memory.RequestMemory(budget=self.budget),
         )
-        self.slow_server = httpserver.HTTPServer(front)
         sockets = netutil.bind_sockets(0, "127.0.0.1")
         for each in sockets:
             each.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16384)
--- /dev/null
+++ b/tests/test_crowds.py
@@ -0,0 +1,97 @@
+"""Crowds of clients that exceed or exhaust the limits of a host."""
+
+import unittest
+
+from tests import crowd_site
+
+_LIMIT = crowd_site.MAX_BODY_BYTES
+# Sent by a client that stops just short of the end of its body.
+_SHORT_OF_LIMIT = _LIMIT - 1
+_CHUNKED = crowd_site.head("Transfer-Encoding: chunked")
+
+
+def _chunked_body(size, piece):
+    yield _CHUNKED
+    yield from crowd_site.chunked(size, piece)
+
+
+def _one_chunk(size):
+    yield _CHUNKED + b"%x\r\n" % (size + 1)
+    yield from crowd_site.plain(size)
+
+
+def _body_with_length(size, path="/x/", missing=1):
+    yield crowd_site.head(f"Content-Length: {size + missing}", path=path)
+    yield from crowd_site.plain(size)
+
+
+class BodyCrowdTest(crowd_site.CrowdSite):
+    async def test_unfinished_bodies_in_large_chunks(self):
+        """Guards against bodies held without a bound while they are read."""
+        await self.check_crowd(
+            self.front, 150, lambda: _chunked_body(_SHORT_OF_LIMIT, 60_000)
+        )
+
+    async def test_unfinished_bodies_with_a_length(self):
+        """Guards against bodies held without a bound while they are read."""
+        await self.check_crowd(
+            self.front, 150, lambda: _body_with_length(_SHORT_OF_LIMIT)
+        )
+
+    async def test_unfinished_bodies_of_one_chunk(self):
+        """Guards against bodies held without a bound while they are read."""
+        await self.check_crowd(
+            self.front, 150, lambda: _one_chunk(_SHORT_OF_LIMIT)
+        )
+
+    async def test_bodies_of_waiting_requests(self):
+        """Guards against whole bodies held without a bound for targets."""
+        await self.check_crowd(
+            self.front,
+            150,
+            lambda: _body_with_length(_LIMIT, crowd_site.HANG_PATH, missing=0),
+        )
+
+    async def test_many_header_fields(self):
+        """Guards against heads that take far more memory than their bytes."""
+        fields = [f"{n:x}:" for n in range(9000)]
+        head = crowd_site.head("Content-Length: 9", *fields)
+        self.assertLessEqual(len(head), crowd_site.MAX_HEADER_BYTES)
+        await self.check_crowd(self.front, 150, lambda: iter([head]))
+
+
+class ListenerCrowdTest(crowd_site.CrowdSite):
+    """The same at the addresses that are not those of callers."""
+
+    async def _check_bodies(self, address):
+        await self.check_crowd(
+            address, 40, lambda: _chunked_body(12 * _LIMIT, 60_000)
+        )
+
+    async def test_bodies_at_the_relay_address(self):
+        """Guards against bodies without a bound between hosts."""
+        await self._check_bodies(self.relay)
+
+    async def test_bodies_at_the_readiness_check(self):
+        """Guards against a listener with only the library's limits."""
+        await self._check_bodies(self.ready)
+
+    async def test_bodies_at_the_address_lookup(self):
+        """Guards against a listener with only the library's limits."""
+        await self._check_bodies(self.directory)
+
+    async def test_bodies_at_the_metrics_of_an_entry_host(self):
+        """Guards against a listener with only the library's limits."""
+        await self._check_bodies(self.edge_metrics)
+
+    async def test_bodies_at_the_control_host(self):
+        """Guards against a listener with only the library's limits."""
+        await self._check_bodies(self.control_address)
+
+    async def test_bodies_at_the_metrics_of_a_control_host(self):
+        """Guards against a listener with only the library's limits."""
+        await self._check_bodies(self.control_metrics)
+
+
+if __name__ == "__main__":
+    unittest.main()
