Apply the limits of a configuration to listeners

Callers saw: 30 clients with bodies of 12 MiB, 12 times `maxBodyBytes`, took 398 MB of a host with 128 MB (394 MB with an announced length), and no ordinary request was answered afterwards.

Cause: of the `limits` of a configuration only `idleTimeoutMs` reached a listener. Bodies, heads and the time for a head kept their defaults (16 MiB, 64 KiB, none), and a body had no time at all.

Change: a configuration sets all four limits at the addresses of callers and relays. A body over the limit gets 413 as soon as that is known, and the connection is closed. Once a second heads that are late since their first byte, and bodies without a byte for the idle time, are closed.

--- a/packages/endivestream/src/endivestream/process/bounded_server.py
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -102,6 +102,8 @@
         stream: The connection.
         phase: What it waits for.
         waits_since: Time at which the client last did what it had to.
+        head_began_at: Time at which the first byte of a head was seen; None
+            before it.
         guard: The request that is being read or served.
     """
 
@@ -109,13 +111,20 @@
         self.stream = stream
         self.phase = _Phase.HEAD
         self.waits_since = now
+        self.head_began_at: float | None = None
         self.guard: _RequestGuard | None = None
 
+    @property
+    def has_buffered(self) -> bool:
+        """Whether bytes have been read that nobody has asked for yet."""
+        # Tornado has no public way to ask for them.
+        return bool(self.stream._read_buffer_size)
+
 
 class BoundedServer(httpserver.HTTPServer):
     """Serves the clients of one listener within its bounds.
 
-    `stop` ends it.
+    `stop` ends it. The owner calls `check` about once a second.
     """
 
     # Tornado constructs servers by `initialize`.
@@ -191,6 +200,7 @@
         assert isinstance(request_conn, http1connection.HTTP1Connection)
         connection = self._open[server_conn.stream]
         self._end_request(connection)
+        connection.head_began_at = None
         self.set_phase(connection, _Phase.HEAD)
         return _RequestGuard(
             server=self,
@@ -214,6 +224,10 @@
         connection.waits_since = clock.now()
         self._waiting[phase][connection] = None
 
+    def _close(self, connection: _Connection, reason: str) -> None:
+        self._counts[reason] += 1
+        connection.stream.close()
+
     # Requests.
 
     def _end_request(self, connection: _Connection) -> None:
@@ -237,6 +251,22 @@
             **fields,
         )
 
+    # Regular checks.
+
+    def check(self) -> None:
+        """Closes connections whose clients exceed a time."""
+        now = clock.now()
+        for connection in list(self._waiting[_Phase.HEAD]):
+            if not connection.has_buffered:
+                continue
+            if connection.head_began_at is None:
+                connection.head_began_at = now
+            elif now - connection.head_began_at > self._limits.header_seconds:
+                self._close(connection, "head_late")
+        for connection in list(self._waiting[_Phase.BODY]):
+            if now - connection.waits_since > self._limits.idle_seconds:
+                self._close(connection, "body_idle")
+
 
 class _RequestGuard(httputil.HTTPMessageDelegate):
     """Reads one request within the bounds and passes it on.
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -759,9 +759,7 @@
             lease_s=self._watch.lease_until - clock.now(),
             loop_late_s=self._meter.lateness,
         )
-        if self._server is not None:
-            params = self._server.conn_params
-            params.header_timeout = document.limits.idle_seconds
+        self._listeners.set_caller_limits(document.limits)
         self._signal_change()
 
     def _apply_evacuations(
--- a/packages/endivestream/src/endivestream/process/listeners.py
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -12,6 +12,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from tornado import ioloop
 from tornado import netutil
 
 from endivestream.process import bounded_server
@@ -20,6 +21,7 @@
 from endivestream.request.buffering import budget as budget_lib
 from endivestream.version import document as document_lib
 
+_CHECK_SECONDS = 1.0
 _BACKLOG = 1024
 
 
@@ -84,6 +86,9 @@
             budget=budget or budget_lib.Budget(bounds=bounds)
         )
         self._servers: list[tuple[Listener, bounded_server.BoundedServer]] = []
+        self._check = ioloop.PeriodicCallback(
+            self._check_all, 1000 * _CHECK_SECONDS
+        )
 
     @property
     def memory(self) -> request_memory_lib.RequestMemory:
@@ -146,13 +151,25 @@
         )
         server.add_sockets(sockets)
         self._servers.append((listener, server))
+        self._check.start()
         return server
 
+    def set_caller_limits(self, limits: document_lib.Limits) -> None:
+        """Applies the limits of a configuration to callers and relays."""
+        for listener, server in self._servers:
+            if listener.name in (CALLERS.name, RELAY.name):
+                server.set_limits(self._limits(listener, limits))
+
     def close(self) -> None:
         """Stops to accept connections; open ones end with their requests."""
+        self._check.stop()
         for _, server in self._servers:
             server.stop()
 
+    def _check_all(self) -> None:
+        for _, server in self._servers:
+            server.check()
+
     def _limits(
         self, listener: Listener, limits: document_lib.Limits
     ) -> bounded_server.Limits:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -44,6 +44,18 @@
             self.front, 150, lambda: _one_chunk(_SHORT_OF_LIMIT)
         )
 
+    async def test_chunked_bodies_over_the_limit(self):
+        """Guards against a configured body limit that no listener applies."""
+        await self.check_crowd(
+            self.front, 30, lambda: _chunked_body(12 * _LIMIT, 60_000)
+        )
+
+    async def test_announced_bodies_over_the_limit(self):
+        """Guards against a configured body limit that no listener applies."""
+        await self.check_crowd(
+            self.front, 30, lambda: _body_with_length(12 * _LIMIT)
+        )
+
     async def test_bodies_of_waiting_requests(self):
         """Guards against whole bodies held without a bound for targets."""
         await self.check_crowd(
