Bound connections, and close those that wait for their clients

Callers saw: 400 clients that connect and stay idle, stop in the middle of a head or of a body, or keep their connections took 421 to 820 of the 200 descriptors that a host has for sockets; where the kernel enforces the limit, ordinary requests got no answer beside them. The same at each other address.

Cause: nothing bounds connections; the refusal of new ones at 0.9 of the descriptors answers their requests and keeps those that send none. accept() fails with EMFILE, and the event loop calls it again at once.

Change: each listener has its part of the descriptors, and of the memory. At the bound the connection that has waited longest for its client is closed: idle ones and unfinished heads, then unfinished bodies, never one whose request is served. Callers have 0.35: each running request needs a connection to a target as well. When accept() fails, a quarter of the connections of that listener is closed, and one more is allowed each second from then on. The platform's `maxFds` counts 200 descriptors for files; the settings of a host state the rest.

Evidence: 11 tests fail on (417 and more of 200 descriptors; no answer beside the crowd with RLIMIT_NOFILE 120) and pass now.

Lost: one bound for all listeners (a crowd at the readiness check keeps callers out); closing the newest connection (a crowd keeps ordinary callers out).

--- a/packages/endivestream/src/endivestream/process/bounded_server.py
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -1,11 +1,13 @@
-"""HTTP server whose clients cannot exhaust the memory of the process.
+"""HTTP server whose clients cannot exhaust the memory or descriptors.
 
-Clients may stop in the middle of a head or of a body, or send bodies over the
-limit or in very small chunks. The server bounds what they make the process
-hold, whatever they send:
+Clients may open connections without end, stop in the middle of a head or of a
+body, or send bodies over the limit or in very small chunks. The server bounds
+what they make the process hold, whatever they send:
 
 | held | bound | response when it is reached |
 | --- | --- | --- |
+| descriptors | connections of the listener | the connection is closed that \
+has waited longest for its client; never one whose request is being served |
 | heads | header limit; larger ones count toward the budget of requests | \
 closed, or refused with 503 |
 | bodies | body limit, budget of requests of the process | 413; 503 |
@@ -20,9 +22,12 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import enum
+import errno
 import http.client
 import re
+import socket
 import sys
 from typing import Any
 from typing import NamedTuple
@@ -45,6 +50,15 @@
 _UNCOUNTED_HEAD_BYTES = 16 * 1024
 # Chunks of a body that are decoded at a time.
 _CHUNKS_PER_TURN = 64
+# Errors of accept() that end when descriptors or memory are freed.
+_EXHAUSTED_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+# Part of the connections that is closed when the process has no descriptors
+# left: its links and its connections to targets need some as well.
+_EXHAUSTED_SHARE = 0.25
+_MIN_CONNECTIONS = 8
+_ACCEPT_PAUSE_SECONDS = 0.1
 _REFUSAL_RETRY_SECONDS = 0.05
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 
@@ -53,6 +67,7 @@
     """Limits of a listener on its clients.
 
     Attributes:
+        connections: Maximum number of open connections.
         header_bytes: Maximum size of a head.
         body_bytes: Maximum size of a body.
         header_seconds: Maximum time for a head, from its first byte on.
@@ -60,6 +75,7 @@
             body.
     """
 
+    connections: int
     header_bytes: int
     body_bytes: int
     header_seconds: float
@@ -93,7 +109,7 @@
 
 
 class _Phase(enum.Enum):
-    """What a connection waits for."""
+    """What a connection waits for, in the order in which it is closed."""
 
     HEAD = enum.auto()
     BODY = enum.auto()
@@ -191,6 +207,41 @@
         return bool(self.stream._read_buffer_size)
 
 
+class _AcceptingSocket:
+    """A listening socket whose accept() does not fail for lack of resources.
+
+    The event loop would call a failing accept() again at once, without end.
+    """
+
+    def __init__(
+        self, *, listening: socket.socket, server: BoundedServer
+    ) -> None:
+        self._listening = listening
+        self._server = server
+
+    def fileno(self) -> int:
+        """Returns the descriptor of the socket."""
+        return self._listening.fileno()
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accepts a connection.
+
+        Raises:
+            BlockingIOError: There is none, or the process lacks descriptors.
+        """
+        try:
+            return self._listening.accept()
+        except OSError as error:
+            if error.errno not in _EXHAUSTED_ERRORS:
+                raise
+            self._server.make_room(self.fileno(), error)
+            raise BlockingIOError from error
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._listening.close()
+
+
 class BoundedServer(httpserver.HTTPServer):
     """Serves the clients of one listener within its bounds.
 
@@ -249,6 +300,7 @@
     def set_limits(self, limits: Limits) -> None:
         """Applies limits to the next head, and to bodies that begin."""
         self._limits = limits
+        self._allowed_connections = limits.connections
         self.conn_params.max_header_size = limits.header_bytes
         # Tornado takes the time without a request for that of the head.
         self.conn_params.header_timeout = limits.idle_seconds
@@ -258,8 +310,21 @@
 
     # Connections.
 
+    def add_sockets(self, sockets: Sequence[socket.socket]) -> None:
+        """Accepts connections on listening sockets."""
+        super().add_sockets(
+            [_AcceptingSocket(listening=each, server=self) for each in sockets]
+        )
+
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
-        """Serves a new connection."""
+        """Serves a new connection; at the bound, closes another for it."""
+        if (
+            len(self._open) >= self._allowed_connections
+            and not self._close_longest_waiting()
+        ):
+            self._counts["not_accepted"] += 1
+            stream.close()
+            return
         wrapped = _BoundedStream(stream=stream, turns=self._turns)
         connection = _Connection(stream=wrapped, now=clock.now())
         self._open[wrapped] = connection
@@ -298,6 +363,50 @@
         connection.waits_since = clock.now()
         self._waiting[phase][connection] = None
 
+    def make_room(self, descriptor: int, error: OSError) -> None:
+        """Closes connections after the process ran out of descriptors.
+
+        Fewer connections are allowed from then on; `check` raises their number
+        again.
+        """
+        self._allowed_connections = max(
+            _MIN_CONNECTIONS,
+            int((1 - _EXHAUSTED_SHARE) * len(self._open)),
+        )
+        closed_count = 0
+        while (
+            len(self._open) - closed_count > self._allowed_connections
+            and self._close_longest_waiting()
+        ):
+            closed_count += 1
+        logs.warn(
+            "descriptors_exhausted",
+            listener=self.name,
+            connections=len(self._open),
+            closed=closed_count,
+            error=error,
+        )
+        if not closed_count:
+            self._handlers[descriptor]()
+            self._handlers[descriptor] = _do_nothing
+            asyncio.get_running_loop().call_later(
+                _ACCEPT_PAUSE_SECONDS, self._accept_again, descriptor
+            )
+
+    def _accept_again(self, descriptor: int) -> None:
+        if self._stopped or descriptor not in self._sockets:
+            return
+        super().add_sockets([self._sockets[descriptor]])
+
+    def _close_longest_waiting(self) -> bool:
+        """Closes the connection that has waited longest for its client."""
+        for phase in (_Phase.HEAD, _Phase.BODY):
+            for connection in self._waiting[phase]:
+                if not connection.stream.closed():
+                    self._close(connection, f"{phase.name.lower()}_room")
+                    return True
+        return False
+
     def _close(self, connection: _Connection, reason: str) -> None:
         self._counts[reason] += 1
         connection.stream.close()
@@ -330,6 +439,9 @@
     def check(self) -> None:
         """Closes connections whose clients exceed a time."""
         now = clock.now()
+        self._allowed_connections = min(
+            self._limits.connections, self._allowed_connections + 1
+        )
         for connection in list(self._waiting[_Phase.HEAD]):
             if not connection.has_buffered:
                 continue
@@ -494,6 +606,10 @@
                 del self._headers[field]
 
 
+def _do_nothing() -> None:
+    """Removes no handler."""
+
+
 def _head_bytes(headers: httputil.HTTPHeaders) -> int:
     """Returns the memory that the fields of a head take, in bytes."""
     return sum(
--- a/packages/endivestream/src/endivestream/process/listeners.py
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -1,6 +1,7 @@
 """The HTTP listeners of a process, and what their clients may use of it.
 
-All listeners share the memory of the process.
+All listeners share the memory of the process; each has its own part of the
+descriptors, so that the clients of one do not keep those of another away.
 """
 
 from __future__ import annotations
@@ -8,6 +9,7 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import resource
 import socket
 from typing import Any
 from typing import NamedTuple
@@ -23,6 +25,11 @@
 
 _CHECK_SECONDS = 1.0
 _BACKLOG = 1024
+# Memory of a connection, without its head.
+_CONNECTION_BYTES = 16 * 1024
+# Descriptors of a process whose settings do not state them, at most.
+_DEFAULT_DESCRIPTORS = 4096
+_MIN_CONNECTIONS = 8
 
 
 class Listener(NamedTuple):
@@ -30,6 +37,9 @@
 
     Attributes:
         name: Name in the log and in metrics.
+        descriptor_share: Share of the descriptors of the process.
+        memory_share: Share of the memory of the process for connections and
+            unfinished heads.
         limits: Limits on its clients.
         added_header_bytes: Size of headers beyond those of callers.
         kernel_unsent_bytes: Unsent bytes of an answer that the kernel takes; 0
@@ -38,6 +48,8 @@
     """
 
     name: str
+    descriptor_share: float
+    memory_share: float
     limits: document_lib.Limits = document_lib.Limits()
     added_header_bytes: int = 0
     kernel_unsent_bytes: int = 0
@@ -46,12 +58,16 @@
 
 _HEADER_BYTES = 16 * 1024
 _WITHOUT_BODY = document_lib.Limits(header_bytes=_HEADER_BYTES, body_bytes=1024)
-CALLERS = Listener("callers")
-RELAY = Listener("relay")
-CONTROL = Listener("control", document_lib.Limits(header_bytes=_HEADER_BYTES))
-DIRECTORY = Listener("directory", _WITHOUT_BODY)
-READINESS = Listener("readiness", _WITHOUT_BODY)
-METRICS = Listener("metrics", _WITHOUT_BODY)
+# A connection to a target for each running request, and links to other hosts,
+# need the descriptors that are left.
+CALLERS = Listener("callers", 0.35, 0.2)
+RELAY = Listener("relay", 0.04, 0.02)
+CONTROL = Listener(
+    "control", 0.4, 0.2, document_lib.Limits(header_bytes=_HEADER_BYTES)
+)
+DIRECTORY = Listener("directory", 0.06, 0.03, _WITHOUT_BODY)
+READINESS = Listener("readiness", 0.03, 0.01, _WITHOUT_BODY)
+METRICS = Listener("metrics", 0.03, 0.01, _WITHOUT_BODY)
 
 
 def bind(address: str) -> list[socket.socket]:
@@ -82,6 +98,10 @@
         """
         bounds = budget_lib.Bounds.of(resources.memory_mb)
         self._memory_bytes = bounds.memory
+        self._descriptors = resources.descriptors or min(
+            _DEFAULT_DESCRIPTORS,
+            resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+        )
         self._memory = request_memory_lib.RequestMemory(
             budget=budget or budget_lib.Budget(bounds=bounds)
         )
@@ -176,7 +196,14 @@
         self, listener: Listener, limits: document_lib.Limits
     ) -> bounded_server.Limits:
         header_bytes = limits.header_bytes + listener.added_header_bytes
+        connections = min(
+            listener.descriptor_share * self._descriptors,
+            listener.memory_share
+            * self._memory_bytes
+            / (_CONNECTION_BYTES + header_bytes),
+        )
         return bounded_server.Limits(
+            connections=max(_MIN_CONNECTIONS, int(connections)),
             header_bytes=header_bytes,
             body_bytes=limits.body_bytes,
             header_seconds=limits.header_seconds,
--- a/tests/test_buffering.py
+++ b/tests/test_buffering.py
@@ -109,6 +109,7 @@
             front,
             name="callers",
             limits=bounded_server.Limits(
+                connections=1000,
                 header_bytes=65536,
                 body_bytes=100 * 1024 * 1024,
                 header_seconds=10.0,
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,6 +1,7 @@
 """Crowds of clients that exceed or exhaust the limits of a host."""
 
 import asyncio
+import resource
 import unittest
 
 from tests import crowd_site
@@ -107,6 +108,38 @@
         return acknowledged - self.edge.unread_bytes()
 
 
+class ConnectionCrowdTest(crowd_site.CrowdSite):
+    async def test_idle_connections(self):
+        """Guards against descriptors that idle connections use up."""
+        await self.check_crowd(self.front, 400, lambda: iter([]))
+
+    async def test_unfinished_heads(self):
+        """Guards against descriptors that unfinished heads use up."""
+        head = crowd_site.head("Content-Length: 0")[:-2]
+        await self.check_crowd(self.front, 400, lambda: iter([head]))
+
+    async def test_unfinished_small_bodies(self):
+        """Guards against descriptors that unfinished bodies use up."""
+        await self.check_crowd(
+            self.front, 400, lambda: _body_with_length(9, missing=1)
+        )
+
+    async def test_kept_connections(self):
+        """Guards against descriptors of callers who keep their connection."""
+        request = crowd_site.head("Content-Length: 0")
+        await self.check_crowd(self.front, 400, lambda: iter([request]))
+
+    async def test_lack_of_descriptors(self):
+        """Guards against an accept loop that stops the host at EMFILE.
+
+        The kernel's limit is below the stated one.
+        """
+        resource.prlimit(
+            self.edge.process.pid, resource.RLIMIT_NOFILE, (120, 120)
+        )
+        await self.check_crowd(self.front, 300, lambda: iter([]))
+
+
 class ListenerCrowdTest(crowd_site.CrowdSite):
     """The same at the addresses that are not those of callers."""
 
@@ -115,6 +148,10 @@
             address, 40, lambda: _chunked_body(12 * _LIMIT, 60_000)
         )
 
+    async def _check_connections(self, address):
+        head = crowd_site.head("Content-Length: 0")[:-2]
+        await self.check_crowd(address, 400, lambda: iter([head]))
+
     async def test_bodies_at_the_relay_address(self):
         """Guards against bodies without a bound between hosts."""
         await self._check_bodies(self.relay)
@@ -139,6 +176,30 @@
         """Guards against a listener with only the library's limits."""
         await self._check_bodies(self.control_metrics)
 
+    async def test_connections_at_the_relay_address(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.relay)
+
+    async def test_connections_at_the_readiness_check(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.ready)
+
+    async def test_connections_at_the_address_lookup(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.directory)
+
+    async def test_connections_at_the_metrics_of_an_entry_host(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.edge_metrics)
+
+    async def test_connections_at_the_control_host(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.control_address)
+
+    async def test_connections_at_the_metrics_of_a_control_host(self):
+        """Guards against descriptors that one listener takes from others."""
+        await self._check_connections(self.control_metrics)
+
 
 if __name__ == "__main__":
     unittest.main()
