Stop work for callers who have left, and bound what they send ahead

Callers saw: requests queued behind a running one were sent to targets after their caller had closed the connection. Clients that send on behind a running request kept a host from answering the readiness check after they had left.

Cause: a stream that holds bytes which nobody reads does not notice that its client has left, and Tornado reads the next request from a closed stream's buffer. Bytes that arrive unread count toward the memory of a host; the kernel accepts up to 32 MB a connection.

Change: once a second such connections are looked at: one that its client has closed is closed, and the largest are closed while their bytes exceed a 20th of the memory. A request of a closed connection is not served. The kernel accepts 128 KiB. At the bound of connections a client that sends ahead may be closed.

--- a/packages/endivestream/src/endivestream/process/bounded_server.py
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -1,16 +1,19 @@
 """HTTP server whose clients cannot exhaust the memory or descriptors.
 
 Clients may open connections without end, stop in the middle of a head or of a
-body, or send bodies over the limit or in very small chunks. The server bounds
-what they make the process hold, whatever they send:
+body, send bodies over the limit or in very small chunks, or queue requests. The
+server bounds what they make the process hold, whatever they send:
 
 | held | bound | response when it is reached |
 | --- | --- | --- |
 | descriptors | connections of the listener | the connection is closed that \
-has waited longest for its client; never one whose request is being served |
+has waited longest for its client; one whose request is being served only if \
+its client sends ahead |
 | heads | header limit; larger ones count toward the budget of requests | \
 closed, or refused with 503 |
 | bodies | body limit, budget of requests of the process | 413; 503 |
+| bytes behind a running request | a share of the memory | the largest ones \
+are closed |
 | processor time for small chunks | one batch in each turn of the event loop | \
 other bodies and requests go first |
 """
@@ -25,10 +28,15 @@
 from collections.abc import Sequence
 import enum
 import errno
+import fcntl
 import http.client
+import math
 import re
+import select
 import socket
+import struct
 import sys
+import termios
 from typing import Any
 from typing import NamedTuple
 
@@ -61,6 +69,7 @@
 _ACCEPT_PAUSE_SECONDS = 0.1
 _REFUSAL_RETRY_SECONDS = 0.05
 _LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
+_CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class Limits(NamedTuple):
@@ -206,6 +215,28 @@
         # Tornado has no public way to ask for them.
         return bool(self.stream._read_buffer_size)
 
+    def unread_bytes(self) -> int:
+        """Returns the bytes that were received and not asked for."""
+        if self.stream.closed() or not self.has_buffered:
+            # Without buffered bytes the stream reads what arrives.
+            return 0
+        buffer = fcntl.ioctl(
+            self.stream.fileno(), termios.FIONREAD, struct.pack("i", 0)
+        )
+        (in_kernel,) = struct.unpack("i", buffer)
+        return self.stream._read_buffer_size + in_kernel
+
+    def has_left(self) -> bool:
+        """Returns whether the client has closed the connection.
+
+        The stream notices that itself unless it holds bytes that nobody reads.
+        """
+        if self.stream.closed() or not self.has_buffered:
+            return False
+        poll = select.poll()
+        poll.register(self.stream.fileno(), select.POLLRDHUP)
+        return any(events & _CLOSE_EVENTS for _, events in poll.poll(0))
+
 
 class _AcceptingSocket:
     """A listening socket whose accept() does not fail for lack of resources.
@@ -257,6 +288,7 @@
         limits: Limits,
         memory: request_memory_lib.RequestMemory,
         turns: ChunkTurns,
+        max_unread: float = math.inf,
         refusal: Refusal = _PLAIN_REFUSAL,
     ) -> None:
         """Initializes a server without connections.
@@ -267,12 +299,14 @@
             limits: Limits on clients.
             memory: Bounds the memory of the requests of the process.
             turns: Decoding of chunked bodies of the process.
+            max_unread: Maximum number of bytes behind running requests.
             refusal: How requests are refused for lack of memory.
         """
         super().initialize(handler, chunk_size=_READ_BYTES)
         self.name = name
         self._memory = memory
         self._turns = turns
+        self._max_unread = max_unread
         self._refusal = refusal
         self._open: dict[_BoundedStream, _Connection] = {}
         # In the order in which the connections began to wait.
@@ -399,12 +433,20 @@
         super().add_sockets([self._sockets[descriptor]])
 
     def _close_longest_waiting(self) -> bool:
-        """Closes the connection that has waited longest for its client."""
+        """Closes the connection that has waited longest for its client.
+
+        If the requests of all connections are being served, one whose client
+        sends ahead is closed.
+        """
         for phase in (_Phase.HEAD, _Phase.BODY):
             for connection in self._waiting[phase]:
                 if not connection.stream.closed():
                     self._close(connection, f"{phase.name.lower()}_room")
                     return True
+        for connection in self._waiting[_Phase.SERVED]:
+            if not connection.stream.closed() and connection.has_buffered:
+                self._close(connection, "served_room")
+                return True
         return False
 
     def _close(self, connection: _Connection, reason: str) -> None:
@@ -437,7 +479,7 @@
     # Regular checks.
 
     def check(self) -> None:
-        """Closes connections whose clients exceed a time."""
+        """Closes connections whose clients exceed a time or have left."""
         now = clock.now()
         self._allowed_connections = min(
             self._limits.connections, self._allowed_connections + 1
@@ -450,8 +492,33 @@
             elif now - connection.head_began_at > self._limits.header_seconds:
                 self._close(connection, "head_late")
         for connection in list(self._waiting[_Phase.BODY]):
-            if now - connection.waits_since > self._limits.idle_seconds:
+            if connection.has_left():
+                self._close(connection, "left")
+            elif now - connection.waits_since > self._limits.idle_seconds:
                 self._close(connection, "body_idle")
+        for connection in list(self._waiting[_Phase.SERVED]):
+            if connection.has_left():
+                self._close(connection, "left")
+        self._close_largest(
+            {
+                each: each.unread_bytes()
+                for each in self._waiting[_Phase.SERVED]
+            },
+            self._max_unread,
+            "unread",
+        )
+
+    def _close_largest(
+        self, sizes: Mapping[_Connection, int], limit: float, reason: str
+    ) -> None:
+        excess = sum(sizes.values()) - limit
+        if excess <= 0:
+            return
+        for connection in sorted(sizes, key=sizes.__getitem__, reverse=True):
+            if excess <= 0:
+                break
+            excess -= sizes[connection]
+            self._close(connection, reason)
 
 
 class _RequestGuard(httputil.HTTPMessageDelegate):
@@ -521,6 +588,10 @@
         if self._is_refused:
             self._request_conn.finish()
             return
+        if self._request_conn.stream.closed():
+            # Tornado reads on what had arrived before the client left.
+            self.on_connection_close()
+            return
         if self._key is not None:
             self._server._memory.complete(self._key)
         self._delegate.finish()
--- a/packages/endivestream/src/endivestream/process/listeners.py
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -25,6 +25,11 @@
 
 _CHECK_SECONDS = 1.0
 _BACKLOG = 1024
+# Bytes that the kernel accepts for a connection before the process reads them,
+# which count toward the memory of the host. Linux allows twice as many.
+_KERNEL_UNREAD_BYTES = 128 * 1024
+# Share of the memory for bytes behind running requests.
+_UNREAD_SHARE = 0.05
 # Memory of a connection, without its head.
 _CONNECTION_BYTES = 16 * 1024
 # Descriptors of a process whose settings do not state them, at most.
@@ -157,6 +162,9 @@
         """Starts a server on listening sockets."""
         for each in sockets:
             # Accepted connections inherit the options.
+            each.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _KERNEL_UNREAD_BYTES
+            )
             if listener.kernel_unsent_bytes:
                 each.setsockopt(
                     socket.IPPROTO_TCP,
@@ -169,6 +177,7 @@
             limits=self._limits(listener, listener.limits),
             memory=self._memory,
             turns=self._turns,
+            max_unread=_UNREAD_SHARE * self._memory_bytes,
             refusal=listener.refusal,
         )
         server.add_sockets(sockets)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -108,6 +108,48 @@
         return acknowledged - self.edge.unread_bytes()
 
 
+class PipelineCrowdTest(crowd_site.CrowdSite):
+    async def test_unread_bytes_behind_a_running_request(self):
+        """Guards against bytes that wait in the kernel without a bound."""
+
+        def pieces():
+            yield crowd_site.head("Content-Length: 0", path="/x/hang")
+            yield from crowd_site.plain(64 * _LIMIT)
+
+        await self.check_crowd(self.front, 100, pieces)
+
+    async def test_queued_requests_of_callers_who_left(self):
+        """Guards against work for callers who have closed the connection."""
+        hanging = crowd_site.head("Content-Length: 0", path="/x/hang")
+
+        def pieces():
+            yield hanging
+            yield hanging * 50
+
+        await self.gather_crowd(self.front, 40, pieces)
+        await self.check_served("beside the crowd")
+        self.leave()
+        await self._wait_until_idle()
+        self.assertLessEqual(len(self._hanging_requests()), 40)
+        await self.check_served("after the crowd")
+        await self.check_hosts("after the crowd")
+
+    async def _wait_until_idle(self):
+        """Waits until the host has closed its connections for the crowd."""
+        for _ in range(100):
+            if self.edge.descriptors < 100:
+                return
+            await asyncio.sleep(0.1)
+        self.fail(f"{self.edge.descriptors} descriptors are still open")
+
+    def _hanging_requests(self):
+        return [
+            each
+            for each in self.target.requests
+            if each.path.startswith(crowd_site.HANG_PATH)
+        ]
+
+
 class ConnectionCrowdTest(crowd_site.CrowdSite):
     async def test_idle_connections(self):
         """Guards against descriptors that idle connections use up."""
