Bound unsent answers, and share reads of the configuration

Callers saw: 150 clients that read nothing of their answers take 256 of 200 descriptors of an entry host; a control host takes 204 MB of 128 when they request a configuration of 4 MB.

Cause: each call for the configuration reads a copy from the leader and writes all of it at once; unsent answers are bounded with the contract `pressure` only.

Unsent bytes of a listener beyond a tenth of the memory close the connections with most of them. At the bound of connections a client that has taken nothing of its answer for 2 s may be closed.

--- a/packages/endivestream/src/endivestream/process/bounded_server.py
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -1,19 +1,20 @@
 """HTTP server whose clients cannot exhaust the memory or descriptors.
 
 Clients may open connections without end, stop in the middle of a head or of a
-body, send bodies over the limit or in very small chunks, or queue requests. The
-server bounds what they make the process hold, whatever they send:
+body, send bodies over the limit or in very small chunks, queue requests, or
+leave their answers unread. The server bounds what they make the process hold,
+whatever they send:
 
 | held | bound | response when it is reached |
 | --- | --- | --- |
 | descriptors | connections of the listener | the connection is closed that \
 has waited longest for its client; one whose request is being served only if \
-its client sends ahead |
+its client sends ahead or does not read |
 | heads | header limit; larger ones count toward the budget of requests | \
 closed, or refused with 503 |
 | bodies | body limit, budget of requests of the process | 413; 503 |
-| bytes behind a running request | a share of the memory | the largest ones \
-are closed |
+| bytes behind a running request, unsent answers | shares of the memory | the \
+largest ones are closed |
 | processor time for small chunks | one batch in each turn of the event loop | \
 other bodies and requests go first |
 """
@@ -56,6 +57,10 @@
 # second bound are part of what each connection takes.
 _FIELD_BYTES = 256
 _UNCOUNTED_HEAD_BYTES = 16 * 1024
+# Unsent bytes of a connection from which on each write checks those of all.
+_UNCOUNTED_UNSENT_BYTES = 64 * 1024
+# Time without progress after which a client counts as not reading its answer.
+_UNREAD_SECONDS = 2.0
 # Chunks of a body that are decoded at a time.
 _CHUNKS_PER_TURN = 64
 # Errors of accept() that end when descriptors or memory are freed.
@@ -156,7 +161,7 @@
 
 
 class _BoundedStream:
-    """A stream that takes a turn for each batch of chunks of a body.
+    """A stream that takes turns to decode, and reports unsent bytes.
 
     Tornado reads the size of each chunk, and nothing else, with `read_until`.
     """
@@ -166,14 +171,23 @@
         *,
         stream: iostream.IOStream,
         turns: ChunkTurns,
+        on_unsent: Callable[[], None],
     ) -> None:
         self._stream = stream
         self._turns = turns
+        self._on_unsent = on_unsent
         self._chunk_count = 0
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._stream, name)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and not yet passed to the kernel."""
+        # Tornado has no public way to ask for them.
+        buffer = self._stream._write_buffer
+        return 0 if buffer is None else len(buffer)
+
     def read_until(
         self, delimiter: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
@@ -189,6 +203,13 @@
         await self._turns.next_turn()
         return await self._stream.read_until(delimiter, max_bytes)
 
+    def write(self, data: bytes | memoryview) -> asyncio.Future[None]:
+        """Writes bytes; those that the kernel does not take are unsent."""
+        written = self._stream.write(data)
+        if self.unsent_bytes > _UNCOUNTED_UNSENT_BYTES:
+            self._on_unsent()
+        return written
+
 
 class _Connection:
     """A connection and what it waits for.
@@ -207,6 +228,8 @@
         self.phase = _Phase.HEAD
         self.waits_since = now
         self.head_began_at: float | None = None
+        self._taken_bytes = 0
+        self._taken_at = now
         self.guard: _RequestGuard | None = None
 
     @property
@@ -215,6 +238,16 @@
         # Tornado has no public way to ask for them.
         return bool(self.stream._read_buffer_size)
 
+    def record_taken(self, now: float) -> None:
+        """Records whether the client has taken bytes of its answer."""
+        taken = self.stream._total_write_done_index
+        if taken != self._taken_bytes or not self.stream.unsent_bytes:
+            self._taken_bytes, self._taken_at = taken, now
+
+    def unread_seconds(self, now: float) -> float:
+        """Returns how long the client has taken nothing of its answer."""
+        return now - self._taken_at if self.stream.unsent_bytes else 0.0
+
     def unread_bytes(self) -> int:
         """Returns the bytes that were received and not asked for."""
         if self.stream.closed() or not self.has_buffered:
@@ -289,6 +322,7 @@
         memory: request_memory_lib.RequestMemory,
         turns: ChunkTurns,
         max_unread: float = math.inf,
+        max_unsent: float = math.inf,
         refusal: Refusal = _PLAIN_REFUSAL,
     ) -> None:
         """Initializes a server without connections.
@@ -300,6 +334,7 @@
             memory: Bounds the memory of the requests of the process.
             turns: Decoding of chunked bodies of the process.
             max_unread: Maximum number of bytes behind running requests.
+            max_unsent: Maximum number of unsent bytes of answers.
             refusal: How requests are refused for lack of memory.
         """
         super().initialize(handler, chunk_size=_READ_BYTES)
@@ -307,6 +342,7 @@
         self._memory = memory
         self._turns = turns
         self._max_unread = max_unread
+        self._max_unsent = max_unsent
         self._refusal = refusal
         self._open: dict[_BoundedStream, _Connection] = {}
         # In the order in which the connections began to wait.
@@ -359,7 +395,9 @@
             self._counts["not_accepted"] += 1
             stream.close()
             return
-        wrapped = _BoundedStream(stream=stream, turns=self._turns)
+        wrapped = _BoundedStream(
+            stream=stream, turns=self._turns, on_unsent=self._check_unsent
+        )
         connection = _Connection(stream=wrapped, now=clock.now())
         self._open[wrapped] = connection
         self._waiting[_Phase.HEAD][connection] = None
@@ -436,15 +474,19 @@
         """Closes the connection that has waited longest for its client.
 
         If the requests of all connections are being served, one whose client
-        sends ahead is closed.
+        sends ahead or leaves its answer unread is closed.
         """
         for phase in (_Phase.HEAD, _Phase.BODY):
             for connection in self._waiting[phase]:
                 if not connection.stream.closed():
                     self._close(connection, f"{phase.name.lower()}_room")
                     return True
+        now = clock.now()
         for connection in self._waiting[_Phase.SERVED]:
-            if not connection.stream.closed() and connection.has_buffered:
+            if not connection.stream.closed() and (
+                connection.has_buffered
+                or connection.unread_seconds(now) > _UNREAD_SECONDS
+            ):
                 self._close(connection, "served_room")
                 return True
         return False
@@ -497,6 +539,7 @@
             elif now - connection.waits_since > self._limits.idle_seconds:
                 self._close(connection, "body_idle")
         for connection in list(self._waiting[_Phase.SERVED]):
+            connection.record_taken(now)
             if connection.has_left():
                 self._close(connection, "left")
         self._close_largest(
@@ -508,6 +551,13 @@
             "unread",
         )
 
+    def _check_unsent(self) -> None:
+        self._close_largest(
+            {each: each.stream.unsent_bytes for each in self._open.values()},
+            self._max_unsent,
+            "unsent",
+        )
+
     def _close_largest(
         self, sizes: Mapping[_Connection, int], limit: float, reason: str
     ) -> None:
--- a/packages/endivestream/src/endivestream/process/entry.py
+++ b/packages/endivestream/src/endivestream/process/entry.py
@@ -444,6 +444,7 @@
             headers = {relay_hosts_lib.FAILURE_HEADER: request_memory.NO_MEMORY}
         return self._listeners.listen(
             listener._replace(
+                has_own_unsent_limit=has_slow_readers,
                 kernel_unsent_bytes=(
                     _KERNEL_UNSENT_BYTES if has_slow_readers else 0
                 ),
--- a/packages/endivestream/src/endivestream/process/listeners.py
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Mapping
 from collections.abc import Sequence
+import math
 import resource
 import socket
 from typing import Any
@@ -28,8 +29,10 @@
 # Bytes that the kernel accepts for a connection before the process reads them,
 # which count toward the memory of the host. Linux allows twice as many.
 _KERNEL_UNREAD_BYTES = 128 * 1024
-# Share of the memory for bytes behind running requests.
+# Shares of the memory for bytes behind running requests, and for unsent bytes
+# of answers.
 _UNREAD_SHARE = 0.05
+_UNSENT_SHARE = 0.1
 # Memory of a connection, without its head.
 _CONNECTION_BYTES = 16 * 1024
 # Descriptors of a process whose settings do not state them, at most.
@@ -47,6 +50,7 @@
             unfinished heads.
         limits: Limits on its clients.
         added_header_bytes: Size of headers beyond those of callers.
+        has_own_unsent_limit: Whether the handler bounds unsent answers.
         kernel_unsent_bytes: Unsent bytes of an answer that the kernel takes; 0
             for its default.
         refusal: How requests are refused for lack of memory.
@@ -57,6 +61,7 @@
     memory_share: float
     limits: document_lib.Limits = document_lib.Limits()
     added_header_bytes: int = 0
+    has_own_unsent_limit: bool = False
     kernel_unsent_bytes: int = 0
     refusal: bounded_server.Refusal = bounded_server.Refusal()
 
@@ -178,6 +183,11 @@
             memory=self._memory,
             turns=self._turns,
             max_unread=_UNREAD_SHARE * self._memory_bytes,
+            max_unsent=(
+                math.inf
+                if listener.has_own_unsent_limit
+                else _UNSENT_SHARE * self._memory_bytes
+            ),
             refusal=listener.refusal,
         )
         server.add_sockets(sockets)
--- a/packages/endivestream/src/endivestream/process/site_control.py
+++ b/packages/endivestream/src/endivestream/process/site_control.py
@@ -23,6 +23,7 @@
 from endivestream import loop_meter
 from endivestream import quarantine_messages
 from endivestream import site_messages
+from endivestream import tasks
 from endivestream.connection import engines as engines_lib
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import registry as registry_lib
@@ -44,6 +45,9 @@
 # retry on another one.
 _ANSWER_TIMEOUT_SECONDS = 0.9
 _APPLY_TIMEOUT_SECONDS = 1.5
+# Longest time for which a read waits for the one before it, so that a request
+# without an answer does not take the time of those that follow.
+_SHARED_READ_SECONDS = 0.1
 # Time after which a leader that has not confirmed a change is asked again. A
 # document that is not committed yet is sent again with it.
 _CONFIRM_ATTEMPT_SECONDS = 1.2
@@ -89,6 +93,8 @@
         self._software_counts: collections.Counter[str] = collections.Counter()
         self._pool = exchange_lib.Pool()
         self._listeners = listeners_lib.Listeners(resources=settings.resources)
+        self._current_read: asyncio.Task[bytes | None] | None = None
+        self._next_read: asyncio.Task[bytes | None] | None = None
         self._engines = engines_lib.Engines(pool=self._pool, codec=codec)
         self._control = control_lib.Control(
             settings=_control_settings(settings),
@@ -206,6 +212,7 @@
     async def close(self) -> None:
         """Transfers leadership and stops."""
         self._listeners.close()
+        await tasks.cancel([self._next_read, self._current_read])
         await self._leader_calls.close()
         await self._report_sender.close()
         await self._planner_lease_holder.close()
@@ -266,7 +273,24 @@
         return max(0.0, self._settings.lease_seconds - bound)
 
     async def read(self) -> bytes | None:
-        """Returns the source of the newest document; None if uncertain."""
+        """Returns the source of the newest document; None if uncertain.
+
+        Calls share a request to the leader that is sent after they began:
+        each answer takes the memory of a whole document.
+        """
+        if self._next_read is None:
+            self._next_read = tasks.start(
+                self._read_after(self._current_read), "read_document"
+            )
+        return await asyncio.shield(self._next_read)
+
+    async def _read_after(
+        self, current: asyncio.Task[bytes | None] | None
+    ) -> bytes | None:
+        """Reads the document, after another request or a short wait for it."""
+        if current is not None:
+            await asyncio.wait([current], timeout=_SHARED_READ_SECONDS)
+        self._current_read, self._next_read = self._next_read, None
         answer = await self._control.call(
             site_messages.ReadDocument(), seconds=_ANSWER_TIMEOUT_SECONDS
         )
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -74,6 +74,25 @@
         await self.check_crowd(self.front, 150, lambda: iter([head]))
 
 
+class AnswerCrowdTest(crowd_site.CrowdSite):
+    async def test_unread_answers(self):
+        """Guards against answers held without a bound for their callers."""
+        request = crowd_site.head(
+            "Content-Length: 0", path=crowd_site.LARGE_PATH
+        )
+        await self.check_crowd(
+            self.front, 150, lambda: iter([request]), reads=False
+        )
+
+    async def test_unread_configurations(self):
+        """Guards against answers of control hosts held without a bound."""
+        request = crowd_site.head(method="GET", path="/config")
+        await self.send_large_configuration()
+        await self.check_crowd(
+            self.control_address, 150, lambda: iter([request]), reads=False
+        )
+
+
 class SmallChunksTest(crowd_site.CrowdSite):
     async def test_small_chunks_do_not_delay_other_callers(self):
         """Guards against an event loop that mostly decodes small chunks.
