Accept callers again when memory has stopped growing

Callers saw: after a crowd had left, a host answered 503 `near_limit` to all new connections until its restart.

Cause: the refusal at 0.9 of the memory ended below 0.85 only, and a process does not return all the memory that it once used.

Change: it ends also after three steps without growth, as the exclusion from the lists of callers does, and begins again after a growth by 0.02. For descriptors the old rule stays: they are returned when connections are closed.

Evidence: `test_a_refusing_host_accepts_callers_again_without_growth` refuses for the whole 120 s before the change. What requests hold is bounded apart from it, so that memory which no longer grows is memory that the process uses again.

--- a/packages/endivestream/src/endivestream/process/entry_host/share_factor.py
+++ b/packages/endivestream/src/endivestream/process/entry_host/share_factor.py
@@ -33,8 +33,9 @@
 # ends at a lower usage than it begins.
 _NEAR_LIMIT, _NEAR_LIMIT_ENDS = 0.85, 0.75
 _REFUSAL_LIMIT, _REFUSAL_ENDS = 0.9, 0.85
-# Steps without growth after which a host near a limit gets callers again: a
-# process does not return all the memory that it once used.
+# Steps without growth after which a host near the limit of its memory gets and
+# accepts callers again: a process does not return all the memory that it once
+# used, and uses it again before it grows.
 _STEPS_WITHOUT_GROWTH = 3
 _GROWTH = 0.02
 # Period over which the use of processor and link is averaged. Demand that
@@ -125,29 +126,39 @@
                 self._average, usage, now - self._updated_at
             )
         self._updated_at = now
-        self._update_limits(usage.limited)
+        self._update_limits(usage)
         if now - self._stepped_at >= self._step_seconds:
             self._stepped_at = now
             self._step(usage)
             self._memory_at_step = usage.memory
 
-    def _update_limits(self, limited: float) -> None:
-        self._is_refusing = limited >= (
-            _REFUSAL_ENDS if self._is_refusing else _REFUSAL_LIMIT
-        )
-        if limited < _NEAR_LIMIT_ENDS:
+    def _update_limits(self, usage: HostUsage) -> None:
+        was_refusing, was_near = self._is_refusing, self._is_near_limit
+        if usage.limited < _NEAR_LIMIT_ENDS:
             self._kept_usage = 0.0
-        if self._is_near_limit:
-            self._is_near_limit = limited >= _NEAR_LIMIT_ENDS
-        elif limited >= max(_NEAR_LIMIT, self._kept_usage + _GROWTH):
-            self._is_near_limit = True
+        kept = self._kept_usage + _GROWTH
+        if was_refusing:
+            self._is_refusing = usage.limited >= _REFUSAL_ENDS
+        else:
+            self._is_refusing = (
+                usage.descriptors >= _REFUSAL_LIMIT
+                or usage.memory >= max(_REFUSAL_LIMIT, kept)
+            )
+        if was_near:
+            self._is_near_limit = usage.limited >= _NEAR_LIMIT_ENDS
+        else:
+            self._is_near_limit = (
+                usage.descriptors >= _NEAR_LIMIT
+                or usage.memory >= max(_NEAR_LIMIT, kept)
+            )
+        if self._is_near_limit and not was_near:
             self._value = _MIN_FACTOR
             self._steps_without_growth = 0
-            self._limited_at_step = limited
+            self._limited_at_step = usage.limited
 
     def _step(self, usage: HostUsage) -> None:
         if self._is_near_limit:
-            self._step_near_limit(usage.limited)
+            self._step_near_limit(usage)
             return
         scarcest = max(
             self._average.processor, usage.descriptors, self._average.link
@@ -162,18 +173,20 @@
         change = min(_MAX_INCREASE, max(-_MAX_DECREASE, _GAIN * difference))
         self._value = min(1.0, max(_MIN_FACTOR, self._value * (1 + change)))
 
-    def _step_near_limit(self, limited: float) -> None:
-        has_grown = limited > self._limited_at_step + _GROWTH
+    def _step_near_limit(self, usage: HostUsage) -> None:
+        has_grown = usage.limited > self._limited_at_step + _GROWTH
         self._steps_without_growth = (
             0 if has_grown else self._steps_without_growth + 1
         )
-        self._limited_at_step = limited
+        self._limited_at_step = usage.limited
         if (
             self._steps_without_growth >= _STEPS_WITHOUT_GROWTH
-            and not self._is_refusing
+            # Descriptors are returned when their connections are closed.
+            and usage.descriptors < _NEAR_LIMIT_ENDS
         ):
             self._is_near_limit = False
-            self._kept_usage = limited
+            self._is_refusing = False
+            self._kept_usage = usage.memory
 
 
 class ReportPublisher:
--- a/tests/test_host_shares.py
+++ b/tests/test_host_shares.py
@@ -321,6 +321,24 @@
         self._use(0.84, seconds=300)
         self.assertEqual((1.0, False), self._state())
 
+    def test_a_refusing_host_accepts_callers_again_without_growth(self):
+        """Guards against 503 until a restart after a crowd that has left."""
+        self._use(0.95, seconds=2)
+        self.assertEqual((0.0, True), self._state())
+        self._use(0.95, seconds=120)
+        self.assertFalse(self._state()[1])
+        self.assertGreater(self.load.share_factor, 0)
+        self._use(0.98, seconds=2)
+        self.assertEqual((0.0, True), self._state())
+
+    def test_a_host_without_descriptors_goes_on_refusing(self):
+        """Guards against connections that no descriptor is left for."""
+        for _ in range(240):
+            self.now += 0.5
+            usage = share_factor.HostUsage(descriptors=0.92)
+            self.load.record(usage, self.now)
+        self.assertEqual((0.0, True), self._state())
+
     def test_reports_change_seldom(self):
         """Guards against pushes to all hosts with each measurement."""
         reports = set()
