Bound the clients of endivestreamd as well

Its two HTTP servers took bodies of 8 MiB in any number and connections without a bound: the class of the faults before, at the product's own interface. The time for a body stays.

--- a/packages/endivestream/src/endivestream/process/daemon.py
+++ b/packages/endivestream/src/endivestream/process/daemon.py
@@ -24,8 +24,8 @@
 import sys
 import time
 
+import msgspec
 from tornado import httpserver
-from tornado import netutil
 from tornado import web
 import zmq.asyncio
 
@@ -34,15 +34,19 @@
 from endivestream import logs
 from endivestream.connection import exchange as exchange_lib
 from endivestream.connection import link_keys
+from endivestream.process import bounded_server
 from endivestream.process import callers
 from endivestream.process import control as control_lib
 from endivestream.process import gateway as gateway_lib
 from endivestream.process import handlers
 from endivestream.process import home_gateway as home_gateway_lib
 from endivestream.process import inner
+from endivestream.process import listeners as listeners_lib
 from endivestream.process import metrics as metrics_lib
 from endivestream.process import settings as settings_lib
+from endivestream.process import site_settings
 from endivestream.request import retries
+from endivestream.version import document as document_lib
 from endivestream.version import storage as storage_lib
 
 # Exit statuses, documented in docs/operators/running.md.
@@ -75,6 +79,9 @@
         self._control: control_lib.Control | None = None
         self._gateway: gateway_lib.Gateway | None = None
         self._home_gateway: home_gateway_lib.HomeGateway | None = None
+        self._listeners = listeners_lib.Listeners(
+            resources=site_settings.HostResources()
+        )
         self._servers: list[httpserver.HTTPServer] = []
         self._stop_requested = asyncio.Event()
         self._exit_status = EXIT_OK
@@ -157,8 +164,11 @@
             retries.RetryBudget(share=settings.requests.retry_share),
             random.Random(),
         )
-        self._listen(callers.application(parts), caller_sockets)
         self._listen(
+            listeners_lib.CALLERS, callers.application(parts), caller_sockets
+        )
+        self._listen(
+            listeners_lib.CONTROL,
             inner.application(
                 gateway=self._gateway, home_gateway=self._home_gateway
             ),
@@ -175,9 +185,9 @@
 
     def _bind(self, key: str) -> list[socket.socket]:
         address = getattr(self._settings.http, key)
-        host, port = address.rsplit(":", 1)
+        host, _ = address.rsplit(":", 1)
         try:
-            sockets = netutil.bind_sockets(int(port), host, backlog=1024)
+            sockets = listeners_lib.bind(address)
         except OSError as error:
             raise OSError(f"cannot listen on {address}: {error}") from error
         bound_address = f"{host}:{sockets[0].getsockname()[1]}"
@@ -186,18 +196,26 @@
         return sockets
 
     def _listen(
-        self, application: web.Application, sockets: list[socket.socket]
+        self,
+        listener: listeners_lib.Listener,
+        application: web.Application,
+        sockets: list[socket.socket],
     ) -> None:
         http = self._settings.http
-        server = httpserver.HTTPServer(
+        server = self._listeners.serve(
+            listener._replace(
+                limits=document_lib.Limits(
+                    header_bytes=http.max_header_bytes,
+                    body_bytes=http.max_body_bytes,
+                    header_seconds=http.idle_seconds,
+                    idle_seconds=http.idle_seconds,
+                ),
+                refusal=bounded_server.Refusal(encode=_as_json),
+            ),
+            sockets,
             application,
-            max_header_size=http.max_header_bytes,
-            max_body_size=http.max_body_bytes,
-            max_buffer_size=http.max_body_bytes + http.max_header_bytes,
-            body_timeout=http.body_seconds,
-            idle_connection_timeout=http.idle_seconds,
         )
-        server.add_sockets(sockets)
+        server.conn_params.body_timeout = http.body_seconds
         self._servers.append(server)
 
     async def run(self) -> int:
@@ -252,6 +270,7 @@
 
     async def close(self) -> None:
         """Closes all services in the reverse order."""
+        self._listeners.close()
         for server in self._servers:
             server.stop()
             with contextlib.suppress(TimeoutError):
@@ -267,6 +286,11 @@
         self._context.destroy(linger=0)
 
 
+def _as_json(failure: findings.Failure) -> tuple[str, bytes]:
+    """Returns the type and body of the answer to a refused request."""
+    return "application/json", msgspec.json.encode(failure.as_json())
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="endivestreamd",
