Give hanging requests of the crowd tests a target of their own

test_unread_bytes_behind_a_running_request failed in three of 16 runs of: the ordinary request waited at the host (tries=0, target=""). Traced by the host's log: the only target had sent no byte for 60 s while it held the crowd's requests, and a silent target gets no requests, as intended. The test's fault.

The hanging requests go to a second service with its own target. Crowd, bounds and checks are the same, and the requests that reach the target are counted at that one.

--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -36,8 +36,9 @@
 DESCRIPTORS = 400
 MAX_BODY_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 64 * 1024
-# A request to this path is never answered by the target.
-HANG_PATH = "/x/hang"
+# A request to this path is never answered. Its target is not that of ordinary
+# requests, which get none while it sends no byte.
+HANG_PATH = "/hang/x"
 # A request to this path gets an answer of this size.
 LARGE_PATH = "/x/large"
 _LARGE_BYTES = 4 * 1024 * 1024
@@ -53,10 +54,18 @@
     "service": "desk",
     "anonymous": True,
 }
+_HANGING_ROUTE = _ROUTE | {
+    "name": "hanging",
+    "pathPrefix": "/hang/",
+    "service": "hanging",
+}
 CONFIGURATION = {
     "version": 1,
-    "routes": [_ROUTE],
-    "services": [{"name": "desk", "healthPath": "/healthz", "maxConns": 900}],
+    "routes": [_ROUTE, _HANGING_ROUTE],
+    "services": [
+        {"name": name, "healthPath": "/healthz", "maxConns": 900}
+        for name in ("desk", "hanging")
+    ],
     "limits": {
         "maxHeaderBytes": MAX_HEADER_BYTES,
         "maxBodyBytes": MAX_BODY_BYTES,
@@ -86,8 +95,6 @@
 
 
 async def _serve(request, writer):
-    if request.path.startswith(HANG_PATH):
-        await standin.hangs(request, writer)
     if request.path.startswith(LARGE_PATH):
         writer.write(standin.answer(body=b"a" * _LARGE_BYTES))
         await writer.drain()
@@ -224,6 +231,8 @@
         )
         self.target = await standin.Target(_serve).start()
         self.addAsyncCleanup(self.target.close)
+        self.hanging_target = await standin.Target(standin.hangs).start()
+        self.addAsyncCleanup(self.hanging_target.close)
         self.addCleanup(self.leave)
         await self._configure()
 
@@ -304,29 +313,32 @@
         except TimeoutError:
             self.fail(f"{what} is not answered, the last status is {status}")
 
+    async def _put(self, path, body):
+        await self.wait_for_ok(
+            path,
+            self.control_address,
+            "PUT",
+            path,
+            json.dumps(body).encode(),
+            Content_Type="application/json",
+        )
+
     async def _configure(self):
-        heartbeat = {
-            "service": "desk",
-            "address": self.target.address,
-            "zone": "a",
-            "slots": 400,
-            "state": "ready",
-            "seq": 1,
-            "born": 1,
-        }
-        json_type = {"Content_Type": "application/json"}
-        for path, body in (
-            ("/config", CONFIGURATION),
-            ("/instances/t1", heartbeat),
+        await self._put("/config", CONFIGURATION)
+        for service, target in (
+            ("desk", self.target),
+            ("hanging", self.hanging_target),
         ):
-            await self.wait_for_ok(
-                path,
-                self.control_address,
-                "PUT",
-                path,
-                json.dumps(body).encode(),
-                **json_type,
-            )
+            heartbeat = {
+                "service": service,
+                "address": target.address,
+                "zone": "a",
+                "slots": 400,
+                "state": "ready",
+                "seq": 1,
+                "born": 1,
+            }
+            await self._put(f"/instances/{service}", heartbeat)
         await self.wait_for_ok("readiness", self.ready, "GET", "/readyz")
         await self.check_served("before the crowd")
 
@@ -338,19 +350,12 @@
 
     async def send_large_configuration(self):
         """Sends a configuration of some megabytes."""
-        routes = [_ROUTE] + [
+        routes = [_ROUTE, _HANGING_ROUTE] + [
             _ROUTE | {"name": f"r{n}", "pathPrefix": f"/{'p' * 1000}{n}/"}
             for n in range(_LARGE_CONFIGURATION_BYTES // 1000)
         ]
         document = CONFIGURATION | {"version": 2, "routes": routes}
-        await self.wait_for_ok(
-            "a large configuration",
-            self.control_address,
-            "PUT",
-            "/config",
-            json.dumps(document).encode(),
-            Content_Type="application/json",
-        )
+        await self._put("/config", document)
 
     async def gather_crowd(
         self, address, count, pieces, *, pause=0.0, reads=True
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -132,14 +132,18 @@
         """Guards against bytes that wait in the kernel without a bound."""
 
         def pieces():
-            yield crowd_site.head("Content-Length: 0", path="/x/hang")
+            yield crowd_site.head(
+                "Content-Length: 0", path=crowd_site.HANG_PATH
+            )
             yield from crowd_site.plain(64 * _LIMIT)
 
         await self.check_crowd(self.front, 100, pieces)
 
     async def test_queued_requests_of_callers_who_left(self):
         """Guards against work for callers who have closed the connection."""
-        hanging = crowd_site.head("Content-Length: 0", path="/x/hang")
+        hanging = crowd_site.head(
+            "Content-Length: 0", path=crowd_site.HANG_PATH
+        )
 
         def pieces():
             yield hanging
@@ -149,7 +153,7 @@
         await self.check_served("beside the crowd")
         self.leave()
         await self._wait_until_idle()
-        self.assertLessEqual(len(self._hanging_requests()), 40)
+        self.assertLessEqual(len(self.hanging_target.requests), 40)
         await self.check_served("after the crowd")
         await self.check_hosts("after the crowd")
 
@@ -161,13 +165,6 @@
             await asyncio.sleep(0.1)
         self.fail(f"{self.edge.descriptors} descriptors are still open")
 
-    def _hanging_requests(self):
-        return [
-            each
-            for each in self.target.requests
-            if each.path.startswith(crowd_site.HANG_PATH)
-        ]
-
 
 class ConnectionCrowdTest(crowd_site.CrowdSite):
     async def test_idle_connections(self):
