Count what connections hold of unfinished and unread bodies

Larger crowds by hand, on hosts of 300 MB and 4,096 descriptors: 600 unfinished bodies of 4 MiB in chunks took 321 MB of an entry host, which refused callers for some time afterwards; 600 of 12 MiB took 314 MB of a control host.

Cause, from resident and unread bytes apart: pieces of 64 KiB keep up to 190 KiB of each chunked body; buffers that grow to different sizes leave gaps in the heap (301 MB resident for 63 MB held); and the kernel accepted 256 KiB a connection.

Change: heads are read in pieces of 64 KiB, bodies of 16 KiB. A body is kept in pieces of at least 8 KiB, joined once. The kernel accepts 32 KiB, twice that on Linux, and the number of connections follows from 96 KiB and a head each.

Lost: 16 KiB also for heads (a head over the limit ends with a reset); a budget for kernel buffers by reading them out (they fill while the loop is late).

--- a/packages/endivestream/src/endivestream/process/bounded_server.py
+++ b/packages/endivestream/src/endivestream/process/bounded_server.py
@@ -51,8 +51,10 @@
 from endivestream import logs
 from endivestream.process import request_memory as request_memory_lib
 
-# Bytes read from a connection at a time. One that is not read on holds as many.
-_READ_BYTES = 64 * 1024
+# Bytes of a head and of a body that are read at a time. Each connection holds
+# as many of an unfinished body, and twice as many of one in chunks.
+_READ_HEAD_BYTES = 64 * 1024
+_READ_BODY_BYTES = 16 * 1024
 # Memory of a field of a head: name, value and their entries. Heads up to the
 # second bound are part of what each connection takes.
 _FIELD_BYTES = 256
@@ -188,6 +190,10 @@
         buffer = self._stream._write_buffer
         return 0 if buffer is None else len(buffer)
 
+    def set_read_bytes(self, size: int) -> None:
+        """Sets the number of bytes that are read at a time."""
+        self._stream.read_chunk_size = size
+
     def read_until(
         self, delimiter: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
@@ -337,7 +343,7 @@
             max_unsent: Maximum number of unsent bytes of answers.
             refusal: How requests are refused for lack of memory.
         """
-        super().initialize(handler, chunk_size=_READ_BYTES)
+        super().initialize(handler, chunk_size=_READ_BODY_BYTES)
         self.name = name
         self._memory = memory
         self._turns = turns
@@ -376,7 +382,7 @@
         self.conn_params.header_timeout = limits.idle_seconds
         # The server checks bodies itself, and answers with 413.
         self.conn_params.max_body_size = sys.maxsize
-        self.max_buffer_size = limits.header_bytes + 2 * _READ_BYTES
+        self.max_buffer_size = limits.header_bytes + 2 * _READ_HEAD_BYTES
 
     # Connections.
 
@@ -412,6 +418,7 @@
         connection = self._open[server_conn.stream]
         self._end_request(connection)
         connection.head_began_at = None
+        connection.stream.set_read_bytes(_READ_HEAD_BYTES)
         self.set_phase(connection, _Phase.HEAD)
         return _RequestGuard(
             server=self,
@@ -604,6 +611,7 @@
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
         self._server.set_phase(self._connection, _Phase.BODY)
+        self._connection.stream.set_read_bytes(_READ_BODY_BYTES)
         self._connection.guard = self
         assert isinstance(start_line, httputil.RequestStartLine)
         self._is_head = start_line.method == "HEAD"
--- a/packages/endivestream/src/endivestream/process/listeners.py
+++ b/packages/endivestream/src/endivestream/process/listeners.py
@@ -28,13 +28,14 @@
 _BACKLOG = 1024
 # Bytes that the kernel accepts for a connection before the process reads them,
 # which count toward the memory of the host. Linux allows twice as many.
-_KERNEL_UNREAD_BYTES = 128 * 1024
+_KERNEL_UNREAD_BYTES = 32 * 1024
 # Shares of the memory for bytes behind running requests, and for unsent bytes
 # of answers.
 _UNREAD_SHARE = 0.05
 _UNSENT_SHARE = 0.1
-# Memory of a connection, without its head.
-_CONNECTION_BYTES = 16 * 1024
+# Memory of a connection, without its head: what was read of a body and not yet
+# passed on, and what arrived and was not read.
+_CONNECTION_BYTES = 32 * 1024 + 2 * _KERNEL_UNREAD_BYTES
 # Descriptors of a process whose settings do not state them, at most.
 _DEFAULT_DESCRIPTORS = 4096
 _MIN_CONNECTIONS = 8
@@ -70,14 +71,14 @@
 _WITHOUT_BODY = document_lib.Limits(header_bytes=_HEADER_BYTES, body_bytes=1024)
 # A connection to a target for each running request, and links to other hosts,
 # need the descriptors that are left.
-CALLERS = Listener("callers", 0.35, 0.2)
-RELAY = Listener("relay", 0.04, 0.02)
+CALLERS = Listener("callers", 0.35, 0.28)
+RELAY = Listener("relay", 0.04, 0.03)
 CONTROL = Listener(
-    "control", 0.4, 0.2, document_lib.Limits(header_bytes=_HEADER_BYTES)
+    "control", 0.4, 0.3, document_lib.Limits(header_bytes=_HEADER_BYTES)
 )
-DIRECTORY = Listener("directory", 0.06, 0.03, _WITHOUT_BODY)
-READINESS = Listener("readiness", 0.03, 0.01, _WITHOUT_BODY)
-METRICS = Listener("metrics", 0.03, 0.01, _WITHOUT_BODY)
+DIRECTORY = Listener("directory", 0.06, 0.04, _WITHOUT_BODY)
+READINESS = Listener("readiness", 0.03, 0.015, _WITHOUT_BODY)
+METRICS = Listener("metrics", 0.03, 0.015, _WITHOUT_BODY)
 
 
 def bind(address: str) -> list[socket.socket]:
--- a/packages/endivestream/src/endivestream/request/call.py
+++ b/packages/endivestream/src/endivestream/request/call.py
@@ -33,6 +33,9 @@
     }
 )
 
+# Pieces of a body are joined until they have this size.
+_MIN_PIECE_BYTES = 8 * 1024
+
 
 class CallerDisconnectedError(Exception):
     """The caller has closed its connection."""
@@ -280,8 +283,7 @@
         self._front = front
         self._connection = connection
         self._server_conn = server_conn
-        # One buffer: a list of small pieces would take far more memory.
-        self._body = bytearray()
+        self._pieces: list[bytearray] = []
         self._start_line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
         self._task: asyncio.Task[None] | None = None
@@ -296,7 +298,12 @@
         self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        self._body += chunk
+        # Small pieces are joined, as each object takes far more than its
+        # bytes. Large ones are not: buffers that grow to different sizes leave
+        # gaps between them, which the process keeps.
+        if not self._pieces or len(self._pieces[-1]) >= _MIN_PIECE_BYTES:
+            self._pieces.append(bytearray())
+        self._pieces[-1] += chunk
 
     def finish(self) -> None:
         assert self._start_line is not None
@@ -304,11 +311,11 @@
             connection=self._connection,
             start_line=self._start_line,
             headers=self._headers,
-            body=bytes(self._body),
+            body=b"".join(self._pieces),
             arrived_at=self._front._now(),
             is_refused=not self._front.accepts(self._server_conn),
         )
-        self._body = bytearray()
+        self._pieces.clear()
         self._task = self._front.start(call)
         # Cancels the task immediately when the caller disconnects.
         self._connection.set_close_callback(self.on_connection_close)
@@ -316,4 +323,4 @@
     def on_connection_close(self) -> None:
         if self._task is not None:
             self._task.cancel()
-        self._body = bytearray()
+        self._pieces.clear()
