--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -110,7 +110,7 @@
         gathering = asyncio.create_task(
             self.gather_crowd(self.front, 60, pieces)
         )
-        await self.check_served("as the crowd comes")
+        await self._wait_for_first_reads()
         read_before = self._read_bytes()
         for _ in range(10):
             await self.check_served("beside small chunks")
@@ -121,6 +121,19 @@
         await self.check_served("after the crowd")
         await self.check_hosts("after the crowd")
 
+    async def _wait_for_first_reads(self):
+        """Waits until the host has read from all clients.
+
+        What it reads of a new connection before it decodes is no measure of
+        its fairness.
+        """
+        async with asyncio.timeout(60):
+            while len(self.crowd) < 60 or any(
+                each.acknowledged_bytes < 64 * 1024 for each in self.crowd
+            ):
+                await asyncio.sleep(0.05)
+        await self.check_served("as the crowd comes")
+
     def _read_bytes(self):
         """Returns the bytes of the crowd that the host has read."""
         acknowledged = sum(each.acknowledged_bytes for each in self.crowd)
