Review: a report for an unknown service evicts a sound server

A status report whose service is in no configuration takes over the address of a listed server, which is then refused for a minute.

--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -472,12 +472,19 @@
     """Stand-in of clients: a request to the entry host now and then."""
 
     def __init__(
-        self, *, address: str, port: int, record: Record, every: float = 0.25
+        self,
+        *,
+        address: str,
+        port: int,
+        record: Record,
+        every: float = 0.25,
+        path: str = "/look/x",
     ) -> None:
         self._address = address
         self._port = port
         self._record = record
         self._every = every
+        self._path = path
         self.results: list[tuple[float, int]] = []
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -499,7 +506,7 @@
                 self._address,
                 self._port,
                 "GET",
-                "/look/x",
+                self._path,
                 headers={
                     "Host": "site.example",
                     "Attempt-Id": attempt,
@@ -511,7 +518,7 @@
             if status == 200 and "server-seal" not in answer.headers:
                 status = -1
             self.results.append((sent_at, status))
-            self._record.write(f"request {attempt}: {status}")
+            self._record.write(f"request {attempt} {self._path}: {status}")
 
     def served(self, start: float, end: float) -> tuple[int, int]:
         """Returns the requests served and sent in a span."""
