Review: an entry host forgets a departure that it passed on through a relay

Answers that come through another entry host are passed on without recording what their targets announce. After a cut of 4.5 s, a request sent 3.4 s after the first such answer reaches the leaving server.

--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -145,6 +145,28 @@
         """Whether its process runs."""
         return self._process is not None and self._process.poll() is None
 
+    def owns(self, peer: tuple[str, int]) -> bool:
+        """Returns whether a connection's client end belongs to the process."""
+        if self._process is None:
+            return False
+        ip = int.from_bytes(socket.inet_aton(peer[0]), sys.byteorder)
+        wanted = f"{ip:08X}:{peer[1]:04X}"
+        inode = None
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            for line in table:
+                fields = line.split()
+                if fields[1] == wanted:
+                    inode = fields[9]
+                    break
+        folder = f"/proc/{self._process.pid}/fd"
+        for name in os.listdir(folder):
+            try:
+                if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
+                    return True
+            except OSError:
+                continue
+        return False
+
     def lose_disk(self) -> None:
         """The next start gets an empty folder."""
         self._disk += 1
@@ -288,13 +310,17 @@
         control_port: int,
         controls: Callable[[], Sequence[str]],
         record: Record,
+        zone: str = "lodz-a",
     ) -> None:
         self.name = name
+        self.record = record
+        self._zone = zone
+        self._is_leaving = False
+        self._late_seconds = 0.0
         self._service = service
         self._address = f"{address}:{port}"
         self._controls = controls
         self._control_port = control_port
-        self._record = record
         self.runs: list[str] = []
         self._stop = threading.Event()
         owner = self
@@ -302,7 +328,16 @@
         class _Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def handle_one_request(self) -> None:
+                if owner.is_held(self.client_address):
+                    self.close_connection = True
+                    return
+                super().handle_one_request()
+
             def _answer(self) -> None:
+                if owner.is_held(self.client_address):
+                    self.close_connection = True
+                    return
                 length = int(self.headers.get("Content-Length") or 0)
                 self.rfile.read(length)
                 status, body = 200, b"served"
@@ -315,9 +350,12 @@
                     status, body = 421, b""
                 else:
                     owner.runs.append(request)
+                    owner.record_arrival(self.client_address, request)
                     fields["Server-Seal"] = f"seal.{owner.name}.{request}"
                 if request:
                     fields["Attempt-Id"] = request
+                if owner._is_leaving:
+                    fields["Server-Leaving"] = "1"
                 self.send_response(status)
                 for field, value in fields.items():
                     self.send_header(field, value)
@@ -342,6 +380,18 @@
         for thread in self._threads:
             thread.start()
 
+    def is_held(self, peer: tuple[str, int]) -> bool:
+        """Returns whether a connection is cut."""
+        return False
+
+    def record_arrival(self, peer: tuple[str, int], attempt: str) -> None:
+        """Called with each request that is run."""
+
+    def leave(self, *, late_seconds: float) -> None:
+        """Says in all answers that it leaves; its reports arrive late."""
+        self._late_seconds = late_seconds
+        self._is_leaving = True
+
     def close(self) -> None:
         """Stops."""
         self._stop.set()
@@ -352,14 +402,16 @@
         born, number = int(time.time() * 1000), 0
         while not self._stop.is_set():
             number += 1
+            if self._is_leaving and self._stop.wait(self._late_seconds):
+                return
             body = json.dumps(
                 {
                     "service": self._service,
                     "address": self._address,
-                    "zone": "lodz-a",
+                    "zone": self._zone,
                     "version": "v1",
                     "slots": 16,
-                    "state": "ready",
+                    "state": "draining" if self._is_leaving else "ready",
                     "coldLeftMs": 0,
                     "seq": number,
                     "born": born,
@@ -486,6 +538,10 @@
         self._every = every
         self._path = path
         self.results: list[tuple[float, int]] = []
+        # When each attempt was sent, its status and id; when each answer came,
+        # its headers and the id.
+        self.details: list[tuple[float, int, str]] = []
+        self.answers: list[tuple[float, dict, str]] = []
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
@@ -518,6 +574,8 @@
             if status == 200 and "server-seal" not in answer.headers:
                 status = -1
             self.results.append((sent_at, status))
+            self.details.append((sent_at, status, attempt))
+            self.answers.append((time.monotonic(), answer.headers, attempt))
             self._record.write(f"request {attempt} {self._path}: {status}")
 
     def served(self, start: float, end: float) -> tuple[int, int]:
