--- a/review/6/case.py
+++ b/review/6/case.py
@@ -30,7 +30,9 @@
     ports = site.Ports()
     address = {
         name: f"{ports.prefix}.{number}"
-        for number, name in enumerate(("a", "b", "c", "d", "edge", "server"), 11)
+        for number, name in enumerate(
+            ("a", "b", "c", "d", "edge", "server"), 11
+        )
     }
     ports.check(list(address.values()))
 
@@ -69,7 +71,7 @@
     operator = site.Operator(
         port=ports.control, controls=controls, record=record
     )
-    if not operator.put(site.document(1), seconds=12.0):
+    if not operator.put(site.document(1), seconds=25.0):
         raise site.CannotRunError("the first configuration has no confirmation")
     server = site.Server(
         name="i-1",
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -33,7 +33,8 @@
     ports = site.Ports()
     names = ("a", "b", "c", "edge", "i-1", "i-2")
     address = {
-        name: f"{ports.prefix}.{number}" for number, name in enumerate(names, 11)
+        name: f"{ports.prefix}.{number}"
+        for number, name in enumerate(names, 11)
     }
     ports.check(list(address.values()))
     for name in names[:4]:
@@ -71,7 +72,7 @@
         )
         for name, zone in (("i-1", "lodz-a"), ("i-2", "lodz-b"))
     ]
-    if not operator.put(engine.document(1, _MODELS, _WEIGHTS_MB), seconds=12.0):
+    if not operator.put(engine.document(1, _MODELS, _WEIGHTS_MB), seconds=25.0):
         raise site.CannotRunError("the first configuration has no confirmation")
     for each in engines:
         each.start()
@@ -87,7 +88,9 @@
         time.sleep(6.0)
         # The retired model has had no requests.
         listed = [
-            model for model in _MODELS if not (_HAS_TROUBLE and model.name == "m2")
+            model
+            for model in _MODELS
+            if not (_HAS_TROUBLE and model.name == "m2")
         ]
         second = engine.document(2, listed, _WEIGHTS_MB)
         if not operator.put(second, seconds=8.0):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -44,7 +44,8 @@
     ports = site.Ports()
     names = ("a", "b", "c", "edge", "desk", "shop")
     address = {
-        name: f"{ports.prefix}.{number}" for number, name in enumerate(names, 11)
+        name: f"{ports.prefix}.{number}"
+        for number, name in enumerate(names, 11)
     }
     ports.check(list(address.values()))
     for name in ("a", "b", "c", "edge"):
@@ -66,7 +67,7 @@
         port=ports.control, controls=lambda: controls, record=record
     )
     first, second = _documents()
-    if not operator.put(first, seconds=12.0):
+    if not operator.put(first, seconds=25.0):
         raise site.CannotRunError("the first configuration has no confirmation")
     servers = [
         site.Server(
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -33,7 +33,8 @@
     ports = site.Ports()
     names = ("a", "b", "c", "edge", "server")
     address = {
-        name: f"{ports.prefix}.{number}" for number, name in enumerate(names, 11)
+        name: f"{ports.prefix}.{number}"
+        for number, name in enumerate(names, 11)
     }
     ports.check(list(address.values()))
     for name in names[:4]:
@@ -63,7 +64,7 @@
         "ratePerS": 48436,
         "burst": 48436,
     }
-    if not operator.put(_document(1, [tenant]), seconds=12.0):
+    if not operator.put(_document(1, [tenant]), seconds=25.0):
         raise site.CannotRunError("the first configuration has no confirmation")
     server = site.Server(
         name="i-1",
--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -282,7 +282,9 @@
     """Sends one request on a connection of its own."""
     connection = http.client.HTTPConnection(address, port, timeout=seconds)
     try:
-        connection.request(method, path, body=body or None, headers=headers or {})
+        connection.request(
+            method, path, body=body or None, headers=headers or {}
+        )
         response = connection.getresponse()
         data = response.read()
         fields = {name.lower(): value for name, value in response.getheaders()}
