--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -145,17 +145,22 @@
         """Whether its process runs."""
         return self._process is not None and self._process.poll() is None
 
-    def owns(self, peer: tuple[str, int]) -> bool:
-        """Returns whether a connection's client end belongs to the process."""
+    def owns(self, peer: tuple[str, int], server: tuple[str, int]) -> bool:
+        """Returns whether a connection's client end belongs to the process.
+
+        Args:
+            peer: Address of the client end. Connections to several servers may
+                share it.
+            server: Address of the server.
+        """
         if self._process is None:
             return False
-        ip = int.from_bytes(socket.inet_aton(peer[0]), sys.byteorder)
-        wanted = f"{ip:08X}:{peer[1]:04X}"
+        wanted = [_as_in_proc(peer), _as_in_proc(server)]
         inode = None
         with open("/proc/net/tcp", encoding="ascii") as table:
             for line in table:
                 fields = line.split()
-                if fields[1] == wanted:
+                if fields[1:3] == wanted:
                     inode = fields[9]
                     break
         folder = f"/proc/{self._process.pid}/fd"
@@ -260,6 +265,12 @@
             self._process.wait()
 
 
+def _as_in_proc(address: tuple[str, int]) -> str:
+    """Returns an address as it stands in /proc/net/tcp."""
+    ip = int.from_bytes(socket.inet_aton(address[0]), sys.byteorder)
+    return f"{ip:08X}:{address[1]:04X}"
+
+
 class Answer:
     """Answer to an HTTP request; status 0 if there was none."""
 
